--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+EXAMPLE ?= daugava
+SECONDS ?= 60
+
+.PHONY: install demo test bench fuzz faults slopes policy generate clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $@
+
+demo: install
+	$(BIN)/python -m bench.demo --example=$(EXAMPLE)
+
+test: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+	$(BIN)/behave --format=progress --no-capture
+	$(BIN)/python -m pytest
+
+bench: install
+	$(BIN)/python -m bench.overhead
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, and measurements that print tables and write plots."""
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,131 @@
+"""Start and end the processes of a demo or a measurement, each by its own id."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+
+__all__ = ["Fleet", "free_port", "wait_for", "wait_until"]
+
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.05
+FIRST_PORT = 20_000
+LAST_PORT = 30_000
+
+
+def free_port(_state: list[int] = [FIRST_PORT]) -> int:  # noqa: B006
+    """Return a loopback port that nobody listens on, each only once a process.
+
+    The ports lie below those that the system gives to outgoing connections, so none
+    of them can be taken between this check and its use.
+    """
+    while _state[0] < LAST_PORT:
+        _state[0] += 1
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", _state[0]))
+            except OSError:
+                continue
+            return _state[0]
+    raise RuntimeError("no loopback port is free")
+
+
+class Fleet:
+    """Child processes by name, with their output in one folder."""
+
+    def __init__(self, *, folder: Path):
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def start(self, name: str, module: str, *flags: str) -> subprocess.Popen:
+        """Start ``python -m module`` with flags."""
+        with (self.folder / f"{name}.log").open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *flags],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=_environment(),
+            )
+        self.processes[name] = process
+        return process
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        process = self.processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def wait(self, name: str, *, seconds: float = STOP_SECONDS) -> int | None:
+        """Wait for one process to end and return its exit code."""
+        try:
+            return self.processes[name].wait(timeout=seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self) -> dict[str, int | None]:
+        """End all processes, kindly first, and return their exit codes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.terminate()
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in self.processes.values():
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(timeout=max(deadline - time.monotonic(), 0.01))
+        codes = {name: p.poll() for name, p in self.processes.items()}
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        return codes
+
+    def log(self, name: str) -> str:
+        """Return what a process has printed."""
+        return (self.folder / f"{name}.log").read_text("utf-8", "replace")
+
+
+def _environment() -> dict[str, str]:
+    kept = {k: v for k, v in os.environ.items() if not k.startswith("LINNETLADDER_")}
+    kept["PYTHONUNBUFFERED"] = "1"
+    return kept
+
+
+async def wait_for(url: str, *, seconds: float = START_SECONDS) -> bool:
+    """Wait until a URL answers 200 and return whether it did in time."""
+    return await wait_until(url, lambda _: True, seconds=seconds)
+
+
+async def wait_until(
+    url: str,
+    holds: Callable[[dict], bool],
+    *,
+    seconds: float = START_SECONDS,
+) -> bool:
+    """Wait until what a URL answers with 200 satisfies a condition."""
+    deadline = time.monotonic() + seconds
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < deadline:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with session.get(url) as response:
+                    if response.status == 200 and holds(await _document(response)):
+                        return True
+            await asyncio.sleep(POLL_SECONDS)
+    return False
+
+
+async def _document(response: aiohttp.ClientResponse) -> dict:
+    """Return the JSON body, or nothing when the body is a plain text."""
+    if response.content_type != "application/json":
+        return {}
+    return await response.json()
--- /dev/null
+++ b/linnetladder/assembly.py
@@ -0,0 +1,234 @@
+"""How the parts of a daemon are put together from its settings."""
+
+import dataclasses
+import secrets
+import time
+
+from linnetladder.conf import Settings
+from linnetladder.coordination import (
+    AccountLimits,
+    AddressLimits,
+    Admission,
+    AttemptRunner,
+    Background,
+    BillWriter,
+    CompareAndSwapClaims,
+    Completion,
+    ConfigurationInForce,
+    Discovery,
+    Ejector,
+    EntryChecks,
+    LiveState,
+    NoCopies,
+    PoisonBook,
+    Registration,
+    RetryBudget,
+    Router,
+)
+from linnetladder.coordination.endpoint_choice import CHOICES
+from linnetladder.coordination.registration import DaemonRecord
+from linnetladder.state import EndpointTable, KeyRing, SigningKey, SystemClock
+from linnetladder.telemetry import Metrics, build_tracer
+from linnetladder.transport import (
+    CallerServer,
+    Connections,
+    EtcdKeyValue,
+    HttpEndpointClient,
+    HttpInstanceList,
+)
+
+__all__ = ["Parts", "assemble", "new_signing_key"]
+
+INCARNATION_BYTES = 8
+SECRET_BYTES = 32
+ADDRESS_BURST_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Parts:
+    """The long-lived objects of one daemon."""
+
+    settings: Settings
+    incarnation: str
+    metrics: Metrics
+    store: EtcdKeyValue
+    instances: HttpInstanceList
+    connections: Connections
+    client: HttpEndpointClient
+    keys: KeyRing
+    configuration: ConfigurationInForce
+    live_state: LiveState
+    table: EndpointTable
+    admission: Admission
+    limits: AccountLimits
+    discovery: Discovery
+    background: Background
+    bills: BillWriter
+    poison: PoisonBook
+    router: Router
+    callers: CallerServer
+
+
+def new_signing_key(key_id: str) -> SigningKey:
+    """Return a key with a new random secret."""
+    return SigningKey(key_id, secrets.token_hex(SECRET_BYTES), time.time())
+
+
+def assemble(settings: Settings) -> Parts:
+    """Build a daemon's parts; nothing is started and nothing is sent yet."""
+    clock = SystemClock()
+    metrics = Metrics()
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    seed = secrets.randbits(64)
+    tracer = build_tracer(
+        exporter=settings.trace_exporter,
+        endpoint=settings.trace_endpoint,
+        share=settings.trace_share,
+        instance=settings.instance,
+        failure_domain=settings.failure_domain,
+    )
+    store = EtcdKeyValue(
+        urls=settings.platform_urls,
+        timeout_seconds=settings.platform_timeout_seconds,
+        clock=clock,
+        metrics=metrics,
+    )
+    instances = HttpInstanceList(
+        url=settings.instance_list_url,
+        timeout_seconds=settings.platform_timeout_seconds,
+        metrics=metrics,
+    )
+    connections = Connections(connect_seconds=settings.connect_timeout_seconds)
+    client = HttpEndpointClient(
+        connections=connections,
+        clock=clock,
+        silence_seconds=settings.silence_seconds,
+    )
+    keys = KeyRing()
+    table = EndpointTable()
+    background = Background()
+    configuration = ConfigurationInForce(store=store, clock=clock, metrics=metrics)
+    poison = PoisonBook(store=store, clock=clock, incarnation=incarnation)
+    live_state = LiveState(
+        store=store,
+        clock=clock,
+        configuration=configuration,
+        keys=keys,
+        poison=poison,
+        poll_seconds=settings.configuration_poll_seconds,
+    )
+    admission = Admission(
+        table=table,
+        choice=CHOICES[settings.endpoint_choice](seed=seed),
+        clock=clock,
+        own_domain=settings.failure_domain,
+        maximum_queue=settings.maximum_queue,
+    )
+    discovery = Discovery(
+        table=table,
+        instances=instances,
+        loads=client,
+        admission=admission,
+        list_seconds=settings.list_poll_seconds,
+        load_seconds=settings.load_poll_seconds,
+    )
+    bills = BillWriter(
+        store=store,
+        copier=NoCopies(),
+        metrics=metrics,
+        incarnation=incarnation,
+        copy_after_seconds=settings.bill_copy_after_seconds,
+        maximum_unrecorded=settings.maximum_unrecorded_bills,
+    )
+    claims = CompareAndSwapClaims(store=store, clock=clock)
+    completion = Completion(
+        bills=bills,
+        claims=claims,
+        keys=keys,
+        clock=clock,
+        metrics=metrics,
+        incarnation=incarnation,
+    )
+    runner = AttemptRunner(
+        configuration=configuration,
+        table=table,
+        admission=admission,
+        client=client,
+        budget=RetryBudget(share=settings.retry_share),
+        ejector=Ejector(clock=clock),
+        poison=poison,
+        background=background,
+        clock=clock,
+        metrics=metrics,
+        silence_seconds=settings.silence_seconds,
+        seed=seed,
+    )
+    limits = AccountLimits()
+    checks = EntryChecks(
+        configuration=configuration,
+        keys=keys,
+        limits=limits,
+        poison=poison,
+        clock=clock,
+    )
+    router = Router(
+        checks=checks,
+        table=table,
+        runner=runner,
+        claims=claims,
+        completion=completion,
+        clock=clock,
+        metrics=metrics,
+        tracer=tracer,
+        exploration_seed=seed,
+    )
+    callers = CallerServer(
+        router=router,
+        limits=AddressLimits(
+            rate=settings.address_requests_per_second,
+            burst=settings.address_requests_per_second * ADDRESS_BURST_SECONDS,
+        ),
+        clock=clock,
+        metrics=metrics,
+        header_bytes=settings.header_bytes,
+        body_bytes=settings.body_bytes,
+        body_seconds=settings.body_seconds,
+    )
+    return Parts(
+        settings=settings,
+        incarnation=incarnation,
+        metrics=metrics,
+        store=store,
+        instances=instances,
+        connections=connections,
+        client=client,
+        keys=keys,
+        configuration=configuration,
+        live_state=live_state,
+        table=table,
+        admission=admission,
+        limits=limits,
+        discovery=discovery,
+        background=background,
+        bills=bills,
+        poison=poison,
+        router=router,
+        callers=callers,
+    )
+
+
+def build_registration(
+    parts: Parts, *, caller_port: int, operations_port: int
+) -> Registration:
+    """Return the registration of a daemon whose ports are known."""
+    settings = parts.settings
+    record = DaemonRecord(
+        instance=settings.instance,
+        incarnation=parts.incarnation,
+        failure_domain=settings.failure_domain,
+        caller_address=f"{settings.address}:{caller_port}",
+        operations_address=f"{settings.address}:{operations_port}",
+    )
+    return Registration(
+        store=parts.store, configuration=parts.configuration, record=record
+    )
--- /dev/null
+++ b/linnetladder/conf/checks.py
@@ -0,0 +1,100 @@
+"""Checks of a process's settings: each problem has an id, a message and a hint."""
+
+import dataclasses
+from collections.abc import Mapping
+from pathlib import Path
+
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.conf.settings import ENVIRONMENT_PREFIX, Settings
+
+__all__ = ["Problem", "check_settings", "load_settings"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """Something that keeps a process from starting, and what to do about it."""
+
+    id: str
+    message: str
+    hint: str
+
+    def __str__(self) -> str:
+        return f"{self.id}: {self.message} (hint: {self.hint})"
+
+
+def load_settings(values: Mapping[str, object]) -> Result[Settings, list[Problem]]:
+    """Return validated settings, or every problem found in the values."""
+    try:
+        settings = Settings.model_validate(dict(values))
+    except pydantic.ValidationError as error:
+        return Failure([_value_problem(entry) for entry in error.errors()])
+    problems = check_settings(settings)
+    return Failure(problems) if problems else Success(settings)
+
+
+def _value_problem(entry: Mapping) -> Problem:
+    name = str(entry["loc"][0]) if entry["loc"] else "settings"
+    given = entry.get("input")
+    message = f"setting {name!r} has the value {given!r}: {entry['msg']}"
+    hint = f"set --{name} or {ENVIRONMENT_PREFIX}{name.upper()}"
+    return Problem("conf.E001", message, hint)
+
+
+def check_settings(settings: Settings) -> list[Problem]:
+    """Return the problems of settings that are each valid alone."""
+    problems = []
+    problems.extend(_check_failure_domain(settings))
+    problems.extend(_check_ports(settings))
+    problems.extend(_check_urls(settings))
+    problems.extend(_check_certificates(settings))
+    return problems
+
+
+def _check_failure_domain(settings: Settings) -> list[Problem]:
+    if settings.failure_domain in settings.failure_domains:
+        return []
+    known = ", ".join(settings.failure_domains)
+    message = f"failure domain {settings.failure_domain!r} is unknown"
+    return [Problem("conf.E002", message, f"use one of {known}, or extend the list")]
+
+
+def _check_ports(settings: Settings) -> list[Problem]:
+    ports = [settings.caller_port, settings.operations_port, settings.peer_port]
+    fixed = [port for port in ports if port]
+    if len(set(fixed)) == len(fixed):
+        return []
+    message = f"ports {ports} are not all different"
+    return [Problem("conf.E003", message, "give each listener a port of its own")]
+
+
+def _check_urls(settings: Settings) -> list[Problem]:
+    problems = []
+    named = [("platform_urls", url) for url in settings.platform_urls]
+    named.append(("instance_list_url", settings.instance_list_url))
+    if settings.ratings_url:
+        named.append(("ratings_url", settings.ratings_url))
+    for name, url in named:
+        if not url.startswith(("http://", "https://")):
+            message = f"setting {name!r} names {url!r}, which is not an HTTP URL"
+            problems.append(Problem("conf.E004", message, "begin it with http://"))
+    return problems
+
+
+def _check_certificates(settings: Settings) -> list[Problem]:
+    names = ("tls_certificate", "tls_key", "tls_authority")
+    given = {name: getattr(settings, name) for name in names if getattr(settings, name)}
+    problems = []
+    if given and len(given) < len(names):
+        absent = ", ".join(name for name in names if name not in given)
+        message = f"peer connections need {absent} as well"
+        hint = "give all three files, or none to run without peers"
+        problems.append(Problem("conf.E005", message, hint))
+    for name, path in given.items():
+        if not Path(path).is_file():
+            message = f"setting {name!r} names {path!r}, which is not a file"
+            problems.append(
+                Problem("conf.E006", message, "give the path of a PEM file")
+            )
+    return problems
--- /dev/null
+++ b/linnetladder/coordination/billing.py
@@ -0,0 +1,225 @@
+"""Bills on their way to the platform's key-value service.
+
+Bills are gathered into blocks, each created only if absent under the daemon's
+incarnation and a sequence number, so a block that is written twice stands once. A
+request's end is released once its bill is safe: the block stands, or, when the
+platform is slow, peers hold copies that they will write should this daemon die.
+"""
+
+import abc
+import asyncio
+import collections
+import dataclasses
+
+from returns.result import Success
+
+from linnetladder.coordination.platform import FaultKind, KeyValueService, Put
+from linnetladder.coordination.settling import create_if_absent
+from linnetladder.state import Bill
+from linnetladder.state.ledger import block_key, encode_block
+from linnetladder.telemetry import Metrics
+
+__all__ = ["BillBlock", "BillCopier", "BillWriter", "NoCopies", "write_block"]
+
+MAXIMUM_BILLS_PER_BLOCK = 1000
+MAXIMUM_OPEN_BLOCKS = 4
+FIRST_RETRY_SECONDS = 0.1
+MAXIMUM_RETRY_SECONDS = 2.0
+SETTLE_SECONDS = 0.5
+SLOW_BLOCK_INTERVAL_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BillBlock:
+    """A numbered block of one incarnation, with writes that stand or fall with it."""
+
+    incarnation: str
+    sequence: int
+    content: bytes
+    puts: tuple[Put, ...] = ()
+
+    @property
+    def key(self) -> str:
+        """The key under which the block stands."""
+        return block_key(incarnation=self.incarnation, sequence=self.sequence)
+
+
+class BillCopier(abc.ABC):
+    """Have copies of a block held elsewhere until it stands."""
+
+    @abc.abstractmethod
+    async def copy(self, block: BillBlock) -> bool:
+        """Return whether enough peers hold the block."""
+
+    @abc.abstractmethod
+    async def drop(self, block: BillBlock) -> None:
+        """Tell the holders that the block stands."""
+
+
+class NoCopies(BillCopier):
+    """No peers: a bill is safe only when its block stands."""
+
+    async def copy(self, block: BillBlock) -> bool:
+        """Report that nobody holds the block."""
+        return False
+
+    async def drop(self, block: BillBlock) -> None:
+        """Do nothing."""
+
+
+async def write_block(store: KeyValueService, block: BillBlock) -> bool:
+    """Make one try at creating a block and return whether it stands.
+
+    Owner and holders write the same content under the same key, so a block that
+    already exists stands just as well.
+    """
+    put = Put(block.key, block.content)
+    created = await create_if_absent(
+        store, put, settle_seconds=SETTLE_SECONDS, others=block.puts
+    )
+    if isinstance(created, Success):
+        return True
+    return created.failure().kind is FaultKind.REJECTED and await _stands(store, block)
+
+
+async def _stands(store: KeyValueService, block: BillBlock) -> bool:
+    found = await store.get(block.key)
+    return isinstance(found, Success) and found.unwrap() is not None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Entry:
+    bill: Bill
+    puts: tuple[Put, ...]
+    safe: asyncio.Future
+
+
+class BillWriter:
+    """Gather bills into blocks and see each block through to the platform."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueService,
+        copier: BillCopier,
+        metrics: Metrics,
+        incarnation: str,
+        copy_after_seconds: float,
+        maximum_unrecorded: int,
+    ):
+        self.store = store
+        self.copier = copier
+        self.metrics = metrics
+        self.incarnation = incarnation
+        self.copy_after_seconds = copy_after_seconds
+        self.maximum_unrecorded = maximum_unrecorded
+        self.waiting: collections.deque[_Entry] = collections.deque()
+        self.arrived = asyncio.Event()
+        self.closed_block = asyncio.Event()
+        self.open_blocks: dict[int, asyncio.Task] = {}
+        self.unrecorded = 0
+        self.sequence = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the bound on unrecorded bills is reached."""
+        return self.unrecorded >= self.maximum_unrecorded
+
+    def add(self, bill: Bill, puts: tuple[Put, ...] = ()) -> asyncio.Future:
+        """Take in a bill and return a future that is done when the bill is safe."""
+        safe = asyncio.get_running_loop().create_future()
+        self.waiting.append(_Entry(bill, puts, safe))
+        self.unrecorded += 1
+        self.arrived.set()
+        return safe
+
+    def withdraw(self, bill: Bill, safe: asyncio.Future) -> None:
+        """Take back a bill whose answer was not given after all.
+
+        A bill that no block holds yet is dropped; any other is voided by a record.
+        """
+        for entry in self.waiting:
+            if entry.safe is safe:
+                self.waiting.remove(entry)
+                self.unrecorded -= 1
+                return
+        self.add(dataclasses.replace(bill, voids=True))
+
+    async def run(self) -> None:
+        """Form blocks as bills arrive, until cancelled."""
+        while True:
+            await self.arrived.wait()
+            if len(self.open_blocks) >= MAXIMUM_OPEN_BLOCKS:
+                await self._wait_for_room()
+            self.form_block()
+
+    def form_block(self) -> None:
+        """Put the waiting bills into a block and start writing it."""
+        count = min(len(self.waiting), MAXIMUM_BILLS_PER_BLOCK)
+        entries = [self.waiting.popleft() for _ in range(count)]
+        if not self.waiting:
+            self.arrived.clear()
+        if not entries:
+            return
+        self.sequence += 1
+        block = BillBlock(
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            content=encode_block(entry.bill for entry in entries),
+            puts=tuple(put for entry in entries for put in entry.puts),
+        )
+        task = asyncio.create_task(self._see_through(block, entries))
+        self.open_blocks[block.sequence] = task
+
+    async def flush(self, *, seconds: float) -> bool:
+        """Write what is left and return whether all of it stands in time."""
+        deadline = asyncio.get_running_loop().time() + seconds
+        while self.waiting or self.open_blocks:
+            self.form_block()
+            remaining = deadline - asyncio.get_running_loop().time()
+            if remaining <= 0:
+                return False
+            await asyncio.wait(tuple(self.open_blocks.values()), timeout=remaining)
+        return True
+
+    async def _wait_for_room(self) -> None:
+        """Wait until a block has closed, or for the interval of slow blocks."""
+        self.closed_block.clear()
+        try:
+            async with asyncio.timeout(SLOW_BLOCK_INTERVAL_SECONDS):
+                await self.closed_block.wait()
+        except TimeoutError:
+            return
+
+    async def _see_through(self, block: BillBlock, entries: list[_Entry]) -> None:
+        copying = asyncio.create_task(self._copy_if_slow(block, entries))
+        backoff = FIRST_RETRY_SECONDS
+        while not await write_block(self.store, block):
+            self.metrics.count("bill_block_retries")
+            await asyncio.sleep(backoff)
+            backoff = min(backoff * 2, MAXIMUM_RETRY_SECONDS)
+        _release(entries)
+        self.unrecorded -= len(entries)
+        self.metrics.count("bill_blocks")
+        self.metrics.count("bills", len(entries))
+        del self.open_blocks[block.sequence]
+        self.closed_block.set()
+        copied = copying.done() and copying.result()
+        copying.cancel()
+        if copied:
+            await self.copier.drop(block)
+
+    async def _copy_if_slow(self, block: BillBlock, entries: list[_Entry]) -> bool:
+        """Have peers hold the block if the platform has not taken it soon."""
+        await asyncio.sleep(self.copy_after_seconds)
+        while not await self.copier.copy(block):
+            await asyncio.sleep(FIRST_RETRY_SECONDS)
+        self.metrics.count("bill_blocks_copied")
+        _release(entries)
+        return True
+
+
+def _release(entries: list[_Entry]) -> None:
+    for entry in entries:
+        if not entry.safe.done():
+            entry.safe.set_result(None)
--- /dev/null
+++ b/linnetladder/coordination/claims.py
@@ -0,0 +1,188 @@
+"""The right to run a non-idempotent request, which one daemon gets once.
+
+A caller that names its request may send it again to another daemon. Before the first
+byte of such a request leaves, the daemon creates a claim under the request's bill id
+in the platform's key-value service; who doesn't create it doesn't run it. A request
+without a key of the caller's is known to one daemon only and needs no claim.
+"""
+
+import abc
+import dataclasses
+import enum
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    KeyValueService,
+    PlatformFault,
+    Put,
+)
+from linnetladder.coordination.settling import Creation, create_if_absent
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.state import Clock
+from linnetladder.state.ledger import bill_id
+
+__all__ = [
+    "Claim",
+    "ClaimState",
+    "ClaimStrategy",
+    "CompareAndSwapClaims",
+    "claim_key",
+]
+
+CLAIM_PREFIX = "linnetladder/claims/"
+CLAIM_RETENTION_SECONDS = 86_400.0
+LEASE_RENEWAL_SECONDS = 3_600.0
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claimed request has got, as its claim tells."""
+
+    STARTED = "started"
+    ANSWERED = "answered"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """A claim that stands; ``token`` is unique to the submission that made it."""
+
+    key: str
+    token: str
+    fingerprint: str
+    state: ClaimState
+    lease_id: int = 0
+
+    def encode(self) -> bytes:
+        """Return the value under which the claim stands."""
+        return orjson.dumps([self.token, self.fingerprint, self.state])
+
+    def answered(self) -> Put:
+        """Return the write that marks the claim as answered."""
+        done = dataclasses.replace(self, state=ClaimState.ANSWERED)
+        return Put(self.key, done.encode(), self.lease_id)
+
+    @classmethod
+    def decode(cls, key: str, value: bytes) -> "Claim":
+        """Read a claim; raise `ValueError` if it is malformed."""
+        token, fingerprint, state = orjson.loads(value)
+        return cls(
+            key=key, token=token, fingerprint=fingerprint, state=ClaimState(state)
+        )
+
+
+def claim_key(*, account: str, request_key: str) -> str:
+    """Return the key under which a request is claimed."""
+    return CLAIM_PREFIX + bill_id(account=account, request_key=request_key)
+
+
+class ClaimStrategy(abc.ABC):
+    """Decide whether a submission may run a non-idempotent request."""
+
+    @abc.abstractmethod
+    async def claim(
+        self, *, key: str, token: str, fingerprint: str, seconds: float
+    ) -> Result[Claim, Refusal]:
+        """Take the right to run, or return a refusal whose ``ran`` is true."""
+
+    @abc.abstractmethod
+    async def ran(self, *, key: str) -> Ran:
+        """Return whether any submission under this key is known to have run."""
+
+    @abc.abstractmethod
+    async def release(self, claim: Claim) -> None:
+        """Give a claim back after the request is known not to have run."""
+
+
+class CompareAndSwapClaims(ClaimStrategy):
+    """Claims as keys that are created only if absent."""
+
+    def __init__(self, *, store: KeyValueService, clock: Clock):
+        self.store = store
+        self.clock = clock
+        self.lease_id = 0
+        self.lease_granted = 0.0
+
+    async def claim(
+        self, *, key: str, token: str, fingerprint: str, seconds: float
+    ) -> Result[Claim, Refusal]:
+        """Create the claim, settling a lost reply by reading back."""
+        lease = await self._lease()
+        if isinstance(lease, Failure):
+            return Failure(_out_of_reach(lease.failure()))
+        claim = Claim(
+            key=key,
+            token=token,
+            fingerprint=fingerprint,
+            state=ClaimState.STARTED,
+            lease_id=lease.unwrap(),
+        )
+        put = Put(key, claim.encode(), claim.lease_id)
+        created = await create_if_absent(self.store, put, settle_seconds=seconds)
+        if isinstance(created, Failure):
+            return Failure(_out_of_reach(created.failure()))
+        creation, value = created.unwrap()
+        if creation is Creation.CREATED:
+            return Success(claim)
+        return Failure(_refuse_standing(Claim.decode(key, value), fingerprint))
+
+    async def ran(self, *, key: str) -> Ran:
+        """Return ``NO`` only if the platform shows that no claim stands."""
+        found = await self.store.get(key)
+        if isinstance(found, Failure):
+            return Ran.UNKNOWN
+        record = found.unwrap()
+        if record is None:
+            return Ran.NO
+        if Claim.decode(key, record.value).state is ClaimState.ANSWERED:
+            return Ran.YES
+        return Ran.UNKNOWN
+
+    async def release(self, claim: Claim) -> None:
+        """Delete the claim if it is still this submission's."""
+        found = await self.store.get(claim.key)
+        if isinstance(found, Failure) or found.unwrap() is None:
+            return
+        record = found.unwrap()
+        if record.value == claim.encode():
+            await self.store.transact(
+                conditions=(Condition(claim.key, record.modify_revision),),
+                deletes=(claim.key,),
+            )
+
+    async def _lease(self) -> Result[int, PlatformFault]:
+        """Return a lease that outlives the retention of claims.
+
+        Claims of one hour share a lease, which nobody renews.
+        """
+        now = self.clock.monotonic()
+        if self.lease_id and now - self.lease_granted < LEASE_RENEWAL_SECONDS:
+            return Success(self.lease_id)
+        seconds = CLAIM_RETENTION_SECONDS + LEASE_RENEWAL_SECONDS
+        granted = await self.store.grant_lease(seconds=seconds)
+        if isinstance(granted, Success):
+            self.lease_id = granted.unwrap()
+            self.lease_granted = now
+        return granted
+
+
+def _refuse_standing(claim: Claim, fingerprint: str) -> Refusal:
+    if claim.fingerprint != fingerprint:
+        detail = "the idempotency key was used for a request with another body"
+        return Refusal(ErrorKind.IDEMPOTENCY_KEY_REUSED, detail, Ran.UNKNOWN)
+    if claim.state is ClaimState.ANSWERED:
+        detail = "a request under this idempotency key was answered and billed"
+        return Refusal(ErrorKind.ALREADY_ANSWERED, detail, Ran.YES)
+    detail = "a request under this idempotency key was started and not seen to end"
+    return Refusal(ErrorKind.ALREADY_CLAIMED, detail, Ran.UNKNOWN)
+
+
+def _out_of_reach(fault: PlatformFault) -> Refusal:
+    detail = f"the request could not be claimed: {fault.detail}"
+    ran = Ran.UNKNOWN
+    retry_after = 1.0 if fault.kind is not FaultKind.REJECTED else None
+    return Refusal(
+        ErrorKind.PLATFORM_UNAVAILABLE, detail, ran, retry_after_seconds=retry_after
+    )
--- /dev/null
+++ b/linnetladder/coordination/completion.py
@@ -0,0 +1,197 @@
+"""The end of a request: its bill, its receipt, and what its refusal may claim."""
+
+import asyncio
+import dataclasses
+
+from linnetladder.coordination.billing import BillWriter
+from linnetladder.coordination.claims import ClaimStrategy, claim_key
+from linnetladder.coordination.endpoint_client import Usage
+from linnetladder.coordination.exchanges import AnswerHead, Refused
+from linnetladder.coordination.passage import Passage
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.state import Bill, Clock, KeyRing, Receipt, Session, VersionRef
+from linnetladder.state.ledger import bill_id
+from linnetladder.state.receipts import sign_receipt
+from linnetladder.state.sessions import open_token
+from linnetladder.telemetry import Metrics
+
+__all__ = ["Completion"]
+
+MAXIMUM_PASSED_OVER = 12
+MINIMUM_BILL_WAIT_SECONDS = 5.0
+SESSION_OPENED = "opened"
+SESSION_KEPT = "kept"
+SESSION_RESTARTED = "restarted"
+
+
+class Completion:
+    """Bill answers, sign receipts and make refusals true."""
+
+    def __init__(
+        self,
+        *,
+        bills: BillWriter,
+        claims: ClaimStrategy,
+        keys: KeyRing,
+        clock: Clock,
+        metrics: Metrics,
+        incarnation: str,
+    ):
+        self.bills = bills
+        self.claims = claims
+        self.keys = keys
+        self.clock = clock
+        self.metrics = metrics
+        self.incarnation = incarnation
+
+    async def bill(
+        self, passage: Passage, usage: Usage, *, complete: bool = True
+    ) -> Refusal | None:
+        """Bill an answer and return once the bill is safe, or the refusal.
+
+        The answer's end is released by the caller of this method. When the bill can't
+        be made safe in time, it is taken back and the answer is not given. It is taken
+        back as well when the caller leaves, unless the request is not idempotent: then
+        its effect stands and so does its bill.
+        """
+        before = self.clock.monotonic()
+        bill = self._build_bill(passage, usage, complete=complete)
+        puts = (passage.claim.answered(),) if passage.claim else ()
+        safe = self.bills.add(bill, puts)
+        wait = max(passage.deadline - before, MINIMUM_BILL_WAIT_SECONDS)
+        try:
+            async with asyncio.timeout(wait):
+                await asyncio.shield(safe)
+        except asyncio.CancelledError:
+            if passage.idempotent:
+                self._void(bill, safe)
+            raise
+        except TimeoutError:
+            self._void(bill, safe)
+            detail = "the answer's bill was not safe in time, so the answer is held"
+            return Refusal(
+                ErrorKind.BILL_NOT_RECORDED, detail, Ran.YES, retry_after_seconds=5.0
+            )
+        self.metrics.record("bill_seconds", self.clock.monotonic() - before)
+        return None
+
+    def _void(self, bill: Bill, safe: asyncio.Future) -> None:
+        self.bills.withdraw(bill, safe)
+        self.metrics.count("bills_voided")
+
+    def bill_without_waiting(
+        self, passage: Passage, usage: Usage, *, complete: bool
+    ) -> None:
+        """Bill what a caller received before it left."""
+        self.bills.add(self._build_bill(passage, usage, complete=complete))
+
+    def answer_head(self, passage: Passage) -> AnswerHead:
+        """Return what is told beside an answer, with a receipt signed now."""
+        token, state = self._session_token(passage)
+        return AnswerHead(
+            request_id=passage.request.request_id,
+            target=str(passage.target),
+            receipt=self._receipt(passage, None),
+            session_token=token,
+            session_state=state,
+        )
+
+    async def refuse(self, passage: Passage, refusal: Refusal) -> Refused:
+        """Return a refusal whose ``ran`` is true of the request as the caller names it.
+
+        A request that the caller has named may have been sent before, to any daemon,
+        so only its claim can show that it did not run.
+        """
+        ran = await self._true_ran(passage, refusal)
+        explanation = refusal.explanation
+        if passage.snapshot is not None and not explanation.revision:
+            explanation = dataclasses.replace(
+                explanation,
+                revision=passage.snapshot.revision,
+                account=passage.account,
+                passed_over=passage.passed_over,
+            )
+        refusal = dataclasses.replace(refusal, ran=ran, explanation=explanation)
+        self.metrics.count("refused", label=refusal.kind)
+        self.metrics.count("refused_ran", label=ran)
+        return Refused(
+            request_id=passage.request.request_id,
+            refusal=refusal,
+            receipt=self._receipt(passage, refusal),
+        )
+
+    async def _true_ran(self, passage: Passage, refusal: Refusal) -> Ran:
+        request = passage.request
+        if refusal.ran is not Ran.NO or not request.key_given or not passage.view:
+            return refusal.ran
+        if passage.idempotent:
+            return Ran.UNKNOWN
+        if passage.claim is not None:
+            await self.claims.release(passage.claim)
+            return Ran.NO
+        key = claim_key(account=passage.account, request_key=request.request_key)
+        return await self.claims.ran(key=key)
+
+    def _build_bill(self, passage: Passage, usage: Usage, *, complete: bool) -> Bill:
+        request = passage.request
+        return Bill(
+            bill_id=bill_id(account=passage.account, request_key=request.request_key),
+            record_id=request.request_id,
+            account=passage.account,
+            request_key=request.request_key,
+            target=str(passage.target),
+            input_tokens=usage.input_tokens,
+            output_tokens=usage.output_tokens,
+            price=self._price(passage, usage),
+            time_seconds=self.clock.unix(),
+            complete=complete,
+        )
+
+    def _price(self, passage: Passage, usage: Usage) -> float:
+        target = passage.target
+        if isinstance(target, VersionRef):
+            version = passage.snapshot.versions[target]
+            return version.price(
+                input_tokens=usage.input_tokens, output_tokens=usage.output_tokens
+            )
+        return passage.snapshot.services[target].price
+
+    def _session_token(self, passage: Passage) -> tuple[str, str]:
+        """Return the token for the caller to keep, and what became of the session."""
+        request = passage.request
+        if passage.session is not None:
+            return request.session.token, SESSION_KEPT
+        restarted = bool(request.session.token)
+        if not (request.session.open or restarted):
+            return "", ""
+        if not isinstance(passage.target, VersionRef):
+            return "", ""
+        lifetime = passage.view.settings.values.session_lifetime_seconds
+        session = Session(
+            session_id=request.request_id,
+            account=passage.account,
+            pin=passage.target,
+            revision=passage.snapshot.revision,
+            expires_seconds=self.clock.unix() + lifetime,
+        )
+        state = SESSION_RESTARTED if restarted else SESSION_OPENED
+        return open_token(session, keys=self.keys), state
+
+    def _receipt(self, passage: Passage, refusal: Refusal | None) -> str:
+        if self.keys.current is None:
+            return ""
+        passed_over = passage.passed_over[:MAXIMUM_PASSED_OVER]
+        receipt = Receipt(
+            request_id=passage.request.request_id,
+            incarnation=self.incarnation,
+            revision=passage.snapshot.revision if passage.snapshot else 0,
+            time_seconds=self.clock.unix(),
+            inputs=passage.inputs,
+            chosen=str(passage.target),
+            refused=refusal.kind if refusal else "",
+            node=refusal.explanation.node if refusal else "",
+            detail=refusal.detail if refusal else "",
+            passed_over=tuple((p.candidate, p.reason) for p in passed_over),
+            trials=tuple(passage.trials),
+        )
+        return sign_receipt(receipt, keys=self.keys)
--- /dev/null
+++ b/linnetladder/coordination/configuration.py
@@ -0,0 +1,183 @@
+"""The configuration in force at this daemon, which only ever moves forward.
+
+The platform holds one head. A daemon takes a head with a higher revision, fetches the
+parts it doesn't hold and puts the snapshot in force. It never steps back: a head that
+is older or that diverges is counted and not taken, and a store that was restored from
+an older state is given the newer head again.
+"""
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    KeyValueService,
+    PlatformFault,
+    Put,
+    Record,
+)
+from linnetladder.state import Clock, Manifest, Snapshot
+from linnetladder.state.snapshot import (
+    Part,
+    PartRef,
+    decode_manifest,
+    decode_part,
+    encode_manifest,
+    encode_part,
+)
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = [
+    "HEAD_KEY",
+    "HISTORY_PREFIX",
+    "PART_PREFIX",
+    "ConfigurationInForce",
+    "fetch_snapshot",
+    "history_key",
+    "part_key",
+]
+
+HEAD_KEY = "linnetladder/live/head"
+PART_PREFIX = "linnetladder/config/parts/"
+HISTORY_PREFIX = "linnetladder/config/history/"
+FETCHED_AT_ONCE = 16
+
+
+def part_key(digest: str) -> str:
+    """Return the key of a part's content."""
+    return PART_PREFIX + digest
+
+
+def history_key(revision: int) -> str:
+    """Return the key of an earlier revision's manifest."""
+    return f"{HISTORY_PREFIX}{revision:010d}"
+
+
+async def _fetch_part(
+    store: KeyValueService, ref: PartRef
+) -> Result[Part, PlatformFault]:
+    found = await store.get(part_key(ref.digest))
+    if isinstance(found, Failure):
+        return found
+    record = found.unwrap()
+    if record is None:
+        detail = f"part {ref.name!r} with digest {ref.digest} is missing"
+        return Failure(PlatformFault(FaultKind.REJECTED, detail))
+    part = decode_part(record.value)
+    if encode_part(part)[0] != ref:
+        detail = f"part {ref.name!r} does not have the digest {ref.digest}"
+        return Failure(PlatformFault(FaultKind.REJECTED, detail))
+    return Success(part)
+
+
+async def fetch_snapshot(
+    store: KeyValueService, manifest: Manifest, *, held: Snapshot | None = None
+) -> Result[Snapshot, PlatformFault]:
+    """Return the snapshot of a manifest, fetching only parts that ``held`` lacks."""
+    held_digests = {ref.name: ref.digest for ref in held.manifest.parts} if held else {}
+    parts: dict[str, Part] = {}
+    missing = []
+    for ref in manifest.parts:
+        if held_digests.get(ref.name) == ref.digest:
+            parts[ref.name] = held.parts[ref.name]
+        else:
+            missing.append(ref)
+    for start in range(0, len(missing), FETCHED_AT_ONCE):
+        wanted = missing[start : start + FETCHED_AT_ONCE]
+        found = await asyncio.gather(*(_fetch_part(store, ref) for ref in wanted))
+        for ref, outcome in zip(wanted, found, strict=True):
+            if isinstance(outcome, Failure):
+                return outcome
+            parts[ref.name] = outcome.unwrap()
+    return Success(Snapshot(manifest=manifest, parts=parts))
+
+
+class ConfigurationInForce:
+    """Hold the newest snapshot and the time at which it was last confirmed."""
+
+    def __init__(self, *, store: KeyValueService, clock: Clock, metrics: Metrics):
+        self.store = store
+        self.clock = clock
+        self.metrics = metrics
+        self.snapshot: Snapshot | None = None
+        self.confirmed = float("-inf")
+        self.changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """The revision in force, or 0 when there is none."""
+        return self.snapshot.revision if self.snapshot else 0
+
+    def age(self) -> float:
+        """Return the seconds since the platform last confirmed the snapshot."""
+        return self.clock.monotonic() - self.confirmed
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Put a snapshot in force unless one at least as new already is."""
+        if snapshot.revision <= self.revision:
+            return False
+        self.snapshot = snapshot
+        self.metrics.count("configuration_installs")
+        log_change(
+            "configuration in force",
+            revision=snapshot.revision,
+            checkpoint_id=snapshot.manifest.checkpoint_id,
+        )
+        self.changed.set()
+        return True
+
+    async def follow(self, record: Record, *, read_started: float) -> None:
+        """Bring the daemon to the head that was read.
+
+        ``read_started`` is the monotonic time at which the read began: what it shows
+        was true then, and may have changed since.
+        """
+        head = decode_manifest(record.value)
+        if head.revision > self.revision:
+            fetched = await fetch_snapshot(self.store, head, held=self.snapshot)
+            if isinstance(fetched, Failure):
+                self.metrics.count("platform_faults", label=fetched.failure().kind)
+                return
+            self.install(fetched.unwrap())
+        if self._confirms(head):
+            self.confirmed = max(self.confirmed, read_started)
+            return
+        self.metrics.count("configuration_regressions")
+        if head.revision < self.revision:
+            await self._heal(record)
+
+    def _confirms(self, head: Manifest) -> bool:
+        held = self.snapshot.manifest if self.snapshot else None
+        return (
+            held is not None
+            and head.revision == held.revision
+            and head.checkpoint_id == held.checkpoint_id
+        )
+
+    async def heal_absent_head(self) -> None:
+        """Give a store that lost its head the one in force here."""
+        if self.snapshot is not None:
+            self.metrics.count("configuration_regressions")
+            await self._heal(None)
+
+    async def _heal(self, older: Record | None) -> None:
+        """Write the snapshot in force over the older head, if it is still there."""
+        manifest = self.snapshot.manifest
+        for ref in manifest.parts:
+            content = encode_part(self.snapshot.parts[ref.name])[1]
+            put = Put(part_key(ref.digest), content)
+            await self.store.transact(conditions=(Condition(put.key),), puts=(put,))
+        encoded = encode_manifest(manifest)
+        revision = older.modify_revision if older else 0
+        written = await self.store.transact(
+            conditions=(Condition(HEAD_KEY, revision),),
+            puts=(
+                Put(HEAD_KEY, encoded),
+                Put(history_key(manifest.revision), encoded),
+            ),
+        )
+        if isinstance(written, Success) and written.unwrap().succeeded:
+            self.metrics.count("configuration_heals")
+            log_change("head restored to the platform", revision=manifest.revision)
--- /dev/null
+++ b/linnetladder/coordination/decision.py
@@ -0,0 +1,223 @@
+"""The choice of model and version for one request.
+
+`decide` depends on nothing but the snapshot and the `DecisionInputs`, both of which
+a receipt names, so any decision can be run again later and must come out the same.
+"""
+
+import dataclasses
+
+from linnetladder.coordination.cascade import POLICIES, Option, PolicyInputs
+from linnetladder.coordination.requests import AUTOMATIC_MODEL
+from linnetladder.errors import ErrorKind, Explanation, PassedOver, Refusal
+from linnetladder.state import (
+    AccountView,
+    DecisionInputs,
+    ModelVersion,
+    Snapshot,
+    VersionRef,
+)
+
+__all__ = ["Decision", "decide"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """The versions to try in order, or the refusal, with what was passed over."""
+
+    ladder: tuple[ModelVersion, ...] = ()
+    refusal: Refusal | None = None
+    passed_over: tuple[PassedOver, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Search:
+    """The state of one decision while candidates are passed over."""
+
+    snapshot: Snapshot
+    view: AccountView
+    inputs: DecisionInputs
+    passed_over: list[PassedOver] = dataclasses.field(default_factory=list)
+
+    def pass_over(self, ref: VersionRef, reason: str) -> None:
+        self.passed_over.append(PassedOver(str(ref), reason))
+
+    def refuse(self, kind: ErrorKind, detail: str, node: str = "") -> Decision:
+        explanation = Explanation(
+            revision=self.snapshot.revision,
+            account=self.view.account,
+            node=node,
+            passed_over=tuple(self.passed_over),
+        )
+        refusal = Refusal(kind, detail, explanation=explanation)
+        return Decision(refusal=refusal, passed_over=tuple(self.passed_over))
+
+
+def decide(snapshot: Snapshot, inputs: DecisionInputs) -> Decision:
+    """Return the versions that may answer a request, best choice first."""
+    search = _Search(snapshot, snapshot.view(inputs.account), inputs)
+    unknown = _refuse_unknown(search)
+    if unknown is not None:
+        return unknown
+    permitted = _permitted(search)
+    if not permitted:
+        return _refuse_forbidden(search)
+    current = _current(search, permitted)
+    serving = _serving(search, current)
+    if not serving:
+        return _refuse_unserved(search, current)
+    ladder = _ladder(search, serving)
+    return Decision(ladder=ladder, passed_over=tuple(search.passed_over))
+
+
+def _refuse_unknown(search: _Search) -> Decision | None:
+    wanted = VersionRef.parse(search.inputs.wanted)
+    if wanted.model == AUTOMATIC_MODEL:
+        return None
+    versions = search.snapshot.versions_by_model.get(wanted.model)
+    if versions is None:
+        detail = f"model {wanted.model!r} is not declared"
+        return search.refuse(ErrorKind.UNKNOWN_MODEL, detail)
+    if wanted.version and wanted not in search.snapshot.versions:
+        detail = f"version {wanted.version!r} of model {wanted.model!r} is not declared"
+        return search.refuse(ErrorKind.UNKNOWN_MODEL, detail)
+    return None
+
+
+def _permitted(search: _Search) -> list[ModelVersion]:
+    """Return the allowed versions that fit the pin and the caller's wish."""
+    wanted = VersionRef.parse(search.inputs.wanted)
+    pin = search.inputs.pin
+    found = []
+    for version in search.view.allowed:
+        ref = version.ref
+        if pin and str(ref) != pin:
+            search.pass_over(ref, f"the session is pinned to {pin}")
+        elif wanted.model not in (AUTOMATIC_MODEL, ref.model):
+            search.pass_over(ref, f"the request asks for {search.inputs.wanted}")
+        elif wanted.version not in ("", ref.version):
+            search.pass_over(ref, f"the request asks for {search.inputs.wanted}")
+        else:
+            found.append(version)
+    return found
+
+
+def _refuse_forbidden(search: _Search) -> Decision:
+    """Explain why no allowed version fits: withdrawn, pinned or not allowed."""
+    inputs = search.inputs
+    wanted = VersionRef.parse(inputs.pin or inputs.wanted)
+    withdrawn = [r for r in search.view.withdrawn if _matches(r, wanted)]
+    if inputs.pin and withdrawn:
+        detail = f"version {inputs.pin!r} that the session is pinned to is withdrawn"
+        return search.refuse(ErrorKind.SESSION_VERSION_WITHDRAWN, detail)
+    if inputs.pin and any(str(v.ref) == inputs.pin for v in search.view.allowed):
+        detail = f"the session is pinned to {inputs.pin!r}, not {inputs.wanted!r}"
+        return search.refuse(ErrorKind.SESSION_INVALID, detail)
+    if withdrawn:
+        detail = f"version {str(withdrawn[0])!r} is withdrawn"
+        return search.refuse(ErrorKind.VERSION_WITHDRAWN, detail)
+    node = search.view.settings.origins["allowed_versions"]
+    name = inputs.pin or inputs.wanted
+    detail = f"model {name!r} is not allowed for client account {inputs.account!r}"
+    return search.refuse(ErrorKind.MODEL_NOT_ALLOWED, detail, node)
+
+
+def _matches(ref: VersionRef, wanted: VersionRef) -> bool:
+    if wanted.model not in (AUTOMATIC_MODEL, ref.model):
+        return False
+    return wanted.version in ("", ref.version)
+
+
+def _current(search: _Search, permitted: list[ModelVersion]) -> list[ModelVersion]:
+    """Return one version of each model, by roll-out and freshness."""
+    named = bool(search.inputs.pin) or bool(
+        VersionRef.parse(search.inputs.wanted).version
+    )
+    by_model: dict[str, list[ModelVersion]] = {}
+    for version in permitted:
+        by_model.setdefault(version.ref.model, []).append(version)
+    current = []
+    for model, versions in by_model.items():
+        fresh = _without_unconfirmed(search, model, versions)
+        if named:
+            current.extend(fresh)
+        elif fresh:
+            current.append(_rolled_out(search, model, fresh))
+    return current
+
+
+def _without_unconfirmed(
+    search: _Search, model: str, versions: list[ModelVersion]
+) -> list[ModelVersion]:
+    """Leave out a version under roll-out unless the configuration is fresh."""
+    rollout = search.view.settings.rollout(model)
+    if search.inputs.fresh or rollout is None or not rollout.candidate:
+        return versions
+    kept = []
+    for version in versions:
+        if version.ref.version == rollout.candidate:
+            search.pass_over(version.ref, "under roll-out, configuration not confirmed")
+        else:
+            kept.append(version)
+    return kept
+
+
+def _rolled_out(
+    search: _Search, model: str, versions: list[ModelVersion]
+) -> ModelVersion:
+    rollout = search.view.settings.rollout(model)
+    chosen = max(versions, key=lambda version: version.ref.version)
+    if rollout is not None:
+        by_name = {version.ref.version: version for version in versions}
+        drawn = rollout.choose(search.inputs.draw)
+        chosen = by_name.get(drawn) or by_name.get(rollout.stable) or chosen
+    for version in versions:
+        if version is not chosen:
+            reason = f"this request falls to version {chosen.ref.version}"
+            search.pass_over(version.ref, reason)
+    return chosen
+
+
+def _serving(search: _Search, current: list[ModelVersion]) -> list[ModelVersion]:
+    available = set(search.inputs.available)
+    serving = []
+    for version in current:
+        if str(version.ref) in available:
+            serving.append(version)
+        else:
+            search.pass_over(version.ref, "no endpoint accepts work for it")
+    return serving
+
+
+def _refuse_unserved(search: _Search, current: list[ModelVersion]) -> Decision:
+    if not current:
+        detail = "every allowed version is under roll-out and can't be confirmed"
+        return search.refuse(ErrorKind.CONFIGURATION_STALE, detail)
+    names = ", ".join(str(version.ref) for version in current)
+    detail = f"no endpoint accepts work for {names}"
+    return search.refuse(ErrorKind.NO_ENDPOINT, detail)
+
+
+def _ladder(search: _Search, serving: list[ModelVersion]) -> tuple[ModelVersion, ...]:
+    inputs = search.inputs
+    values = search.view.settings.values
+    estimates = dict(inputs.estimates)
+    options = []
+    for version in serving:
+        declared = version.expected_quality(inputs.request_kind)
+        quality = estimates.get(str(version.ref), declared)
+        cost = version.price(
+            input_tokens=inputs.input_tokens, output_tokens=inputs.output_tokens
+        )
+        options.append(Option(version, quality, cost))
+    policy_inputs = PolicyInputs(
+        quality_target=values.quality_target,
+        input_tokens=inputs.input_tokens,
+        draw=inputs.exploration_draw,
+    )
+    ladder = POLICIES[values.cascade_policy].ladder(tuple(options), policy_inputs)
+    chosen = {option.version.ref for option in ladder}
+    for option in options:
+        if option.version.ref not in chosen:
+            reason = f"expected quality {option.quality:.2f}, cost {option.cost:.0f}"
+            search.pass_over(option.version.ref, reason)
+    return tuple(option.version for option in ladder)
--- /dev/null
+++ b/linnetladder/coordination/discovery.py
@@ -0,0 +1,97 @@
+"""Learning of endpoints: the platform's list, and each endpoint's own load report.
+
+Both lag. The list says who exists; the endpoint itself says how loaded it is, what
+it has loaded and whether it is leaving.
+"""
+
+import abc
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.admission import Admission
+from linnetladder.coordination.endpoint_client import EndpointFault
+from linnetladder.coordination.platform import InstanceList
+from linnetladder.state import Endpoint, EndpointReport, EndpointTable
+from linnetladder.telemetry import log_change
+
+__all__ = ["Discovery", "LoadSource"]
+
+POLLED_AT_ONCE = 32
+
+
+class LoadSource(abc.ABC):
+    """Ask an endpoint how loaded it is."""
+
+    @abc.abstractmethod
+    async def report(self, endpoint: Endpoint) -> Result[EndpointReport, EndpointFault]:
+        """Return the endpoint's own report."""
+
+
+class Discovery:
+    """Keep the endpoint table in step with the list and the endpoints' reports."""
+
+    def __init__(
+        self,
+        *,
+        table: EndpointTable,
+        instances: InstanceList,
+        loads: LoadSource,
+        admission: Admission,
+        list_seconds: float,
+        load_seconds: float,
+    ):
+        self.table = table
+        self.instances = instances
+        self.loads = loads
+        self.admission = admission
+        self.list_seconds = list_seconds
+        self.load_seconds = load_seconds
+        self.listed_once = asyncio.Event()
+
+    async def run(self) -> None:
+        """Poll the list and the endpoints until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll_list())
+            group.create_task(self._poll_loads())
+
+    async def read_list(self) -> bool:
+        """Merge the platform's list and return whether it could be read."""
+        listed = await self.instances.endpoints()
+        if isinstance(listed, Failure):
+            return False
+        reports = listed.unwrap()
+        known = set(self.table.endpoints)
+        for report in reports:
+            self.table.merge(report)
+        names = {report.name for report in reports}
+        self.table.keep_listed(names)
+        if names != known:
+            log_change("endpoints listed", count=len(names))
+        self.listed_once.set()
+        self.admission.dispatch()
+        return True
+
+    async def read_loads(self) -> None:
+        """Merge the report of every endpoint that still takes part."""
+        endpoints = [e for e in self.table.endpoints.values() if e.listed]
+        for start in range(0, len(endpoints), POLLED_AT_ONCE):
+            polled = endpoints[start : start + POLLED_AT_ONCE]
+            await asyncio.gather(*(self._read_load(e) for e in polled))
+        self.admission.dispatch()
+
+    async def _read_load(self, endpoint: Endpoint) -> None:
+        reported = await self.loads.report(endpoint)
+        if isinstance(reported, Success):
+            self.table.merge(reported.unwrap())
+
+    async def _poll_list(self) -> None:
+        while True:
+            await self.read_list()
+            await asyncio.sleep(self.list_seconds)
+
+    async def _poll_loads(self) -> None:
+        await self.listed_once.wait()
+        while True:
+            await self.read_loads()
+            await asyncio.sleep(self.load_seconds)
--- /dev/null
+++ b/linnetladder/coordination/entry.py
@@ -0,0 +1,192 @@
+"""The checks a request passes before a version is chosen for it.
+
+Each check either fills in the passage or returns the refusal. They run from the
+cheapest to the dearest, and none of them sends anything to an endpoint.
+"""
+
+from linnetladder.coordination.configuration import ConfigurationInForce
+from linnetladder.coordination.limits import AccountLimits
+from linnetladder.coordination.passage import Passage
+from linnetladder.coordination.poison import PoisonBook
+from linnetladder.coordination.requests import CallerRequest, ChatWork, ServiceWork
+from linnetladder.errors import ErrorKind, Explanation, Refusal
+from linnetladder.state import Clock, KeyRing, VersionRef
+from linnetladder.state.sessions import read_token
+from linnetladder.state.settings import SESSION_RESTARTS
+
+__all__ = ["EntryChecks"]
+
+
+class EntryChecks:
+    """Find the account, its settings and session, and hold it to its limits."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationInForce,
+        keys: KeyRing,
+        limits: AccountLimits,
+        poison: PoisonBook,
+        clock: Clock,
+    ):
+        self.configuration = configuration
+        self.keys = keys
+        self.limits = limits
+        self.poison = poison
+        self.clock = clock
+
+    def enter(self, passage: Passage) -> Refusal | None:
+        """Run all checks and return the first refusal."""
+        return (
+            self._find_account(passage)
+            or self._check_body(passage)
+            or self._set_terms(passage)
+            or self._check_service(passage)
+            or self._check_session(passage)
+            or self.poison.refuse_poison(passage.request.fingerprint)
+            or self._check_limits(passage)
+        )
+
+    def leave(self, passage: Passage) -> None:
+        """Count the request out of its account's limits."""
+        if passage.entered:
+            passage.entered = False
+            self.limits.leave(passage.account)
+
+    def is_fresh(self, passage: Passage) -> bool:
+        """Tell whether the configuration was confirmed recently enough."""
+        limit = passage.view.settings.values.maximum_staleness_seconds
+        return self.configuration.age() <= limit
+
+    def _find_account(self, passage: Passage) -> Refusal | None:
+        request = passage.request
+        snapshot = self.configuration.snapshot
+        if snapshot is None:
+            detail = "the daemon has not received a configuration yet"
+            return Refusal(
+                ErrorKind.CONFIGURATION_UNAVAILABLE, detail, retry_after_seconds=1.0
+            )
+        passage.snapshot = snapshot
+        account = snapshot.account_for_credential(request.credential_digest)
+        if account is None:
+            detail = "the credential belongs to no client account"
+            return Refusal(ErrorKind.UNKNOWN_CREDENTIAL, detail)
+        passage.view = snapshot.view(account)
+        return None
+
+    def _check_body(self, passage: Passage) -> Refusal | None:
+        limit = passage.view.settings.values.maximum_body_bytes
+        if passage.request.body_bytes <= limit:
+            return None
+        detail = (
+            f"the body of {passage.request.body_bytes} bytes exceeds the {limit} "
+            f"bytes of client account {passage.account!r}"
+        )
+        return self._refuse(
+            passage, ErrorKind.BODY_TOO_LARGE, detail, "maximum_body_bytes"
+        )
+
+    def _set_terms(self, passage: Passage) -> Refusal | None:
+        request = passage.request
+        values = passage.view.settings.values
+        seconds = request.deadline_seconds
+        if seconds is None:
+            seconds = values.default_deadline_seconds
+        seconds = min(seconds, values.maximum_deadline_seconds)
+        passage.deadline = request.received + seconds
+        passage.priority = min(request.priority, values.maximum_priority)
+        passage.idempotent = _is_idempotent(request, passage)
+        return None
+
+    def _check_service(self, passage: Passage) -> Refusal | None:
+        work = passage.request.work
+        if isinstance(work, ChatWork):
+            return None
+        if work.service not in passage.snapshot.services:
+            detail = f"service {work.service!r} is not declared"
+            return self._refuse(passage, ErrorKind.UNKNOWN_SERVICE, detail)
+        if work.service not in passage.view.settings.values.allowed_services:
+            detail = (
+                f"service {work.service!r} is not allowed for client account "
+                f"{passage.account!r}"
+            )
+            return self._refuse(
+                passage, ErrorKind.SERVICE_NOT_ALLOWED, detail, "allowed_services"
+            )
+        return None
+
+    def _check_session(self, passage: Passage) -> Refusal | None:
+        token = passage.request.session.token
+        if not token:
+            return None
+        session = read_token(token, keys=self.keys)
+        if session is None or session.account != passage.account:
+            detail = (
+                f"the session token was not issued to client account "
+                f"{passage.account!r}"
+            )
+            return self._refuse(passage, ErrorKind.SESSION_INVALID, detail)
+        if self.clock.unix() >= session.expires_seconds:
+            detail = f"session {session.session_id!r} has expired"
+            return self._refuse(
+                passage,
+                ErrorKind.SESSION_EXPIRED,
+                detail,
+                "session_lifetime_seconds",
+            )
+        if self._restarts(passage, session.pin):
+            return None
+        passage.session = session
+        return None
+
+    def _restarts(self, passage: Passage, pin: VersionRef) -> bool:
+        """Tell whether a withdrawn pin starts a new session instead of ending it."""
+        values = passage.view.settings.values
+        if values.session_on_withdrawal != SESSION_RESTARTS:
+            return False
+        return pin in passage.view.withdrawn
+
+    def _check_limits(self, passage: Passage) -> Refusal | None:
+        wait = self.limits.take(passage.view, self.clock.monotonic())
+        if wait > 0:
+            rate = passage.view.settings.values.requests_per_second
+            detail = f"client account {passage.account!r} exceeds {rate:g} requests/s"
+            return self._refuse(
+                passage, ErrorKind.RATE_LIMITED, detail, "requests_per_second", wait
+            )
+        if not self.limits.enter(passage.view):
+            limit = passage.view.settings.values.maximum_in_flight
+            detail = (
+                f"client account {passage.account!r} has its {limit} requests in flight"
+            )
+            return self._refuse(
+                passage, ErrorKind.RATE_LIMITED, detail, "maximum_in_flight", 1.0
+            )
+        passage.entered = True
+        return None
+
+    def _refuse(
+        self,
+        passage: Passage,
+        kind: ErrorKind,
+        detail: str,
+        setting: str = "",
+        retry_after: float | None = None,
+    ) -> Refusal:
+        node = passage.view.settings.origins[setting] if setting else ""
+        explanation = Explanation(
+            revision=passage.snapshot.revision, account=passage.account, node=node
+        )
+        return Refusal(
+            kind, detail, retry_after_seconds=retry_after, explanation=explanation
+        )
+
+
+def _is_idempotent(request: CallerRequest, passage: Passage) -> bool:
+    """Return the caller's word, else what the kind of work says."""
+    if request.idempotent is not None:
+        return request.idempotent
+    if isinstance(request.work, ServiceWork):
+        service = passage.snapshot.services.get(request.work.service)
+        return service is not None and request.work.method in service.idempotent_methods
+    return True
--- /dev/null
+++ b/linnetladder/coordination/explaining.py
@@ -0,0 +1,64 @@
+"""Explaining a receipt: verify it, then run its decision again."""
+
+import dataclasses
+import enum
+
+from returns.result import Failure
+
+from linnetladder.coordination.decision import Decision, decide
+from linnetladder.coordination.publishing import Publisher
+from linnetladder.state import KeyRing, Receipt
+from linnetladder.state.receipts import read_receipt
+
+__all__ = ["ExplainedReceipt", "Replay", "explain_receipt"]
+
+
+class Replay(enum.StrEnum):
+    """What running the decision again showed."""
+
+    SAME = "same"
+    DIFFERENT = "different"
+    NO_DECISION = "no_decision"
+    REVISION_GONE = "revision_gone"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainedReceipt:
+    """A verified receipt, the decision made again and whether both agree."""
+
+    receipt: Receipt
+    replay: Replay
+    decision: Decision | None = None
+
+
+async def explain_receipt(
+    text: str, *, keys: KeyRing, publisher: Publisher
+) -> ExplainedReceipt | None:
+    """Return the explanation of a receipt, or ``None`` if its signature fails."""
+    receipt = read_receipt(text, keys=keys)
+    if receipt is None:
+        return None
+    if receipt.inputs is None:
+        return ExplainedReceipt(receipt, Replay.NO_DECISION)
+    manifest = await publisher.read_revision(receipt.revision)
+    if isinstance(manifest, Failure):
+        return ExplainedReceipt(receipt, Replay.REVISION_GONE)
+    snapshot = await publisher.read_snapshot(manifest.unwrap())
+    if isinstance(snapshot, Failure):
+        return ExplainedReceipt(receipt, Replay.REVISION_GONE)
+    decision = decide(snapshot.unwrap(), receipt.inputs)
+    return ExplainedReceipt(receipt, _compare(receipt, decision), decision)
+
+
+def _compare(receipt: Receipt, decision: Decision) -> Replay:
+    """Tell whether the decision made again is the one that was acted on.
+
+    A request may have been answered by a later option of its ladder, or refused
+    after the decision, for example for want of a place.
+    """
+    ladder = {str(version.ref) for version in decision.ladder}
+    if decision.refusal is not None:
+        same = receipt.refused == decision.refusal.kind
+    else:
+        same = receipt.chosen in ladder
+    return Replay.SAME if same else Replay.DIFFERENT
--- /dev/null
+++ b/linnetladder/coordination/limits.py
@@ -0,0 +1,106 @@
+"""Rates and shares: token buckets for addresses and client accounts."""
+
+import collections
+import dataclasses
+
+from linnetladder.state import AccountView
+
+__all__ = ["AccountLimits", "AddressLimits", "TokenBucket"]
+
+MAXIMUM_ADDRESSES = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class TokenBucket:
+    """Tokens that refill at ``rate`` a second up to ``burst``.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=2.0, burst=1.0, tokens=1.0, updated=0.0)
+    >>> bucket.take(now=0.0), bucket.take(now=0.0)
+    (0.0, 0.5)
+    """
+
+    rate: float
+    burst: float
+    tokens: float
+    updated: float
+
+    def take(self, now: float) -> float:
+        """Take a token and return 0, or return the seconds until there is one."""
+        elapsed = max(now - self.updated, 0.0)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.updated = now
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        return (1.0 - self.tokens) / self.rate
+
+    def resize(self, *, rate: float, burst: float) -> None:
+        """Change the rate and the burst, keeping the tokens that still fit."""
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+
+class AddressLimits:
+    """Bound the requests of one caller address before it is authenticated."""
+
+    def __init__(self, *, rate: float, burst: float):
+        self.rate = rate
+        self.burst = burst
+        self.buckets: collections.OrderedDict[str, TokenBucket] = (
+            collections.OrderedDict()
+        )
+
+    def take(self, address: str, now: float) -> float:
+        """Return 0, or the seconds after which the address may ask again."""
+        bucket = self.buckets.get(address)
+        if bucket is None:
+            bucket = TokenBucket(self.rate, self.burst, self.burst, now)
+            self.buckets[address] = bucket
+            if len(self.buckets) > MAXIMUM_ADDRESSES:
+                self.buckets.popitem(last=False)
+        return bucket.take(now)
+
+
+class AccountLimits:
+    """Each client account's rate and requests in flight at this daemon.
+
+    An account's limits hold for the whole system, so each daemon enforces its part:
+    the limit divided by the number of daemons that serve callers.
+    """
+
+    def __init__(self):
+        self.daemons = 1
+        self.buckets: dict[str, TokenBucket] = {}
+        self.in_flight: collections.Counter[str] = collections.Counter()
+
+    def take(self, view: AccountView, now: float) -> float:
+        """Return 0, or the seconds after which the account may ask again."""
+        rate = view.settings.values.requests_per_second / self.daemons
+        burst = max(view.settings.values.burst / self.daemons, 1.0)
+        bucket = self.buckets.get(view.account)
+        if bucket is None:
+            bucket = TokenBucket(rate, burst, burst, now)
+            self.buckets[view.account] = bucket
+        elif bucket.rate != rate or bucket.burst != burst:
+            bucket.resize(rate=rate, burst=burst)
+        return bucket.take(now)
+
+    def maximum_in_flight(self, view: AccountView) -> int:
+        """Return this daemon's part of an account's requests in flight, at least 1."""
+        return max(view.settings.values.maximum_in_flight // self.daemons, 1)
+
+    def enter(self, view: AccountView) -> bool:
+        """Count a request in, unless the account has too many in flight."""
+        if self.in_flight[view.account] >= self.maximum_in_flight(view):
+            return False
+        self.in_flight[view.account] += 1
+        return True
+
+    def leave(self, account: str) -> None:
+        """Count a request out."""
+        self.in_flight[account] -= 1
+        if self.in_flight[account] <= 0:
+            del self.in_flight[account]
--- /dev/null
+++ b/linnetladder/coordination/live_state.py
@@ -0,0 +1,123 @@
+"""What every daemon follows at the platform: the head, the keys, poison requests.
+
+All of it stands below one watched prefix, so that a daemon holds one watch. An event
+only says that something changed; the state is then read whole, so a lost event or a
+new connection needs no special case. A slow poll confirms that nothing was missed.
+"""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from linnetladder.coordination.configuration import HEAD_KEY, ConfigurationInForce
+from linnetladder.coordination.platform import KeyValueService, Put, Record
+from linnetladder.coordination.poison import POISON_PREFIX, Crash, PoisonBook
+from linnetladder.coordination.settling import create_if_absent
+from linnetladder.state import Clock, KeyRing, SigningKey
+from linnetladder.state.signing import signing_key_from_json, signing_key_to_json
+from linnetladder.telemetry import log_change
+
+__all__ = ["FIRST_KEY_ID", "KEY_PREFIX", "LIVE_PREFIX", "LiveState"]
+
+LIVE_PREFIX = "linnetladder/live/"
+KEY_PREFIX = LIVE_PREFIX + "keys/"
+FIRST_KEY_ID = "0000000001"
+RECONNECT_SECONDS = 0.5
+SETTLE_SECONDS = 2.0
+
+
+class LiveState:
+    """Keep the configuration, the key ring and the poison book up to date."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueService,
+        clock: Clock,
+        configuration: ConfigurationInForce,
+        keys: KeyRing,
+        poison: PoisonBook,
+        poll_seconds: float,
+    ):
+        self.store = store
+        self.clock = clock
+        self.configuration = configuration
+        self.keys = keys
+        self.poison = poison
+        self.poll_seconds = poll_seconds
+        self.wake = asyncio.Event()
+        self.reachable = False
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch())
+            group.create_task(self._refresh_when_woken())
+
+    async def refresh(self) -> bool:
+        """Read the live state once and return whether the platform answered."""
+        started = self.clock.monotonic()
+        listed = await self.store.list_prefix(LIVE_PREFIX)
+        self.reachable = isinstance(listed, Success)
+        if isinstance(listed, Failure):
+            return False
+        records = {record.key: record for record in listed.unwrap()}
+        try:
+            await self._follow_head(records.get(HEAD_KEY), started)
+            self._follow_keys(records)
+            self._follow_poison(records)
+        except ValueError as error:
+            log_change("live state can't be read", error=str(error))
+            return False
+        return True
+
+    async def ensure_key(self, key: SigningKey) -> None:
+        """Create the first signing key unless there is one."""
+        put = Put(KEY_PREFIX + FIRST_KEY_ID, signing_key_to_json(key))
+        created = await create_if_absent(self.store, put, settle_seconds=SETTLE_SECONDS)
+        if isinstance(created, Success):
+            self.keys.add(signing_key_from_json(created.unwrap()[1]))
+
+    async def _watch(self) -> None:
+        while True:
+            async for event in self.store.watch(LIVE_PREFIX):
+                if isinstance(event, Failure):
+                    break
+                self.wake.set()
+            await asyncio.sleep(RECONNECT_SECONDS)
+            self.wake.set()
+
+    async def _refresh_when_woken(self) -> None:
+        while True:
+            self.wake.clear()
+            await self.refresh()
+            try:
+                async with asyncio.timeout(self.poll_seconds):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _follow_head(self, head: Record | None, started: float) -> None:
+        if head is None:
+            await self.configuration.heal_absent_head()
+            return
+        await self.configuration.follow(head, read_started=started)
+
+    def _follow_keys(self, records: dict[str, Record]) -> None:
+        found = [
+            signing_key_from_json(record.value)
+            for key, record in records.items()
+            if key.startswith(KEY_PREFIX)
+        ]
+        if not found:
+            return
+        for key in found:
+            self.keys.add(key)
+        self.keys.retain(frozenset(key.key_id for key in found))
+
+    def _follow_poison(self, records: dict[str, Record]) -> None:
+        listed = {
+            Crash.from_key(key) for key in records if key.startswith(POISON_PREFIX)
+        }
+        for crash in listed:
+            self.poison.learn(crash)
--- /dev/null
+++ b/linnetladder/coordination/passage.py
@@ -0,0 +1,51 @@
+"""The state of one request on its way through the daemon."""
+
+import dataclasses
+
+from linnetladder.coordination.claims import Claim
+from linnetladder.coordination.requests import CallerRequest
+from linnetladder.errors import PassedOver, Ran
+from linnetladder.state import (
+    AccountView,
+    DecisionInputs,
+    ModelVersion,
+    Session,
+    Snapshot,
+    Target,
+    Trial,
+)
+from linnetladder.telemetry import RequestTrace
+
+__all__ = ["Passage"]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Passage:
+    """What has been found out and done for one request so far.
+
+    ``deadline`` is monotonic seconds. ``ran`` is what is known of this submission;
+    ``entered`` is set while the account's count of requests in flight includes it.
+    """
+
+    request: CallerRequest
+    snapshot: Snapshot | None = None
+    view: AccountView | None = None
+    session: Session | None = None
+    idempotent: bool = True
+    deadline: float = 0.0
+    priority: int = 0
+    inputs: DecisionInputs | None = None
+    passed_over: tuple[PassedOver, ...] = ()
+    ladder: tuple[ModelVersion, ...] = ()
+    target: Target = ""
+    claim: Claim | None = None
+    trial_lease: int = 0
+    trials: list[Trial] = dataclasses.field(default_factory=list)
+    trace: RequestTrace | None = None
+    ran: Ran = Ran.NO
+    entered: bool = False
+
+    @property
+    def account(self) -> str:
+        """The client account, or an empty string before it is known."""
+        return self.view.account if self.view else ""
--- /dev/null
+++ b/linnetladder/coordination/poison.py
@@ -0,0 +1,156 @@
+"""Requests that crash the endpoints that run them.
+
+A fingerprint identifies a request by its content, so a poison request is known again
+under a new id. The first crash of a fingerprint makes it suspect: from then on it
+runs only as a trial, one at a time in the whole system. The second crash, of another
+endpoint, makes it poison: it is refused everywhere until the entry expires. Crashes
+are written below a watched prefix and passed between peers, so all daemons hear.
+"""
+
+import collections
+import dataclasses
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import KeyValueService, Put
+from linnetladder.coordination.settling import Creation, create_if_absent
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.state import Clock
+
+__all__ = ["Crash", "POISON_PREFIX", "PoisonBook"]
+
+POISON_PREFIX = "linnetladder/live/poison/"
+TRIAL_PREFIX = "linnetladder/poison-trial/"
+CRASHES_THAT_BAN = 2
+ENTRY_SECONDS = 1800.0
+TRIAL_SECONDS = 120.0
+SETTLE_SECONDS = 1.0
+MAXIMUM_ENTRIES = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """One endpoint incarnation that went down while it ran a fingerprint."""
+
+    fingerprint: str
+    endpoint: str
+
+    @property
+    def key(self) -> str:
+        """The key under which the platform holds the crash."""
+        return f"{POISON_PREFIX}{self.fingerprint}/{self.endpoint}"
+
+    @classmethod
+    def from_key(cls, key: str) -> "Crash":
+        """Read a crash from its key."""
+        fingerprint, _, endpoint = key.removeprefix(POISON_PREFIX).partition("/")
+        return cls(fingerprint, endpoint)
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    endpoints: set[str]
+    expires: float
+
+
+class PoisonBook:
+    """What this daemon knows of requests that crash endpoints."""
+
+    def __init__(self, *, store: KeyValueService, clock: Clock, incarnation: str):
+        self.store = store
+        self.clock = clock
+        self.incarnation = incarnation
+        self.entries: collections.OrderedDict[str, _Entry] = collections.OrderedDict()
+
+    def learn(self, crash: Crash) -> bool:
+        """Take in a crash from any source and return whether it was new."""
+        now = self.clock.monotonic()
+        entry = self._entry(crash.fingerprint)
+        if entry is None:
+            entry = _Entry(set(), now)
+            self.entries[crash.fingerprint] = entry
+            if len(self.entries) > MAXIMUM_ENTRIES:
+                self.entries.popitem(last=False)
+        if crash.endpoint in entry.endpoints:
+            return False
+        entry.endpoints.add(crash.endpoint)
+        entry.expires = now + ENTRY_SECONDS
+        return True
+
+    def crashes(self) -> list[Crash]:
+        """Return all crashes that have not expired, for passing on to peers."""
+        return [
+            Crash(fingerprint, endpoint)
+            for fingerprint in list(self.entries)
+            if (entry := self._entry(fingerprint)) is not None
+            for endpoint in sorted(entry.endpoints)
+        ]
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether a fingerprint has crashed an endpoint."""
+        return bool(self.entries) and self._entry(fingerprint) is not None
+
+    def refuse_poison(self, fingerprint: str) -> Refusal | None:
+        """Return the refusal of a fingerprint that crashed two endpoints."""
+        if not self.entries:
+            return None
+        entry = self._entry(fingerprint)
+        if entry is None or len(entry.endpoints) < CRASHES_THAT_BAN:
+            return None
+        names = ", ".join(sorted(entry.endpoints))
+        return Refusal(
+            ErrorKind.POISON_REQUEST,
+            f"request {fingerprint!r} crashed the endpoints {names}",
+            retry_after_seconds=max(entry.expires - self.clock.monotonic(), 1.0),
+        )
+
+    async def record(self, crash: Crash) -> None:
+        """Remember a crash seen here and tell the platform, if it can be reached."""
+        self.learn(crash)
+        lease = await self.store.grant_lease(seconds=ENTRY_SECONDS)
+        if isinstance(lease, Success):
+            put = Put(crash.key, self.incarnation.encode(), lease.unwrap())
+            await self.store.transact(puts=(put,))
+
+    async def begin_trial(self, fingerprint: str) -> Result[int, Refusal]:
+        """Take the right to run a suspect request, which one daemon has at a time.
+
+        Returns the lease that holds the right; give it back with `end_trial`.
+        """
+        refusal = self.refuse_poison(fingerprint)
+        if refusal is not None:
+            return Failure(refusal)
+        lease = await self.store.grant_lease(seconds=TRIAL_SECONDS)
+        if isinstance(lease, Failure):
+            return Failure(_trial_refusal(fingerprint, "the platform can't be reached"))
+        value = f"{self.incarnation}/{lease.unwrap()}".encode()
+        put = Put(f"{TRIAL_PREFIX}{fingerprint}", value, lease.unwrap())
+        created = await create_if_absent(self.store, put, settle_seconds=SETTLE_SECONDS)
+        if isinstance(created, Success) and created.unwrap()[0] is Creation.CREATED:
+            return Success(lease.unwrap())
+        await self.store.revoke_lease(lease.unwrap())
+        return Failure(_trial_refusal(fingerprint, "another run is under way"))
+
+    async def end_trial(self, lease_id: int, *, fingerprint: str, clean: bool) -> None:
+        """Give the right back; a clean run clears the fingerprint."""
+        if clean:
+            entry = self.entries.pop(fingerprint, None)
+            names = entry.endpoints if entry else set()
+            keys = tuple(Crash(fingerprint, name).key for name in names)
+            if keys:
+                await self.store.transact(deletes=keys)
+        await self.store.revoke_lease(lease_id)
+
+    def _entry(self, fingerprint: str) -> _Entry | None:
+        entry = self.entries.get(fingerprint)
+        if entry is not None and self.clock.monotonic() >= entry.expires:
+            del self.entries[fingerprint]
+            return None
+        return entry
+
+
+def _trial_refusal(fingerprint: str, reason: str) -> Refusal:
+    detail = f"request {fingerprint!r} crashed an endpoint and is held back: {reason}"
+    return Refusal(
+        ErrorKind.POISON_REQUEST, detail, ran=Ran.NO, retry_after_seconds=5.0
+    )
--- /dev/null
+++ b/linnetladder/coordination/publishing.py
@@ -0,0 +1,329 @@
+"""Changing the configuration: what a change would do, and bringing it about.
+
+A change is written in two steps: the content of new parts, each created only if
+absent, then the head and its history entry in one compare-and-swap. Who loses a race
+against another operator is told the other's change. A lost reply is settled by
+reading the head back, which carries the change's id.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import secrets
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.configuration import (
+    HEAD_KEY,
+    HISTORY_PREFIX,
+    fetch_snapshot,
+    history_key,
+    part_key,
+)
+from linnetladder.coordination.platform import (
+    FaultKind,
+    KeyValueService,
+    PlatformFault,
+    Put,
+    Record,
+)
+from linnetladder.coordination.registration import DaemonRecord, list_daemons
+from linnetladder.coordination.settling import read_until, swap
+from linnetladder.state import Clock, Manifest, Snapshot, VersionRef
+from linnetladder.state.snapshot import (
+    Part,
+    build_manifest,
+    decode_manifest,
+    encode_manifest,
+    encode_part,
+)
+from linnetladder.state.versions import Withdrawal
+
+__all__ = [
+    "Change",
+    "Head",
+    "PartChange",
+    "Plan",
+    "PublishFault",
+    "PublishFaultKind",
+    "Publisher",
+]
+
+SETTLE_SECONDS = 10.0
+CHANGE_ID_BYTES = 12
+PARTS_PER_WRITE = 64
+HISTORY_KEPT = 200
+ACKNOWLEDGEMENT_POLL_SECONDS = 0.2
+
+
+class PublishFaultKind(enum.StrEnum):
+    """Why a change did not come into force."""
+
+    RACE = "race"
+    UNREACHABLE = "unreachable"
+    UNKNOWN_OUTCOME = "unknown_outcome"
+    NOT_FOUND = "not_found"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishFault:
+    """A failed change; ``other`` is the change that won a race."""
+
+    kind: PublishFaultKind
+    detail: str
+    other: Manifest | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The head as it was read; both are ``None`` before the first change."""
+
+    record: Record | None
+    manifest: Manifest | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartChange:
+    """A part that a change adds, removes or alters."""
+
+    name: str
+    action: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A change that was compared with the head it would replace."""
+
+    head: Head
+    parts: tuple[Part, ...]
+    withdrawals: tuple[Withdrawal, ...]
+    changes: tuple[PartChange, ...]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the change would alter nothing."""
+        before = self.head.manifest.withdrawals if self.head.manifest else ()
+        return not self.changes and self.withdrawals == before
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """Who changes the configuration, and why."""
+
+    author: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledgements:
+    """Which daemons have a revision and which don't, by their entries."""
+
+    having: tuple[DaemonRecord, ...]
+    lacking: tuple[DaemonRecord, ...]
+
+
+class Publisher:
+    """Plan and publish changes of the configuration."""
+
+    def __init__(self, *, store: KeyValueService, clock: Clock):
+        self.store = store
+        self.clock = clock
+
+    async def read_head(self) -> Result[Head, PublishFault]:
+        """Return the present head."""
+        found = await read_until(self.store, HEAD_KEY, seconds=SETTLE_SECONDS)
+        if isinstance(found, Failure):
+            return Failure(_platform_fault(found.failure()))
+        record = found.unwrap()
+        manifest = decode_manifest(record.value) if record else None
+        return Success(Head(record, manifest))
+
+    async def read_snapshot(self, manifest: Manifest) -> Result[Snapshot, PublishFault]:
+        """Return the whole configuration of a manifest."""
+        fetched = await fetch_snapshot(self.store, manifest)
+        if isinstance(fetched, Failure):
+            return Failure(_platform_fault(fetched.failure()))
+        return Success(fetched.unwrap())
+
+    async def read_revision(self, revision: int) -> Result[Manifest, PublishFault]:
+        """Return the manifest of an earlier revision."""
+        found = await self.store.get(history_key(revision))
+        if isinstance(found, Failure):
+            return Failure(_platform_fault(found.failure()))
+        record = found.unwrap()
+        if record is None:
+            detail = f"revision {revision} is not in the history"
+            return Failure(PublishFault(PublishFaultKind.NOT_FOUND, detail))
+        return Success(decode_manifest(record.value))
+
+    async def read_history(self) -> Result[tuple[Manifest, ...], PublishFault]:
+        """Return the manifests that are kept, oldest first."""
+        listed = await self.store.list_prefix(HISTORY_PREFIX)
+        if isinstance(listed, Failure):
+            return Failure(_platform_fault(listed.failure()))
+        return Success(tuple(decode_manifest(r.value) for r in listed.unwrap()))
+
+    async def plan(
+        self, parts: tuple[Part, ...], *, reinstate: frozenset[VersionRef]
+    ) -> Result[Plan, PublishFault]:
+        """Compare declared parts with the present head."""
+        read = await self.read_head()
+        if isinstance(read, Failure):
+            return read
+        head = read.unwrap()
+        standing = head.manifest.withdrawals if head.manifest else ()
+        kept = tuple(order for order in standing if order.ref not in reinstate)
+        return Success(Plan(head, parts, kept, _compare(head.manifest, parts)))
+
+    async def publish(
+        self, plan: Plan, change: Change
+    ) -> Result[Manifest, PublishFault]:
+        """Write a planned change unless the head has moved since."""
+        encoded = [encode_part(part) for part in plan.parts]
+        stored = await self._store_parts(plan, dict(encoded))
+        if stored is not None:
+            return Failure(stored)
+        manifest = build_manifest(
+            previous=plan.head.manifest,
+            parts=tuple(sorted((ref for ref, _ in encoded), key=lambda r: r.name)),
+            withdrawals=plan.withdrawals,
+            change_id=secrets.token_hex(CHANGE_ID_BYTES),
+            author=change.author,
+            message=change.message,
+            time_seconds=self.clock.unix(),
+        )
+        return await self._swap_head(plan.head, manifest)
+
+    async def withdraw(
+        self, order: Withdrawal, change: Change
+    ) -> Result[Manifest, PublishFault]:
+        """Withdraw a version at once, leaving everything else as it is."""
+        read = await self.read_head()
+        if isinstance(read, Failure):
+            return read
+        head = read.unwrap()
+        if head.manifest is None:
+            detail = "there is no configuration yet"
+            return Failure(PublishFault(PublishFaultKind.NOT_FOUND, detail))
+        fetched = await self.read_snapshot(head.manifest)
+        if isinstance(fetched, Failure):
+            return fetched
+        if order.ref not in fetched.unwrap().versions:
+            detail = f"version {str(order.ref)!r} is not declared"
+            return Failure(PublishFault(PublishFaultKind.NOT_FOUND, detail))
+        standing = tuple(w for w in head.manifest.withdrawals if w.ref != order.ref)
+        manifest = build_manifest(
+            previous=head.manifest,
+            parts=head.manifest.parts,
+            withdrawals=(*standing, order),
+            change_id=secrets.token_hex(CHANGE_ID_BYTES),
+            author=change.author,
+            message=change.message,
+            time_seconds=self.clock.unix(),
+        )
+        return await self._swap_head(head, manifest)
+
+    async def wait_in_force(
+        self, manifest: Manifest, *, seconds: float
+    ) -> Result[Acknowledgements, PublishFault]:
+        """Wait until every listed daemon has a revision, or the time is up."""
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + seconds
+        while True:
+            listed = await list_daemons(self.store)
+            if isinstance(listed, Success):
+                seen = _acknowledged(listed.unwrap(), manifest)
+                if not seen.lacking or loop.time() >= give_up:
+                    return Success(seen)
+            elif loop.time() >= give_up:
+                return Failure(_platform_fault(listed.failure()))
+            await asyncio.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
+
+    async def _store_parts(self, plan: Plan, encoded: dict) -> PublishFault | None:
+        """Store the content of parts that the head does not name yet."""
+        before = plan.head.manifest.parts if plan.head.manifest else ()
+        known = {ref.digest for ref in before}
+        puts = [
+            Put(part_key(ref.digest), content)
+            for ref, content in encoded.items()
+            if ref.digest not in known
+        ]
+        for start in range(0, len(puts), PARTS_PER_WRITE):
+            written = await self.store.transact(
+                puts=tuple(puts[start : start + PARTS_PER_WRITE])
+            )
+            if isinstance(written, Failure):
+                return _platform_fault(written.failure())
+        return None
+
+    async def _swap_head(
+        self, head: Head, manifest: Manifest
+    ) -> Result[Manifest, PublishFault]:
+        content = encode_manifest(manifest)
+        puts = (Put(HEAD_KEY, content), Put(history_key(manifest.revision), content))
+        swapped = await swap(
+            self.store, expected=head.record, puts=puts, settle_seconds=SETTLE_SECONDS
+        )
+        if isinstance(swapped, Failure):
+            return Failure(_platform_fault(swapped.failure()))
+        if swapped.unwrap():
+            await self._trim_history(manifest.revision)
+            return Success(manifest)
+        return await self._settle_lost_swap(manifest)
+
+    async def _settle_lost_swap(
+        self, manifest: Manifest
+    ) -> Result[Manifest, PublishFault]:
+        """Tell a lost race from a change of ours that others have built upon."""
+        recorded = await self.read_revision(manifest.revision)
+        if (
+            isinstance(recorded, Success)
+            and recorded.unwrap().change_id == manifest.change_id
+        ):
+            return Success(manifest)
+        read = await self.read_head()
+        other = read.unwrap().manifest if isinstance(read, Success) else None
+        detail = "another change came first"
+        if other is not None:
+            detail = (
+                f"revision {other.revision} by {other.author!r} came first: "
+                f"{other.message!r}"
+            )
+        return Failure(PublishFault(PublishFaultKind.RACE, detail, other))
+
+    async def _trim_history(self, revision: int) -> None:
+        """Delete the manifest that falls out of the bounded history."""
+        oldest = revision - HISTORY_KEPT
+        if oldest > 0:
+            await self.store.transact(deletes=(history_key(oldest),))
+
+
+def _compare(
+    before: Manifest | None, parts: tuple[Part, ...]
+) -> tuple[PartChange, ...]:
+    old = {ref.name: ref.digest for ref in before.parts} if before else {}
+    new = {ref.name: ref.digest for ref, _ in map(encode_part, parts)}
+    changes = []
+    for name in sorted(old.keys() | new.keys()):
+        if name not in old:
+            changes.append(PartChange(name, "add"))
+        elif name not in new:
+            changes.append(PartChange(name, "remove"))
+        elif old[name] != new[name]:
+            changes.append(PartChange(name, "change"))
+    return tuple(changes)
+
+
+def _acknowledged(
+    daemons: tuple[DaemonRecord, ...], manifest: Manifest
+) -> Acknowledgements:
+    having = tuple(d for d in daemons if d.revision >= manifest.revision)
+    lacking = tuple(d for d in daemons if d.revision < manifest.revision)
+    return Acknowledgements(having, lacking)
+
+
+def _platform_fault(fault: PlatformFault) -> PublishFault:
+    kind = PublishFaultKind.UNREACHABLE
+    if fault.kind is FaultKind.UNKNOWN_OUTCOME:
+        kind = PublishFaultKind.UNKNOWN_OUTCOME
+    return PublishFault(kind, fault.detail)
--- /dev/null
+++ b/linnetladder/coordination/requests.py
@@ -0,0 +1,89 @@
+"""A caller's request as coordination sees it, after the border has validated it."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from linnetladder.state import VersionRef
+
+__all__ = ["AUTOMATIC_MODEL", "CallerRequest", "ChatWork", "ServiceWork", "SessionWish"]
+
+AUTOMATIC_MODEL = "auto"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionWish:
+    """What the caller said of a session: open one, or go on with a token."""
+
+    open: bool = False
+    token: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChatWork:
+    """A chat completion; ``document`` is the body as parsed JSON.
+
+    ``wanted`` is a model, a ``model@version`` or ``auto``. ``input_tokens`` is an
+    estimate and ``output_tokens`` the caller's bound.
+    """
+
+    wanted: str
+    stream: bool
+    document: dict[str, Any]
+    input_tokens: int
+    output_tokens: int | None
+    prefix: bytes
+
+    def body_for(self, target: VersionRef, *, output_tokens: int) -> bytes:
+        """Return the body for an endpoint that serves ``target``, with its bound."""
+        self.document["model"] = str(target)
+        self.document["max_tokens"] = output_tokens
+        self.document.pop("max_completion_tokens", None)
+        return orjson.dumps(self.document)
+
+    def target_headers(self) -> Mapping[str, str]:
+        """Return the headers that belong to the body."""
+        return {"Content-Type": "application/json"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceWork:
+    """A call to pass through to a plain service."""
+
+    service: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    def target_headers(self) -> Mapping[str, str]:
+        """Return the caller's headers that are passed on."""
+        return self.headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """One submission of a request.
+
+    ``request_id`` is unique to the submission. ``request_key`` is the caller's
+    idempotency key, or the request id when ``key_given`` is false. ``idempotent`` is
+    ``None`` when the caller leaves it to the settings. ``deadline_seconds`` is ``None``
+    when the caller named none. ``fingerprint`` identifies the content whatever its id.
+    """
+
+    request_id: str
+    request_key: str
+    key_given: bool
+    credential_digest: str
+    idempotent: bool | None
+    deadline_seconds: float | None
+    priority: int
+    session: SessionWish
+    request_kind: str
+    fingerprint: str
+    work: ChatWork | ServiceWork
+    body_bytes: int
+    received: float
+    trace_parent: str = ""
--- /dev/null
+++ b/linnetladder/coordination/router.py
@@ -0,0 +1,245 @@
+"""The way of a request through the daemon, from its arrival to its answer.
+
+`Router.answer` is the front of this package: entry checks, the decision, the claim,
+the attempts, the bill and the receipt, in this order.
+"""
+
+import asyncio
+import random
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.attempts import AttemptRunner, Reached
+from linnetladder.coordination.claims import ClaimStrategy, claim_key
+from linnetladder.coordination.completion import Completion
+from linnetladder.coordination.decision import decide
+from linnetladder.coordination.endpoint_client import StreamAnswer, WholeAnswer
+from linnetladder.coordination.entry import EntryChecks
+from linnetladder.coordination.exchanges import Refused, StreamExchange, WholeExchange
+from linnetladder.coordination.passage import Passage
+from linnetladder.coordination.requests import CallerRequest, ChatWork
+from linnetladder.coordination.streams import RoutedStream
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.state import Clock, DecisionInputs, EndpointTable, Target
+from linnetladder.telemetry import Metrics, Tracer
+
+__all__ = ["Router"]
+
+CLAIM_SETTLE_SECONDS = 2.0
+DRAW_SCALE = 1 << 64
+FALLBACK_KINDS = frozenset(
+    {ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE, ErrorKind.NO_ENDPOINT}
+)
+PLATFORM_RETRY_SECONDS = 2.0
+
+
+class Router:
+    """Answer requests or refuse them, each once."""
+
+    def __init__(
+        self,
+        *,
+        checks: EntryChecks,
+        table: EndpointTable,
+        runner: AttemptRunner,
+        claims: ClaimStrategy,
+        completion: Completion,
+        clock: Clock,
+        metrics: Metrics,
+        tracer: Tracer,
+        exploration_seed: int,
+    ):
+        self.checks = checks
+        self.table = table
+        self.runner = runner
+        self.claims = claims
+        self.completion = completion
+        self.clock = clock
+        self.metrics = metrics
+        self.tracer = tracer
+        self.random = random.Random(exploration_seed)
+        self.draining = False
+
+    async def answer(
+        self, request: CallerRequest
+    ) -> WholeExchange | StreamExchange | Refused:
+        """Return the whole answer, a stream that has begun, or the refusal."""
+        self.metrics.count("requests")
+        passage = Passage(request=request)
+        passage.trace = self.tracer.begin(request.trace_parent)
+        try:
+            outcome = await self._route(passage)
+        except asyncio.CancelledError:
+            self._caller_left(passage)
+            raise
+        if isinstance(outcome, Failure):
+            return await self._refuse(passage, outcome.failure())
+        reached = outcome.unwrap()
+        if isinstance(reached.answer, StreamAnswer):
+            return self._begin_stream(passage, reached)
+        return await self._finish_whole(passage, reached)
+
+    async def _route(self, passage: Passage) -> Result[Reached, Refusal]:
+        """Do everything up to an endpoint's answer."""
+        refusal = self._refuse_at_the_door(passage) or self.checks.enter(passage)
+        if refusal is None:
+            refusal = self._decide(passage)
+        if refusal is None:
+            refusal = await self._claim(passage)
+        if refusal is not None:
+            return Failure(refusal)
+        return await self._run(passage)
+
+    def _refuse_at_the_door(self, passage: Passage) -> Refusal | None:
+        if self.draining:
+            detail = "the daemon is shutting down; another one takes the request"
+            return Refusal(ErrorKind.DRAINING, detail, retry_after_seconds=0.5)
+        if self.completion.bills.is_full:
+            detail = "too many bills wait for the platform"
+            return Refusal(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                detail,
+                retry_after_seconds=PLATFORM_RETRY_SECONDS,
+            )
+        return None
+
+    def _decide(self, passage: Passage) -> Refusal | None:
+        """Choose the versions that may answer, or the plain service."""
+        work = passage.request.work
+        if not isinstance(work, ChatWork):
+            passage.target = work.service
+            return None
+        before = self.clock.monotonic()
+        hop = passage.trace.begin("decision") if passage.trace else None
+        passage.inputs = self._decision_inputs(passage, work)
+        decision = decide(passage.snapshot, passage.inputs)
+        passage.passed_over = decision.passed_over
+        self.metrics.record("decision_seconds", self.clock.monotonic() - before)
+        if hop is not None:
+            hop.end(failed=decision.refusal is not None)
+        if decision.refusal is not None:
+            return decision.refusal
+        passage.ladder = decision.ladder
+        passage.target = decision.ladder[0].ref
+        return None
+
+    def _decision_inputs(self, passage: Passage, work: ChatWork) -> DecisionInputs:
+        request = passage.request
+        now = self.clock.monotonic()
+        key = f"{passage.account}\0{request.request_key}"
+        limit = passage.view.settings.values.maximum_output_tokens
+        return DecisionInputs(
+            account=passage.account,
+            wanted=work.wanted,
+            request_kind=request.request_kind,
+            input_tokens=work.input_tokens,
+            output_tokens=min(work.output_tokens or limit, limit),
+            draw=xxhash.xxh64_intdigest(key.encode()) / DRAW_SCALE,
+            exploration_draw=self.random.random(),
+            pin=str(passage.session.pin) if passage.session else "",
+            fresh=self.checks.is_fresh(passage),
+            available=tuple(
+                str(version.ref)
+                for version in passage.view.allowed
+                if self.table.accepts_work(version.ref, now)
+            ),
+        )
+
+    async def _claim(self, passage: Passage) -> Refusal | None:
+        """Take the right to run a non-idempotent request that the caller named."""
+        request = passage.request
+        if passage.idempotent or not request.key_given:
+            return None
+        hop = passage.trace.begin("platform claim") if passage.trace else None
+        remaining = passage.deadline - self.clock.monotonic()
+        claimed = await self.claims.claim(
+            key=claim_key(account=passage.account, request_key=request.request_key),
+            token=request.request_id,
+            fingerprint=request.fingerprint,
+            seconds=min(CLAIM_SETTLE_SECONDS, max(remaining, 0.0)),
+        )
+        refused = isinstance(claimed, Failure)
+        if hop is not None:
+            hop.end(failed=refused)
+        self.metrics.count("claims", label="refused" if refused else "created")
+        if refused:
+            return claimed.failure()
+        passage.claim = claimed.unwrap()
+        return None
+
+    async def _run(self, passage: Passage) -> Result[Reached, Refusal]:
+        """Run the attempts at the first choice, then at the others if it has no room.
+
+        Nothing but want of a place leads on: a version that was tried and failed is
+        not silently replaced by another.
+        """
+        targets: tuple[Target, ...] = tuple(v.ref for v in passage.ladder)
+        first: Result[Reached, Refusal] | None = None
+        for target in targets or (passage.target,):
+            passage.target = target
+            outcome = await self.runner.run(passage, target)
+            if isinstance(outcome, Success):
+                return outcome
+            first = first or outcome
+            refusal = outcome.failure()
+            if refusal.kind not in FALLBACK_KINDS or passage.ran is not Ran.NO:
+                return outcome
+        return first
+
+    async def _finish_whole(
+        self, passage: Passage, reached: Reached
+    ) -> WholeExchange | Refused:
+        """Bill a whole answer and hand it back."""
+        answer: WholeAnswer = reached.answer
+        passage.ran = Ran.YES
+        now = self.clock.monotonic()
+        reached.place.release(now)
+        self.runner.ejector.succeeded(reached.place.endpoint)
+        try:
+            refusal = await self.completion.bill(passage, answer.usage)
+        except asyncio.CancelledError:
+            self._caller_left(passage)
+            raise
+        if refusal is not None:
+            return await self._refuse(passage, refusal)
+        head = self.completion.answer_head(passage)
+        self.metrics.count("answered", label=str(passage.target))
+        self._close(passage, refused="")
+        return WholeExchange(
+            head=head,
+            status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body,
+        )
+
+    def _begin_stream(self, passage: Passage, reached: Reached) -> RoutedStream:
+        passage.ran = Ran.YES
+        now = self.clock.monotonic()
+        self.metrics.record("first_byte_seconds", now - passage.request.received)
+        return RoutedStream(
+            passage=passage,
+            reached=reached,
+            head=self.completion.answer_head(passage),
+            runner=self.runner,
+            completion=self.completion,
+            checks=self.checks,
+            metrics=self.metrics,
+            tracer=self.tracer,
+        )
+
+    async def _refuse(self, passage: Passage, refusal: Refusal) -> Refused:
+        refused = await self.completion.refuse(passage, refusal)
+        self._close(passage, refused=refusal.kind)
+        return refused
+
+    def _caller_left(self, passage: Passage) -> None:
+        self.metrics.count("caller_left")
+        self._close(passage, refused="caller_left")
+
+    def _close(self, passage: Passage, *, refused: str) -> None:
+        self.runner.end_trial(passage, clean=not refused)
+        self.checks.leave(passage)
+        elapsed = self.clock.monotonic() - passage.request.received
+        self.metrics.record("total_seconds", elapsed)
+        self.tracer.finish(passage.trace, refused=refused)
--- /dev/null
+++ b/linnetladder/coordination/streams.py
@@ -0,0 +1,180 @@
+"""A streamed answer on its way to the caller.
+
+Events are passed on as they arrive. When the connection to the endpoint breaks or
+falls silent, the stream is resumed where it stopped, at the same endpoint first and
+otherwise at another one that serves the same version. The end marker is held back
+until the bill is safe.
+"""
+
+import dataclasses
+from collections.abc import AsyncIterator
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.attempts import AttemptRunner, Reached, fault_refusal
+from linnetladder.coordination.completion import Completion
+from linnetladder.coordination.endpoint_client import (
+    EndpointFault,
+    EndpointFaultKind,
+    StreamAnswer,
+    StreamEvent,
+    Usage,
+)
+from linnetladder.coordination.entry import EntryChecks
+from linnetladder.coordination.exchanges import AnswerHead, Refused, StreamExchange
+from linnetladder.coordination.passage import Passage
+from linnetladder.errors import Ran, Refusal
+from linnetladder.telemetry import Metrics, Tracer
+
+__all__ = ["RoutedStream"]
+
+MAXIMUM_RESUMES = 3
+RESUMABLE_FAULTS = frozenset(
+    {EndpointFaultKind.BROKEN, EndpointFaultKind.SILENT, EndpointFaultKind.CUT}
+)
+
+
+class RoutedStream(StreamExchange):
+    """Pass a stream on, resume it, bill it and end it."""
+
+    def __init__(
+        self,
+        *,
+        passage: Passage,
+        reached: Reached,
+        head: AnswerHead,
+        runner: AttemptRunner,
+        completion: Completion,
+        checks: EntryChecks,
+        metrics: Metrics,
+        tracer: Tracer,
+    ):
+        self.passage = passage
+        self.reached = reached
+        self.head = head
+        self.runner = runner
+        self.completion = completion
+        self.checks = checks
+        self.metrics = metrics
+        self.tracer = tracer
+        self.usage: Usage | None = None
+        self.passed_on = 0
+        self.resumes = 0
+        self.finished = False
+
+    async def chunks(self) -> AsyncIterator[bytes | Refused]:
+        """Yield the events' bytes, resuming as needed, then the end or a refusal."""
+        while True:
+            fault: EndpointFault | None = None
+            async for outcome in self.reached.answer.events():
+                if isinstance(outcome, Failure):
+                    fault = outcome.failure()
+                    break
+                data, end = self._take(outcome.unwrap())
+                if data:
+                    yield data
+                if end is not None:
+                    yield await self._end(end)
+                    return
+            if fault is None:
+                fault = _cut_fault(self.reached)
+            refusal = await self._recover(fault)
+            if refusal is not None:
+                yield await self._refuse(refusal)
+                return
+
+    async def abandon(self) -> None:
+        """Cancel at the endpoint and bill the events that were passed on."""
+        if self.finished:
+            return
+        self.metrics.count("caller_left")
+        await self.reached.answer.close()
+        self.runner.cancel_at_endpoint(self.reached.place.endpoint, self.reached.call)
+        if self.passed_on:
+            usage = self._usage_so_far()
+            self.completion.bill_without_waiting(self.passage, usage, complete=False)
+        self._finish("")
+
+    def _take(self, events: list[StreamEvent]) -> tuple[bytes, StreamEvent | None]:
+        """Return the bytes to pass on and the end marker if it is among the events."""
+        end = None
+        if events[-1].end:
+            end = events.pop()
+        for event in events:
+            if event.usage is not None:
+                self.usage = event.usage
+        self.passed_on += len(events)
+        if len(events) == 1:
+            return events[0].data, end
+        return b"".join(event.data for event in events), end
+
+    async def _end(self, end: StreamEvent) -> bytes | Refused:
+        refusal = await self.completion.bill(self.passage, self._usage_so_far())
+        if refusal is not None:
+            return await self._refuse(refusal)
+        endpoint = self.reached.place.endpoint
+        self.runner.ejector.succeeded(endpoint)
+        self.metrics.count("answered", label=str(self.passage.target))
+        self._finish("")
+        return end.data
+
+    async def _recover(self, fault: EndpointFault) -> Refusal | None:
+        """Go on with the stream after a fault, or return the refusal."""
+        place = self.reached.place
+        self.passage.ran = Ran.YES
+        await self.reached.answer.close()
+        resumable = fault.kind in RESUMABLE_FAULTS and self.passage.idempotent
+        if not resumable or self.resumes >= MAXIMUM_RESUMES:
+            await self.runner.learn_from(self.passage, place, fault)
+            return fault_refusal(fault, Ran.YES)
+        self.resumes += 1
+        self.runner.client.suspect(place.endpoint)
+        call = dataclasses.replace(self.reached.call, resume_after=self.passed_on)
+        resumed = await self.runner.client.resume(place.endpoint, call)
+        if isinstance(resumed, Failure):
+            await self.runner.learn_from(self.passage, place, fault)
+            resumed = await self._resume_elsewhere()
+        if isinstance(resumed, Failure):
+            return resumed.failure()
+        self.metrics.count("stream_resumes")
+        self.reached.answer = resumed.unwrap()
+        return None
+
+    async def _resume_elsewhere(self) -> Result[StreamAnswer, Refusal]:
+        """Run the request again at another endpoint and skip what was passed on."""
+        place = self.reached.place
+        place.release(self.runner.clock.monotonic())
+        reached = await self.runner.run_again(
+            self.passage,
+            self.passage.target,
+            tried=frozenset({place.endpoint.name}),
+            resume_after=self.passed_on,
+        )
+        if isinstance(reached, Failure):
+            return Failure(dataclasses.replace(reached.failure(), ran=Ran.YES))
+        self.reached = reached.unwrap()
+        return Success(self.reached.answer)
+
+    async def _refuse(self, refusal: Refusal) -> Refused:
+        refused = await self.completion.refuse(self.passage, refusal)
+        self._finish(refusal.kind)
+        return refused
+
+    def _usage_so_far(self) -> Usage:
+        if self.usage is not None:
+            return self.usage
+        return Usage(self.passage.inputs.input_tokens, self.passed_on)
+
+    def _finish(self, refused: str) -> None:
+        self.finished = True
+        now = self.runner.clock.monotonic()
+        self.reached.place.release(now)
+        self.runner.end_trial(self.passage, clean=not refused)
+        self.checks.leave(self.passage)
+        self.metrics.record("total_seconds", now - self.passage.request.received)
+        self.tracer.finish(self.passage.trace, refused=refused)
+
+
+def _cut_fault(reached: Reached) -> EndpointFault:
+    detail = f"endpoint {reached.place.endpoint.name!r} ended the stream before its end"
+    return EndpointFault(kind=EndpointFaultKind.CUT, ran=Ran.YES, detail=detail)
--- /dev/null
+++ b/linnetladder/errors.py
@@ -0,0 +1,176 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every refusal that a caller can see names one `ErrorKind`. The table `ANSWERS` gives
+the HTTP status and title of each kind, and a test holds the two in step with the
+reference page. A `Refusal` also says whether the request ran, and why it was refused.
+"""
+
+import dataclasses
+import enum
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ErrorKind",
+    "Explanation",
+    "PassedOver",
+    "Ran",
+    "Refusal",
+]
+
+
+class Ran(enum.StrEnum):
+    """Whether a refused request ran at an endpoint.
+
+    ``NO`` is a promise: no endpoint received any byte of the request, or the endpoint
+    proved that it did not start. ``UNKNOWN`` makes no claim either way.
+    """
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.StrEnum):
+    """The closed list of reasons for which a request can be refused."""
+
+    MALFORMED_JSON = "malformed_json"
+    INVALID_REQUEST = "invalid_request"
+    INVALID_HEADER = "invalid_header"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    MISSING_CREDENTIAL = "missing_credential"
+    UNKNOWN_CREDENTIAL = "unknown_credential"
+    ADDRESS_RATE_LIMITED = "address_rate_limited"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    MODEL_NOT_ALLOWED = "model_not_allowed"
+    SERVICE_NOT_ALLOWED = "service_not_allowed"
+    VERSION_WITHDRAWN = "version_withdrawn"
+    SESSION_INVALID = "session_invalid"
+    SESSION_EXPIRED = "session_expired"
+    SESSION_VERSION_WITHDRAWN = "session_version_withdrawn"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_ENDPOINT = "no_endpoint"
+    CONFIGURATION_UNAVAILABLE = "configuration_unavailable"
+    CONFIGURATION_STALE = "configuration_stale"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    ALREADY_CLAIMED = "already_claimed"
+    ALREADY_ANSWERED = "already_answered"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    POISON_REQUEST = "poison_request"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_REJECTED = "endpoint_rejected"
+    ENDPOINT_SILENT = "endpoint_silent"
+    ENDPOINT_ANSWER_INVALID = "endpoint_answer_invalid"
+    BILL_NOT_RECORDED = "bill_not_recorded"
+    DRAINING = "draining"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The HTTP status and the human title that an error kind is answered with."""
+
+    status: int
+    title: str
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED_JSON: Answer(400, "The body is not JSON"),
+    ErrorKind.INVALID_REQUEST: Answer(422, "The body does not fit the format"),
+    ErrorKind.INVALID_HEADER: Answer(400, "A header has an invalid value"),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is too large"),
+    ErrorKind.REQUEST_TIMEOUT: Answer(408, "The request arrived too slowly"),
+    ErrorKind.MISSING_CREDENTIAL: Answer(401, "No credential was given"),
+    ErrorKind.UNKNOWN_CREDENTIAL: Answer(401, "The credential is not known"),
+    ErrorKind.ADDRESS_RATE_LIMITED: Answer(429, "Too many requests from the address"),
+    ErrorKind.UNKNOWN_PATH: Answer(404, "The path does not exist"),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, "The method is not allowed"),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, "The model or version is not declared"),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, "The service is not declared"),
+    ErrorKind.MODEL_NOT_ALLOWED: Answer(403, "The model or version is not allowed"),
+    ErrorKind.SERVICE_NOT_ALLOWED: Answer(403, "The service is not allowed"),
+    ErrorKind.VERSION_WITHDRAWN: Answer(410, "The version has been withdrawn"),
+    ErrorKind.SESSION_INVALID: Answer(403, "The session token is not valid"),
+    ErrorKind.SESSION_EXPIRED: Answer(403, "The session has expired"),
+    ErrorKind.SESSION_VERSION_WITHDRAWN: Answer(
+        410, "The version of the session has been withdrawn"
+    ),
+    ErrorKind.RATE_LIMITED: Answer(429, "The client account exceeds its rate"),
+    ErrorKind.OVERLOADED: Answer(503, "No capacity is left"),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(503, "The deadline can't be met"),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, "The deadline has passed"),
+    ErrorKind.NO_ENDPOINT: Answer(503, "No endpoint can serve the request"),
+    ErrorKind.CONFIGURATION_UNAVAILABLE: Answer(503, "No configuration is in force"),
+    ErrorKind.CONFIGURATION_STALE: Answer(503, "The configuration is too old"),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, "The platform can't be reached"),
+    ErrorKind.ALREADY_CLAIMED: Answer(409, "The request was already started"),
+    ErrorKind.ALREADY_ANSWERED: Answer(409, "The request was already answered"),
+    ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(
+        422, "The idempotency key belongs to another request"
+    ),
+    ErrorKind.POISON_REQUEST: Answer(422, "The request crashes endpoints"),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, "The endpoint failed"),
+    ErrorKind.ENDPOINT_REJECTED: Answer(422, "The endpoint rejected the request"),
+    ErrorKind.ENDPOINT_SILENT: Answer(504, "The endpoint went silent"),
+    ErrorKind.ENDPOINT_ANSWER_INVALID: Answer(502, "The endpoint's answer is invalid"),
+    ErrorKind.BILL_NOT_RECORDED: Answer(503, "The bill could not be recorded"),
+    ErrorKind.DRAINING: Answer(503, "The daemon is shutting down"),
+    ErrorKind.INTERNAL: Answer(500, "The daemon failed"),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassedOver:
+    """One candidate that a decision considered, and why it was not taken."""
+
+    candidate: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """What a decision rested on.
+
+    ``node`` names the node of the settings tree that forbade the request, where one
+    did; ``revision`` is the configuration's revision, 0 when none was consulted.
+    """
+
+    revision: int = 0
+    account: str = ""
+    node: str = ""
+    passed_over: tuple[PassedOver, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is not answered, with all that its caller is told.
+
+    Examples
+    --------
+    >>> refusal = Refusal(ErrorKind.RATE_LIMITED, "3 requests/s", retry_after_seconds=1)
+    >>> refusal.status, refusal.ran.value
+    (429, 'no')
+    """
+
+    kind: ErrorKind
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_seconds: float | None = None
+    explanation: Explanation = Explanation()
+
+    @property
+    def status(self) -> int:
+        """The HTTP status that answers this kind."""
+        return ANSWERS[self.kind].status
+
+    @property
+    def title(self) -> str:
+        """The title that answers this kind."""
+        return ANSWERS[self.kind].title
--- /dev/null
+++ b/linnetladder/management/base.py
@@ -0,0 +1,216 @@
+"""What all commands share: flags, the connection to the platform, and output."""
+
+import abc
+import asyncio
+import enum
+import getpass
+import os
+import sys
+
+import orjson
+import uvloop
+from absl import flags
+from returns.result import Failure
+from rich.console import Console
+from rich.table import Table
+
+from linnetladder.conf import ENVIRONMENT_PREFIX
+from linnetladder.coordination.live_state import KEY_PREFIX
+from linnetladder.coordination.publishing import (
+    Publisher,
+    PublishFault,
+    PublishFaultKind,
+)
+from linnetladder.state import KeyRing, SystemClock
+from linnetladder.state.signing import signing_key_from_json
+from linnetladder.telemetry import Metrics
+from linnetladder.transport import EtcdKeyValue
+
+__all__ = ["Command", "Context", "ExitCode"]
+
+DEFAULT_TIMEOUT_SECONDS = 5.0
+
+
+class ExitCode(enum.IntEnum):
+    """What a command's exit code means."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    RACE = 4
+    UNREACHABLE = 5
+    UNKNOWN_OUTCOME = 6
+    NOT_FOUND = 7
+    INCOMPLETE = 8
+    NOT_VERIFIED = 9
+
+
+FAULT_CODES = {
+    PublishFaultKind.RACE: ExitCode.RACE,
+    PublishFaultKind.UNREACHABLE: ExitCode.UNREACHABLE,
+    PublishFaultKind.UNKNOWN_OUTCOME: ExitCode.UNKNOWN_OUTCOME,
+    PublishFaultKind.NOT_FOUND: ExitCode.NOT_FOUND,
+}
+
+
+class Context:
+    """The platform's service and the way to print, for one run of a command."""
+
+    def __init__(self, *, store: EtcdKeyValue, format: str):
+        self.store = store
+        self.clock = SystemClock()
+        self.publisher = Publisher(store=store, clock=self.clock)
+        self.format = format
+        self.console = Console(highlight=False, soft_wrap=True)
+
+    def print(self, text: str) -> None:
+        """Print a line for people; nothing when the output is JSON."""
+        if self.format != "json":
+            self.console.print(text, markup=False)
+
+    def print_table(self, columns: tuple[str, ...], rows: list[tuple]) -> None:
+        """Print a table for people."""
+        table = Table(box=None, pad_edge=False, header_style="bold")
+        for column in columns:
+            table.add_column(column, overflow="fold")
+        for row in rows:
+            table.add_row(*(str(cell) for cell in row))
+        self.console.print(table)
+
+    def print_json(self, document: object) -> None:
+        """Print a document as JSON."""
+        content = orjson.dumps(document, option=orjson.OPT_INDENT_2)
+        sys.stdout.write(content.decode() + "\n")
+
+    def fail(self, message: str, code: ExitCode) -> ExitCode:
+        """Print an error and return its code."""
+        print(f"linnetladder: {message}", file=sys.stderr)
+        return code
+
+    def fail_with(self, fault: PublishFault) -> ExitCode:
+        """Print a fault and return the code of its kind."""
+        return self.fail(f"{fault.kind}: {fault.detail}", FAULT_CODES[fault.kind])
+
+    async def read_keys(self) -> KeyRing:
+        """Return the signing keys that the platform holds."""
+        listed = await self.store.list_prefix(KEY_PREFIX)
+        if isinstance(listed, Failure):
+            return KeyRing()
+        records = listed.unwrap()
+        return KeyRing(keys=tuple(signing_key_from_json(r.value) for r in records))
+
+
+class Command(abc.ABC):
+    """One command of the tool."""
+
+    name: str
+    summary: str
+    usage: str
+    needs_platform = True
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define the flags of this command alone; none unless overridden."""
+        del values
+
+    @abc.abstractmethod
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Do the work and return the exit code."""
+
+    def execute(self, arguments: list[str]) -> int:
+        """Parse the command line and run the command."""
+        values = flags.FlagValues()
+        self._define_shared_flags(values)
+        self.define_flags(values)
+        rest = values([self.name, *arguments])[1:]
+        if values.help:
+            print(f"linnetladder {self.usage}\n\n{self.summary}\n{values.get_help()}")
+            return ExitCode.OK
+        if self.needs_platform and not values.platform_urls:
+            print(
+                "linnetladder: set --platform_urls or LINNETLADDER_PLATFORM_URLS",
+                file=sys.stderr,
+            )
+            return ExitCode.USAGE
+        return uvloop.run(self._run(values, rest))
+
+    async def _run(self, values: flags.FlagValues, arguments: list[str]) -> int:
+        store = EtcdKeyValue(
+            urls=tuple(values.platform_urls),
+            timeout_seconds=values.timeout_seconds,
+            clock=SystemClock(),
+            metrics=Metrics(),
+        )
+        try:
+            context = Context(store=store, format=values.format)
+            return await self.run(context, values, arguments)
+        finally:
+            await store.close()
+            await asyncio.sleep(0)
+
+    def _define_shared_flags(self, values: flags.FlagValues) -> None:
+        urls = os.environ.get(ENVIRONMENT_PREFIX + "PLATFORM_URLS", "")
+        flags.DEFINE_list(
+            "platform_urls",
+            [url for url in urls.split(",") if url],
+            "URLs of the platform's key-value service. "
+            f"[{ENVIRONMENT_PREFIX}PLATFORM_URLS]",
+            flag_values=values,
+        )
+        flags.DEFINE_float(
+            "timeout_seconds",
+            DEFAULT_TIMEOUT_SECONDS,
+            "Time limit of one call to the platform.",
+            flag_values=values,
+        )
+        flags.DEFINE_enum(
+            "format", "text", ["text", "json", "csv"], "Output.", flag_values=values
+        )
+        flags.DEFINE_bool("help", False, "Print this help.", flag_values=values)
+
+
+def define_change_flags(values: flags.FlagValues) -> None:
+    """Define the flags of commands that change the configuration."""
+    flags.DEFINE_string(
+        "author",
+        os.environ.get("USER") or getpass.getuser(),
+        "Who makes the change.",
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        "wait", False, "Wait until the change is in force.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "wait_seconds", 30.0, "How long to wait at most.", flag_values=values
+    )
+
+
+async def report_in_force(
+    context: Context, values: flags.FlagValues, manifest
+) -> ExitCode:
+    """Say which daemons have a revision, after waiting for it if that was asked."""
+    seconds = values.wait_seconds if values.wait else 0.0
+    waited = await context.publisher.wait_in_force(manifest, seconds=seconds)
+    if isinstance(waited, Failure):
+        return context.fail_with(waited.failure())
+    seen = waited.unwrap()
+    having = [record.instance for record in seen.having]
+    lacking = [record.instance for record in seen.lacking]
+    if context.format == "json":
+        context.print_json(
+            {
+                "revision": manifest.revision,
+                "checkpoint_id": manifest.checkpoint_id,
+                "in_force": having,
+                "not_in_force": lacking,
+            }
+        )
+    context.print(f"revision {manifest.revision} is accepted")
+    if values.wait:
+        context.print(f"in force on: {', '.join(having) or 'no daemon'}")
+        if lacking:
+            context.print(f"not in force on: {', '.join(lacking)}")
+            return ExitCode.INCOMPLETE
+    return ExitCode.OK
--- /dev/null
+++ b/linnetladder/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/linnetladder/management/commands/apply.py
@@ -0,0 +1,52 @@
+"""Apply a declaration file."""
+
+from absl import flags
+from returns.result import Failure
+
+from linnetladder.coordination.publishing import Change
+from linnetladder.management.base import (
+    Command,
+    Context,
+    ExitCode,
+    define_change_flags,
+    report_in_force,
+)
+from linnetladder.management.commands.plan import make_plan, print_plan
+
+__all__ = ["COMMAND"]
+
+
+class ApplyCommand(Command):
+    """Publish a file as the next revision."""
+
+    name = "apply"
+    summary = "Apply a declaration file; with --wait, until it is in force everywhere."
+    usage = "apply FILE"
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define who, why and whether to wait."""
+        define_change_flags(values)
+        flags.DEFINE_string("message", "", "Why it is changed.", flag_values=values)
+
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Plan, publish, and say where it is in force."""
+        plan = await make_plan(context, arguments)
+        if isinstance(plan, ExitCode):
+            return plan
+        print_plan(context, plan)
+        if plan.is_empty:
+            if plan.head.manifest is None:
+                return ExitCode.OK
+            return await report_in_force(context, values, plan.head.manifest)
+        change = Change(
+            author=values.author, message=values.message or f"apply {arguments[0]}"
+        )
+        published = await context.publisher.publish(plan, change)
+        if isinstance(published, Failure):
+            return context.fail_with(published.failure())
+        return await report_in_force(context, values, published.unwrap())
+
+
+COMMAND = ApplyCommand()
--- /dev/null
+++ b/linnetladder/management/commands/bill.py
@@ -0,0 +1,101 @@
+"""Show what each client account owes."""
+
+import csv
+import sys
+
+from absl import flags
+from returns.result import Failure
+
+from linnetladder.coordination.ledger_reading import read_bills
+from linnetladder.management.base import Command, Context, ExitCode
+from linnetladder.state import Bill
+
+__all__ = ["COMMAND"]
+
+MICRO_UNITS = 1_000_000
+COLUMNS = ("account", "requests", "input_tokens", "output_tokens", "price")
+
+
+class BillCommand(Command):
+    """Sum the ledger by client account."""
+
+    name = "bill"
+    summary = "Show what each client account owes, or every bill with --detail."
+    usage = "bill [ACCOUNT]"
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define whether to list every bill."""
+        flags.DEFINE_bool("detail", False, "List every bill.", flag_values=values)
+
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Read, fold, sum and print."""
+        read = await read_bills(context.store)
+        if isinstance(read, Failure):
+            detail = f"the ledger can't be read: {read.failure().detail}"
+            return context.fail(detail, ExitCode.UNREACHABLE)
+        bills = list(read.unwrap().values())
+        if arguments:
+            bills = [bill for bill in bills if bill.account == arguments[0]]
+        if values.detail:
+            _print_bills(context, bills)
+        else:
+            _print_sums(context, _sum_by_account(bills))
+        return ExitCode.OK
+
+
+def _sum_by_account(bills: list[Bill]) -> list[dict]:
+    sums: dict[str, dict] = {}
+    for bill in bills:
+        entry = sums.setdefault(
+            bill.account,
+            {
+                "account": bill.account,
+                "requests": 0,
+                "input_tokens": 0,
+                "output_tokens": 0,
+                "price": 0.0,
+            },
+        )
+        entry["requests"] += 1
+        entry["input_tokens"] += bill.input_tokens
+        entry["output_tokens"] += bill.output_tokens
+        entry["price"] += bill.price / MICRO_UNITS
+    return [sums[account] for account in sorted(sums)]
+
+
+def _print_sums(context: Context, sums: list[dict]) -> None:
+    if context.format == "json":
+        context.print_json(sums)
+        return
+    rows = [tuple(entry[column] for column in COLUMNS) for entry in sums]
+    if context.format == "csv":
+        _print_csv(COLUMNS, rows)
+        return
+    shown = [(*row[:-1], f"{row[-1]:.6f}") for row in rows]
+    context.print_table(COLUMNS, shown)
+
+
+def _print_bills(context: Context, bills: list[Bill]) -> None:
+    if context.format == "json":
+        context.print_json(bills)
+        return
+    columns = ("bill_id", "account", "request_key", "target", "price")
+    rows = [
+        (b.bill_id, b.account, b.request_key, b.target, b.price / MICRO_UNITS)
+        for b in bills
+    ]
+    if context.format == "csv":
+        _print_csv(columns, rows)
+    else:
+        context.print_table(columns, rows)
+
+
+def _print_csv(columns: tuple[str, ...], rows: list[tuple]) -> None:
+    writer = csv.writer(sys.stdout)
+    writer.writerow(columns)
+    writer.writerows(rows)
+
+
+COMMAND = BillCommand()
--- /dev/null
+++ b/linnetladder/management/commands/history.py
@@ -0,0 +1,56 @@
+"""Show the changes of the configuration."""
+
+import datetime
+
+from absl import flags
+from returns.result import Failure
+
+from linnetladder.management.base import Command, Context, ExitCode
+
+__all__ = ["COMMAND", "format_time"]
+
+
+def format_time(seconds: float) -> str:
+    """Return Unix time as a readable UTC time."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+class HistoryCommand(Command):
+    """List the revisions that are kept."""
+
+    name = "history"
+    summary = "Show the changes of the configuration that are kept."
+    usage = "history"
+
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Read and print, oldest first."""
+        read = await context.publisher.read_history()
+        if isinstance(read, Failure):
+            return context.fail_with(read.failure())
+        manifests = read.unwrap()
+        if context.format == "json":
+            context.print_json(
+                [
+                    {
+                        "revision": manifest.revision,
+                        "checkpoint_id": manifest.checkpoint_id,
+                        "time_seconds": manifest.time_seconds,
+                        "author": manifest.author,
+                        "message": manifest.message,
+                    }
+                    for manifest in manifests
+                ]
+            )
+            return ExitCode.OK
+        rows = [
+            (m.revision, format_time(m.time_seconds), m.author, m.message)
+            for m in manifests
+        ]
+        context.print_table(("revision", "time", "author", "message"), rows)
+        return ExitCode.OK
+
+
+COMMAND = HistoryCommand()
--- /dev/null
+++ b/linnetladder/management/commands/rotate_key.py
@@ -0,0 +1,53 @@
+"""Add a signing key and retire the oldest."""
+
+import secrets
+import time
+
+from absl import flags
+from returns.result import Failure
+
+from linnetladder.coordination.live_state import KEY_PREFIX
+from linnetladder.coordination.platform import Condition, Put
+from linnetladder.management.base import Command, Context, ExitCode
+from linnetladder.state import SigningKey
+from linnetladder.state.signing import signing_key_to_json
+
+__all__ = ["COMMAND"]
+
+KEYS_KEPT = 2
+SECRET_BYTES = 32
+
+
+class RotateKeyCommand(Command):
+    """Sign with a new key from now on; what the key before signed stays valid."""
+
+    name = "rotate-key"
+    summary = "Add a signing key and retire all but the one before it."
+    usage = "rotate-key"
+
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Write the new key and delete the retired ones in one transaction."""
+        listed = await context.store.list_prefix(KEY_PREFIX)
+        if isinstance(listed, Failure):
+            return context.fail(listed.failure().detail, ExitCode.UNREACHABLE)
+        present = sorted(record.key for record in listed.unwrap())
+        newest = int(present[-1].removeprefix(KEY_PREFIX)) if present else 0
+        key_id = f"{newest + 1:010d}"
+        key = SigningKey(key_id, secrets.token_hex(SECRET_BYTES), time.time())
+        retired = tuple(present[: -(KEYS_KEPT - 1)]) if present else ()
+        written = await context.store.transact(
+            conditions=(Condition(KEY_PREFIX + key_id),),
+            puts=(Put(KEY_PREFIX + key_id, signing_key_to_json(key)),),
+            deletes=retired,
+        )
+        if isinstance(written, Failure):
+            return context.fail(written.failure().detail, ExitCode.UNKNOWN_OUTCOME)
+        if not written.unwrap().succeeded:
+            return context.fail("another rotation came first", ExitCode.RACE)
+        context.print(f"key {key_id} signs now; {len(retired)} keys retired")
+        return ExitCode.OK
+
+
+COMMAND = RotateKeyCommand()
--- /dev/null
+++ b/linnetladder/management/commands/withdraw.py
@@ -0,0 +1,54 @@
+"""Withdraw a version at once."""
+
+from absl import flags
+from returns.result import Failure
+
+from linnetladder.coordination.publishing import Change
+from linnetladder.management.base import (
+    Command,
+    Context,
+    ExitCode,
+    define_change_flags,
+    report_in_force,
+)
+from linnetladder.state import VersionRef
+from linnetladder.state.versions import Withdrawal
+
+__all__ = ["COMMAND"]
+
+
+class WithdrawCommand(Command):
+    """Order that a version receives no new work."""
+
+    name = "withdraw"
+    summary = "Withdraw a version, which then receives no new work."
+    usage = "withdraw MODEL@VERSION"
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define who, why and whether to wait."""
+        define_change_flags(values)
+        flags.DEFINE_string(
+            "reason",
+            "",
+            "Why it is withdrawn, as callers are told.",
+            flag_values=values,
+        )
+
+    async def run(
+        self, context: Context, values: flags.FlagValues, arguments: list[str]
+    ) -> ExitCode:
+        """Publish the withdrawal and say where it is in force."""
+        ref = VersionRef.parse(arguments[0]) if len(arguments) == 1 else None
+        if ref is None or not ref.version:
+            return context.fail("name one version as MODEL@VERSION", ExitCode.USAGE)
+        order = Withdrawal(ref, values.reason, values.author)
+        change = Change(
+            author=values.author, message=f"withdraw {ref}: {values.reason}"
+        )
+        published = await context.publisher.withdraw(order, change)
+        if isinstance(published, Failure):
+            return context.fail_with(published.failure())
+        return await report_in_force(context, values, published.unwrap())
+
+
+COMMAND = WithdrawCommand()
--- /dev/null
+++ b/linnetladder/protocol/callers.py
@@ -0,0 +1,262 @@
+"""What callers send: the chat-completions format, service calls and their headers.
+
+Everything is validated here and turned into the data classes of coordination. Each
+fault is a `Refusal` of the closed list.
+"""
+
+import dataclasses
+import hashlib
+import secrets
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.requests import (
+    AUTOMATIC_MODEL,
+    CallerRequest,
+    ChatWork,
+    ServiceWork,
+    SessionWish,
+)
+from linnetladder.errors import ErrorKind, Refusal
+from linnetladder.protocol import headers as names
+
+__all__ = ["ChatBody", "Submission", "parse_chat", "parse_service_call"]
+
+SESSION_OPEN = "open"
+BEARER = "bearer "
+MAXIMUM_KEY_LENGTH = 200
+MAXIMUM_PRIORITY = 9
+MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000
+MAXIMUM_MESSAGES = 4096
+MAXIMUM_KIND_LENGTH = 64
+BYTES_PER_TOKEN = 4
+PREFIX_BYTES = 2048
+FINGERPRINT_BYTES = 16
+REQUEST_ID_BYTES = 12
+MILLISECONDS_PER_SECOND = 1000
+DEFAULT_PRIORITY = 1
+PASSED_ON_HEADERS = ("content-type", "accept", "accept-language")
+
+
+class ChatMessage(pydantic.BaseModel):
+    """One message of a conversation."""
+
+    role: str = pydantic.Field(min_length=1, max_length=32)
+    content: str | list[dict[str, Any]] | None = None
+
+
+class ChatBody(pydantic.BaseModel):
+    """The parts of a chat completion that the daemon reads; the rest passes through."""
+
+    model: str = pydantic.Field(AUTOMATIC_MODEL, min_length=1, max_length=128)
+    messages: list[ChatMessage] = pydantic.Field(
+        min_length=1, max_length=MAXIMUM_MESSAGES
+    )
+    stream: bool = False
+    max_tokens: int | None = pydantic.Field(None, ge=1)
+    max_completion_tokens: int | None = pydantic.Field(None, ge=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Submission:
+    """One HTTP request of a caller as it arrived; ``received`` is monotonic seconds."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    received: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Terms:
+    """What the headers say."""
+
+    credential_digest: str
+    request_key: str
+    idempotent: bool | None
+    deadline_seconds: float | None
+    priority: int
+    session: SessionWish
+    request_kind: str
+    trace_parent: str
+
+
+def parse_chat(submission: Submission) -> Result[CallerRequest, Refusal]:
+    """Read a chat completion."""
+    terms = _parse_terms(submission)
+    if isinstance(terms, Failure):
+        return terms
+    work = _parse_chat_work(submission.body)
+    if isinstance(work, Failure):
+        return work
+    return Success(_build_request(submission, terms.unwrap(), work.unwrap()))
+
+
+def parse_service_call(
+    submission: Submission, *, service: str, path: str
+) -> Result[CallerRequest, Refusal]:
+    """Read a call to pass through to a plain service."""
+    terms = _parse_terms(submission)
+    if isinstance(terms, Failure):
+        return terms
+    passed_on = {
+        name: submission.headers[name]
+        for name in PASSED_ON_HEADERS
+        if name in submission.headers
+    }
+    work = ServiceWork(
+        service=service,
+        method=submission.method,
+        path=path,
+        headers=passed_on,
+        body=submission.body,
+    )
+    return Success(_build_request(submission, terms.unwrap(), work))
+
+
+def _build_request(
+    submission: Submission, terms: _Terms, work: ChatWork | ServiceWork
+) -> CallerRequest:
+    request_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
+    return CallerRequest(
+        request_id=request_id,
+        request_key=terms.request_key or request_id,
+        key_given=bool(terms.request_key),
+        credential_digest=terms.credential_digest,
+        idempotent=terms.idempotent,
+        deadline_seconds=terms.deadline_seconds,
+        priority=terms.priority,
+        session=terms.session,
+        request_kind=terms.request_kind,
+        fingerprint=_fingerprint(submission),
+        work=work,
+        body_bytes=len(submission.body),
+        received=submission.received,
+        trace_parent=terms.trace_parent,
+    )
+
+
+def _fingerprint(submission: Submission) -> str:
+    """Return a digest of the content, which no id or credential enters."""
+    digest = hashlib.blake2b(submission.body, digest_size=FINGERPRINT_BYTES)
+    digest.update(f"\0{submission.method} {submission.path}".encode())
+    return digest.hexdigest()
+
+
+def _parse_chat_work(body: bytes) -> Result[ChatWork, Refusal]:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return Failure(Refusal(ErrorKind.MALFORMED_JSON, str(error)))
+    try:
+        chat = ChatBody.model_validate(document)
+    except pydantic.ValidationError as error:
+        return Failure(Refusal(ErrorKind.INVALID_REQUEST, _describe(error)))
+    work = ChatWork(
+        wanted=chat.model,
+        stream=chat.stream,
+        document=document,
+        input_tokens=len(body) // BYTES_PER_TOKEN,
+        output_tokens=chat.max_completion_tokens or chat.max_tokens,
+        prefix=_prefix(chat.messages[0]),
+    )
+    return Success(work)
+
+
+def _prefix(message: ChatMessage) -> bytes:
+    """Return the start of the first message, which decides on prefix affinity."""
+    if not isinstance(message.content, str):
+        return b""
+    return message.content[:PREFIX_BYTES].encode("utf-8", "surrogatepass")
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Return each fault with its place in the body."""
+    faults = []
+    for entry in error.errors(include_input=False, include_url=False)[:5]:
+        place = ".".join(str(step) for step in entry["loc"]) or "body"
+        faults.append(f"{place}: {entry['msg']}")
+    return "; ".join(faults)
+
+
+def _parse_terms(submission: Submission) -> Result[_Terms, Refusal]:
+    headers = submission.headers
+    authorization = headers.get(names.AUTHORIZATION, "")
+    if not authorization[: len(BEARER)].lower() == BEARER:
+        detail = "send the client account's credential as 'Authorization: Bearer …'"
+        return Failure(Refusal(ErrorKind.MISSING_CREDENTIAL, detail))
+    credential = authorization[len(BEARER) :].strip()
+    request_key = headers.get(names.IDEMPOTENCY_KEY, "")
+    kind = headers.get(names.REQUEST_KIND, "default")
+    idempotent = _parse_boolean(headers.get(names.IDEMPOTENT))
+    deadline = _parse_integer(
+        headers.get(names.DEADLINE), MAXIMUM_DEADLINE_MILLISECONDS
+    )
+    priority = _parse_integer(headers.get(names.PRIORITY), MAXIMUM_PRIORITY)
+    faults = {
+        names.IDEMPOTENCY_KEY: not _is_plain(request_key),
+        names.REQUEST_KIND: len(kind) > MAXIMUM_KIND_LENGTH or not kind.isprintable(),
+        names.IDEMPOTENT: isinstance(idempotent, Failure),
+        names.DEADLINE: isinstance(deadline, Failure),
+        names.PRIORITY: isinstance(priority, Failure),
+    }
+    for name, is_faulty in faults.items():
+        if is_faulty:
+            detail = f"header {name!r} has the value {headers.get(name)!r}"
+            return Failure(Refusal(ErrorKind.INVALID_HEADER, detail))
+    return Success(
+        _Terms(
+            credential_digest=_digest(credential),
+            request_key=request_key,
+            idempotent=idempotent.unwrap(),
+            deadline_seconds=_to_seconds(deadline.unwrap()),
+            priority=_or_default(priority.unwrap(), DEFAULT_PRIORITY),
+            session=_parse_session(headers.get(names.SESSION, "")),
+            request_kind=kind,
+            trace_parent=headers.get(names.TRACE_PARENT, ""),
+        )
+    )
+
+
+def _digest(credential: str) -> str:
+    content = credential.encode("utf-8", "surrogateescape")
+    return hashlib.sha256(content).hexdigest()
+
+
+def _is_plain(text: str) -> bool:
+    """Tell whether a key is short, printable ASCII."""
+    return len(text) <= MAXIMUM_KEY_LENGTH and text.isascii() and text.isprintable()
+
+
+def _parse_session(text: str) -> SessionWish:
+    if text == SESSION_OPEN:
+        return SessionWish(open=True)
+    return SessionWish(token=text)
+
+
+def _parse_boolean(text: str | None) -> Result[bool | None, None]:
+    if text is None:
+        return Success(None)
+    known = {"true": True, "false": False}.get(text.lower())
+    return Failure(None) if known is None else Success(known)
+
+
+def _parse_integer(text: str | None, maximum: int) -> Result[int | None, None]:
+    if text is None:
+        return Success(None)
+    if not text.isascii() or not text.isdigit() or int(text[:10]) > maximum:
+        return Failure(None)
+    return Success(int(text))
+
+
+def _to_seconds(milliseconds: int | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
+
+
+def _or_default(value: int | None, default: int) -> int:
+    return default if value is None else value
--- /dev/null
+++ b/linnetladder/protocol/declarations.py
@@ -0,0 +1,385 @@
+"""Declarations: YAML files under version control that describe the settings tree.
+
+A file is read with the line of every value, validated, and turned into the parts of
+a snapshot. Each fault names the file, the line and the path of the value.
+"""
+
+import dataclasses
+import re
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import pydantic
+import yaml
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.cascade import POLICIES
+from linnetladder.state.settings import NARROWING, NodeSettings
+from linnetladder.state.snapshot import Part
+from linnetladder.state.tree import Node, find_tree_problems
+from linnetladder.state.versions import (
+    ModelVersion,
+    Rollout,
+    ServiceDeclaration,
+    VersionRef,
+)
+
+__all__ = ["DeclarationProblem", "Declarations", "load_declarations"]
+
+NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+Name = Annotated[str, pydantic.Field(pattern=NAME)]
+Price = Annotated[float, pydantic.Field(ge=0)]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Positive = Annotated[float, pydantic.Field(gt=0)]
+Digest = Annotated[str, pydantic.Field(pattern=r"^sha256:[0-9a-f]{64}$")]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class VersionModel(_Model):
+    """A version's prices, in millionths per token, and its quality by kind."""
+
+    input_price: Price
+    output_price: Price
+    quality: dict[str, Share] = pydantic.Field(min_length=1)
+
+
+class ModelModel(_Model):
+    """A model and its versions."""
+
+    versions: dict[Name, VersionModel] = pydantic.Field(min_length=1)
+
+
+class ServiceModel(_Model):
+    """A plain service."""
+
+    price: Price = 0.0
+    idempotent_methods: list[Literal["GET", "HEAD", "PUT", "DELETE", "POST"]] = [
+        "GET",
+        "HEAD",
+        "PUT",
+        "DELETE",
+    ]
+
+
+class RolloutModel(_Model):
+    """A roll-out of one model's candidate version."""
+
+    stable: Name
+    candidate: Name | Literal[""] = ""
+    share: Share = 0.0
+
+
+class SettingsModel(_Model):
+    """The settings of a node; what is left out is inherited."""
+
+    allowed_versions: list[str] | None = None
+    allowed_services: list[Name] | None = None
+    rollouts: dict[Name, RolloutModel] | None = None
+    quality_target: Share | None = None
+    cascade_policy: str | None = None
+    escalation_billing: Literal["final", "all"] | None = None
+    exploration_share: Share | None = None
+    requests_per_second: Positive | None = None
+    burst: Annotated[int, pydantic.Field(ge=1)] | None = None
+    maximum_in_flight: Annotated[int, pydantic.Field(ge=1)] | None = None
+    share_weight: Positive | None = None
+    maximum_output_tokens: Annotated[int, pydantic.Field(ge=1)] | None = None
+    maximum_body_bytes: Annotated[int, pydantic.Field(ge=1)] | None = None
+    default_deadline_seconds: Positive | None = None
+    maximum_deadline_seconds: Positive | None = None
+    maximum_priority: Annotated[int, pydantic.Field(ge=0, le=9)] | None = None
+    session_lifetime_seconds: Positive | None = None
+    session_on_withdrawal: Literal["end", "restart"] | None = None
+    maximum_staleness_seconds: Positive | None = None
+
+    @pydantic.field_validator("cascade_policy")
+    @classmethod
+    def require_known_policy(cls, value: str | None) -> str | None:
+        """Accept the policies that exist."""
+        if value is not None and value not in POLICIES:
+            known = ", ".join(POLICIES)
+            raise ValueError(f"cascade policy {value!r} is not one of {known}")
+        return value
+
+    def node_settings(self) -> NodeSettings:
+        """Return the data class that the settings tree holds."""
+        values: dict[str, Any] = {}
+        for name in type(self).model_fields:
+            value = getattr(self, name)
+            values[name] = tuple(value) if isinstance(value, list) else value
+        if self.rollouts is not None:
+            values["rollouts"] = tuple(
+                Rollout(model, entry.stable, entry.candidate, entry.share)
+                for model, entry in sorted(self.rollouts.items())
+            )
+        return NodeSettings(**values)
+
+
+class NodeModel(_Model):
+    """A node of the tree: a team, a service or a client account."""
+
+    name: Name
+    parent: Name | Literal[""] = ""
+    account: bool = False
+    credentials: list[Digest] = []
+    locked: list[str] = []
+    settings: SettingsModel = SettingsModel()
+
+    @pydantic.field_validator("locked")
+    @classmethod
+    def require_known_settings(cls, value: list[str]) -> list[str]:
+        """Accept the names of settings only."""
+        for name in value:
+            if name not in NARROWING:
+                raise ValueError(f"setting {name!r} does not exist")
+        return value
+
+
+class FileModel(_Model):
+    """A whole declaration file."""
+
+    models: dict[Name, ModelModel] = pydantic.Field(min_length=1)
+    services: dict[Name, ServiceModel] = {}
+    reinstate: list[str] = []
+    nodes: list[NodeModel] = pydantic.Field(min_length=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeclarationProblem:
+    """A fault of a declaration file, at a line and a path within it."""
+
+    file: str
+    line: int
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.path}: {self.message}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declarations:
+    """The parts that a file declares, and the withdrawals it takes back."""
+
+    parts: tuple[Part, ...]
+    reinstate: frozenset[VersionRef]
+
+
+class _Lines:
+    """Find the line of a path in a YAML document."""
+
+    def __init__(self, *, root: yaml.Node | None):
+        self.root = root
+
+    def line(self, path: tuple) -> int:
+        """Return the line of the deepest step of a path that exists, from 1."""
+        current = self.root
+        line = 1
+        for step in path:
+            following = self._step(current, step)
+            if following is None:
+                break
+            current, line = following
+        return line
+
+    def _step(self, node: yaml.Node | None, step: object) -> tuple | None:
+        if isinstance(node, yaml.MappingNode):
+            for key, value in node.value:
+                if key.value == str(step):
+                    return value, key.start_mark.line + 1
+        if isinstance(node, yaml.SequenceNode) and isinstance(step, int):
+            if step < len(node.value):
+                value = node.value[step]
+                return value, value.start_mark.line + 1
+        return None
+
+
+class _Loader(yaml.SafeLoader):
+    """Refuse a key that a mapping holds twice, which YAML would silently drop."""
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict:
+        seen = set()
+        for key, _ in node.value:
+            if key.value in seen:
+                raise yaml.MarkedYAMLError(
+                    problem=f"key {key.value!r} stands twice",
+                    problem_mark=key.start_mark,
+                )
+            seen.add(key.value)
+        return super().construct_mapping(node, deep=deep)
+
+
+def load_declarations(
+    path: Path,
+) -> Result[Declarations, list[DeclarationProblem]]:
+    """Read a declaration file, or return every problem found in it."""
+    file = str(path)
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure([DeclarationProblem(file, 1, "", f"can't be read: {error}")])
+    return parse_declarations(text, file=file)
+
+
+def parse_declarations(
+    text: str, *, file: str
+) -> Result[Declarations, list[DeclarationProblem]]:
+    """Read declarations from a text; ``file`` is named in problems."""
+    try:
+        lines = _Lines(root=yaml.compose(text, Loader=_Loader))
+        document = yaml.load(text, Loader=_Loader)
+    except yaml.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 1
+        return Failure([DeclarationProblem(file, line, "", str(error.problem))])
+    except yaml.YAMLError as error:
+        return Failure([DeclarationProblem(file, 1, "", str(error))])
+    try:
+        model = FileModel.model_validate(document)
+    except pydantic.ValidationError as error:
+        return Failure([_problem(file, lines, entry) for entry in error.errors()])
+    problems = _find_problems(model, file, lines)
+    if problems:
+        return Failure(problems)
+    return Success(_build(model))
+
+
+def _problem(file: str, lines: _Lines, entry: Any) -> DeclarationProblem:
+    path = tuple(entry["loc"])
+    message = entry["msg"]
+    if entry["type"] == "extra_forbidden":
+        message = f"key {str(path[-1])!r} is unknown"
+    return DeclarationProblem(file, lines.line(path), _render(path), message)
+
+
+def _render(path: tuple) -> str:
+    text = ".".join(str(step) for step in path)
+    return re.sub(r"\.(\d+)(?=\.|$)", r"[\1]", text)
+
+
+def _find_problems(
+    model: FileModel, file: str, lines: _Lines
+) -> list[DeclarationProblem]:
+    """Return the faults in how values relate to each other."""
+    found: list[tuple[tuple, str]] = []
+    found.extend(_name_problems(model))
+    found.extend(_reference_problems(model))
+    found.extend(_credential_problems(model))
+    if not found:
+        found.extend(_tree_problems(model))
+    return [
+        DeclarationProblem(file, lines.line(path), _render(path), message)
+        for path, message in found
+    ]
+
+
+def _name_problems(model: FileModel) -> list[tuple[tuple, str]]:
+    found = []
+    seen: set[str] = set()
+    for index, node in enumerate(model.nodes):
+        if node.name in seen:
+            message = f"node {node.name!r} is declared twice"
+            found.append((("nodes", index, "name"), message))
+        seen.add(node.name)
+    return found
+
+
+def _reference_problems(model: FileModel) -> list[tuple[tuple, str]]:
+    found = []
+    for index, entry in enumerate(model.reinstate):
+        message = _unknown_version(model, entry)
+        if message:
+            found.append((("reinstate", index), message))
+    for index, node in enumerate(model.nodes):
+        base = ("nodes", index, "settings")
+        for at, pattern in enumerate(node.settings.allowed_versions or ()):
+            message = _unknown_version(model, pattern)
+            if message:
+                found.append(((*base, "allowed_versions", at), message))
+        for at, service in enumerate(node.settings.allowed_services or ()):
+            if service not in model.services:
+                message = f"service {service!r} is not declared"
+                found.append(((*base, "allowed_services", at), message))
+        for name, rollout in (node.settings.rollouts or {}).items():
+            for field in ("stable", "candidate"):
+                version = getattr(rollout, field)
+                message = version and _unknown_version(model, f"{name}@{version}")
+                if message:
+                    found.append(((*base, "rollouts", name, field), message))
+    return found
+
+
+def _unknown_version(model: FileModel, pattern: str) -> str:
+    ref = VersionRef.parse(pattern)
+    declared = model.models.get(ref.model)
+    if declared is None:
+        return f"model {ref.model!r} is not declared"
+    if ref.version and ref.version not in declared.versions:
+        return f"version {ref.version!r} of model {ref.model!r} is not declared"
+    return ""
+
+
+def _credential_problems(model: FileModel) -> list[tuple[tuple, str]]:
+    found = []
+    owners: dict[str, str] = {}
+    for index, node in enumerate(model.nodes):
+        path = ("nodes", index, "credentials")
+        if node.credentials and not node.account:
+            message = f"node {node.name!r} has credentials but is no client account"
+            found.append((path, message))
+        for digest in node.credentials:
+            owner = owners.setdefault(digest, node.name)
+            if owner != node.name:
+                message = f"the credential also belongs to client account {owner!r}"
+                found.append((path, message))
+    return found
+
+
+def _tree_problems(model: FileModel) -> list[tuple[tuple, str]]:
+    positions = {node.name: index for index, node in enumerate(model.nodes)}
+    found = []
+    for problem in find_tree_problems(_nodes(model)):
+        step = (problem.setting,)
+        if problem.setting != "parent":
+            step = ("settings", problem.setting)
+        path = ("nodes", positions[problem.node], *step)
+        found.append((path, problem.message))
+    return found
+
+
+def _nodes(model: FileModel) -> tuple[Node, ...]:
+    return tuple(
+        Node(
+            name=node.name,
+            parent=node.parent,
+            account=node.account,
+            credentials=tuple(c.removeprefix("sha256:") for c in node.credentials),
+            locked=tuple(node.locked),
+            settings=node.settings.node_settings(),
+        )
+        for node in model.nodes
+    )
+
+
+def _build(model: FileModel) -> Declarations:
+    parts = [Part(node=node) for node in _nodes(model)]
+    for name, declared in sorted(model.models.items()):
+        versions = tuple(
+            ModelVersion(
+                ref=VersionRef(name, version),
+                input_price=entry.input_price,
+                output_price=entry.output_price,
+                quality=entry.quality,
+            )
+            for version, entry in sorted(declared.versions.items())
+        )
+        parts.append(Part(versions=versions))
+    for name, service in sorted(model.services.items()):
+        declaration = ServiceDeclaration(
+            name, service.price, tuple(service.idempotent_methods)
+        )
+        parts.append(Part(service=declaration))
+    reinstate = frozenset(VersionRef.parse(text) for text in model.reinstate)
+    return Declarations(tuple(parts), reinstate)
--- /dev/null
+++ b/linnetladder/protocol/etcd.py
@@ -0,0 +1,183 @@
+"""The JSON form of the key-value service's published interface, etcd version 3.
+
+Keys and values travel in base64 and 64-bit numbers as texts. Field names that have
+their zero value are left out of answers, as the published mapping prescribes.
+"""
+
+from base64 import b64decode, b64encode
+from typing import Any
+
+import pydantic
+
+from linnetladder.coordination.platform import Condition, Put, Record, WatchEvent
+
+__all__ = [
+    "KeepAliveAnswer",
+    "LeaseAnswer",
+    "RangeAnswer",
+    "TransactionAnswer",
+    "WatchAnswer",
+    "range_body",
+    "transaction_body",
+    "watch_body",
+]
+
+DELETE_EVENT = "DELETE"
+
+
+class KeyValue(pydantic.BaseModel):
+    """A key with its value and revisions."""
+
+    key: str
+    value: str = ""
+    create_revision: int = 0
+    mod_revision: int = 0
+
+    def key_text(self) -> str:
+        """Return the key as text."""
+        return b64decode(self.key).decode()
+
+    def record(self) -> Record:
+        """Return the data class that coordination uses."""
+        return Record(
+            key=self.key_text(),
+            value=b64decode(self.value),
+            create_revision=self.create_revision,
+            modify_revision=self.mod_revision,
+        )
+
+
+class AnswerHeader(pydantic.BaseModel):
+    """The header of every answer."""
+
+    revision: int = 0
+
+
+class RangeAnswer(pydantic.BaseModel):
+    """The answer to a range request."""
+
+    kvs: list[KeyValue] = []
+
+    def records(self) -> tuple[Record, ...]:
+        """Return the records in the order of the answer."""
+        return tuple(entry.record() for entry in self.kvs)
+
+
+class TransactionAnswer(pydantic.BaseModel):
+    """The answer to a transaction."""
+
+    header: AnswerHeader = AnswerHeader()
+    succeeded: bool = False
+
+
+class LeaseAnswer(pydantic.BaseModel):
+    """The answer to the grant of a lease."""
+
+    ID: int
+
+
+class KeepAliveResult(pydantic.BaseModel):
+    """The lease's remaining time; 0 when it has lapsed."""
+
+    TTL: int = 0
+
+
+class KeepAliveAnswer(pydantic.BaseModel):
+    """The answer to the renewal of a lease."""
+
+    result: KeepAliveResult = KeepAliveResult()
+
+
+class Event(pydantic.BaseModel):
+    """One change."""
+
+    type: str = "PUT"
+    kv: KeyValue
+
+
+class WatchResult(pydantic.BaseModel):
+    """A batch of changes."""
+
+    events: list[Event] = []
+    canceled: bool = False
+
+
+class WatchAnswer(pydantic.BaseModel):
+    """One line of a watch's answer."""
+
+    result: WatchResult = WatchResult()
+
+    def watch_events(self) -> list[WatchEvent]:
+        """Return the changes as coordination uses them."""
+        return [
+            WatchEvent(
+                key=event.kv.key_text(),
+                value=None if event.type == DELETE_EVENT else b64decode(event.kv.value),
+                revision=event.kv.mod_revision,
+            )
+            for event in self.result.events
+        ]
+
+
+def _encode(content: str | bytes) -> str:
+    raw = content.encode() if isinstance(content, str) else content
+    return b64encode(raw).decode("ascii")
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the first key after all keys that begin with a prefix."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+def range_body(key: str, *, prefix: bool, after: str = "", limit: int = 0) -> dict:
+    """Return the body that reads one key or all keys below a prefix."""
+    body: dict[str, Any] = {"key": _encode(key)}
+    if prefix:
+        body["range_end"] = _encode(prefix_end(key))
+    if after:
+        body["key"] = _encode(after.encode() + b"\0")
+    if limit:
+        body["limit"] = limit
+    return body
+
+
+def transaction_body(
+    *,
+    conditions: tuple[Condition, ...],
+    puts: tuple[Put, ...],
+    deletes: tuple[str, ...],
+) -> dict:
+    """Return the body of a transaction that compares modification revisions."""
+    compare = [
+        {
+            "key": _encode(condition.key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(condition.modify_revision),
+        }
+        for condition in conditions
+    ]
+    operations: list[dict] = [{"request_put": _put_body(put)} for put in puts]
+    operations.extend(
+        {"request_delete_range": {"key": _encode(key)}} for key in deletes
+    )
+    return {"compare": compare, "success": operations}
+
+
+def _put_body(put: Put) -> dict:
+    body = {"key": _encode(put.key), "value": _encode(put.value)}
+    if put.lease_id:
+        body["lease"] = str(put.lease_id)
+    return body
+
+
+def watch_body(prefix: str) -> dict:
+    """Return the body that opens a watch on a prefix."""
+    return {
+        "create_request": {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+        }
+    }
--- /dev/null
+++ b/linnetladder/protocol/problems.py
@@ -0,0 +1,53 @@
+"""Refusals as ``application/problem+json``, alone or as the last event of a stream."""
+
+import math
+
+import orjson
+
+from linnetladder.coordination.exchanges import Refused
+from linnetladder.errors import Refusal
+
+__all__ = ["PROBLEM_TYPE", "encode_problem", "problem_event", "retry_after"]
+
+PROBLEM_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:linnetladder:error:"
+
+
+def encode_problem(refused: Refused) -> bytes:
+    """Return the JSON body that answers a refused request."""
+    refusal = refused.refusal
+    explanation = refusal.explanation
+    return orjson.dumps(
+        {
+            "type": TYPE_PREFIX + refusal.kind,
+            "title": refusal.title,
+            "status": refusal.status,
+            "detail": refusal.detail,
+            "kind": refusal.kind,
+            "ran": refusal.ran,
+            "request_id": refused.request_id,
+            "retry_after_seconds": refusal.retry_after_seconds,
+            "explanation": {
+                "revision": explanation.revision,
+                "account": explanation.account,
+                "node": explanation.node,
+                "passed_over": [
+                    {"candidate": entry.candidate, "reason": entry.reason}
+                    for entry in explanation.passed_over
+                ],
+            },
+            "receipt": refused.receipt,
+        }
+    )
+
+
+def problem_event(refused: Refused) -> bytes:
+    """Return the server-sent event that ends a stream which can't be completed."""
+    return b"event: error\ndata: " + encode_problem(refused) + b"\n\n"
+
+
+def retry_after(refusal: Refusal) -> str:
+    """Return the ``Retry-After`` header's value, or an empty string."""
+    if refusal.retry_after_seconds is None:
+        return ""
+    return str(max(math.ceil(refusal.retry_after_seconds), 1))
--- /dev/null
+++ b/linnetladder/state/clock.py
@@ -0,0 +1,30 @@
+"""Sources of time: the monotonic clock for waits and leases, Unix time for records."""
+
+import abc
+import time
+
+__all__ = ["Clock", "SystemClock"]
+
+
+class Clock(abc.ABC):
+    """Two readings in seconds; only the monotonic one may decide a safety question."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary start."""
+
+    @abc.abstractmethod
+    def unix(self) -> float:
+        """Return seconds since 1970, which an administrator may set back."""
+
+
+class SystemClock(Clock):
+    """The clocks of the operating system."""
+
+    def monotonic(self) -> float:
+        """Return the operating system's monotonic clock."""
+        return time.monotonic()
+
+    def unix(self) -> float:
+        """Return the operating system's Unix time."""
+        return time.time()
--- /dev/null
+++ b/linnetladder/state/endpoint_table.py
@@ -0,0 +1,115 @@
+"""All endpoints a daemon knows, merged from sources that lag and may disagree.
+
+Leaving is believed from any source and is never undone for the same incarnation,
+whatever an older report says. An incarnation that was replaced never comes back.
+"""
+
+import collections
+from collections.abc import Iterable
+
+from linnetladder.state.endpoints import Endpoint, EndpointReport
+from linnetladder.state.pools import Pool
+from linnetladder.state.versions import VersionRef
+
+__all__ = ["EndpointTable", "Target"]
+
+MAXIMUM_DEPARTED = 4096
+
+Target = VersionRef | str
+
+
+class EndpointTable:
+    """Endpoints by name, and the pools that serve a version or a plain service."""
+
+    def __init__(self):
+        self.endpoints: dict[str, Endpoint] = {}
+        self.pools: dict[Target, Pool] = {}
+        self.departed: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
+
+    def merge(self, report: EndpointReport) -> Endpoint:
+        """Take in one report, from whichever source, and return what now holds."""
+        if report.leaving:
+            self._remember_departed(report.name, report.incarnation)
+        known = self.endpoints.get(report.name)
+        if known is None:
+            return self._add(report)
+        if known.incarnation == report.incarnation:
+            self._update(known, report)
+            return known
+        if (report.name, report.incarnation) in self.departed:
+            return known
+        self._remember_departed(known.name, known.incarnation)
+        known.leaving = True
+        return self._add(report)
+
+    def mark_leaving(self, name: str, incarnation: str) -> None:
+        """Believe that one incarnation of an endpoint is leaving."""
+        self._remember_departed(name, incarnation)
+        known = self.endpoints.get(name)
+        if known is not None and known.incarnation == incarnation:
+            known.leaving = True
+
+    def keep_listed(self, names: Iterable[str]) -> None:
+        """Stop sending work to endpoints that the platform no longer lists."""
+        listed = set(names)
+        for endpoint in self.endpoints.values():
+            endpoint.listed = endpoint.name in listed
+        gone = [e.name for e in self.endpoints.values() if _is_gone(e)]
+        for name in gone:
+            del self.endpoints[name]
+        if gone:
+            self._index()
+
+    def pool(self, target: Target) -> Pool | None:
+        """Return the endpoints that serve a target, if there are any."""
+        return self.pools.get(target)
+
+    def accepts_work(self, target: Target, now: float) -> bool:
+        """Tell whether at least one endpoint accepts work for a target."""
+        pool = self.pools.get(target)
+        return pool is not None and any(e.accepts_work(now) for e in pool.endpoints)
+
+    def _add(self, report: EndpointReport) -> Endpoint:
+        endpoint = Endpoint(
+            name=report.name,
+            incarnation=report.incarnation,
+            address=report.address,
+            failure_domain=report.failure_domain,
+            service=report.service,
+            leaving=(report.name, report.incarnation) in self.departed,
+        )
+        self.endpoints[report.name] = endpoint
+        self._update(endpoint, report)
+        self._index()
+        return endpoint
+
+    def _update(self, endpoint: Endpoint, report: EndpointReport) -> None:
+        endpoint.leaving = endpoint.leaving or report.leaving
+        if report.capacity is not None:
+            endpoint.capacity = max(report.capacity, 1)
+        if report.in_flight is not None:
+            others = report.in_flight - endpoint.in_flight
+            endpoint.others_in_flight = max(others, 0)
+        if report.versions is not None and report.versions != endpoint.versions:
+            endpoint.versions = report.versions
+            self._index()
+
+    def _remember_departed(self, name: str, incarnation: str) -> None:
+        self.departed[(name, incarnation)] = None
+        if len(self.departed) > MAXIMUM_DEPARTED:
+            self.departed.popitem(last=False)
+
+    def _index(self) -> None:
+        members: dict[Target, list[Endpoint]] = {}
+        for endpoint in self.endpoints.values():
+            for target in endpoint.versions or (endpoint.service,):
+                members.setdefault(target, []).append(endpoint)
+        self.pools = {
+            target: Pool(endpoints=found) for target, found in members.items()
+        }
+
+
+def _is_gone(endpoint: Endpoint) -> bool:
+    return not endpoint.listed and endpoint.in_flight == 0
--- /dev/null
+++ b/linnetladder/state/endpoints.py
@@ -0,0 +1,63 @@
+"""What a daemon knows of one endpoint: load, health, and whether it is leaving."""
+
+import dataclasses
+
+from linnetladder.state.versions import VersionRef
+
+__all__ = ["Endpoint", "EndpointReport"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointReport:
+    """One source's word on an endpoint; ``None`` where the source doesn't say.
+
+    ``capacity`` is the number of requests it runs at once; ``in_flight`` is how many
+    it runs and holds queued, from all daemons.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    service: str
+    versions: frozenset[VersionRef] | None = None
+    capacity: int | None = None
+    in_flight: int | None = None
+    leaving: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Endpoint:
+    """An endpoint as this daemon sees it; times are of the monotonic clock.
+
+    ``in_flight`` counts this daemon's own requests; ``others_in_flight`` is what the
+    last report showed beyond them.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    service: str
+    versions: frozenset[VersionRef] = frozenset()
+    capacity: int = 1
+    in_flight: int = 0
+    others_in_flight: int = 0
+    leaving: bool = False
+    listed: bool = True
+    ejected_until: float = 0.0
+    consecutive_failures: int = 0
+    ejections: int = 0
+
+    def accepts_work(self, now: float) -> bool:
+        """Tell whether new work may be sent to this endpoint."""
+        return self.listed and not self.leaving and now >= self.ejected_until
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether the endpoint accepts work and has a free place for it."""
+        return self.accepts_work(now) and self.load < 1.0
+
+    @property
+    def load(self) -> float:
+        """The share of capacity in use by this daemon and, as reported, by others."""
+        return (self.in_flight + self.others_in_flight) / self.capacity
--- /dev/null
+++ b/linnetladder/state/receipts.py
@@ -0,0 +1,81 @@
+"""Decision receipts: what was decided, on what grounds, signed.
+
+A receipt holds the inputs of the decision and its outcome, never the text of the
+request nor a credential. `linnetladder explain` verifies it and runs the decision
+again on the same inputs against the snapshot of the revision that it names.
+"""
+
+import dataclasses
+
+import orjson
+import pydantic
+
+from linnetladder.state.signing import KeyRing
+
+__all__ = ["DecisionInputs", "Receipt", "Trial", "read_receipt", "sign_receipt"]
+
+RECEIPT_SALT = b"receipt"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DecisionInputs:
+    """Everything that the choice of a version depends on, beside the snapshot.
+
+    ``draw`` is from [0, 1) and settles roll-outs; ``exploration_draw`` settles
+    exploration. ``estimates`` holds the expected quality per ``model@version`` at the
+    time, for versions whose estimate differs from the declared one.
+    """
+
+    account: str
+    wanted: str
+    request_kind: str
+    input_tokens: int
+    output_tokens: int
+    draw: float
+    exploration_draw: float = 1.0
+    pin: str = ""
+    fresh: bool = True
+    available: tuple[str, ...] = ()
+    estimates: tuple[tuple[str, float], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial:
+    """One attempt at an endpoint and how it ended."""
+
+    endpoint: str
+    target: str
+    outcome: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Receipt:
+    """What one request was answered or refused with; times are Unix seconds."""
+
+    request_id: str
+    incarnation: str
+    revision: int
+    time_seconds: float
+    inputs: DecisionInputs | None
+    chosen: str = ""
+    refused: str = ""
+    node: str = ""
+    detail: str = ""
+    passed_over: tuple[tuple[str, str], ...] = ()
+    trials: tuple[Trial, ...] = ()
+
+
+_ADAPTER = pydantic.TypeAdapter(Receipt)
+
+
+def sign_receipt(receipt: Receipt, *, keys: KeyRing) -> str:
+    """Return the receipt as a signed text that fits in a header."""
+    return keys.sign(orjson.dumps(receipt), salt=RECEIPT_SALT)
+
+
+def read_receipt(text: str, *, keys: KeyRing) -> Receipt | None:
+    """Return the receipt if its signature holds, else ``None``."""
+    payload = keys.verify(text, salt=RECEIPT_SALT)
+    if payload is None:
+        return None
+    return _ADAPTER.validate_json(payload)
--- /dev/null
+++ b/linnetladder/state/sessions.py
@@ -0,0 +1,57 @@
+"""Session tokens: the pin of a session to one version, kept by the caller.
+
+The pin travels in a signed token, so a session costs no write and survives every
+replacement of a daemon. A token names its client account, so it is of no use to
+another one.
+"""
+
+import dataclasses
+
+import orjson
+
+from linnetladder.state.signing import KeyRing
+from linnetladder.state.versions import VersionRef
+
+__all__ = ["Session", "open_token", "read_token"]
+
+SESSION_SALT = b"session"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Session:
+    """A session's pin; ``expires_seconds`` is Unix time."""
+
+    session_id: str
+    account: str
+    pin: VersionRef
+    revision: int
+    expires_seconds: float
+
+
+def open_token(session: Session, *, keys: KeyRing) -> str:
+    """Return the signed token of a session."""
+    payload = orjson.dumps(
+        [
+            session.session_id,
+            session.account,
+            str(session.pin),
+            session.revision,
+            session.expires_seconds,
+        ]
+    )
+    return keys.sign(payload, salt=SESSION_SALT)
+
+
+def read_token(token: str, *, keys: KeyRing) -> Session | None:
+    """Return the session a token stands for, or ``None`` if it is not ours."""
+    payload = keys.verify(token, salt=SESSION_SALT)
+    if payload is None:
+        return None
+    session_id, account, pin, revision, expires_seconds = orjson.loads(payload)
+    return Session(
+        session_id=session_id,
+        account=account,
+        pin=VersionRef.parse(pin),
+        revision=revision,
+        expires_seconds=expires_seconds,
+    )
--- /dev/null
+++ b/linnetladder/telemetry/metrics.py
@@ -0,0 +1,148 @@
+"""Counters, gauges and latency histograms, in one closed list of families.
+
+Counting is a dictionary update and recording a latency an HDR histogram's; the text
+format is left to the Prometheus client library and built only when somebody asks.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+
+__all__ = ["COUNTERS", "LATENCIES", "Metrics"]
+
+PREFIX = "linnetladder_"
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0)
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Family:
+    """A family's help text and the name of its label, if it has one."""
+
+    help: str
+    label: str = ""
+
+
+COUNTERS: dict[str, Family] = {
+    "requests": Family("Requests received from callers"),
+    "answered": Family("Requests answered whole", "target"),
+    "refused": Family("Requests refused", "kind"),
+    "refused_ran": Family("Requests refused, by whether they ran", "ran"),
+    "attempts": Family("Attempts sent to endpoints", "outcome"),
+    "retries": Family("Attempts after the first"),
+    "escalations": Family("Answers replaced by one of a better version"),
+    "stream_resumes": Family("Streams resumed after their connection broke"),
+    "caller_left": Family("Requests whose caller left before the end"),
+    "bills": Family("Bills that stand at the platform"),
+    "bill_blocks": Family("Blocks of bills that stand at the platform"),
+    "bill_block_retries": Family("Tries at writing a block that had to be repeated"),
+    "bill_blocks_copied": Family("Blocks held by peers before they stood"),
+    "bills_voided": Family("Bills taken back because no answer was given"),
+    "bill_blocks_recovered": Family("Blocks written for an owner that is gone"),
+    "claims": Family("Claims of non-idempotent requests", "outcome"),
+    "poison_crashes": Family("Endpoint crashes put down to a request"),
+    "ejections": Family("Endpoints left out after failures"),
+    "platform_calls": Family("Calls to the platform", "call"),
+    "platform_faults": Family("Failed calls to the platform", "kind"),
+    "platform_bytes": Family("Bytes exchanged with the platform", "direction"),
+    "configuration_installs": Family("Revisions put in force"),
+    "configuration_regressions": Family("Older or diverging heads that were not taken"),
+    "configuration_heals": Family("Heads restored to the platform"),
+    "peer_messages": Family("Messages exchanged with peers", "direction"),
+    "peer_bytes": Family("Bytes exchanged with peers", "direction"),
+    "rejected_peers": Family("Peer connections cut off", "reason"),
+}
+
+LATENCIES: dict[str, str] = {
+    "first_byte_seconds": "From a request's arrival to the first byte of its answer",
+    "total_seconds": "From a request's arrival to the end of its answer",
+    "decision_seconds": "Time spent on choosing a version",
+    "place_seconds": "Time spent waiting for a place at an endpoint",
+    "bill_seconds": "Time an answer's end waited for its bill",
+    "platform_seconds": "Time of calls to the platform",
+}
+
+
+class Metrics:
+    """Count, record and expose."""
+
+    def __init__(self):
+        self.counters: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.gauges: dict[str, tuple[str, Callable[[], float]]] = {}
+        self.histograms = {
+            name: HdrHistogram(
+                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            for name in LATENCIES
+        }
+        self.sums: collections.Counter[str] = collections.Counter()
+        self.registry = CollectorRegistry(auto_describe=False)
+        self.registry.register(self)
+
+    def count(self, name: str, amount: int = 1, *, label: str = "") -> None:
+        """Add to a counter of the closed list."""
+        self.counters[(name, label)] += amount
+
+    def value(self, name: str, *, label: str = "") -> int:
+        """Return a counter's value."""
+        return self.counters[(name, label)]
+
+    def record(self, name: str, seconds: float) -> None:
+        """Record a latency."""
+        microseconds = int(seconds * MICROSECONDS_PER_SECOND)
+        self.histograms[name].record_value(max(microseconds, LOWEST_MICROSECONDS))
+        self.sums[name] += seconds
+
+    def gauge(self, name: str, help: str, read: Callable[[], float]) -> None:
+        """Expose a value that is read when somebody asks."""
+        self.gauges[name] = (help, read)
+
+    def percentile(self, name: str, percent: float) -> float:
+        """Return a latency's percentile in seconds."""
+        microseconds = self.histograms[name].get_value_at_percentile(percent)
+        return microseconds / MICROSECONDS_PER_SECOND
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield every family, for the Prometheus client library."""
+        yield from self._collect_counters()
+        for name, (help, read) in self.gauges.items():
+            yield GaugeMetricFamily(PREFIX + name, help, value=read())
+        for name, help in LATENCIES.items():
+            yield self._summary(name, help)
+
+    def text(self) -> bytes:
+        """Return all families in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def _collect_counters(self) -> Iterable[Metric]:
+        by_name: dict[str, list[tuple[str, int]]] = {}
+        for (name, label), value in self.counters.items():
+            by_name.setdefault(name, []).append((label, value))
+        for name, family in COUNTERS.items():
+            labels = [family.label] if family.label else []
+            metric = CounterMetricFamily(PREFIX + name, family.help, labels=labels)
+            for label, value in by_name.get(name, [] if labels else [("", 0)]):
+                metric.add_metric([label] if labels else [], value)
+            yield metric
+
+    def _summary(self, name: str, help: str) -> Metric:
+        histogram = self.histograms[name]
+        summary = SummaryMetricFamily(PREFIX + name, help)
+        summary.add_metric([], histogram.get_total_count(), self.sums[name])
+        for percent in PERCENTILES:
+            labels = {"quantile": str(percent / 100)}
+            value = self.percentile(name, percent)
+            summary.add_sample(PREFIX + name, labels, value)
+        return summary
