--- /dev/null
+++ b/linnetladder/telemetry/traces.py
@@ -0,0 +1,177 @@
+"""Traces with one span per hop, kept for failures and for a share of the rest.
+
+While a request runs, only the times of its hops are noted. When it ends, the spans
+of a sampled or refused request are built from these notes and handed to the exporter,
+so requests that are not kept cost next to nothing.
+"""
+
+import dataclasses
+import random
+import time
+
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SpanExporter,
+)
+from opentelemetry.sdk.util.instrumentation import InstrumentationScope
+from opentelemetry.trace import SpanContext, SpanKind, TraceFlags
+from opentelemetry.trace.status import Status, StatusCode
+
+__all__ = ["Hop", "RequestTrace", "Tracer", "build_tracer"]
+
+TRACE_PARENT_LENGTHS = (2, 32, 16, 2)
+TRACE_ID_BITS = 128
+SPAN_ID_BITS = 64
+SCOPE = InstrumentationScope("linnetladder")
+
+
+@dataclasses.dataclass(slots=True)
+class Hop:
+    """One hop's note; times are nanoseconds of Unix time."""
+
+    name: str
+    span_id: int
+    started: int
+    ended: int = 0
+    detail: str = ""
+    failed: bool = False
+
+    def end(self, *, detail: str = "", failed: bool = False) -> None:
+        """Note the end of the hop."""
+        self.ended = time.time_ns()
+        self.detail = detail
+        self.failed = failed
+
+
+class RequestTrace:
+    """The hops of one request."""
+
+    def __init__(self, *, trace_id: int, parent_id: int, sampled: bool):
+        self.trace_id = trace_id
+        self.parent_id = parent_id
+        self.sampled = sampled
+        self.span_id = random.getrandbits(SPAN_ID_BITS)
+        self.started = time.time_ns()
+        self.hops: list[Hop] = []
+
+    def begin(self, name: str) -> Hop:
+        """Note the start of a hop."""
+        hop = Hop(name, random.getrandbits(SPAN_ID_BITS), time.time_ns())
+        self.hops.append(hop)
+        return hop
+
+    def parent_header(self, hop: Hop) -> str:
+        """Return the ``traceparent`` header to send along a hop."""
+        flags = "01" if self.sampled else "00"
+        return f"00-{self.trace_id:032x}-{hop.span_id:016x}-{flags}"
+
+
+class Tracer:
+    """Begin traces and export those that are kept."""
+
+    def __init__(
+        self,
+        *,
+        processor: SpanProcessor | None,
+        share: float,
+        instance: str,
+        failure_domain: str,
+    ):
+        self.processor = processor
+        self.share = share
+        attributes = {
+            "service.name": "linnetladderd",
+            "service.instance.id": instance,
+            "linnetladder.failure_domain": failure_domain,
+        }
+        self.resource = Resource(attributes)
+
+    def begin(self, parent_header: str) -> RequestTrace | None:
+        """Begin a trace, or return ``None`` when nothing is exported or passed on."""
+        if self.processor is None and not parent_header:
+            return None
+        trace_id, parent_id, sampled = _parse_parent(parent_header)
+        if not trace_id:
+            trace_id = random.getrandbits(TRACE_ID_BITS)
+            sampled = random.random() < self.share
+        return RequestTrace(trace_id=trace_id, parent_id=parent_id, sampled=sampled)
+
+    def finish(self, trace: RequestTrace | None, *, refused: str) -> None:
+        """Export a trace if it was sampled or its request was refused."""
+        if trace is None or self.processor is None:
+            return
+        if not (trace.sampled or refused):
+            return
+        request = Hop("caller", trace.span_id, trace.started)
+        request.end(detail=refused, failed=bool(refused))
+        self._export(trace, request, trace.parent_id, SpanKind.SERVER)
+        for hop in trace.hops:
+            self._export(trace, hop, trace.span_id, SpanKind.CLIENT)
+
+    def close(self) -> None:
+        """Export what is left."""
+        if self.processor is not None:
+            self.processor.shutdown()
+
+    def _export(
+        self, trace: RequestTrace, hop: Hop, parent_id: int, kind: SpanKind
+    ) -> None:
+        status = Status(StatusCode.ERROR, hop.detail) if hop.failed else Status()
+        span = ReadableSpan(
+            name=hop.name,
+            context=_context(trace.trace_id, hop.span_id),
+            parent=_context(trace.trace_id, parent_id) if parent_id else None,
+            resource=self.resource,
+            attributes={"linnetladder.detail": hop.detail},
+            kind=kind,
+            instrumentation_scope=SCOPE,
+            status=status,
+            start_time=hop.started,
+            end_time=hop.ended or time.time_ns(),
+        )
+        self.processor.on_end(span)
+
+
+def _context(trace_id: int, span_id: int) -> SpanContext:
+    flags = TraceFlags(TraceFlags.SAMPLED)
+    return SpanContext(trace_id, span_id, is_remote=False, trace_flags=flags)
+
+
+def _parse_parent(header: str) -> tuple[int, int, bool]:
+    parts = header.split("-")
+    lengths = tuple(len(part) for part in parts)
+    if lengths != TRACE_PARENT_LENGTHS:
+        return 0, 0, False
+    try:
+        return int(parts[1], 16), int(parts[2], 16), bool(int(parts[3], 16) & 1)
+    except ValueError:
+        return 0, 0, False
+
+
+def _build_exporter(name: str, endpoint: str) -> SpanExporter | None:
+    if name == "console":
+        return ConsoleSpanExporter()
+    if name == "otlp":
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        return OTLPSpanExporter(endpoint=endpoint)
+    return None
+
+
+def build_tracer(
+    *, exporter: str, endpoint: str, share: float, instance: str, failure_domain: str
+) -> Tracer:
+    """Return a tracer for an exporter named ``none``, ``console`` or ``otlp``."""
+    built = _build_exporter(exporter, endpoint)
+    processor = BatchSpanProcessor(built) if built is not None else None
+    return Tracer(
+        processor=processor,
+        share=share,
+        instance=instance,
+        failure_domain=failure_domain,
+    )
--- /dev/null
+++ b/linnetladder/transport/__init__.py
@@ -0,0 +1,18 @@
+"""Transport: the HTTP servers and clients, and the health of connections."""
+
+from linnetladder.transport.caller_server import CallerServer
+from linnetladder.transport.connections import Connections
+from linnetladder.transport.endpoint_client import HttpEndpointClient
+from linnetladder.transport.instance_list import HttpInstanceList
+from linnetladder.transport.key_value import EtcdKeyValue
+from linnetladder.transport.operations_server import OperationsServer, StatusSource
+
+__all__ = [
+    "CallerServer",
+    "Connections",
+    "EtcdKeyValue",
+    "HttpEndpointClient",
+    "HttpInstanceList",
+    "OperationsServer",
+    "StatusSource",
+]
--- /dev/null
+++ b/linnetladder/transport/endpoint_client.py
@@ -0,0 +1,371 @@
+"""Calls to endpoints over HTTP, with the checks of what comes back."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pydantic
+from returns.result import Failure, Result, Success
+from yarl import URL
+
+from linnetladder.coordination.discovery import LoadSource
+from linnetladder.coordination.endpoint_client import (
+    EndpointCall,
+    EndpointClient,
+    EndpointFault,
+    EndpointFaultKind,
+    RequestStatus,
+    StreamAnswer,
+    StreamEvent,
+    Usage,
+    WholeAnswer,
+)
+from linnetladder.errors import Ran
+from linnetladder.protocol import AnswerCheck, LoadBody, load_report
+from linnetladder.protocol import headers as names
+from linnetladder.protocol.engines import split_events
+from linnetladder.state import Clock, Endpoint, EndpointReport
+from linnetladder.transport.connections import Connections, ConnectionSet
+
+__all__ = ["HttpEndpointClient"]
+
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+STATUS_SECONDS = 0.5
+CANCEL_SECONDS = 0.5
+MILLISECONDS_PER_SECOND = 1000
+BODILESS_METHODS = frozenset({"GET", "HEAD"})
+
+_STATUS_ADAPTER = pydantic.TypeAdapter(dict[str, str])
+
+
+class HttpStream(StreamAnswer):
+    """The events of one response; closing it frees the connection."""
+
+    def __init__(
+        self,
+        *,
+        response: aiohttp.ClientResponse,
+        connections: ConnectionSet | None,
+        check: AnswerCheck,
+        call: EndpointCall,
+        silence_seconds: float,
+        clock: Clock,
+        skip: int,
+    ):
+        self.response = response
+        self.connections = connections
+        self.check = check
+        self.call = call
+        self.silence_seconds = silence_seconds
+        self.clock = clock
+        self.skip = skip
+        self.closed = False
+
+    async def events(
+        self,
+    ) -> AsyncIterator[Result[list[StreamEvent], EndpointFault]]:
+        """Yield checked events in the batches in which they arrived."""
+        buffer = b""
+        while True:
+            received = await self._read()
+            if isinstance(received, Failure):
+                yield received
+                return
+            data = received.unwrap()
+            if not data:
+                yield Failure(self._fault(EndpointFaultKind.CUT, "ended early"))
+                return
+            raw_events, buffer = split_events(buffer + data if buffer else data)
+            batch: list[StreamEvent] = []
+            for raw in raw_events:
+                checked = self.check.event(raw)
+                if isinstance(checked, Failure):
+                    await self.close()
+                    yield checked
+                    return
+                self._keep(checked.unwrap(), batch)
+            if batch:
+                ended = batch[-1].end
+                yield Success(batch)
+                if ended:
+                    await self._finish()
+                    return
+
+    async def close(self) -> None:
+        """Drop the connection unless the stream has ended."""
+        if not self.closed:
+            self.closed = True
+            self.response.close()
+            self._leave()
+
+    def _keep(self, event: StreamEvent, batch: list[StreamEvent]) -> None:
+        """Add an event to the batch unless the caller has it already."""
+        if self.skip > 0 and not event.end:
+            self.skip -= 1
+            return
+        batch.append(event)
+
+    async def _read(self) -> Result[bytes, EndpointFault]:
+        remaining = self.call.deadline - self.clock.monotonic()
+        limit = min(self.silence_seconds, remaining)
+        try:
+            async with asyncio.timeout(max(limit, 0.0)):
+                return Success(await self.response.content.readany())
+        except TimeoutError:
+            await self.close()
+            if remaining <= self.silence_seconds:
+                kind, what = EndpointFaultKind.DEADLINE, "passed the deadline"
+            else:
+                kind, what = EndpointFaultKind.SILENT, "went silent"
+            return Failure(self._fault(kind, what))
+        except (aiohttp.ClientError, OSError) as error:
+            await self.close()
+            fault = self._fault(EndpointFaultKind.BROKEN, f"broke: {error!r}")
+            return Failure(fault)
+
+    async def _finish(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.response.release()
+            self._leave()
+
+    def _leave(self) -> None:
+        if self.connections is not None:
+            self.connections.in_use -= 1
+
+    def _fault(self, kind: EndpointFaultKind, what: str) -> EndpointFault:
+        return EndpointFault(
+            kind=kind,
+            ran=Ran.YES,
+            detail=f"the stream of request {self.call.request_id!r} {what}",
+            crash_suspected=kind in (EndpointFaultKind.BROKEN, EndpointFaultKind.CUT),
+        )
+
+
+class HttpEndpointClient(EndpointClient, LoadSource):
+    """Send calls over reusable or fresh connections."""
+
+    def __init__(
+        self, *, connections: Connections, clock: Clock, silence_seconds: float
+    ):
+        self.connections = connections
+        self.clock = clock
+        self.silence_seconds = silence_seconds
+
+    async def call(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        """Send one attempt; a stream that continues an earlier one is skipped into."""
+        url = URL(f"http://{endpoint.address}{call.path}", encoded=True)
+        return await self._exchange(endpoint, call, url, skip=call.resume_after)
+
+    async def resume(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        """Fetch the rest of a request's answer on a fresh connection."""
+        path = f"/v1/requests/{call.request_id}/resume?after={call.resume_after}"
+        url = URL(f"http://{endpoint.address}{path}", encoded=True)
+        bare = dataclasses.replace(call, method="POST", body=b"", fresh_connection=True)
+        return await self._exchange(endpoint, bare, url, skip=0)
+
+    async def status(self, endpoint: Endpoint, request_id: str) -> RequestStatus:
+        """Ask on a fresh connection what became of a request."""
+        url = f"http://{endpoint.address}/v1/requests/{request_id}"
+        try:
+            async with asyncio.timeout(STATUS_SECONDS):
+                async with self.connections.fresh.get(url) as response:
+                    body = _STATUS_ADAPTER.validate_json(await response.read())
+                    return RequestStatus(body.get("state", RequestStatus.NO_WORD))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return RequestStatus.NO_WORD
+
+    def suspect(self, endpoint: Endpoint) -> None:
+        """Retire the endpoint's connections."""
+        self.connections.suspect(endpoint)
+
+    async def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        """Tell the endpoint, once, to stop a request."""
+        url = f"http://{endpoint.address}/v1/requests/{request_id}"
+        try:
+            async with asyncio.timeout(CANCEL_SECONDS):
+                async with self.connections.fresh.delete(url):
+                    return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    async def is_crashed(self, endpoint: Endpoint) -> bool:
+        """Return true if connections are refused or another incarnation answers.
+
+        Silence proves nothing: it may be the network's.
+        """
+        try:
+            async with asyncio.timeout(STATUS_SECONDS):
+                reported = await self._read_load(endpoint)
+        except aiohttp.ClientConnectorError as error:
+            return isinstance(error.os_error, ConnectionRefusedError)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return False
+        return reported.incarnation != endpoint.incarnation
+
+    async def report(self, endpoint: Endpoint) -> Result[EndpointReport, EndpointFault]:
+        """Read the endpoint's own report."""
+        try:
+            async with asyncio.timeout(STATUS_SECONDS):
+                return Success(load_report(await self._read_load(endpoint)))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            fault = EndpointFault(
+                kind=EndpointFaultKind.CONNECT, ran=Ran.NO, detail=repr(error)
+            )
+            return Failure(fault)
+
+    async def _read_load(self, endpoint: Endpoint) -> LoadBody:
+        url = f"http://{endpoint.address}/load"
+        session = self.connections.get(endpoint).session
+        async with session.get(url) as response:
+            return LoadBody.model_validate_json(await response.read())
+
+    async def _exchange(
+        self,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        url: URL,
+        *,
+        skip: int,
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        """Send a request and read the answer, or its head if it is a stream."""
+        connections = None
+        session = self.connections.fresh
+        if not call.fresh_connection:
+            connections = self.connections.get(endpoint)
+            connections.in_use += 1
+            session = connections.session
+        streaming = False
+        try:
+            response = await session.request(
+                call.method,
+                url,
+                data=None if call.method in BODILESS_METHODS else call.body,
+                headers=self._headers(call),
+                allow_redirects=False,
+            )
+            outcome = await self._receive(endpoint, call, response, connections, skip)
+            streaming = isinstance(outcome, Success) and isinstance(
+                outcome.unwrap(), StreamAnswer
+            )
+            return outcome
+        except aiohttp.ClientConnectorError as error:
+            return Failure(_connect_fault(endpoint, error))
+        except aiohttp.ConnectionTimeoutError as error:
+            return Failure(_connect_fault(endpoint, error))
+        except (aiohttp.ClientError, OSError) as error:
+            return Failure(_broken_fault(endpoint, error))
+        finally:
+            if connections is not None and not streaming:
+                connections.in_use -= 1
+
+    def _headers(self, call: EndpointCall) -> dict[str, str]:
+        remaining = call.deadline - self.clock.monotonic()
+        milliseconds = max(int(remaining * MILLISECONDS_PER_SECOND), 1)
+        accept = {"Accept": "text/event-stream"} if call.stream else {}
+        return {
+            **call.headers,
+            **accept,
+            names.REQUEST_ID: call.request_id,
+            names.DEADLINE: str(milliseconds),
+            names.PRIORITY: str(call.priority),
+        }
+
+    async def _receive(
+        self,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        response: aiohttp.ClientResponse,
+        connections: ConnectionSet | None,
+        skip: int,
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        fault = await self._head_fault(endpoint, call, response)
+        if fault is not None:
+            response.close()
+            return Failure(fault)
+        if call.stream and call.target is not None:
+            check = AnswerCheck(call.request_id, call.target)
+            stream = HttpStream(
+                response=response,
+                connections=connections,
+                check=check,
+                call=call,
+                silence_seconds=self.silence_seconds,
+                clock=self.clock,
+                skip=skip,
+            )
+            return Success(stream)
+        body = await response.read()
+        if len(body) > MAXIMUM_ANSWER_BYTES:
+            detail = f"endpoint {endpoint.name!r} answered {len(body)} bytes"
+            fault = EndpointFault(
+                kind=EndpointFaultKind.FAILED, ran=Ran.YES, detail=detail
+            )
+            return Failure(fault)
+        usage = Usage()
+        if call.target is not None:
+            checked = AnswerCheck(call.request_id, call.target).whole(body)
+            if isinstance(checked, Failure):
+                return checked
+            usage = checked.unwrap()
+        answer = WholeAnswer(
+            status=response.status,
+            content_type=response.headers.get("Content-Type", "application/json"),
+            body=body,
+            usage=usage,
+        )
+        return Success(answer)
+
+    async def _head_fault(
+        self, endpoint: Endpoint, call: EndpointCall, response: aiohttp.ClientResponse
+    ) -> EndpointFault | None:
+        """Return the fault that an answer's status and headers show."""
+        headers = response.headers
+        ran = Ran.NO if headers.get(names.ENDPOINT_RAN) == "no" else Ran.UNKNOWN
+        if response.status == 503:
+            leaving = headers.get(names.ENDPOINT_LEAVING) == "1"
+            kind = EndpointFaultKind.LEAVING if leaving else EndpointFaultKind.BUSY
+            detail = f"endpoint {endpoint.name!r} takes no request now"
+            return EndpointFault(kind=kind, ran=ran, detail=detail)
+        named = headers.get(names.REQUEST_ID)
+        if named is not None and named != call.request_id:
+            detail = f"endpoint {endpoint.name!r} answered request {named!r}"
+            kind = EndpointFaultKind.CROSSED
+            return EndpointFault(kind=kind, ran=Ran.UNKNOWN, detail=detail)
+        if call.target is None:
+            return None
+        if response.status >= 500:
+            detail = f"endpoint {endpoint.name!r} failed with {response.status}"
+            kind = EndpointFaultKind.FAILED
+            return EndpointFault(kind=kind, ran=ran, detail=detail)
+        if response.status != 200:
+            text = (await response.content.read(500)).decode("utf-8", "replace")
+            detail = f"endpoint {endpoint.name!r} answered {response.status}: {text}"
+            kind = EndpointFaultKind.REJECTED
+            return EndpointFault(kind=kind, ran=ran, detail=detail)
+        served = headers.get(names.SERVED_VERSION)
+        if served != str(call.target):
+            detail = f"endpoint {endpoint.name!r} served version {served!r}"
+            kind = EndpointFaultKind.WRONG_VERSION
+            return EndpointFault(kind=kind, ran=Ran.YES, detail=detail)
+        return None
+
+
+def _connect_fault(endpoint: Endpoint, error: Exception) -> EndpointFault:
+    detail = f"endpoint {endpoint.name!r} can't be connected to: {error}"
+    return EndpointFault(kind=EndpointFaultKind.CONNECT, ran=Ran.NO, detail=detail)
+
+
+def _broken_fault(endpoint: Endpoint, error: Exception) -> EndpointFault:
+    detail = f"the connection to endpoint {endpoint.name!r} broke: {error!r}"
+    return EndpointFault(
+        kind=EndpointFaultKind.BROKEN,
+        ran=Ran.UNKNOWN,
+        detail=detail,
+        crash_suspected=True,
+    )
--- /dev/null
+++ b/linnetladder/transport/instance_list.py
@@ -0,0 +1,45 @@
+"""The platform's instance list over HTTP."""
+
+import asyncio
+
+import aiohttp
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import FaultKind, InstanceList, PlatformFault
+from linnetladder.protocol import InstanceListBody
+from linnetladder.state import EndpointReport
+from linnetladder.telemetry import Metrics
+
+__all__ = ["HttpInstanceList"]
+
+
+class HttpInstanceList(InstanceList):
+    """Read the list from one URL."""
+
+    def __init__(self, *, url: str, timeout_seconds: float, metrics: Metrics):
+        self.url = url
+        self.timeout_seconds = timeout_seconds
+        self.metrics = metrics
+        self.session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def endpoints(self) -> Result[tuple[EndpointReport, ...], PlatformFault]:
+        """Return what the list says of every endpoint."""
+        try:
+            async with asyncio.timeout(self.timeout_seconds):
+                async with self.session.get(self.url) as response:
+                    received = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
+        if response.status != 200:
+            detail = f"{self.url} answered {response.status}"
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, detail))
+        try:
+            body = InstanceListBody.model_validate_json(received)
+        except pydantic.ValidationError as error:
+            return Failure(PlatformFault(FaultKind.REJECTED, str(error)))
+        return Success(tuple(entry.report() for entry in body.instances))
--- /dev/null
+++ b/linnetladder/transport/key_value.py
@@ -0,0 +1,195 @@
+"""The platform's key-value service over HTTP, in etcd's published JSON form."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import aiohttp
+import orjson
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    KeyValueService,
+    PlatformFault,
+    Put,
+    Record,
+    TransactionOutcome,
+    WatchEvent,
+)
+from linnetladder.protocol import etcd
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics
+
+__all__ = ["EtcdKeyValue"]
+
+READ_CALLS = frozenset({"/v3/kv/range"})
+WATCH_LINE_BYTES = 4 * 1024 * 1024
+
+Answer = TypeVar("Answer", bound=pydantic.BaseModel)
+
+
+class EtcdKeyValue(KeyValueService):
+    """Call the service at the first of its URLs that answers."""
+
+    def __init__(
+        self,
+        *,
+        urls: tuple[str, ...],
+        timeout_seconds: float,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.urls = urls
+        self.timeout_seconds = timeout_seconds
+        self.clock = clock
+        self.metrics = metrics
+        self.preferred = 0
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None),
+            read_bufsize=WATCH_LINE_BYTES,
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def get(self, key: str) -> Result[Record | None, PlatformFault]:
+        """Read one key."""
+        body = etcd.range_body(key, prefix=False)
+        answered = await self._call("/v3/kv/range", body, etcd.RangeAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        records = answered.unwrap().records()
+        return Success(records[0] if records else None)
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", limit: int = 0
+    ) -> Result[tuple[Record, ...], PlatformFault]:
+        """Read the keys below a prefix."""
+        body = etcd.range_body(prefix, prefix=True, after=after, limit=limit)
+        answered = await self._call("/v3/kv/range", body, etcd.RangeAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        return Success(answered.unwrap().records())
+
+    async def transact(
+        self,
+        *,
+        conditions: tuple[Condition, ...] = (),
+        puts: tuple[Put, ...] = (),
+        deletes: tuple[str, ...] = (),
+    ) -> Result[TransactionOutcome, PlatformFault]:
+        """Write all or nothing."""
+        body = etcd.transaction_body(conditions=conditions, puts=puts, deletes=deletes)
+        answered = await self._call("/v3/kv/txn", body, etcd.TransactionAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        answer = answered.unwrap()
+        return Success(TransactionOutcome(answer.succeeded, answer.header.revision))
+
+    async def grant_lease(self, *, seconds: float) -> Result[int, PlatformFault]:
+        """Grant a lease of whole seconds."""
+        body = {"TTL": str(max(round(seconds), 1))}
+        answered = await self._call("/v3/lease/grant", body, etcd.LeaseAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        return Success(answered.unwrap().ID)
+
+    async def keep_alive(self, lease_id: int) -> Result[float, PlatformFault]:
+        """Renew a lease."""
+        body = {"ID": str(lease_id)}
+        answered = await self._call("/v3/lease/keepalive", body, etcd.KeepAliveAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        return Success(float(answered.unwrap().result.TTL))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformFault]:
+        """End a lease."""
+        body = {"ID": str(lease_id)}
+        answered = await self._call("/v3/lease/revoke", body, etcd.TransactionAnswer)
+        if isinstance(answered, Failure):
+            return answered
+        return Success(None)
+
+    async def watch(
+        self, prefix: str
+    ) -> AsyncIterator[Result[WatchEvent, PlatformFault]]:
+        """Yield changes until the connection fails."""
+        self.metrics.count("platform_calls", label="watch")
+        url = self.urls[self.preferred] + "/v3/watch"
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self.timeout_seconds, sock_read=None
+        )
+        try:
+            async with self.session.post(
+                url, json=etcd.watch_body(prefix), timeout=timeout
+            ) as response:
+                async for line in response.content:
+                    answer = etcd.WatchAnswer.model_validate_json(line)
+                    for event in answer.watch_events():
+                        yield Success(event)
+        except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
+            yield Failure(self._fault(FaultKind.UNREACHABLE, repr(error)))
+
+    async def _call(
+        self, path: str, body: dict, answer: type[Answer]
+    ) -> Result[Answer, PlatformFault]:
+        """Make one call; try the next URL only if the first can't be connected to."""
+        before = self.clock.monotonic()
+        self.metrics.count("platform_calls", label=path.rpartition("/")[2])
+        outcome: Result[Answer, PlatformFault] = Failure(
+            PlatformFault(FaultKind.UNREACHABLE, "no URL is configured")
+        )
+        for _ in self.urls:
+            outcome = await self._post(path, body, answer)
+            unreachable = (
+                isinstance(outcome, Failure)
+                and outcome.failure().kind is FaultKind.UNREACHABLE
+            )
+            if not unreachable:
+                break
+            self.preferred = (self.preferred + 1) % len(self.urls)
+        if isinstance(outcome, Failure):
+            self.metrics.count("platform_faults", label=outcome.failure().kind)
+        self.metrics.record("platform_seconds", self.clock.monotonic() - before)
+        return outcome
+
+    async def _post(
+        self, path: str, body: dict, answer: type[Answer]
+    ) -> Result[Answer, PlatformFault]:
+        content = orjson.dumps(body)
+        url = self.urls[self.preferred] + path
+        lost = (
+            FaultKind.UNREACHABLE if path in READ_CALLS else FaultKind.UNKNOWN_OUTCOME
+        )
+        try:
+            async with asyncio.timeout(self.timeout_seconds):
+                async with self.session.post(url, data=content) as response:
+                    received = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Failure(self._fault(FaultKind.UNREACHABLE, repr(error)))
+        except TimeoutError:
+            detail = f"{url} gave no answer within {self.timeout_seconds:g} s"
+            return Failure(self._fault(lost, detail))
+        except (aiohttp.ClientError, OSError) as error:
+            return Failure(self._fault(lost, repr(error)))
+        self.metrics.count("platform_bytes", len(content), label="sent")
+        self.metrics.count("platform_bytes", len(received), label="received")
+        if response.status >= 500:
+            detail = f"{url} answered {response.status}"
+            return Failure(self._fault(lost, detail))
+        if response.status != 200:
+            detail = f"{url} answered {response.status}: {received[:200]!r}"
+            return Failure(self._fault(FaultKind.REJECTED, detail))
+        try:
+            return Success(answer.model_validate_json(received))
+        except pydantic.ValidationError as error:
+            return Failure(self._fault(lost, f"{url} answered nonsense: {error}"))
+
+    def _fault(self, kind: FaultKind, detail: str) -> PlatformFault:
+        return PlatformFault(kind, detail)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,456 @@
+"""A model engine's stand-in.
+
+It speaks the chat-completions format, whole and as a stream, runs a bounded number of
+requests at once by priority, and knows its requests by id, so that a stream can be
+resumed, a result fetched and a run cancelled. Its text is a function of the request
+alone, so callers can tell exactly what they should have received.
+"""
+
+import asyncio
+import heapq
+import itertools
+import os
+import secrets
+import time
+
+import orjson
+from absl import app as absl_app
+from absl import flags
+from aiohttp import web
+
+from standins.history import Recorder
+from standins.registering import register, unregister
+from standins.serving import serve
+
+__all__ = ["EngineStandIn", "answer_text", "build_app", "split_tokens"]
+
+FLAGS = flags.FLAGS
+CRASH_MARK = "crash-the-endpoint"
+TOKEN_CHARACTERS = 6
+KEPT_SECONDS = 30.0
+QUEUE_FACTOR = 8
+PREFIX_CHARACTERS = 1024
+CACHED_PREFIXES = 8
+
+
+def answer_text(messages: list[dict], model: str) -> str:
+    """Return the text that any engine answers these messages with."""
+    last = messages[-1].get("content") or ""
+    text = last if isinstance(last, str) else orjson.dumps(last).decode()
+    return f"[{model}] {text}"
+
+
+def split_tokens(text: str, limit: int) -> list[str]:
+    """Return the text in pieces of a few characters, at most ``limit``."""
+    pieces = [
+        text[start : start + TOKEN_CHARACTERS]
+        for start in range(0, len(text), TOKEN_CHARACTERS)
+    ]
+    return pieces[:limit]
+
+
+class Run:
+    """One request at the engine and what it has yielded so far."""
+
+    def __init__(self, *, request_id: str, model: str, pieces: list[str], prompt: int):
+        self.request_id = request_id
+        self.model = model
+        self.pieces = pieces
+        self.prompt_tokens = prompt
+        self.events: list[bytes] = []
+        self.progress = asyncio.Event()
+        self.finished = False
+        self.task: asyncio.Task | None = None
+        self.created = time.time()
+        self.ended = 0.0
+
+    def add(self, event: bytes) -> None:
+        """Add an event and wake those who follow."""
+        self.events.append(event)
+        self.progress.set()
+        self.progress = asyncio.Event()
+
+    def finish(self) -> None:
+        """End the run and wake those who follow."""
+        self.finished = True
+        self.ended = time.monotonic()
+        self.progress.set()
+
+    def chunk(self, delta: dict, reason: str | None, usage: bool = False) -> bytes:
+        """Return one event of the stream."""
+        body: dict = {
+            "id": self.request_id,
+            "object": "chat.completion.chunk",
+            "created": int(self.created),
+            "model": self.model,
+            "choices": [{"index": 0, "delta": delta, "finish_reason": reason}],
+        }
+        if usage:
+            body["usage"] = self.usage()
+        return b"data: " + orjson.dumps(body) + b"\n\n"
+
+    def usage(self) -> dict:
+        """Return the token counts."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": len(self.pieces),
+            "total_tokens": self.prompt_tokens + len(self.pieces),
+        }
+
+    def whole(self) -> bytes:
+        """Return the answer in one piece."""
+        message = {"role": "assistant", "content": "".join(self.pieces)}
+        return orjson.dumps(
+            {
+                "id": self.request_id,
+                "object": "chat.completion",
+                "created": int(self.created),
+                "model": self.model,
+                "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+                "usage": self.usage(),
+            }
+        )
+
+
+class Slots:
+    """A bounded number of runs, handed out by priority."""
+
+    def __init__(self, *, capacity: int):
+        self.free = capacity
+        self.waiting: list[tuple[int, int, asyncio.Future]] = []
+        self.order = itertools.count()
+
+    async def take(self, priority: int) -> None:
+        """Wait for a slot."""
+        if self.free > 0:
+            self.free -= 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (-priority, next(self.order), turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.give()
+            raise
+
+    def give(self) -> None:
+        """Hand a slot to the next who waits."""
+        while self.waiting:
+            turn = heapq.heappop(self.waiting)[2]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.free += 1
+
+
+class EngineStandIn:
+    """The engine's state and the faults it was told to show."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        failure_domain: str,
+        service: str,
+        versions: tuple[str, ...],
+        capacity: int = 8,
+        token_seconds: float = 0.0,
+        prefill_seconds: float = 0.0,
+        recorder: Recorder | None = None,
+    ):
+        self.name = name
+        self.incarnation = secrets.token_hex(4)
+        self.address = address
+        self.failure_domain = failure_domain
+        self.service = service
+        self.versions = versions
+        self.capacity = capacity
+        self.token_seconds = token_seconds
+        self.prefill_seconds = prefill_seconds
+        self.recorder = recorder or Recorder(source=name)
+        self.slots = Slots(capacity=capacity)
+        self.runs: dict[str, Run] = {}
+        self.in_flight = 0
+        self.leaving = False
+        self.faults: dict[str, int] = {}
+        self.prefixes: dict[str, None] = {}
+        self.started = 0
+
+    def entry(self) -> dict:
+        """Return the engine as the platform lists it."""
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "address": self.address,
+            "failure_domain": self.failure_domain,
+            "service": self.service,
+            "versions": list(self.versions),
+            "capacity": self.capacity,
+            "state": "leaving" if self.leaving else "live",
+        }
+
+    def load(self) -> dict:
+        """Return the engine's own report."""
+        report = self.entry()
+        del report["state"]
+        report["in_flight"] = self.in_flight
+        report["leaving"] = self.leaving
+        return report
+
+    def take_fault(self, name: str) -> bool:
+        """Tell whether the next of a number of ordered faults is due."""
+        left = self.faults.get(name, 0)
+        if left <= 0:
+            return False
+        self.faults[name] = left - 1
+        return True
+
+    def begin(self, request_id: str, body: dict, priority: int) -> Run:
+        """Start running a request, or return the run it already is."""
+        known = self.runs.get(request_id)
+        if known is not None:
+            return known
+        model = body["model"]
+        if self.take_fault("wrong_version"):
+            model = model.partition("@")[0] + "@0.0"
+        text = answer_text(body["messages"], body["model"])
+        pieces = split_tokens(text, int(body.get("max_tokens") or 4096))
+        prompt = sum(len(str(m.get("content"))) for m in body["messages"]) // 4
+        run = Run(request_id=request_id, model=model, pieces=pieces, prompt=prompt)
+        self.runs[request_id] = run
+        self.in_flight += 1
+        self.started += 1
+        self.recorder.note("run", request_id=request_id, version=body["model"])
+        if CRASH_MARK in text:
+            self.recorder.note("crash", request_id=request_id)
+            os._exit(1)
+        prefix = str(body["messages"][0].get("content"))[:PREFIX_CHARACTERS]
+        run.task = asyncio.ensure_future(self._generate(run, priority, prefix))
+        self._forget_old()
+        return run
+
+    async def _generate(self, run: Run, priority: int, prefix: str) -> None:
+        try:
+            await self.slots.take(priority)
+            try:
+                await self._prefill(prefix)
+                for piece in run.pieces:
+                    if self.token_seconds:
+                        await asyncio.sleep(self.token_seconds)
+                    run.add(run.chunk({"content": piece}, None))
+                run.add(run.chunk({}, "stop", usage=True))
+            finally:
+                self.slots.give()
+            self.recorder.note("finish", request_id=run.request_id)
+        finally:
+            self.in_flight -= 1
+            run.finish()
+
+    async def _prefill(self, prefix: str) -> None:
+        """Spend the time of a prompt whose prefix is not in the cache."""
+        if prefix in self.prefixes:
+            del self.prefixes[prefix]
+        elif self.prefill_seconds:
+            await asyncio.sleep(self.prefill_seconds)
+        self.prefixes[prefix] = None
+        while len(self.prefixes) > CACHED_PREFIXES:
+            del self.prefixes[next(iter(self.prefixes))]
+
+    def _forget_old(self) -> None:
+        limit = time.monotonic() - KEPT_SECONDS
+        while self.runs:
+            oldest = next(iter(self.runs.values()))
+            if not oldest.finished or oldest.ended > limit:
+                return
+            del self.runs[oldest.request_id]
+
+
+class EngineHandlers:
+    """The engine's HTTP calls."""
+
+    def __init__(self, *, engine: EngineStandIn):
+        self.engine = engine
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Run a chat completion."""
+        engine = self.engine
+        request_id = request.headers.get("X-Request-Id") or secrets.token_hex(8)
+        body = orjson.loads(await request.read())
+        refusal = self._refuse(request_id, body)
+        if refusal is not None:
+            return refusal
+        priority = int(request.headers.get("Linnetladder-Priority", "0"))
+        run = engine.begin(request_id, body, priority)
+        if engine.take_fault("silent"):
+            await asyncio.sleep(3600)
+        if body.get("stream"):
+            return await self._stream(request, run, 0)
+        return await self._whole(request, run)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Say what became of a request."""
+        run = self.engine.runs.get(request.match_info["request_id"])
+        state = "unknown"
+        if run is not None:
+            state = "finished" if run.finished else "running"
+        return web.json_response({"state": state})
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Send what a request has yielded after a position."""
+        run = self.engine.runs.get(request.match_info["request_id"])
+        if run is None:
+            return web.json_response({"error": "unknown request"}, status=404)
+        after = int(request.query.get("after", "0"))
+        if request.headers.get("Accept") == "text/event-stream":
+            return await self._stream(request, run, after)
+        return await self._whole(request, run)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a request."""
+        run = self.engine.runs.get(request.match_info["request_id"])
+        if run is not None and not run.finished and run.task is not None:
+            self.engine.recorder.note("cancel", request_id=run.request_id)
+            run.task.cancel()
+        return web.json_response({})
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the engine's load."""
+        return web.json_response(self.engine.load())
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Take orders of the demo or a test: faults, leaving, speed."""
+        order = await request.json()
+        self.engine.faults.update(order.get("faults", {}))
+        self.engine.leaving = order.get("leaving", self.engine.leaving)
+        self.engine.token_seconds = order.get(
+            "token_seconds", self.engine.token_seconds
+        )
+        return web.json_response(self.engine.load())
+
+    async def history(self, request: web.Request) -> web.Response:
+        """Return the recorded events."""
+        return web.json_response(self.engine.recorder.events)
+
+    def _refuse(self, request_id: str, body: dict) -> web.Response | None:
+        engine = self.engine
+        headers = {"X-Request-Id": request_id, "X-Ran": "no"}
+        if request_id in engine.runs:
+            return None
+        if engine.leaving:
+            headers["X-Endpoint-Leaving"] = "1"
+            return web.json_response({"error": "leaving"}, status=503, headers=headers)
+        if body.get("model") not in engine.versions:
+            error = {"error": f"version {body.get('model')!r} is not loaded"}
+            return web.json_response(error, status=404, headers=headers)
+        if engine.in_flight >= engine.capacity * QUEUE_FACTOR:
+            return web.json_response({"error": "busy"}, status=503, headers=headers)
+        return None
+
+    def _headers(self, run: Run) -> dict[str, str]:
+        request_id = run.request_id
+        if self.engine.take_fault("crossed"):
+            request_id = "req-of-somebody-else"
+        return {"X-Request-Id": request_id, "X-Served-Version": run.model}
+
+    async def _whole(self, request: web.Request, run: Run) -> web.Response:
+        while not run.finished:
+            await run.progress.wait()
+        body = run.whole()
+        headers = self._headers(run)
+        if self.engine.take_fault("cut"):
+            headers["Content-Length"] = str(len(body))
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(body[: len(body) // 2])
+            request.transport.abort()
+            return response
+        headers["Content-Type"] = "application/json"
+        return web.Response(body=body, headers=headers)
+
+    async def _stream(
+        self, request: web.Request, run: Run, after: int
+    ) -> web.StreamResponse:
+        headers = self._headers(run)
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        sent = after
+        cut = self.engine.take_fault("cut")
+        try:
+            while True:
+                progress = run.progress
+                fresh = run.events[sent:]
+                if fresh:
+                    await response.write(b"".join(fresh))
+                    sent += len(fresh)
+                    if cut:
+                        request.transport.abort()
+                        return response
+                    continue
+                if run.finished:
+                    break
+                await progress.wait()
+            await response.write(b"data: [DONE]\n\n")
+            await response.write_eof()
+        except ConnectionError:
+            return response
+        return response
+
+
+def build_app(engine: EngineStandIn) -> web.Application:
+    """Return the engine's HTTP application."""
+    handlers = EngineHandlers(engine=engine)
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_post("/v1/chat/completions", handlers.complete)
+    app.router.add_get("/v1/requests/{request_id}", handlers.status)
+    app.router.add_delete("/v1/requests/{request_id}", handlers.cancel)
+    app.router.add_post("/v1/requests/{request_id}/resume", handlers.resume)
+    app.router.add_get("/load", handlers.load)
+    app.router.add_post("/control", handlers.control)
+    app.router.add_get("/history", handlers.history)
+    return app
+
+
+def main(argv: list[str]) -> None:
+    """Serve until stopped, listed at the platform meanwhile."""
+    engine = EngineStandIn(
+        name=FLAGS.name,
+        address=f"127.0.0.1:{FLAGS.port}",
+        failure_domain=FLAGS.failure_domain,
+        service=FLAGS.service,
+        versions=tuple(FLAGS.versions),
+        capacity=FLAGS.capacity,
+        token_seconds=FLAGS.token_seconds,
+        prefill_seconds=FLAGS.prefill_seconds,
+        recorder=Recorder(source=FLAGS.name, path=FLAGS.history),
+    )
+    app = build_app(engine)
+
+    async def on_startup(app: web.Application) -> None:
+        app["listing"] = asyncio.ensure_future(
+            register(FLAGS.platform_url, engine.entry())
+        )
+
+    async def on_shutdown(app: web.Application) -> None:
+        await unregister(FLAGS.platform_url, engine.name)
+
+    if FLAGS.platform_url:
+        app.on_startup.append(on_startup)
+        app.on_shutdown.append(on_shutdown)
+    serve(app, port=FLAGS.port)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("port", 9000, "Port to listen on.")
+    flags.DEFINE_string("name", "engine", "Name of the endpoint.")
+    flags.DEFINE_string("failure_domain", "", "Failure domain of the endpoint.")
+    flags.DEFINE_string("service", "", "Service the endpoint belongs to.")
+    flags.DEFINE_list("versions", [], "Versions it serves, as model@version.")
+    flags.DEFINE_integer("capacity", 8, "Requests it runs at once.")
+    flags.DEFINE_float("token_seconds", 0.0, "Time between two tokens.")
+    flags.DEFINE_float("prefill_seconds", 0.0, "Time of a prefix that is not cached.")
+    flags.DEFINE_string("platform_url", "", "Platform to be listed at.")
+    flags.DEFINE_string("history", "", "File to append recorded events to.")
+    absl_app.run(main)
--- /dev/null
+++ b/standins/history.py
@@ -0,0 +1,30 @@
+"""Events as the stand-ins and the callers record them, for checking afterwards."""
+
+import time
+from pathlib import Path
+
+import orjson
+
+__all__ = ["Recorder"]
+
+
+class Recorder:
+    """Keep events in memory and, if a file is named, append each to it at once."""
+
+    def __init__(self, *, source: str, path: str = ""):
+        self.source = source
+        self.events: list[dict] = []
+        self.file = Path(path).open("ab", buffering=0) if path else None
+
+    def note(self, event: str, **fields: object) -> None:
+        """Record one event with the time of the system's monotonic clock."""
+        entry = {
+            "time": time.monotonic(),
+            "source": self.source,
+            "event": event,
+            **fields,
+        }
+        if self.file is not None:
+            self.file.write(orjson.dumps(entry) + b"\n")
+        else:
+            self.events.append(entry)
--- /dev/null
+++ b/standins/key_value.py
@@ -0,0 +1,148 @@
+"""An in-memory key-value store with revisions, conditions, leases and watches."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+from sortedcontainers import SortedDict
+
+__all__ = ["Change", "Entry", "KeyValueStore"]
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A value with its revisions and the lease it hangs on."""
+
+    value: bytes
+    create_revision: int
+    modify_revision: int
+    lease_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One change; ``value`` is ``None`` for a deletion."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    seconds: float
+    expires: float
+    keys: set[str] = dataclasses.field(default_factory=set)
+
+
+class KeyValueStore:
+    """What the service keeps, with its rules; every call is one step."""
+
+    def __init__(self, *, now: Callable[[], float] = time.monotonic):
+        self.now = now
+        self.entries: SortedDict[str, Entry] = SortedDict()
+        self.revision = 1
+        self.leases: dict[int, _Lease] = {}
+        self.next_lease = 1000
+        self.watchers: dict[asyncio.Queue, str] = {}
+
+    def get(self, key: str) -> Entry | None:
+        """Return one entry."""
+        self.expire()
+        return self.entries.get(key)
+
+    def list_prefix(
+        self, prefix: str, *, after: str = "", limit: int = 0
+    ) -> list[tuple]:
+        """Return keys and entries below a prefix in order."""
+        self.expire()
+        found = []
+        start = after + "\0" if after else prefix
+        for key in self.entries.irange(minimum=start):
+            if not key.startswith(prefix):
+                break
+            found.append((key, self.entries[key]))
+            if limit and len(found) >= limit:
+                break
+        return found
+
+    def transact(
+        self,
+        conditions: list[tuple[str, int]],
+        puts: list[tuple[str, bytes, int]],
+        deletes: list[str],
+    ) -> bool:
+        """Write all if every key has the modification revision named for it."""
+        self.expire()
+        for key, revision in conditions:
+            entry = self.entries.get(key)
+            if (entry.modify_revision if entry else 0) != revision:
+                return False
+        if any(lease and lease not in self.leases for _, _, lease in puts):
+            raise LookupError("the lease does not exist")
+        self.revision += 1
+        for key, value, lease in puts:
+            self._put(key, value, lease)
+        for key in deletes:
+            self._delete(key)
+        return True
+
+    def grant(self, seconds: float) -> int:
+        """Grant a lease."""
+        self.next_lease += 1
+        self.leases[self.next_lease] = _Lease(seconds, self.now() + seconds)
+        return self.next_lease
+
+    def keep_alive(self, lease_id: int) -> float:
+        """Renew a lease and return its seconds, 0 if it has lapsed."""
+        self.expire()
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return 0.0
+        lease.expires = self.now() + lease.seconds
+        return lease.seconds
+
+    def revoke(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
+        lease = self.leases.pop(lease_id, None)
+        if lease is None:
+            return
+        self.revision += 1
+        for key in sorted(lease.keys):
+            self._delete(key)
+
+    def expire(self) -> None:
+        """End the leases whose time is up."""
+        now = self.now()
+        for lease_id in [i for i, lease in self.leases.items() if lease.expires <= now]:
+            self.revoke(lease_id)
+
+    def watch(self, prefix: str) -> asyncio.Queue:
+        """Return a queue that receives the changes below a prefix."""
+        queue: asyncio.Queue = asyncio.Queue()
+        self.watchers[queue] = prefix
+        return queue
+
+    def unwatch(self, queue: asyncio.Queue) -> None:
+        """Stop feeding a queue."""
+        self.watchers.pop(queue, None)
+
+    def _put(self, key: str, value: bytes, lease_id: int) -> None:
+        known = self.entries.get(key)
+        created = known.create_revision if known else self.revision
+        if known is not None and known.lease_id in self.leases:
+            self.leases[known.lease_id].keys.discard(key)
+        self.entries[key] = Entry(value, created, self.revision, lease_id)
+        if lease_id:
+            self.leases[lease_id].keys.add(key)
+        self._publish(Change(key, value, self.revision))
+
+    def _delete(self, key: str) -> None:
+        if self.entries.pop(key, None) is not None:
+            self._publish(Change(key, None, self.revision))
+
+    def _publish(self, change: Change) -> None:
+        for queue, prefix in self.watchers.items():
+            if change.key.startswith(prefix):
+                queue.put_nowait(change)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,161 @@
+"""A plain service's stand-in: renders pages or places notices, and counts each run.
+
+``GET`` may be repeated. ``POST`` has an effect each time, so it must run at most once.
+"""
+
+import asyncio
+import secrets
+
+import orjson
+from absl import app as absl_app
+from absl import flags
+from aiohttp import web
+
+from standins.history import Recorder
+from standins.registering import register, unregister
+from standins.serving import serve
+
+__all__ = ["ServiceStandIn", "build_app"]
+
+FLAGS = flags.FLAGS
+
+
+class ServiceStandIn:
+    """The service's state and its faults."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        failure_domain: str,
+        service: str,
+        capacity: int = 16,
+        work_seconds: float = 0.0,
+        recorder: Recorder | None = None,
+    ):
+        self.name = name
+        self.incarnation = secrets.token_hex(4)
+        self.address = address
+        self.failure_domain = failure_domain
+        self.service = service
+        self.capacity = capacity
+        self.work_seconds = work_seconds
+        self.recorder = recorder or Recorder(source=name)
+        self.in_flight = 0
+        self.leaving = False
+        self.faults: dict[str, int] = {}
+
+    def entry(self) -> dict:
+        """Return the service's instance as the platform lists it."""
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "address": self.address,
+            "failure_domain": self.failure_domain,
+            "service": self.service,
+            "versions": [],
+            "capacity": self.capacity,
+            "state": "leaving" if self.leaving else "live",
+        }
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Do the work of one call and answer with its digest."""
+        request_id = request.headers.get("X-Request-Id", "")
+        headers = {"X-Request-Id": request_id}
+        if self.leaving:
+            headers |= {"X-Ran": "no", "X-Endpoint-Leaving": "1"}
+            return web.json_response({}, status=503, headers=headers)
+        body = await request.read()
+        self.recorder.note("run", request_id=request_id, version="")
+        self.in_flight += 1
+        try:
+            if self.work_seconds:
+                await asyncio.sleep(self.work_seconds)
+            if self._take_fault("lose_reply"):
+                request.transport.abort()
+            if self._take_fault("silent"):
+                await asyncio.sleep(3600)
+        finally:
+            self.in_flight -= 1
+        self.recorder.note("finish", request_id=request_id)
+        answer = {
+            "method": request.method,
+            "path": request.path_qs,
+            "request_id": request_id,
+            "body": body.decode("utf-8", "replace"),
+        }
+        headers["Content-Type"] = "application/json"
+        return web.Response(body=orjson.dumps(answer), headers=headers)
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the service's load."""
+        report = self.entry()
+        del report["state"]
+        report |= {"in_flight": self.in_flight, "leaving": self.leaving}
+        return web.json_response(report)
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Take orders of the demo or a test."""
+        order = await request.json()
+        self.faults.update(order.get("faults", {}))
+        self.leaving = order.get("leaving", self.leaving)
+        return web.json_response({})
+
+    async def history(self, request: web.Request) -> web.Response:
+        """Return the recorded events."""
+        return web.json_response(self.recorder.events)
+
+    def _take_fault(self, name: str) -> bool:
+        left = self.faults.get(name, 0)
+        self.faults[name] = max(left - 1, 0)
+        return left > 0
+
+
+def build_app(service: ServiceStandIn) -> web.Application:
+    """Return the service's HTTP application."""
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_get("/load", service.load)
+    app.router.add_post("/control", service.control)
+    app.router.add_get("/history", service.history)
+    app.router.add_route("*", "/{path:.*}", service.handle)
+    return app
+
+
+def main(argv: list[str]) -> None:
+    """Serve until stopped, listed at the platform meanwhile."""
+    service = ServiceStandIn(
+        name=FLAGS.name,
+        address=f"127.0.0.1:{FLAGS.port}",
+        failure_domain=FLAGS.failure_domain,
+        service=FLAGS.service,
+        capacity=FLAGS.capacity,
+        work_seconds=FLAGS.work_seconds,
+        recorder=Recorder(source=FLAGS.name, path=FLAGS.history),
+    )
+    app = build_app(service)
+
+    async def on_startup(app: web.Application) -> None:
+        app["listing"] = asyncio.ensure_future(
+            register(FLAGS.platform_url, service.entry())
+        )
+
+    async def on_shutdown(app: web.Application) -> None:
+        await unregister(FLAGS.platform_url, service.name)
+
+    if FLAGS.platform_url:
+        app.on_startup.append(on_startup)
+        app.on_shutdown.append(on_shutdown)
+    serve(app, port=FLAGS.port)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("port", 9100, "Port to listen on.")
+    flags.DEFINE_string("name", "service", "Name of the endpoint.")
+    flags.DEFINE_string("failure_domain", "", "Failure domain of the endpoint.")
+    flags.DEFINE_string("service", "", "Service the endpoint belongs to.")
+    flags.DEFINE_integer("capacity", 16, "Calls it runs at once.")
+    flags.DEFINE_float("work_seconds", 0.0, "Time of one call.")
+    flags.DEFINE_string("platform_url", "", "Platform to be listed at.")
+    flags.DEFINE_string("history", "", "File to append recorded events to.")
+    absl_app.run(main)
