--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts.py
@@ -20,7 +20,6 @@
     EndpointClient,
     EndpointFault,
     EndpointFaultKind,
-    RequestStatus,
     StreamAnswer,
     WholeAnswer,
 )
@@ -28,6 +27,7 @@
 from linnetladder.coordination.poison import Crash, PoisonBook
 from linnetladder.coordination.requests import ChatWork
 from linnetladder.coordination.retries import RetryBudget
+from linnetladder.coordination.silence import SilenceCheck, Verdict
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock, Endpoint, EndpointTable, Target, Trial, VersionRef
 from linnetladder.telemetry import Metrics
@@ -36,7 +36,6 @@
 
 MAXIMUM_ATTEMPTS = 4
 RETRY_PAUSE_SECONDS = 0.02
-STATUS_CHECKS_WITHOUT_WORD = 3
 
 FAULT_KINDS: dict[EndpointFaultKind, ErrorKind] = {
     EndpointFaultKind.CONNECT: ErrorKind.ENDPOINT_FAILED,
@@ -232,40 +231,34 @@
     async def _call(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
-        """Send a call and check on it over a new connection while it is silent."""
-        task = asyncio.ensure_future(self.client.call(endpoint, call))
-        unheard = 0
+        """Send a call and have it checked over a new connection while it is silent."""
+        check = SilenceCheck(
+            client=self.client,
+            background=self.background,
+            clock=self.clock,
+            endpoint=endpoint,
+            call=call,
+            silence_seconds=self.silence_seconds,
+        )
         try:
-            while True:
-                await asyncio.wait((task,), timeout=self._wait_seconds(call))
-                if task.done():
-                    return task.result()
-                if self.clock.monotonic() >= call.deadline:
-                    return Failure(_deadline_fault())
-                if call.target is None:
-                    continue
-                status = await self.client.status(endpoint, call.request_id)
-                if task.done():
-                    return task.result()
-                if status is RequestStatus.RUNNING:
-                    unheard = 0
-                    continue
-                if status is RequestStatus.FINISHED:
-                    self.client.suspect(endpoint)
-                    return await self.client.resume(endpoint, call)
-                unheard += 1
-                if status is RequestStatus.UNKNOWN or (
-                    unheard >= STATUS_CHECKS_WITHOUT_WORD
-                ):
-                    self.client.suspect(endpoint)
-                    return Failure(_silent_fault(endpoint))
+            async with check.limit():
+                outcome = await self.client.call(endpoint, call)
+        except TimeoutError:
+            return await self._after_silence(endpoint, call, check.verdict)
         finally:
-            if not task.done():
-                task.cancel()
+            check.stop()
+        return outcome
 
-    def _wait_seconds(self, call: EndpointCall) -> float:
-        remaining = call.deadline - self.clock.monotonic()
-        return max(min(self.silence_seconds, remaining), 0.0)
+    async def _after_silence(
+        self, endpoint: Endpoint, call: EndpointCall, verdict: Verdict
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        """Return what a call that was broken off has come to."""
+        if verdict is Verdict.DEADLINE:
+            return Failure(_deadline_fault())
+        self.client.suspect(endpoint)
+        if verdict is Verdict.FINISHED:
+            return await self.client.resume(endpoint, call)
+        return Failure(_silent_fault(endpoint))
 
     def _note(self, passage: Passage, place: Place, outcome: str) -> None:
         trial = Trial(place.endpoint.name, str(place.target), str(outcome))
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing.py
@@ -22,7 +22,9 @@
 __all__ = ["BillBlock", "BillCopier", "BillWriter", "NoCopies", "write_block"]
 
 MAXIMUM_BILLS_PER_BLOCK = 1000
-MAXIMUM_OPEN_BLOCKS = 4
+MAXIMUM_OPEN_BLOCKS = 2
+FULL_BLOCK_BILLS = 3
+GATHER_SECONDS = 0.003
 FIRST_RETRY_SECONDS = 0.1
 MAXIMUM_RETRY_SECONDS = 2.0
 SETTLE_SECONDS = 0.5
@@ -119,6 +121,7 @@
         self.open_blocks: dict[int, asyncio.Task] = {}
         self.unrecorded = 0
         self.sequence = 0
+        self.last_block_bills = 0
 
     @property
     def is_full(self) -> bool:
@@ -149,6 +152,8 @@
         """Form blocks as bills arrive, until cancelled."""
         while True:
             await self.arrived.wait()
+            if self.last_block_bills >= FULL_BLOCK_BILLS:
+                await asyncio.sleep(GATHER_SECONDS)
             if len(self.open_blocks) >= MAXIMUM_OPEN_BLOCKS:
                 await self._wait_for_room()
             self.form_block()
@@ -162,6 +167,7 @@
         if not entries:
             return
         self.sequence += 1
+        self.last_block_bills = len(entries)
         block = BillBlock(
             incarnation=self.incarnation,
             sequence=self.sequence,
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: from flags to a running instance, and its graceful end."""
 
 import asyncio
+import gc
 import sys
 
 import aiomisc
@@ -32,6 +33,7 @@
 SHUTDOWN_SLACK_SECONDS = 60.0
 UPKEEP_SECONDS = 1.0
 DAEMON_COUNT_SECONDS = 5.0
+COLLECTION_THRESHOLDS = (20_000, 20, 50)
 
 
 class Daemon(aiomisc.Service, StatusSource):
@@ -69,6 +71,9 @@
         self._run(self._ensure_key())
         self._run(self._upkeep())
         self._run(self._count_daemons())
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECTION_THRESHOLDS)
         log_change("listening", callers=caller_port, operations=operations_port)
 
     async def stop(self, exception: Exception | None = None) -> None:
--- a/linnetladder/transport/caller_server.py
+++ b/linnetladder/transport/caller_server.py
@@ -170,6 +170,8 @@
             return Failure(self._too_large())
         if not request.body_exists:
             return Success(b"")
+        if request.content.is_eof():
+            return Success(request.content.read_nowait())
         chunks: list[bytes] = []
         size = 0
         try:
