--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports
-	$(BIN)/behave --format=progress --no-capture
+	$(BIN)/behave --format=progress
 	$(BIN)/python -m pytest
 
 bench: install
--- /dev/null
+++ b/tests/test_settling.py
@@ -0,0 +1,62 @@
+"""Writes whose replies are lost, late or never come."""
+
+import pytest
+from returns.result import Failure, Success
+
+from linnetladder.coordination.platform import FaultKind, Put
+from linnetladder.coordination.settling import Creation, create_if_absent, swap
+from tests.support.memory import MemoryKeyValue, run_virtual
+
+
+def test_a_lost_reply_is_settled_by_reading_back():
+    async def scenario():
+        store = MemoryKeyValue()
+        store.lost_replies = 1
+        created = await create_if_absent(store, Put("k", b"mine"), settle_seconds=5)
+        assert created.unwrap() == (Creation.CREATED, b"mine")
+
+    run_virtual(scenario())
+
+
+def test_somebody_elses_value_is_not_taken_for_ones_own():
+    async def scenario():
+        store = MemoryKeyValue()
+        await create_if_absent(store, Put("k", b"theirs"), settle_seconds=5)
+        store.lost_replies = 1
+        created = await create_if_absent(store, Put("k", b"mine"), settle_seconds=5)
+        assert created.unwrap() == (Creation.EXISTS, b"theirs")
+
+    run_virtual(scenario())
+
+
+def test_a_write_that_may_still_land_is_not_called_undone():
+    async def scenario():
+        store = MemoryKeyValue()
+        store.late_writes = 1
+        store_down_later = create_if_absent(
+            store, Put("k", b"mine"), settle_seconds=0.5
+        )
+        created = await store_down_later
+        assert isinstance(created, Failure)
+        assert created.failure().kind is FaultKind.UNKNOWN_OUTCOME
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+def test_only_one_of_two_swaps_from_the_same_record_stands(lost):
+    async def scenario():
+        store = MemoryKeyValue()
+        await create_if_absent(store, Put("k", b"0"), settle_seconds=5)
+        record = (await store.get("k")).unwrap()
+        store.lost_replies = lost
+        outcomes = [
+            await swap(
+                store, expected=record, puts=(Put("k", value),), settle_seconds=5
+            )
+            for value in (b"first", b"second")
+        ]
+        assert outcomes == [Success(True), Success(False)]
+        assert (await store.get("k")).unwrap().value == b"first"
+
+    run_virtual(scenario())
