Link daemons over gRPC with mutual TLS and copy bills to peers

Cause: with the platform out, no bill was safe and no answer could be released. Change: links to a few peers per failure domain; a block that is slow to stand is held by two peers, who write it should its owner not; configuration, poison requests and departures pass from peer to peer.

--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from bench.processes import Fleet, free_port, wait_for, wait_until
+from standins.certificates import Authority
 
 __all__ = ["SCENES", "Scene", "Site", "credential"]
 
@@ -110,6 +111,7 @@
     ):
         self.scene = scene
         self.fleet = Fleet(folder=folder)
+        self.authority = Authority(folder=folder / "certificates")
         self.folder = folder
         self.token_seconds = token_seconds
         self.platform_port = free_port()
@@ -194,6 +196,7 @@
             f"--platform_urls={self.platform_url}",
             f"--instance_list_url={self.platform_url}/instances",
             "--drain_notice_seconds=0.2",
+            *self.authority.flags(daemon.name),
             *extra,
         )
 
--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -3,6 +3,7 @@
 import dataclasses
 import secrets
 import time
+from pathlib import Path
 
 from linnetladder.conf import Settings
 from linnetladder.coordination import (
@@ -19,25 +20,37 @@
     Ejector,
     EntryChecks,
     LiveState,
-    NoCopies,
     PoisonBook,
     Registration,
     RetryBudget,
     Router,
 )
+from linnetladder.coordination.bill_copies import PeerBillCopier
 from linnetladder.coordination.endpoint_choice import CHOICES
+from linnetladder.coordination.held_blocks import HeldBlocks
+from linnetladder.coordination.peer_configuration import PeerConfiguration
+from linnetladder.coordination.peer_messages import Hello, Neighbour
+from linnetladder.coordination.peers import Peers
 from linnetladder.coordination.registration import DaemonRecord
-from linnetladder.state import EndpointTable, KeyRing, SigningKey, SystemClock
+from linnetladder.state import Clock, EndpointTable, KeyRing, SigningKey, SystemClock
 from linnetladder.telemetry import Metrics, build_tracer
 from linnetladder.transport import (
     CallerServer,
+    Certificates,
     Connections,
     EtcdKeyValue,
     HttpEndpointClient,
     HttpInstanceList,
+    PeerTransport,
 )
 
-__all__ = ["Parts", "assemble", "new_signing_key"]
+__all__ = [
+    "Parts",
+    "assemble",
+    "build_registration",
+    "new_signing_key",
+    "seed_neighbours",
+]
 
 INCARNATION_BYTES = 8
 SECRET_BYTES = 32
@@ -65,6 +78,9 @@
     background: Background
     bills: BillWriter
     poison: PoisonBook
+    held: HeldBlocks
+    peers: Peers
+    peer_transport: PeerTransport | None
     router: Router
     callers: CallerServer
 
@@ -132,9 +148,27 @@
         list_seconds=settings.list_poll_seconds,
         load_seconds=settings.load_poll_seconds,
     )
+    held = HeldBlocks(store=store, clock=clock, metrics=metrics)
+    peers = Peers(
+        own=Hello(
+            instance=settings.instance,
+            incarnation=incarnation,
+            failure_domain=settings.failure_domain,
+            peer_address="",
+        ),
+        configuration=configuration,
+        exchange=PeerConfiguration(
+            configuration=configuration, keys=keys, metrics=metrics
+        ),
+        poison=poison,
+        table=table,
+        held=held,
+        clock=clock,
+        metrics=metrics,
+    )
     bills = BillWriter(
         store=store,
-        copier=NoCopies(),
+        copier=PeerBillCopier(peers=peers),
         metrics=metrics,
         incarnation=incarnation,
         copy_after_seconds=settings.bill_copy_after_seconds,
@@ -212,13 +246,41 @@
         background=background,
         bills=bills,
         poison=poison,
+        held=held,
+        peers=peers,
+        peer_transport=_build_peer_transport(settings, peers, clock, metrics),
         router=router,
         callers=callers,
     )
 
 
+def _build_peer_transport(
+    settings: Settings, peers: Peers, clock: Clock, metrics: Metrics
+) -> PeerTransport | None:
+    """Return the links' transport, or ``None`` where no certificate is given."""
+    if not settings.tls_certificate:
+        return None
+    certificates = Certificates(
+        certificate=Path(settings.tls_certificate),
+        key=Path(settings.tls_key),
+        authority=Path(settings.tls_authority),
+    )
+    return PeerTransport(
+        peers=peers, certificates=certificates, clock=clock, metrics=metrics
+    )
+
+
+def seed_neighbours(settings: Settings) -> tuple[Neighbour, ...]:
+    """Return the peers that the settings name as ``instance@IP:port``."""
+    found = []
+    for text in settings.seed_peers:
+        instance, _, address = text.partition("@")
+        found.append(Neighbour(instance, "", address))
+    return tuple(found)
+
+
 def build_registration(
-    parts: Parts, *, caller_port: int, operations_port: int
+    parts: Parts, *, caller_port: int, operations_port: int, peer_address: str
 ) -> Registration:
     """Return the registration of a daemon whose ports are known."""
     settings = parts.settings
@@ -228,6 +290,7 @@
         failure_domain=settings.failure_domain,
         caller_address=f"{settings.address}:{caller_port}",
         operations_address=f"{settings.address}:{operations_port}",
+        peer_address=peer_address,
     )
     return Registration(
         store=parts.store, configuration=parts.configuration, record=record
--- a/linnetladder/conf/settings.py
+++ b/linnetladder/conf/settings.py
@@ -54,7 +54,7 @@
     )
     seed_peers: tuple[str, ...] = pydantic.Field(
         (),
-        description="Peers as IP:port, to start from when the platform is down.",
+        description="Peers as instance@IP:port, for when the platform is down.",
     )
     tls_certificate: str = pydantic.Field(
         "", description="File with the certificate for peer connections, PEM."
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing.py
@@ -73,20 +73,19 @@
     """Make one try at creating a block and return whether it stands.
 
     Owner and holders write the same content under the same key, so a block that
-    already exists stands just as well.
+    already exists stands just as well. Writes that hang on a lease which is gone are
+    left out rather than the bills.
     """
     put = Put(block.key, block.content)
-    created = await create_if_absent(
-        store, put, settle_seconds=SETTLE_SECONDS, others=block.puts
-    )
-    if isinstance(created, Success):
-        return True
-    return created.failure().kind is FaultKind.REJECTED and await _stands(store, block)
-
-
-async def _stands(store: KeyValueService, block: BillBlock) -> bool:
-    found = await store.get(block.key)
-    return isinstance(found, Success) and found.unwrap() is not None
+    for others in (block.puts, ()):
+        created = await create_if_absent(
+            store, put, settle_seconds=SETTLE_SECONDS, others=others
+        )
+        if isinstance(created, Success):
+            return True
+        if created.failure().kind is not FaultKind.REJECTED:
+            return False
+    return False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -210,10 +209,8 @@
         self.metrics.count("bills", len(entries))
         del self.open_blocks[block.sequence]
         self.closed_block.set()
-        copied = copying.done() and copying.result()
         copying.cancel()
-        if copied:
-            await self.copier.drop(block)
+        await self.copier.drop(block)
 
     async def _copy_if_slow(self, block: BillBlock, entries: list[_Entry]) -> bool:
         """Have peers hold the block if the platform has not taken it soon."""
--- a/linnetladder/coordination/configuration.py
+++ b/linnetladder/coordination/configuration.py
@@ -103,7 +103,7 @@
         self.metrics = metrics
         self.snapshot: Snapshot | None = None
         self.confirmed = float("-inf")
-        self.changed = asyncio.Event()
+        self.listeners: list[asyncio.Event] = []
 
     @property
     def revision(self) -> int:
@@ -114,6 +114,12 @@
         """Return the seconds since the platform last confirmed the snapshot."""
         return self.clock.monotonic() - self.confirmed
 
+    def listen(self) -> asyncio.Event:
+        """Return an event that is set whenever a snapshot comes into force."""
+        listener = asyncio.Event()
+        self.listeners.append(listener)
+        return listener
+
     def install(self, snapshot: Snapshot) -> bool:
         """Put a snapshot in force unless one at least as new already is."""
         if snapshot.revision <= self.revision:
@@ -125,7 +131,8 @@
             revision=snapshot.revision,
             checkpoint_id=snapshot.manifest.checkpoint_id,
         )
-        self.changed.set()
+        for listener in self.listeners:
+            listener.set()
         return True
 
     async def follow(self, record: Record, *, read_started: float) -> None:
@@ -148,6 +155,16 @@
         if head.revision < self.revision:
             await self._heal(record)
 
+    def confirm_by_peer(
+        self, *, revision: int, checkpoint_id: str, when: float
+    ) -> None:
+        """Take a peer's word that the snapshot was the head at a monotonic time."""
+        held = self.snapshot.manifest if self.snapshot else None
+        if held is None or held.revision != revision:
+            return
+        if held.checkpoint_id == checkpoint_id:
+            self.confirmed = max(self.confirmed, when)
+
     def _confirms(self, head: Manifest) -> bool:
         held = self.snapshot.manifest if self.snapshot else None
         return (
--- /dev/null
+++ b/linnetladder/coordination/held_blocks.py
@@ -0,0 +1,70 @@
+"""Blocks of bills that this daemon holds for others until they stand.
+
+Holding is a promise to write the block should its owner not come to it. Owner and
+holders write the same content under the same key, so it does not matter who is first,
+nor whether the owner is really gone.
+"""
+
+import asyncio
+import dataclasses
+
+from linnetladder.coordination.billing import BillBlock, write_block
+from linnetladder.coordination.platform import KeyValueService
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics
+
+__all__ = ["HeldBlocks"]
+
+PATIENCE_SECONDS = 4.0
+RETRY_SECONDS = 1.0
+MAXIMUM_HELD_BYTES = 48 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    block: BillBlock
+    since: float
+
+
+class HeldBlocks:
+    """Hold blocks, and write those whose owner stays silent."""
+
+    def __init__(self, *, store: KeyValueService, clock: Clock, metrics: Metrics):
+        self.store = store
+        self.clock = clock
+        self.metrics = metrics
+        self.blocks: dict[tuple[str, int], _Held] = {}
+        self.held_bytes = 0
+
+    def hold(self, block: BillBlock) -> None:
+        """Hold a block."""
+        key = (block.incarnation, block.sequence)
+        if key not in self.blocks:
+            self.blocks[key] = _Held(block, self.clock.monotonic())
+            self.held_bytes += len(block.content)
+
+    def has_room(self) -> bool:
+        """Tell whether another block may be held."""
+        return self.held_bytes < MAXIMUM_HELD_BYTES
+
+    def drop(self, incarnation: str, sequence: int) -> None:
+        """Let go of a block that stands."""
+        held = self.blocks.pop((incarnation, sequence), None)
+        if held is not None:
+            self.held_bytes -= len(held.block.content)
+
+    async def run(self) -> None:
+        """Write blocks that were held for long, until cancelled."""
+        while True:
+            await asyncio.sleep(RETRY_SECONDS)
+            await self.write_overdue(patience=PATIENCE_SECONDS)
+
+    async def write_overdue(self, *, patience: float) -> None:
+        """Write the blocks that have been held for longer than a time."""
+        limit = self.clock.monotonic() - patience
+        overdue = [held.block for held in self.blocks.values() if held.since <= limit]
+        for block in overdue:
+            if not await write_block(self.store, block):
+                return
+            self.metrics.count("bill_blocks_recovered")
+            self.drop(block.incarnation, block.sequence)
--- /dev/null
+++ b/linnetladder/coordination/peer_configuration.py
@@ -0,0 +1,121 @@
+"""The configuration as peers pass it on: manifest first, then the parts that lack.
+
+A daemon that hears of a higher revision asks for the manifest, works out which parts
+it lacks and asks for those. Parts are checked against their digests and the manifest
+against its checkpoint id before anything is put in force.
+"""
+
+import pydantic
+
+from linnetladder.coordination.configuration import ConfigurationInForce
+from linnetladder.coordination.peer_messages import (
+    ManifestReply,
+    PartsReply,
+    PartsRequest,
+)
+from linnetladder.state import KeyRing, Manifest, Snapshot
+from linnetladder.state.signing import signing_key_from_json, signing_key_to_json
+from linnetladder.state.snapshot import (
+    Part,
+    checkpoint_id,
+    decode_manifest,
+    decode_part,
+    encode_manifest,
+    encode_part,
+)
+from linnetladder.telemetry import Metrics
+
+__all__ = ["PeerConfiguration"]
+
+MAXIMUM_PARTS_IN_REPLY = 2000
+
+
+class PeerConfiguration:
+    """Give the configuration in force to peers and take theirs when it is newer."""
+
+    def __init__(
+        self, *, configuration: ConfigurationInForce, keys: KeyRing, metrics: Metrics
+    ):
+        self.configuration = configuration
+        self.keys = keys
+        self.metrics = metrics
+        self.pending: Manifest | None = None
+        self.parts: dict[str, Part] = {}
+
+    def lacks_keys(self) -> bool:
+        """Tell whether the daemon has no signing key yet."""
+        return self.keys.current is None
+
+    def manifest_reply(self) -> ManifestReply:
+        """Return what is in force here."""
+        snapshot = self.configuration.snapshot
+        manifest = encode_manifest(snapshot.manifest) if snapshot else b""
+        keys = tuple(signing_key_to_json(key) for key in self.keys.keys.values())
+        return ManifestReply(manifest, keys)
+
+    def take_manifest(self, reply: ManifestReply) -> PartsRequest | None:
+        """Take in a peer's keys and manifest and return the request that follows."""
+        try:
+            manifest = decode_manifest(reply.manifest) if reply.manifest else None
+            keys = [signing_key_from_json(content) for content in reply.keys]
+        except (ValueError, TypeError):
+            self.metrics.count("rejected_peers", label="malformed")
+            return None
+        if self.lacks_keys():
+            for key in keys:
+                self.keys.add(key)
+        if manifest is None or manifest.revision <= self.configuration.revision:
+            return None
+        if checkpoint_id(manifest) != manifest.checkpoint_id:
+            self.metrics.count("rejected_peers", label="checkpoint")
+            return None
+        return self._begin(manifest)
+
+    def parts_reply(self, request: PartsRequest) -> PartsReply:
+        """Return the contents of the parts that are asked for and held here."""
+        snapshot = self.configuration.snapshot
+        if snapshot is None:
+            return PartsReply(())
+        wanted = set(request.digests[:MAXIMUM_PARTS_IN_REPLY])
+        names = [r.name for r in snapshot.manifest.parts if r.digest in wanted]
+        return PartsReply(tuple(encode_part(snapshot.parts[n])[1] for n in names))
+
+    def take_parts(self, reply: PartsReply) -> bool:
+        """Take in parts; return whether a new revision was put in force."""
+        if self.pending is None:
+            return False
+        try:
+            received = [decode_part(content) for content in reply.contents]
+        except pydantic.ValidationError:
+            self.metrics.count("rejected_peers", label="malformed")
+            return False
+        wanted = {ref.name: ref for ref in self.pending.parts}
+        for part in received:
+            ref = encode_part(part)[0]
+            if wanted.get(ref.name) == ref:
+                self.parts[ref.name] = part
+        return self._finish()
+
+    def _begin(self, manifest: Manifest) -> PartsRequest | None:
+        held = self.configuration.snapshot
+        digests = {r.name: r.digest for r in held.manifest.parts} if held else {}
+        self.pending = manifest
+        self.parts = {
+            ref.name: held.parts[ref.name]
+            for ref in manifest.parts
+            if digests.get(ref.name) == ref.digest
+        }
+        missing = [r.digest for r in manifest.parts if r.name not in self.parts]
+        if not missing:
+            self._finish()
+            return None
+        return PartsRequest(tuple(missing[:MAXIMUM_PARTS_IN_REPLY]))
+
+    def _finish(self) -> bool:
+        manifest = self.pending
+        if any(ref.name not in self.parts for ref in manifest.parts):
+            return False
+        self.pending = None
+        snapshot = Snapshot(manifest=manifest, parts=self.parts)
+        self.parts = {}
+        return self.configuration.install(snapshot)
--- a/linnetladder/coordination/poison.py
+++ b/linnetladder/coordination/poison.py
@@ -61,6 +61,7 @@
         self.clock = clock
         self.incarnation = incarnation
         self.entries: collections.OrderedDict[str, _Entry] = collections.OrderedDict()
+        self.changes = 0
 
     def learn(self, crash: Crash) -> bool:
         """Take in a crash from any source and return whether it was new."""
@@ -74,6 +75,7 @@
         if crash.endpoint in entry.endpoints:
             return False
         entry.endpoints.add(crash.endpoint)
+        self.changes += 1
         entry.expires = now + ENTRY_SECONDS
         return True
 
--- a/linnetladder/coordination/registration.py
+++ b/linnetladder/coordination/registration.py
@@ -87,7 +87,7 @@
         self.record = record
         self.lease_id = 0
         self.written: DaemonRecord | None = None
-        self.wake = configuration.changed
+        self.wake = configuration.listen()
 
     def change_state(self, state: DaemonState) -> None:
         """Note a new state, which the entry shows soon after."""
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: from flags to a running instance, and its graceful end."""
 
 import asyncio
+import dataclasses
 import gc
 import sys
 
@@ -8,7 +9,13 @@
 from absl import flags
 from returns.result import Failure, Success
 
-from linnetladder.assembly import Parts, assemble, build_registration, new_signing_key
+from linnetladder.assembly import (
+    Parts,
+    assemble,
+    build_registration,
+    new_signing_key,
+    seed_neighbours,
+)
 from linnetladder.conf import (
     Settings,
     define_setting_flags,
@@ -16,7 +23,10 @@
     read_setting_flags,
 )
 from linnetladder.coordination.live_state import FIRST_KEY_ID
+from linnetladder.coordination.peer_messages import Neighbour
+from linnetladder.coordination.peers import describe
 from linnetladder.coordination.registration import (
+    DaemonRecord,
     DaemonState,
     Registration,
     list_daemons,
@@ -61,8 +71,12 @@
         caller_port = await parts.callers.start(
             address=address, port=self.settings.caller_port
         )
+        peer_address = await self._start_peers(parts)
         self.registration = build_registration(
-            parts, caller_port=caller_port, operations_port=operations_port
+            parts,
+            caller_port=caller_port,
+            operations_port=operations_port,
+            peer_address=peer_address,
         )
         self._run(parts.live_state.run())
         self._run(parts.discovery.run())
@@ -70,7 +84,12 @@
         self._run(self.registration.run())
         self._run(self._ensure_key())
         self._run(self._upkeep())
-        self._run(self._count_daemons())
+        self._run(self._follow_daemons())
+        self._run(parts.held.run())
+        if parts.peer_transport is not None:
+            self._run(parts.peers.run())
+            self._run(parts.peer_transport.run())
+            self._run(self._announce_changes())
         gc.collect()
         gc.freeze()
         gc.set_threshold(*COLLECTION_THRESHOLDS)
@@ -81,6 +100,7 @@
         parts = self.parts
         log_change("draining", in_flight=parts.callers.active)
         self.registration.change_state(DaemonState.DRAINING)
+        parts.peers.draining = True
         await asyncio.sleep(self.settings.drain_notice_seconds)
         parts.router.draining = True
         idle = await parts.callers.wait_idle(seconds=self.settings.drain_seconds)
@@ -91,6 +111,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.registration.withdraw()
         await parts.callers.stop()
+        if parts.peer_transport is not None:
+            await parts.peer_transport.stop()
         await self.operations.stop()
         await parts.connections.close()
         await parts.instances.close()
@@ -132,6 +154,8 @@
             "requests_in_flight": parts.callers.active,
             "requests_queued": parts.admission.queued(),
             "bills_unrecorded": parts.bills.unrecorded,
+            "blocks_held_for_others": len(parts.held.blocks),
+            "peers": describe(parts.peers),
             "endpoints": [
                 {
                     "name": endpoint.name,
@@ -178,17 +202,41 @@
             self.parts.admission.dispatch()
             await asyncio.sleep(UPKEEP_SECONDS / 4)
 
-    async def _count_daemons(self) -> None:
-        """Learn how many daemons share the accounts' limits."""
+    async def _start_peers(self, parts: Parts) -> str:
+        """Listen for peers, where that is set up, and return the address."""
+        if parts.peer_transport is None:
+            return ""
+        port = await parts.peer_transport.start(
+            address=self.settings.address, port=self.settings.peer_port
+        )
+        address = f"{self.settings.address}:{port}"
+        parts.peers.own = dataclasses.replace(parts.peers.own, peer_address=address)
+        parts.peers.learn(seed_neighbours(self.settings))
+        return address
+
+    async def _follow_daemons(self) -> None:
+        """Learn who the other daemons are and how many share the accounts' limits."""
         while True:
             listed = await list_daemons(self.parts.store)
             if isinstance(listed, Success):
-                serving = [
-                    r for r in listed.unwrap() if r.state is not DaemonState.DRAINING
-                ]
-                self.parts.limits.daemons = max(len(serving), 1)
+                self._take_daemons(listed.unwrap())
             await asyncio.sleep(DAEMON_COUNT_SECONDS)
 
+    def _take_daemons(self, records: tuple[DaemonRecord, ...]) -> None:
+        serving = [r for r in records if r.state is not DaemonState.DRAINING]
+        self.parts.limits.daemons = max(len(serving), 1)
+        self.parts.peers.learn(
+            Neighbour(r.instance, r.failure_domain, r.peer_address) for r in serving
+        )
+
+    async def _announce_changes(self) -> None:
+        """Tell peers of a new revision at once."""
+        changed = self.parts.configuration.listen()
+        while True:
+            await changed.wait()
+            changed.clear()
+            self.parts.peers.announce()
+
     def _define_gauges(self, parts: Parts) -> None:
         gauge = parts.metrics.gauge
         gauge("in_flight", "Requests in flight", lambda: parts.callers.active)
--- a/linnetladder/state/endpoint_table.py
+++ b/linnetladder/state/endpoint_table.py
@@ -27,6 +27,7 @@
         self.departed: collections.OrderedDict[tuple[str, str], None] = (
             collections.OrderedDict()
         )
+        self.departures = 0
 
     def merge(self, report: EndpointReport) -> Endpoint:
         """Take in one report, from whichever source, and return what now holds."""
@@ -97,6 +98,8 @@
             self._index()
 
     def _remember_departed(self, name: str, incarnation: str) -> None:
+        if (name, incarnation) not in self.departed:
+            self.departures += 1
         self.departed[(name, incarnation)] = None
         if len(self.departed) > MAXIMUM_DEPARTED:
             self.departed.popitem(last=False)
--- a/linnetladder/state/snapshot.py
+++ b/linnetladder/state/snapshot.py
@@ -31,6 +31,7 @@
     "PartRef",
     "Snapshot",
     "build_manifest",
+    "checkpoint_id",
     "decode_manifest",
     "decode_part",
     "encode_manifest",
@@ -140,21 +141,31 @@
     time_seconds: float,
 ) -> Manifest:
     """Return the manifest that follows ``previous``, with its checkpoint id."""
-    revision = previous.revision + 1 if previous else 1
-    before = previous.checkpoint_id if previous else ""
-    content = _dump((before, revision, parts, withdrawals))
-    checkpoint_id = hashlib.sha256(content).hexdigest()[:CHECKPOINT_ID_LENGTH]
-    return Manifest(
-        revision=revision,
+    unsealed = Manifest(
+        revision=previous.revision + 1 if previous else 1,
         change_id=change_id,
-        checkpoint_id=checkpoint_id,
-        previous_checkpoint_id=before,
+        checkpoint_id="",
+        previous_checkpoint_id=previous.checkpoint_id if previous else "",
         author=author,
         message=message,
         time_seconds=time_seconds,
         parts=parts,
         withdrawals=withdrawals,
     )
+    return dataclasses.replace(unsealed, checkpoint_id=checkpoint_id(unsealed))
+
+
+def checkpoint_id(manifest: Manifest) -> str:
+    """Return the hash over a manifest's content and the checkpoint id before it."""
+    content = _dump(
+        (
+            manifest.previous_checkpoint_id,
+            manifest.revision,
+            manifest.parts,
+            manifest.withdrawals,
+        )
+    )
+    return hashlib.sha256(content).hexdigest()[:CHECKPOINT_ID_LENGTH]
 
 
 class Snapshot:
--- a/linnetladder/transport/__init__.py
+++ b/linnetladder/transport/__init__.py
@@ -6,13 +6,16 @@
 from linnetladder.transport.instance_list import HttpInstanceList
 from linnetladder.transport.key_value import EtcdKeyValue
 from linnetladder.transport.operations_server import OperationsServer, StatusSource
+from linnetladder.transport.peer_links import Certificates, PeerTransport
 
 __all__ = [
+    "Certificates",
     "CallerServer",
     "Connections",
     "EtcdKeyValue",
     "HttpEndpointClient",
     "HttpInstanceList",
     "OperationsServer",
+    "PeerTransport",
     "StatusSource",
 ]
--- /dev/null
+++ b/linnetladder/transport/peer_links.py
@@ -0,0 +1,316 @@
+"""Links to peers over gRPC with mutual TLS: one stream and one reader for each.
+
+A peer proves by its certificate that it is the instance it names in its hello. A link
+that sends too much, or does not keep up with what it is sent, is cut off.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import grpc
+
+from linnetladder.coordination.limits import TokenBucket
+from linnetladder.coordination.peer_messages import Hello, Neighbour, PeerMessage
+from linnetladder.coordination.peers import Link, Peers
+from linnetladder.protocol.generated import peer_pb2 as pb
+from linnetladder.protocol.generated import peer_pb2_grpc
+from linnetladder.protocol.peers import decode_frame, encode_frame
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics, log_change, log_failure
+
+__all__ = ["Certificates", "PeerTransport"]
+
+MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
+MAXIMUM_QUEUED_FRAMES = 4096
+BYTES_PER_SECOND = 8 * 1024 * 1024
+BYTES_BURST = 64 * 1024 * 1024
+KIBIBYTE = 1024
+HELLO_SECONDS = 3.0
+DIAL_SECONDS = 1.0
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", MAXIMUM_FRAME_BYTES),
+    ("grpc.max_send_message_length", MAXIMUM_FRAME_BYTES),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Certificates:
+    """The files that prove who this daemon is; they are read again when they change."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+    def read(self) -> tuple[bytes, bytes, bytes]:
+        """Return the contents: certificate, key, authority."""
+        return (
+            self.certificate.read_bytes(),
+            self.key.read_bytes(),
+            self.authority.read_bytes(),
+        )
+
+    def channel_credentials(self) -> grpc.ChannelCredentials:
+        """Return the credentials for dialing."""
+        certificate, key, authority = self.read()
+        return grpc.ssl_channel_credentials(
+            root_certificates=authority, private_key=key, certificate_chain=certificate
+        )
+
+    def server_credentials(self) -> grpc.ServerCredentials:
+        """Return credentials that follow the files and demand a client certificate."""
+        last = self.read()
+
+        def fetch() -> grpc.ServerCertificateConfiguration | None:
+            nonlocal last
+            try:
+                current = self.read()
+            except OSError:
+                return None
+            if current == last:
+                return None
+            last = current
+            return _server_configuration(current)
+
+        return grpc.dynamic_ssl_server_credentials(
+            _server_configuration(last), fetch, require_client_authentication=True
+        )
+
+
+def _server_configuration(
+    contents: tuple[bytes, bytes, bytes],
+) -> grpc.ServerCertificateConfiguration:
+    certificate, key, authority = contents
+    return grpc.ssl_server_certificate_configuration(
+        ((key, certificate),), root_certificates=authority
+    )
+
+
+class GrpcLink(Link):
+    """One stream, with a queue of what is still to be sent."""
+
+    def __init__(self, *, hello: Hello, dialer: str, clock: Clock, metrics: Metrics):
+        now = clock.monotonic()
+        super().__init__(hello=hello, dialer=dialer, now=now)
+        self.clock = clock
+        self.metrics = metrics
+        self.queue: asyncio.Queue[pb.Frame | None] = asyncio.Queue()
+        self.ended = asyncio.Event()
+        self.allowance = TokenBucket(
+            BYTES_PER_SECOND / KIBIBYTE, BYTES_BURST / KIBIBYTE, 0.0, now
+        )
+        self.allowance.tokens = self.allowance.burst
+
+    def send(self, message: PeerMessage) -> None:
+        """Queue a message."""
+        if self.ended.is_set():
+            return
+        if self.queue.qsize() >= MAXIMUM_QUEUED_FRAMES:
+            self.metrics.count("rejected_peers", label="does_not_keep_up")
+            self.close("does not keep up")
+            return
+        self.queue.put_nowait(encode_frame(message))
+
+    def close(self, reason: str) -> None:
+        """End the stream."""
+        if not self.ended.is_set():
+            log_change("peer link closed", peer=self.hello.instance, reason=reason)
+            self.ended.set()
+            self.queue.put_nowait(None)
+
+    def may_send(self, size: int) -> bool:
+        """Count received bytes and tell whether the peer stays within its rate."""
+        self.metrics.count("peer_messages", label="received")
+        self.metrics.count("peer_bytes", size, label="received")
+        now = self.clock.monotonic()
+        elapsed = now - self.allowance.updated
+        refilled = self.allowance.tokens + elapsed * self.allowance.rate
+        self.allowance.tokens = min(refilled, self.allowance.burst) - size / KIBIBYTE
+        self.allowance.updated = now
+        return self.allowance.tokens >= 0
+
+    async def frames(self, first: Hello) -> AsyncIterator[pb.Frame]:
+        """Yield the hello, then what is queued, until the link ends."""
+        yield encode_frame(first)
+        while True:
+            frame = await self.queue.get()
+            if frame is None:
+                return
+            self.metrics.count("peer_messages", label="sent")
+            self.metrics.count("peer_bytes", frame.ByteSize(), label="sent")
+            yield frame
+
+
+class PeerTransport(peer_pb2_grpc.PeerServicer):
+    """Accept links and dial the ones that are wanted."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        certificates: Certificates,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.peers = peers
+        self.certificates = certificates
+        self.clock = clock
+        self.metrics = metrics
+        self.server: grpc.aio.Server | None = None
+        self.dialing: dict[str, asyncio.Task] = {}
+
+    async def start(self, *, address: str, port: int) -> int:
+        """Listen and return the port; raise `OSError` if that is not possible."""
+        self.server = grpc.aio.server(
+            options=(*CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(self, self.server)
+        credentials = self.certificates.server_credentials()
+        try:
+            bound = self.server.add_secure_port(f"{address}:{port}", credentials)
+        except RuntimeError as error:
+            raise OSError(f"peer port {port}: {error}") from error
+        await self.server.start()
+        return bound
+
+    async def stop(self) -> None:
+        """End all links."""
+        for task in tuple(self.dialing.values()):
+            task.cancel()
+        for link in tuple(self.peers.links.values()):
+            link.close("this daemon stops")
+        if self.server is not None:
+            await self.server.stop(0.1)
+
+    async def run(self) -> None:
+        """Dial the peers that are wanted, until cancelled."""
+        while True:
+            for neighbour in self.peers.wanted():
+                if neighbour.instance not in self.dialing:
+                    task = asyncio.ensure_future(self._dial(neighbour))
+                    task.add_done_callback(_note_failure)
+                    self.dialing[neighbour.instance] = task
+            await asyncio.sleep(DIAL_SECONDS)
+
+    async def Link(self, request_iterator, context):  # noqa: N802
+        """Serve one link that a peer has dialed."""
+        link = await self._accept(request_iterator, context)
+        if link is None:
+            return
+        reading = asyncio.ensure_future(self._read(link, request_iterator))
+        try:
+            async for frame in link.frames(self.peers.own):
+                yield frame
+        finally:
+            link.close("the stream ended")
+            reading.cancel()
+            self.peers.closed(link)
+
+    async def _accept(self, request_iterator, context) -> GrpcLink | None:
+        """Read the hello and hold the peer to its certificate."""
+        try:
+            async with asyncio.timeout(HELLO_SECONDS):
+                hello = decode_frame(await anext(request_iterator))
+        except (TimeoutError, StopAsyncIteration, grpc.RpcError):
+            return None
+        if not isinstance(hello, Hello):
+            self.metrics.count("rejected_peers", label="no_hello")
+            return None
+        names = context.auth_context().get("x509_common_name", [])
+        if hello.instance.encode() not in names:
+            self.metrics.count("rejected_peers", label="certificate")
+            log_change("peer has another's certificate", peer=hello.instance)
+            return None
+        link = self._build_link(hello, dialer=hello.instance)
+        return link if self.peers.opened(link) else None
+
+    async def _dial(self, neighbour: Neighbour) -> None:
+        """Hold one link that this daemon has dialed, until it ends."""
+        try:
+            credentials = self.certificates.channel_credentials()
+        except OSError as error:
+            log_change("certificates can't be read", error=str(error))
+            self.dialing.pop(neighbour.instance, None)
+            return
+        options = (
+            *CHANNEL_OPTIONS,
+            ("grpc.ssl_target_name_override", neighbour.instance),
+        )
+        try:
+            async with grpc.aio.secure_channel(
+                neighbour.peer_address, credentials, options
+            ) as channel:
+                await self._hold(channel)
+        except (TimeoutError, grpc.RpcError, OSError):
+            return
+        finally:
+            self.dialing.pop(neighbour.instance, None)
+
+    async def _hold(self, channel: grpc.aio.Channel) -> None:
+        link: GrpcLink | None = None
+        ready = asyncio.get_running_loop().create_future()
+
+        async def outgoing() -> AsyncIterator[pb.Frame]:
+            yield encode_frame(self.peers.own)
+            opened: GrpcLink = await ready
+            frames = opened.frames(self.peers.own)
+            await anext(frames)
+            async for frame in frames:
+                yield frame
+
+        call = peer_pb2_grpc.PeerStub(channel).Link(outgoing())
+        incoming = aiter(call)
+        try:
+            async with asyncio.timeout(HELLO_SECONDS):
+                hello = decode_frame(await anext(incoming))
+            if not isinstance(hello, Hello):
+                return
+            link = self._build_link(hello, dialer=self.peers.own.instance)
+            if not self.peers.opened(link):
+                return
+            ready.set_result(link)
+            await self._read(link, incoming)
+        finally:
+            if link is not None:
+                link.close("the stream ended")
+                self.peers.closed(link)
+            if not ready.done():
+                ready.cancel()
+            call.cancel()
+
+    async def _read(self, link: GrpcLink, frames) -> None:
+        """Act on a link's frames until it ends."""
+        ended = asyncio.ensure_future(link.ended.wait())
+        reading = asyncio.ensure_future(self._act(link, frames))
+        try:
+            await asyncio.wait((ended, reading), return_when="FIRST_COMPLETED")
+        finally:
+            ended.cancel()
+            reading.cancel()
+            with contextlib.suppress(grpc.RpcError, asyncio.CancelledError):
+                await reading
+
+    async def _act(self, link: GrpcLink, frames) -> None:
+        async for frame in frames:
+            if not link.may_send(frame.ByteSize()):
+                self.metrics.count("rejected_peers", label="sends_too_much")
+                link.close("sends too much")
+                return
+            message = decode_frame(frame)
+            if message is not None:
+                await self.peers.received(link, message)
+        link.close("the peer ended the stream")
+
+    def _build_link(self, hello: Hello, *, dialer: str) -> GrpcLink:
+        return GrpcLink(
+            hello=hello, dialer=dialer, clock=self.clock, metrics=self.metrics
+        )
+
+
+def _note_failure(task: asyncio.Task) -> None:
+    """Log a fault of the program itself in a task that nobody awaits."""
+    if not task.cancelled() and task.exception() is not None:
+        log_failure("peer link failed", task.exception())
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -4,6 +4,8 @@
 import dataclasses
 import hashlib
 import json
+import tempfile
+from pathlib import Path
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +21,7 @@
 from standins import engine as engines
 from standins import platform as platforms
 from standins import service as services
+from standins.certificates import Authority
 
 WAIT_SECONDS = 10.0
 DOMAINS = ("riga-ke", "riga-pl", "riga-im")
@@ -119,6 +122,8 @@
         self.daemon_count = daemons
         self.engine_count = engine_count
         self.platform = platforms.PlatformStandIn(list_lag_seconds=0.0)
+        self.folder = tempfile.TemporaryDirectory()
+        self.authority = Authority(folder=Path(self.folder.name))
         self.engines: list[engines.EngineStandIn] = []
         self.services: list[services.ServiceStandIn] = []
         self.served: list[Served] = []
@@ -156,6 +161,7 @@
         await self.store.close()
         for served in self.served:
             await served.stop()
+        self.folder.cleanup()
 
     async def add_engine(self, name: str, domain: str) -> engines.EngineStandIn:
         """Start an engine and list it."""
@@ -184,7 +190,11 @@
 
     async def add_daemon(self, name: str, domain: str, **changes: object) -> Daemon:
         """Start a daemon."""
+        certificate, key = self.authority.issue(name)
         settings = Settings(
+            tls_certificate=str(certificate),
+            tls_key=str(key),
+            tls_authority=str(self.authority.path),
             instance=name,
             failure_domain=domain,
             failure_domains=DOMAINS,
