Check the ten promises over recorded histories

Cause: whether the promises hold could not be decided from a run. Change: event types for what callers, endpoints, operators and the ledger see, a checker function for each promise, a planted violation for each; the assembly can be built on fakes; scenarios of platform outages, dying daemons and poison requests.

--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -1,4 +1,8 @@
-"""How the parts of a daemon are put together from its settings."""
+"""How the parts of a daemon are put together from its settings.
+
+`build_core` joins the parts of coordination to whatever stands behind their abstract
+base classes, which tests use with fakes. `assemble` adds the real transport.
+"""
 
 import dataclasses
 import secrets
@@ -26,14 +30,17 @@
     Router,
 )
 from linnetladder.coordination.bill_copies import PeerBillCopier
+from linnetladder.coordination.discovery import LoadSource
 from linnetladder.coordination.endpoint_choice import CHOICES
+from linnetladder.coordination.endpoint_client import EndpointClient
 from linnetladder.coordination.held_blocks import HeldBlocks
 from linnetladder.coordination.peer_configuration import PeerConfiguration
 from linnetladder.coordination.peer_messages import Hello, Neighbour
 from linnetladder.coordination.peers import Peers
+from linnetladder.coordination.platform import InstanceList, KeyValueService
 from linnetladder.coordination.registration import DaemonRecord
 from linnetladder.state import Clock, EndpointTable, KeyRing, SigningKey, SystemClock
-from linnetladder.telemetry import Metrics, build_tracer
+from linnetladder.telemetry import Metrics, Tracer, build_tracer
 from linnetladder.transport import (
     CallerServer,
     Certificates,
@@ -45,8 +52,11 @@
 )
 
 __all__ = [
+    "Core",
     "Parts",
+    "Ports",
     "assemble",
+    "build_core",
     "build_registration",
     "new_signing_key",
     "seed_neighbours",
@@ -57,17 +67,26 @@
 ADDRESS_BURST_SECONDS = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """What stands behind coordination's abstract base classes."""
+
+    store: KeyValueService
+    instances: InstanceList
+    client: EndpointClient
+    loads: LoadSource
+    clock: Clock
+    metrics: Metrics
+    tracer: Tracer
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Parts:
-    """The long-lived objects of one daemon."""
+class Core:
+    """The parts of coordination and state of one daemon."""
 
-    settings: Settings
     incarnation: str
     metrics: Metrics
-    store: EtcdKeyValue
-    instances: HttpInstanceList
-    connections: Connections
-    client: HttpEndpointClient
+    store: KeyValueService
     keys: KeyRing
     configuration: ConfigurationInForce
     live_state: LiveState
@@ -80,9 +99,19 @@
     poison: PoisonBook
     held: HeldBlocks
     peers: Peers
-    peer_transport: PeerTransport | None
     router: Router
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Parts(Core):
+    """All long-lived objects of one daemon."""
+
+    settings: Settings
+    instances: HttpInstanceList
+    connections: Connections
+    client: HttpEndpointClient
     callers: CallerServer
+    peer_transport: PeerTransport | None
 
 
 def new_signing_key(key_id: str) -> SigningKey:
@@ -90,36 +119,11 @@
     return SigningKey(key_id, secrets.token_hex(SECRET_BYTES), time.time())
 
 
-def assemble(settings: Settings) -> Parts:
-    """Build a daemon's parts; nothing is started and nothing is sent yet."""
-    clock = SystemClock()
-    metrics = Metrics()
-    incarnation = secrets.token_hex(INCARNATION_BYTES)
-    seed = secrets.randbits(64)
-    tracer = build_tracer(
-        exporter=settings.trace_exporter,
-        endpoint=settings.trace_endpoint,
-        share=settings.trace_share,
-        instance=settings.instance,
-        failure_domain=settings.failure_domain,
-    )
-    store = EtcdKeyValue(
-        urls=settings.platform_urls,
-        timeout_seconds=settings.platform_timeout_seconds,
-        clock=clock,
-        metrics=metrics,
-    )
-    instances = HttpInstanceList(
-        url=settings.instance_list_url,
-        timeout_seconds=settings.platform_timeout_seconds,
-        metrics=metrics,
-    )
-    connections = Connections(connect_seconds=settings.connect_timeout_seconds)
-    client = HttpEndpointClient(
-        connections=connections,
-        clock=clock,
-        silence_seconds=settings.silence_seconds,
-    )
+def build_core(
+    settings: Settings, ports: Ports, *, incarnation: str, seed: int
+) -> Core:
+    """Join the parts of coordination; nothing is started and nothing is sent yet."""
+    clock, metrics, store = ports.clock, ports.metrics, ports.store
     keys = KeyRing()
     table = EndpointTable()
     background = Background()
@@ -142,8 +146,8 @@
     )
     discovery = Discovery(
         table=table,
-        instances=instances,
-        loads=client,
+        instances=ports.instances,
+        loads=ports.loads,
         admission=admission,
         list_seconds=settings.list_poll_seconds,
         load_seconds=settings.load_poll_seconds,
@@ -158,7 +162,7 @@
         ),
         configuration=configuration,
         exchange=PeerConfiguration(
-            configuration=configuration, keys=keys, metrics=metrics
+            configuration=configuration, keys=keys, table=table, metrics=metrics
         ),
         poison=poison,
         table=table,
@@ -175,6 +179,14 @@
         maximum_unrecorded=settings.maximum_unrecorded_bills,
     )
     claims = CompareAndSwapClaims(store=store, clock=clock)
+    limits = AccountLimits()
+    checks = EntryChecks(
+        configuration=configuration,
+        keys=keys,
+        limits=limits,
+        poison=poison,
+        clock=clock,
+    )
     completion = Completion(
         bills=bills,
         claims=claims,
@@ -187,7 +199,7 @@
         configuration=configuration,
         table=table,
         admission=admission,
-        client=client,
+        client=ports.client,
         budget=RetryBudget(share=settings.retry_share),
         ejector=Ejector(clock=clock),
         poison=poison,
@@ -197,14 +209,6 @@
         silence_seconds=settings.silence_seconds,
         seed=seed,
     )
-    limits = AccountLimits()
-    checks = EntryChecks(
-        configuration=configuration,
-        keys=keys,
-        limits=limits,
-        poison=poison,
-        clock=clock,
-    )
     router = Router(
         checks=checks,
         table=table,
@@ -213,29 +217,13 @@
         completion=completion,
         clock=clock,
         metrics=metrics,
-        tracer=tracer,
+        tracer=ports.tracer,
         exploration_seed=seed,
     )
-    callers = CallerServer(
-        router=router,
-        limits=AddressLimits(
-            rate=settings.address_requests_per_second,
-            burst=settings.address_requests_per_second * ADDRESS_BURST_SECONDS,
-        ),
-        clock=clock,
-        metrics=metrics,
-        header_bytes=settings.header_bytes,
-        body_bytes=settings.body_bytes,
-        body_seconds=settings.body_seconds,
-    )
-    return Parts(
-        settings=settings,
+    return Core(
         incarnation=incarnation,
         metrics=metrics,
         store=store,
-        instances=instances,
-        connections=connections,
-        client=client,
         keys=keys,
         configuration=configuration,
         live_state=live_state,
@@ -248,14 +236,85 @@
         poison=poison,
         held=held,
         peers=peers,
-        peer_transport=_build_peer_transport(settings, peers, clock, metrics),
         router=router,
-        callers=callers,
+    )
+
+
+def assemble(settings: Settings) -> Parts:
+    """Build a daemon's parts with the real transport."""
+    clock = SystemClock()
+    metrics = Metrics()
+    store = EtcdKeyValue(
+        urls=settings.platform_urls,
+        timeout_seconds=settings.platform_timeout_seconds,
+        clock=clock,
+        metrics=metrics,
+    )
+    instances = HttpInstanceList(
+        url=settings.instance_list_url,
+        timeout_seconds=settings.platform_timeout_seconds,
+        metrics=metrics,
+    )
+    connections = Connections(connect_seconds=settings.connect_timeout_seconds)
+    client = HttpEndpointClient(
+        connections=connections,
+        clock=clock,
+        silence_seconds=settings.silence_seconds,
+    )
+    ports = Ports(
+        store=store,
+        instances=instances,
+        client=client,
+        loads=client,
+        clock=clock,
+        metrics=metrics,
+        tracer=_build_tracer(settings),
+    )
+    core = build_core(
+        settings,
+        ports,
+        incarnation=secrets.token_hex(INCARNATION_BYTES),
+        seed=secrets.randbits(64),
+    )
+    fields = {
+        field.name: getattr(core, field.name) for field in dataclasses.fields(Core)
+    }
+    return Parts(
+        **fields,
+        settings=settings,
+        instances=instances,
+        connections=connections,
+        client=client,
+        callers=_build_callers(settings, core, clock),
+        peer_transport=_build_peer_transport(settings, core, clock),
+    )
+
+
+def _build_tracer(settings: Settings) -> Tracer:
+    return build_tracer(
+        exporter=settings.trace_exporter,
+        endpoint=settings.trace_endpoint,
+        share=settings.trace_share,
+        instance=settings.instance,
+        failure_domain=settings.failure_domain,
+    )
+
+
+def _build_callers(settings: Settings, core: Core, clock: Clock) -> CallerServer:
+    rate = settings.address_requests_per_second
+    return CallerServer(
+        router=core.router,
+        limits=AddressLimits(rate=rate, burst=rate * ADDRESS_BURST_SECONDS),
+        clock=clock,
+        metrics=core.metrics,
+        header_bytes=settings.header_bytes,
+        body_bytes=settings.body_bytes,
+        body_seconds=settings.body_seconds,
     )
 
 
 def _build_peer_transport(
-    settings: Settings, peers: Peers, clock: Clock, metrics: Metrics
+    settings: Settings, core: Core, clock: Clock
 ) -> PeerTransport | None:
     """Return the links' transport, or ``None`` where no certificate is given."""
     if not settings.tls_certificate:
@@ -266,7 +325,7 @@
         authority=Path(settings.tls_authority),
     )
     return PeerTransport(
-        peers=peers, certificates=certificates, clock=clock, metrics=metrics
+        peers=core.peers, certificates=certificates, clock=clock, metrics=core.metrics
     )
 
 
--- a/linnetladder/coordination/discovery.py
+++ b/linnetladder/coordination/discovery.py
@@ -47,7 +47,6 @@
         self.admission = admission
         self.list_seconds = list_seconds
         self.load_seconds = load_seconds
-        self.listed_once = asyncio.Event()
 
     async def run(self) -> None:
         """Poll the list and the endpoints until cancelled."""
@@ -68,7 +67,6 @@
         self.table.keep_listed(names)
         if names != known:
             log_change("endpoints listed", count=len(names))
-        self.listed_once.set()
         self.admission.dispatch()
         return True
 
@@ -91,7 +89,6 @@
             await asyncio.sleep(self.list_seconds)
 
     async def _poll_loads(self) -> None:
-        await self.listed_once.wait()
         while True:
             await self.read_loads()
             await asyncio.sleep(self.load_seconds)
--- a/linnetladder/coordination/peer_configuration.py
+++ b/linnetladder/coordination/peer_configuration.py
@@ -13,7 +13,7 @@
     PartsReply,
     PartsRequest,
 )
-from linnetladder.state import KeyRing, Manifest, Snapshot
+from linnetladder.state import EndpointTable, KeyRing, Manifest, Snapshot
 from linnetladder.state.signing import signing_key_from_json, signing_key_to_json
 from linnetladder.state.snapshot import (
     Part,
@@ -34,24 +34,30 @@
     """Give the configuration in force to peers and take theirs when it is newer."""
 
     def __init__(
-        self, *, configuration: ConfigurationInForce, keys: KeyRing, metrics: Metrics
+        self,
+        *,
+        configuration: ConfigurationInForce,
+        keys: KeyRing,
+        table: EndpointTable,
+        metrics: Metrics,
     ):
         self.configuration = configuration
+        self.table = table
         self.keys = keys
         self.metrics = metrics
         self.pending: Manifest | None = None
         self.parts: dict[str, Part] = {}
 
-    def lacks_keys(self) -> bool:
-        """Tell whether the daemon has no signing key yet."""
-        return self.keys.current is None
+    def lacks_basics(self) -> bool:
+        """Tell whether the daemon has no signing key or no endpoint yet."""
+        return self.keys.current is None or not self.table.endpoints
 
     def manifest_reply(self) -> ManifestReply:
         """Return what is in force here."""
         snapshot = self.configuration.snapshot
         manifest = encode_manifest(snapshot.manifest) if snapshot else b""
         keys = tuple(signing_key_to_json(key) for key in self.keys.keys.values())
-        return ManifestReply(manifest, keys)
+        return ManifestReply(manifest, keys, self.table.reports())
 
     def take_manifest(self, reply: ManifestReply) -> PartsRequest | None:
         """Take in a peer's keys and manifest and return the request that follows."""
@@ -61,9 +67,12 @@
         except (ValueError, TypeError):
             self.metrics.count("rejected_peers", label="malformed")
             return None
-        if self.lacks_keys():
+        if self.keys.current is None:
             for key in keys:
                 self.keys.add(key)
+        if not self.table.endpoints:
+            for report in reply.endpoints:
+                self.table.merge(report)
         if manifest is None or manifest.revision <= self.configuration.revision:
             return None
         if checkpoint_id(manifest) != manifest.checkpoint_id:
--- a/linnetladder/coordination/peer_messages.py
+++ b/linnetladder/coordination/peer_messages.py
@@ -4,6 +4,7 @@
 
 from linnetladder.coordination.billing import BillBlock
 from linnetladder.coordination.poison import Crash
+from linnetladder.state import EndpointReport
 
 __all__ = [
     "BillCopy",
@@ -109,10 +110,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ManifestReply:
-    """The encoded manifest, empty if there is none, and the encoded keys."""
+    """The encoded manifest, empty if there is none, the encoded keys, the endpoints."""
 
     manifest: bytes
     keys: tuple[bytes, ...]
+    endpoints: tuple[EndpointReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/linnetladder/coordination/peers.py
+++ b/linnetladder/coordination/peers.py
@@ -252,7 +252,7 @@
         if heartbeat.revision > self.configuration.revision:
             link.send(ManifestRequest())
             return
-        if self.exchange.lacks_keys():
+        if self.exchange.lacks_basics():
             link.send(ManifestRequest())
         if heartbeat.echo:
             made = heartbeat.echo - heartbeat.confirmed_age_seconds
--- a/linnetladder/protocol/peers.py
+++ b/linnetladder/protocol/peers.py
@@ -19,6 +19,7 @@
 from linnetladder.coordination.platform import Put
 from linnetladder.coordination.poison import Crash
 from linnetladder.protocol.generated import peer_pb2 as pb
+from linnetladder.state import EndpointReport, VersionRef
 
 __all__ = ["decode_frame", "encode_frame"]
 
@@ -50,10 +51,13 @@
             return pb.Frame(facts=_encode_facts(message))
         case ManifestRequest():
             return pb.Frame(manifest_request=pb.ManifestRequest())
-        case ManifestReply(manifest, keys):
-            return pb.Frame(
-                manifest_reply=pb.ManifestReply(manifest=manifest, keys=keys)
+        case ManifestReply(manifest, keys, endpoints):
+            reply = pb.ManifestReply(
+                manifest=manifest,
+                keys=keys,
+                endpoints=[_encode_endpoint(entry) for entry in endpoints],
             )
+            return pb.Frame(manifest_reply=reply)
         case PartsRequest(digests):
             return pb.Frame(parts_request=pb.PartsRequest(digests=digests))
         case PartsReply(contents):
@@ -86,7 +90,8 @@
             return ManifestRequest()
         case "manifest_reply":
             reply = frame.manifest_reply
-            return ManifestReply(reply.manifest, tuple(reply.keys))
+            endpoints = tuple(_decode_endpoint(entry) for entry in reply.endpoints)
+            return ManifestReply(reply.manifest, tuple(reply.keys), endpoints)
         case "parts_request":
             return PartsRequest(tuple(frame.parts_request.digests))
         case "parts_reply":
@@ -169,3 +174,29 @@
             Departure(entry.endpoint, entry.incarnation) for entry in frame.departures
         ),
     )
+
+
+def _encode_endpoint(report: EndpointReport) -> pb.Endpoint:
+    return pb.Endpoint(
+        name=report.name,
+        incarnation=report.incarnation,
+        address=report.address,
+        failure_domain=report.failure_domain,
+        service=report.service,
+        versions=[str(ref) for ref in report.versions or ()],
+        capacity=report.capacity or 1,
+        leaving=report.leaving,
+    )
+
+
+def _decode_endpoint(frame: pb.Endpoint) -> EndpointReport:
+    return EndpointReport(
+        name=frame.name,
+        incarnation=frame.incarnation,
+        address=frame.address,
+        failure_domain=frame.failure_domain,
+        service=frame.service,
+        versions=frozenset(VersionRef.parse(text) for text in frame.versions),
+        capacity=frame.capacity,
+        leaving=frame.leaving,
+    )
--- a/linnetladder/state/endpoint_table.py
+++ b/linnetladder/state/endpoint_table.py
@@ -63,6 +63,23 @@
         if gone:
             self._index()
 
+    def reports(self) -> tuple[EndpointReport, ...]:
+        """Return what is known of every listed endpoint, for a daemon that is new."""
+        return tuple(
+            EndpointReport(
+                name=endpoint.name,
+                incarnation=endpoint.incarnation,
+                address=endpoint.address,
+                failure_domain=endpoint.failure_domain,
+                service=endpoint.service,
+                versions=endpoint.versions,
+                capacity=endpoint.capacity,
+                leaving=endpoint.leaving,
+            )
+            for endpoint in self.endpoints.values()
+            if endpoint.listed
+        )
+
     def pool(self, target: Target) -> Pool | None:
         """Return the endpoints that serve a target, if there are any."""
         return self.pools.get(target)
--- /dev/null
+++ b/proof/checker.py
@@ -0,0 +1,265 @@
+"""The ten promises, each checked over a history by a function of its own."""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from proof.history import (
+    Accepted,
+    Answered,
+    Broken,
+    Crashed,
+    CutOff,
+    History,
+    InForce,
+    Leaving,
+    Ran,
+    Refused,
+    Stopped,
+    Submitted,
+    Withdrawn,
+)
+
+__all__ = ["PROMISES", "Rules", "Violation", "check_history"]
+
+IN_FORCE_SECONDS = 7.0
+LEAVING_SECONDS = 3.0
+CRASHES_ALLOWED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What is allowed to whom, which no event says.
+
+    ``allowed`` maps a client account to the versions it may use at any time of the
+    history; an account that is not named is not checked.
+    """
+
+    allowed: Mapping[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    in_force_seconds: float = IN_FORCE_SECONDS
+    leaving_seconds: float = LEAVING_SECONDS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that what was seen does not keep."""
+
+    promise: str
+    detail: str
+
+
+def _submissions(history: History) -> dict[str, Submitted]:
+    return {event.submission: event for event in history.of(Submitted)}
+
+
+def _by_key(history: History) -> dict[str, list[Submitted]]:
+    found: dict[str, list[Submitted]] = collections.defaultdict(list)
+    for event in history.of(Submitted):
+        found[event.key].append(event)
+    return found
+
+
+def check_allowed(history: History, rules: Rules) -> list[str]:
+    """A request runs only on a version that its client account allows."""
+    accounts = {event.key: event.account for event in history.of(Submitted)}
+    found = []
+    for run in history.of(Ran):
+        allowed = rules.allowed.get(accounts.get(run.key, ""))
+        if allowed is not None and run.version and run.version not in allowed:
+            found.append(f"{run.key} ran on {run.version} at {run.endpoint}")
+    return found
+
+
+def check_withdrawn(history: History, rules: Rules) -> list[str]:
+    """A withdrawn version receives no new work, once that can be known."""
+    withdrawn: dict[str, float] = {}
+    for event in history.of(Withdrawn):
+        withdrawn.setdefault(event.version, event.time)
+    found = []
+    for run in history.of(Ran):
+        since = withdrawn.get(run.version)
+        if since is None:
+            continue
+        known_by = _after_cuts(history, run.daemon, since) + rules.in_force_seconds
+        if run.time > known_by:
+            late = run.time - since
+            found.append(f"{run.key} ran on {run.version} {late:.1f} s after")
+    return found
+
+
+def _after_cuts(history: History, daemon: str, time: float) -> float:
+    """Return when a daemon could first know of something that was so at a time."""
+    for cut in history.of(CutOff):
+        if cut.daemon == daemon and cut.time <= time < cut.until:
+            time = cut.until
+        elif cut.daemon == daemon and time <= cut.time <= time + IN_FORCE_SECONDS:
+            time = cut.until
+    return time
+
+
+def check_sessions(history: History, rules: Rules) -> list[str]:
+    """A session keeps its version for its whole life."""
+    submissions = _submissions(history)
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for answer in history.of(Answered):
+        session = submissions[answer.submission].session
+        if session:
+            versions[session].add(answer.version)
+    return [
+        f"session {session} was served by {sorted(seen)}"
+        for session, seen in versions.items()
+        if len(seen) > 1
+    ]
+
+
+def check_bills(history: History, rules: Rules) -> list[str]:
+    """Each request is billed exactly once.
+
+    What was answered is billed. What was refused every time is not, unless it is not
+    idempotent and ran. What broke off may be billed, once.
+    """
+    bills = collections.Counter((bill.account, bill.key) for bill in history.bills)
+    found = [f"{key} is billed {n} times" for (_, key), n in bills.items() if n > 1]
+    answered = {event.submission for event in history.of(Answered)}
+    broken = {event.submission for event in history.of(Broken)}
+    ran = {event.key for event in history.of(Ran)}
+    known = set()
+    for key, submissions in _by_key(history).items():
+        account = submissions[0].account
+        known.add((account, key))
+        is_billed = (account, key) in bills
+        was_answered = any(s.submission in answered for s in submissions)
+        was_broken = any(s.submission in broken for s in submissions)
+        had_effect = not submissions[0].idempotent and key in ran
+        if was_answered and not is_billed:
+            found.append(f"{key} was answered and is not billed")
+        if is_billed and not (was_answered or was_broken or had_effect):
+            found.append(f"{key} was only refused and is billed")
+    unknown = [key for account, key in bills if (account, key) not in known]
+    found.extend(f"{key} is billed and was never sent" for key in unknown)
+    return found
+
+
+def check_answers(history: History, rules: Rules) -> list[str]:
+    """A caller gets the whole answer to its own request, or a refusal, once."""
+    ends: collections.Counter[str] = collections.Counter()
+    found = []
+    for answer in history.of(Answered):
+        ends[answer.submission] += 1
+        if not answer.right:
+            found.append(f"{answer.submission} got a wrong or cut answer")
+    for event in (*history.of(Refused), *history.of(Broken)):
+        ends[event.submission] += 1
+    for submission in _submissions(history):
+        if ends[submission] != 1:
+            found.append(f"{submission} ended {ends[submission]} times")
+    return found
+
+
+def check_not_run(history: History, rules: Rules) -> list[str]:
+    """A refusal that says "not run" is true."""
+    first_run: dict[str, float] = {}
+    for run in history.of(Ran):
+        first_run.setdefault(run.key, run.time)
+    submissions = _submissions(history)
+    found = []
+    for refusal in history.of(Refused):
+        key = submissions[refusal.submission].key
+        if refusal.ran == "no" and first_run.get(key, refusal.time) < refusal.time:
+            found.append(f"{refusal.submission} ({refusal.kind}) had run")
+    return found
+
+
+def check_at_most_once(history: History, rules: Rules) -> list[str]:
+    """A request marked as non-idempotent runs at most once."""
+    runs = collections.Counter(run.key for run in history.of(Ran))
+    return [
+        f"{key} ran {runs[key]} times"
+        for key, submissions in _by_key(history).items()
+        if not submissions[0].idempotent and runs[key] > 1
+    ]
+
+
+def check_leaving(history: History, rules: Rules) -> list[str]:
+    """An endpoint that is leaving gets no new work after a few seconds."""
+    leaving: dict[str, float] = {}
+    for event in history.of(Leaving):
+        leaving.setdefault(event.endpoint, event.time)
+    return [
+        f"{run.key} ran at {run.endpoint}, {run.time - leaving[run.endpoint]:.1f} s on"
+        for run in history.of(Ran)
+        if run.endpoint in leaving
+        and run.time > leaving[run.endpoint] + rules.leaving_seconds
+    ]
+
+
+def check_shutdown(history: History, rules: Rules) -> list[str]:
+    """A graceful shutdown cuts no request in flight."""
+    ended = {event.daemon: event for event in history.of(Stopped)}
+    submissions = _submissions(history)
+    found = []
+    for broken in history.of(Broken):
+        stop = ended.get(submissions[broken.submission].daemon)
+        if broken.caller_left or stop is None or not stop.graceful:
+            continue
+        if submissions[broken.submission].time <= stop.time <= broken.time:
+            found.append(f"{broken.submission} was cut by a graceful shutdown")
+    return found
+
+
+def check_in_force(history: History, rules: Rules) -> list[str]:
+    """An accepted configuration is in force everywhere soon and never reverts."""
+    seen: dict[tuple[str, str], list[InForce]] = collections.defaultdict(list)
+    for event in history.of(InForce):
+        seen[(event.daemon, event.incarnation)].append(event)
+    found = []
+    for (daemon, _), events in seen.items():
+        for before, after in zip(events, events[1:], strict=False):
+            if after.revision < before.revision:
+                found.append(
+                    f"{daemon} went from {before.revision} to {after.revision}"
+                )
+        for change in history.of(Accepted):
+            known_by = _after_cuts(history, daemon, change.time)
+            limit = known_by + rules.in_force_seconds
+            late = [
+                e for e in events if e.time > limit and e.revision < change.revision
+            ]
+            if late:
+                found.append(f"{daemon} lacked {change.revision} at {late[0].time:.1f}")
+    return found
+
+
+def check_poison(history: History, rules: Rules) -> list[str]:
+    """A request takes at most two endpoints down."""
+    crashes = collections.Counter(event.key for event in history.of(Crashed))
+    return [
+        f"{key} crashed {count} endpoints"
+        for key, count in crashes.items()
+        if count > CRASHES_ALLOWED
+    ]
+
+
+PROMISES: dict[str, Callable[[History, Rules], list[str]]] = {
+    "allowed version": check_allowed,
+    "withdrawn version": check_withdrawn,
+    "session keeps version": check_sessions,
+    "billed exactly once": check_bills,
+    "whole own answer": check_answers,
+    "not run is true": check_not_run,
+    "at most once": check_at_most_once,
+    "leaving endpoint": check_leaving,
+    "graceful shutdown": check_shutdown,
+    "in force, never reverts": check_in_force,
+    "two crashes at most": check_poison,
+}
+
+
+def check_history(history: History, rules: Rules | None = None) -> list[Violation]:
+    """Return every violation of every promise."""
+    rules = rules or Rules()
+    return [
+        Violation(promise, detail)
+        for promise, check in PROMISES.items()
+        for detail in check(history, rules)
+    ]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -21,7 +21,7 @@
 
 FLAGS = flags.FLAGS
 MAXIMUM_VALUE_BYTES = 1_048_576
-SLOW_SECONDS = 0.5
+SLOW_SECONDS = 0.25
 
 
 class PlatformStandIn:
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -127,6 +127,7 @@
         self.engines: list[engines.EngineStandIn] = []
         self.services: list[services.ServiceStandIn] = []
         self.served: list[Served] = []
+        self.served_at: dict[str, Served] = {}
         self.daemons: list[Daemon] = []
         self.store: EtcdKeyValue | None = None
         self.session: aiohttp.ClientSession | None = None
@@ -217,6 +218,36 @@
         self.daemons.append(daemon)
         return daemon
 
+    def crash_on(self, engine: engines.EngineStandIn, text: str) -> None:
+        """Have an engine go down, like a killed process, when it is sent a text."""
+        begin = engine.begin
+
+        def begin_or_crash(request_id, body, priority):
+            if body["messages"][-1]["content"] == text:
+                engine.started += 1
+                served = self.served_at[engine.address]
+                for site in tuple(served.runner.sites):
+                    site._server.close()
+                for connection in tuple(served.runner.server.connections):
+                    connection.transport.abort()
+                raise ConnectionResetError("the engine went down")
+            return begin(request_id, body, priority)
+
+        engine.begin = begin_or_crash
+
+    async def kill(self, number: int) -> None:
+        """End a daemon as a crash would: nothing is drained, nothing is flushed."""
+        daemon = self.daemons.pop(number)
+        parts = daemon.parts
+        for task in (*daemon.tasks, *parts.bills.open_blocks.values()):
+            task.cancel()
+        await parts.callers.stop()
+        await daemon.operations.stop()
+        await parts.peer_transport.stop()
+        await parts.connections.close()
+        await parts.instances.close()
+        await parts.store.close()
+
     async def apply(self, text: str) -> int:
         """Apply declarations and return the revision."""
         declarations = parse_declarations(text, file="test.yaml").unwrap()
@@ -296,4 +327,6 @@
     async def _serve(self, app: web.Application) -> int:
         served = Served(app)
         self.served.append(served)
-        return await served.start()
+        port = await served.start()
+        self.served_at[f"127.0.0.1:{port}"] = served
+        return port
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,139 @@
+"""The checker sees each planted violation, and nothing in a clean history."""
+
+import pytest
+
+from proof import History, Rules, check_history
+from proof.history import (
+    Accepted,
+    Answered,
+    Billed,
+    Broken,
+    Crashed,
+    CutOff,
+    InForce,
+    Leaving,
+    Ran,
+    Refused,
+    Stopped,
+    Submitted,
+    Withdrawn,
+)
+
+RULES = Rules(allowed={"studio": frozenset({"small@1", "small@2"})})
+
+
+def submitted(key: str, *, submission: str = "", time: float = 1.0, **fields):
+    return Submitted(
+        time=time,
+        submission=submission or f"{key}/1",
+        key=key,
+        account="studio",
+        daemon=fields.pop("daemon", "d1"),
+        idempotent=fields.pop("idempotent", True),
+        **fields,
+    )
+
+
+def answered(submission: str, *, version: str = "small@1", right: bool = True):
+    return Answered(time=3.0, submission=submission, version=version, right=right)
+
+
+def ran(key: str, *, time: float = 2.0, version: str = "small@1", endpoint="e1"):
+    return Ran(time=time, key=key, endpoint=endpoint, version=version, daemon="d1")
+
+
+def clean() -> History:
+    return History(
+        events=[
+            submitted("a", session="s"),
+            ran("a"),
+            answered("a/1"),
+            submitted("b", idempotent=False),
+            Refused(time=1.5, submission="b/1", kind="overloaded", ran="no"),
+            submitted("c", daemon="d2"),
+            Broken(time=5.0, submission="c/1"),
+            Stopped(time=4.0, daemon="d2", graceful=False),
+            InForce(time=1.0, daemon="d1", incarnation="i", revision=1),
+        ],
+        bills=[Billed(account="studio", key="a")],
+    )
+
+
+def test_a_clean_history_has_no_violation():
+    assert check_history(clean(), RULES) == []
+
+
+PLANTED = {
+    "allowed version": [ran("a", version="large@1")],
+    "withdrawn version": [
+        Withdrawn(time=10.0, version="small@1"),
+        ran("a", time=18.0),
+    ],
+    "session keeps version": [
+        submitted("d", session="s"),
+        ran("d", version="small@2"),
+        answered("d/1", version="small@2"),
+    ],
+    "whole own answer": [submitted("d"), ran("d"), answered("d/1", right=False)],
+    "not run is true": [
+        submitted("d"),
+        ran("d"),
+        Refused(time=3.0, submission="d/1", kind="overloaded", ran="no"),
+    ],
+    "at most once": [ran("b"), ran("b", time=2.5)],
+    "leaving endpoint": [Leaving(time=10.0, endpoint="e1"), ran("a", time=14.0)],
+    "graceful shutdown": [
+        submitted("d", daemon="d3"),
+        Stopped(time=2.0, daemon="d3", graceful=True),
+        Broken(time=3.0, submission="d/1"),
+    ],
+    "in force, never reverts": [
+        InForce(time=2.0, daemon="d1", incarnation="i", revision=3),
+        InForce(time=3.0, daemon="d1", incarnation="i", revision=2),
+    ],
+    "two crashes at most": [
+        Crashed(time=float(n), endpoint=f"e{n}", key="a") for n in range(3)
+    ],
+}
+
+
+@pytest.mark.parametrize("promise", PLANTED)
+def test_a_planted_violation_is_seen(promise):
+    history = clean()
+    history.events.extend(PLANTED[promise])
+    assert promise in {v.promise for v in check_history(history, RULES)}
+
+
+@pytest.mark.parametrize(
+    "bills",
+    [
+        [],
+        [Billed(account="studio", key="a")] * 2,
+        [Billed(account="studio", key="a"), Billed(account="studio", key="b")],
+        [Billed(account="studio", key="a"), Billed(account="studio", key="z")],
+    ],
+)
+def test_missing_double_wrong_and_invented_bills_are_seen(bills):
+    history = clean()
+    history.bills = list(bills)
+    assert {v.promise for v in check_history(history, RULES)} == {"billed exactly once"}
+
+
+def test_two_ends_of_one_submission_are_seen():
+    history = clean()
+    history.events.append(Broken(time=9.0, submission="a/1"))
+    assert "whole own answer" in {v.promise for v in check_history(history, RULES)}
+
+
+def test_a_late_configuration_is_seen_unless_the_daemon_was_cut_off():
+    history = clean()
+    history.events.extend(
+        [
+            Accepted(time=10.0, revision=2),
+            InForce(time=20.0, daemon="d1", incarnation="i", revision=1),
+        ]
+    )
+    promises = {v.promise for v in check_history(history, RULES)}
+    assert promises == {"in force, never reverts"}
+    history.events.append(CutOff(time=9.0, until=15.0, daemon="d1"))
+    assert check_history(history, RULES) == []
