Fuzz several daemons on virtual time against the ten promises

Cause: combinations of faults were not brought about by any test. Change: a world of daemons, endpoints and a platform in memory, with kills, graceful stops, outages, lost and late writes, cut links, crashing, silent and crossed answers, withdrawals and departures as rules of a hypothesis state machine; its history goes to the checker.

--- /dev/null
+++ b/tests/support/endpoints.py
@@ -0,0 +1,282 @@
+"""Endpoints in memory, with faults that a test orders, and their client."""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import AsyncIterator
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.discovery import LoadSource
+from linnetladder.coordination.endpoint_client import (
+    EndpointCall,
+    EndpointClient,
+    EndpointFault,
+    EndpointFaultKind,
+    RequestStatus,
+    StreamAnswer,
+    StreamEvent,
+    Usage,
+    WholeAnswer,
+)
+from linnetladder.coordination.platform import (
+    FaultKind,
+    InstanceList,
+    PlatformFault,
+)
+from linnetladder.errors import Ran as RanWord
+from linnetladder.state import Endpoint, EndpointReport
+from proof.history import Crashed, History, Ran
+from tests.support.memory import MemoryKeyValue
+
+NETWORK_SECONDS = 0.002
+WORK_SECONDS = 0.2
+EVENTS = 4
+RESTART_SECONDS = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """One request at an endpoint."""
+
+    finished: bool = False
+    cancelled: bool = False
+
+
+class FakeEndpoint:
+    """An endpoint that runs requests and suffers what it is told to."""
+
+    def __init__(
+        self, *, name: str, domain: str, versions: frozenset, history: History
+    ):
+        self.name = name
+        self.domain = domain
+        self.versions = versions
+        self.history = history
+        self.generations = itertools.count(1)
+        self.incarnation = f"{name}.{next(self.generations)}"
+        self.up = True
+        self.leaving = False
+        self.faults: list[str] = []
+        self.deadly: set[str] = set()
+        self.work: dict[str, Work] = {}
+        self.running = 0
+
+    def report(self) -> EndpointReport:
+        """Return the endpoint's own report."""
+        return EndpointReport(
+            name=self.name,
+            incarnation=self.incarnation,
+            address=self.name,
+            failure_domain=self.domain,
+            service="models" if self.versions else "desk",
+            versions=self.versions,
+            capacity=4,
+            in_flight=self.running,
+            leaving=self.leaving,
+        )
+
+    def go_down(self) -> None:
+        """Die, and come back later as another incarnation."""
+        self.up = False
+        self.work.clear()
+        asyncio.get_running_loop().call_later(RESTART_SECONDS, self._come_back)
+
+    def _come_back(self) -> None:
+        if not self.up:
+            self.up = True
+            self.leaving = False
+            self.incarnation = f"{self.name}.{next(self.generations)}"
+
+    def take_fault(self) -> str:
+        """Return the next fault that was ordered, if any."""
+        return self.faults.pop(0) if self.faults else ""
+
+
+def key_of(call: EndpointCall) -> str:
+    """Return the request key, which test requests carry in their body."""
+    text = call.body.decode()
+    start = text.index("key:") + len("key:")
+    return text[start:].split(";")[0]
+
+
+class FakeClient(EndpointClient, LoadSource):
+    """One daemon's way to the endpoints; the way can be cut."""
+
+    def __init__(self, *, endpoints: dict[str, FakeEndpoint], daemon: str):
+        self.endpoints = endpoints
+        self.daemon = daemon
+        self.alive = True
+
+    async def call(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        target = self.endpoints[endpoint.name]
+        fault = target.take_fault()
+        if fault == "silent_before":
+            await asyncio.Future()
+        await asyncio.sleep(NETWORK_SECONDS)
+        if not target.up:
+            return Failure(_fault(EndpointFaultKind.CONNECT, RanWord.NO))
+        if target.leaving:
+            return Failure(_fault(EndpointFaultKind.LEAVING, RanWord.NO))
+        if fault == "busy":
+            return Failure(_fault(EndpointFaultKind.BUSY, RanWord.NO))
+        return await self._run(target, call, fault)
+
+    async def _run(
+        self, target: FakeEndpoint, call: EndpointCall, fault: str
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        key = key_of(call)
+        version = str(call.target) if call.target else ""
+        now = asyncio.get_running_loop().time()
+        target.history.events.append(
+            Ran(
+                time=now,
+                key=key,
+                endpoint=target.name,
+                version=version,
+                daemon=self.daemon,
+            )
+        )
+        if key in target.deadly or fault == "crash":
+            if key in target.deadly:
+                crash = Crashed(time=now, endpoint=target.incarnation, key=key)
+                target.history.events.append(crash)
+            target.go_down()
+            return Failure(_fault(EndpointFaultKind.BROKEN, RanWord.UNKNOWN, True))
+        work = Work()
+        target.work[call.request_id] = work
+        if call.stream:
+            return Success(FakeStream(target=target, call=call, work=work, fault=fault))
+        target.running += 1
+        try:
+            await asyncio.sleep(WORK_SECONDS)
+        finally:
+            target.running -= 1
+            work.finished = True
+        return await self._answer(target, call, fault)
+
+    async def _answer(
+        self, target: FakeEndpoint, call: EndpointCall, fault: str
+    ) -> Result[WholeAnswer, EndpointFault]:
+        if fault == "silent_after":
+            await asyncio.Future()
+        kinds = {
+            "lose_reply": (EndpointFaultKind.BROKEN, RanWord.UNKNOWN),
+            "crossed": (EndpointFaultKind.CROSSED, RanWord.UNKNOWN),
+            "cut": (EndpointFaultKind.CUT, RanWord.YES),
+            "wrong_version": (EndpointFaultKind.WRONG_VERSION, RanWord.YES),
+        }
+        if fault in kinds:
+            return Failure(_fault(*kinds[fault]))
+        return Success(_whole(call))
+
+    async def status(self, endpoint: Endpoint, request_id: str) -> RequestStatus:
+        target = self.endpoints[endpoint.name]
+        await asyncio.sleep(NETWORK_SECONDS)
+        if not target.up:
+            return RequestStatus.NO_WORD
+        work = target.work.get(request_id)
+        if work is None:
+            return RequestStatus.UNKNOWN
+        return RequestStatus.FINISHED if work.finished else RequestStatus.RUNNING
+
+    async def resume(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
+        target = self.endpoints[endpoint.name]
+        await asyncio.sleep(NETWORK_SECONDS)
+        work = target.work.get(call.request_id)
+        if not target.up or work is None:
+            return Failure(_fault(EndpointFaultKind.CONNECT, RanWord.UNKNOWN))
+        if call.stream:
+            return Success(FakeStream(target=target, call=call, work=work, fault=""))
+        return Success(_whole(call))
+
+    def suspect(self, endpoint: Endpoint) -> None:
+        """Do nothing: every call is a connection of its own."""
+
+    async def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        work = self.endpoints[endpoint.name].work.get(request_id)
+        if work is not None:
+            work.cancelled = True
+
+    async def is_crashed(self, endpoint: Endpoint) -> bool:
+        await asyncio.sleep(NETWORK_SECONDS)
+        target = self.endpoints[endpoint.name]
+        return not target.up or target.incarnation != endpoint.incarnation
+
+    async def report(self, endpoint: Endpoint) -> Result[EndpointReport, EndpointFault]:
+        await asyncio.sleep(NETWORK_SECONDS)
+        target = self.endpoints[endpoint.name]
+        if not target.up:
+            return Failure(_fault(EndpointFaultKind.CONNECT, RanWord.NO))
+        return Success(target.report())
+
+
+class FakeStream(StreamAnswer):
+    """A stream of a few events that may break off."""
+
+    def __init__(
+        self, *, target: FakeEndpoint, call: EndpointCall, work: Work, fault: str
+    ):
+        self.target = target
+        self.call = call
+        self.work = work
+        self.fault = fault
+        self.incarnation = target.incarnation
+
+    async def events(
+        self,
+    ) -> AsyncIterator[Result[list[StreamEvent], EndpointFault]]:
+        key = key_of(self.call)
+        for position in range(self.call.resume_after, EVENTS):
+            await asyncio.sleep(WORK_SECONDS / EVENTS)
+            if self.target.incarnation != self.incarnation or not self.target.up:
+                yield Failure(_fault(EndpointFaultKind.BROKEN, RanWord.YES, True))
+                return
+            if self.fault in ("cut", "lose_reply") and position == 2:
+                yield Failure(_fault(EndpointFaultKind.CUT, RanWord.YES))
+                return
+            if self.fault in ("silent_after", "silent_before") and position == 1:
+                await asyncio.sleep(1.0)
+                yield Failure(_fault(EndpointFaultKind.SILENT, RanWord.YES))
+                return
+            if self.fault == "crossed" and position == 1:
+                yield Failure(_fault(EndpointFaultKind.CROSSED, RanWord.UNKNOWN))
+                return
+            text = f"{key}@{self.call.target}#{position};".encode()
+            yield Success([StreamEvent(text, usage=Usage(1, position + 1))])
+        self.work.finished = True
+        yield Success([StreamEvent(b"[DONE]", end=True)])
+
+    async def close(self) -> None:
+        """Do nothing: there is no connection."""
+
+
+class FakeInstanceList(InstanceList):
+    """The platform's list, as out of reach as its key-value service."""
+
+    def __init__(self, *, fakes: dict[str, FakeEndpoint], store: MemoryKeyValue):
+        self.fakes = fakes
+        self.store = store
+
+    async def endpoints(self) -> Result[tuple[EndpointReport, ...], PlatformFault]:
+        await asyncio.sleep(NETWORK_SECONDS)
+        if self.store.down:
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, "down"))
+        return Success(tuple(fake.report() for fake in self.fakes.values()))
+
+
+def _whole(call: EndpointCall) -> WholeAnswer:
+    body = f"{key_of(call)}@{call.target}".encode()
+    return WholeAnswer(status=200, content_type="text", body=body, usage=Usage(1, 1))
+
+
+def _fault(
+    kind: EndpointFaultKind, ran: RanWord, crash_suspected: bool = False
+) -> EndpointFault:
+    return EndpointFault(
+        kind=kind, ran=ran, detail=str(kind), crash_suspected=crash_suspected
+    )
