Measure fairness under a flood; drop frozen data classes from the request's way

Cause: a profile shows that initializing frozen data classes takes about 4% of a request; the fairness of admission was not measured. Change: data classes that are built for every request are no longer frozen; bench/flood.

--- /dev/null
+++ b/bench/flood.py
@@ -0,0 +1,122 @@
+"""One large account floods a daemon; what the small accounts' latency does.
+
+The same trickle of the small accounts is sent without the flood and with it. The stated
+factor: their p95 stays within three times its value without the flood.
+"""
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import numpy
+from absl import app as absl_app
+from absl import flags
+from rich.console import Console
+from rich.table import Table
+
+from bench.demo import tool
+from bench.scenes import SCENES, Site, credential
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+MAXIMUM_FACTOR = 3.0
+SMALL_PAUSE_SECONDS = 0.2
+MODEL = "linnet-small@2026.09"
+
+
+async def call(session: aiohttp.ClientSession, url: str, account: str) -> float:
+    """Send one request and return its seconds, or infinity if it was refused."""
+    document = {"model": MODEL, "messages": [{"role": "user", "content": "x" * 90}]}
+    headers = {
+        "Authorization": f"Bearer {credential(account)}",
+        "Linnetladder-Deadline-Ms": "10000",
+    }
+    started = time.monotonic()
+    async with session.post(url, data=json.dumps(document), headers=headers) as reply:
+        await reply.read()
+        if reply.status != 200:
+            return float("inf")
+    return time.monotonic() - started
+
+
+async def load(site: Site, *, flood: int) -> dict[str, list[float]]:
+    """Send the small accounts' trickle beside a flood of so many callers."""
+    url = site.caller_url(site.daemons[0]) + "/v1/chat/completions"
+    large = site.scene.large_accounts[0]
+    small = [a for a in site.scene.accounts if a not in site.scene.large_accounts]
+    seen: dict[str, list[float]] = {"small": [], "large": []}
+    ends = time.monotonic() + FLAGS.seconds
+    connector = aiohttp.TCPConnector(limit=0)
+
+    async def work(account: str, group: str, pause: float) -> None:
+        while time.monotonic() < ends:
+            seconds = await call(session, url, account)
+            seen[group].append(seconds)
+            refused_pause = 0.05 if seconds == float("inf") else 0.0
+            await asyncio.sleep(max(pause, refused_pause))
+
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await asyncio.gather(
+            *(work(account, "small", SMALL_PAUSE_SECONDS) for account in small),
+            *(work(large, "large", 0.0) for _ in range(flood)),
+        )
+    return seen
+
+
+def _percentile(values: list[float], percent: float) -> float:
+    return float(numpy.percentile(values, percent)) * 1000 if values else 0.0
+
+
+async def run(console: Console) -> bool:
+    """Measure both cases and return whether the factor holds."""
+    folder = Path(tempfile.mkdtemp(prefix="linnetladder-flood-"))
+    site = Site(scene=SCENES["daugava"], folder=folder, token_seconds=0.005)
+    site.daemons = site.daemons[:1]
+    text = site.scene.declarations.read_text("utf-8")
+    for old in ("requests_per_second: 400", "burst: 800"):
+        text = text.replace(old, old.split(":")[0] + ": 100000")
+    text = text.replace("quality_target: 0.9", "maximum_in_flight: 4096")
+    declarations = folder / "settings.yaml"
+    declarations.write_text(text, "utf-8")
+    try:
+        await site.start("--address_requests_per_second=100000")
+        if tool(site, "apply", str(declarations), "--wait").returncode:
+            return False
+        await site.wait_ready()
+        quiet = await load(site, flood=0)
+        flooded = await load(site, flood=FLAGS.flood)
+    finally:
+        site.fleet.stop()
+    table = Table(title=f"flood of {FLAGS.flood} callers of one account")
+    for column in ("case", "small p50 ms", "small p95 ms", "small refused", "large/s"):
+        table.add_column(column)
+    for name, seen in (("no flood", quiet), ("flood", flooded)):
+        refused = sum(1 for value in seen["small"] if value == float("inf"))
+        answered = sum(1 for value in seen["large"] if value != float("inf"))
+        table.add_row(
+            name,
+            f"{_percentile(seen['small'], 50):.0f}",
+            f"{_percentile(seen['small'], 95):.0f}",
+            f"{refused} of {len(seen['small'])}",
+            f"{answered / FLAGS.seconds:.0f}",
+        )
+    console.print(table)
+    factor = _percentile(flooded["small"], 95) / _percentile(quiet["small"], 95)
+    console.print(f"factor at p95: {factor:.2f}, stated: {MAXIMUM_FACTOR}")
+    return factor <= MAXIMUM_FACTOR
+
+
+def main(argv: list[str]) -> None:
+    """Measure and print."""
+    sys.exit(0 if asyncio.run(run(Console(width=120))) else 1)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_float("seconds", 8.0, "Length of each case.")
+    flags.DEFINE_integer("flood", 300, "Callers of the large account.")
+    absl_app.run(main)
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,275 @@
+"""What control costs a daemon, by the size of what it controls.
+
+Each experiment varies one quantity, measures idle daemons of real processes for a
+while and fits a line. Prints a table with slope, intercept and the fit's error, and
+writes a plot for each.
+"""
+
+import asyncio
+import dataclasses
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import matplotlib
+import numpy
+from absl import app as absl_app
+from absl import flags
+from rich.console import Console
+from rich.table import Table
+
+from bench.demo import tool
+from bench.overhead import processor_seconds
+from bench.processes import wait_until
+from bench.scenes import SCENES, Site
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+FIRST_CROWD_PORT = 15_000
+MEBIBYTE = 1024 * 1024
+PAGE_BYTES = 4096
+FIELDS = (
+    ("processor", "ms/s"),
+    ("memory", "MiB"),
+    ("platform calls", "1/s"),
+    ("platform bytes", "KB/s"),
+    ("peer bytes", "KB/s"),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What one daemon costs: means over the daemons of a run."""
+
+    processor: float
+    memory: float
+    platform_calls: float
+    platform_bytes: float
+    peer_bytes: float
+
+
+def memory_bytes(process_id: int) -> int:
+    """Return a process's resident memory."""
+    fields = Path(f"/proc/{process_id}/statm").read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+async def read_counters(session: aiohttp.ClientSession, port: int) -> dict[str, float]:
+    """Return a daemon's counters, summed over their labels."""
+    async with session.get(f"http://127.0.0.1:{port}/metrics") as response:
+        text = await response.text()
+    sums: dict[str, float] = {}
+    for line in text.splitlines():
+        if line.startswith("#") or "_total" not in line:
+            continue
+        name, value = line.rsplit(" ", 1)
+        family = name.partition("{")[0].removeprefix("linnetladder_")
+        sums[family] = sums.get(family, 0.0) + float(value)
+    return sums
+
+
+async def measure(site: Site) -> Cost:
+    """Measure the site's daemons while nothing is asked of them."""
+    pids = [site.fleet.processes[daemon.name].pid for daemon in site.daemons]
+    async with aiohttp.ClientSession() as session:
+        before = [await read_counters(session, d.operations) for d in site.daemons]
+        used = [processor_seconds(pid) for pid in pids]
+        await asyncio.sleep(FLAGS.seconds)
+        after = [await read_counters(session, d.operations) for d in site.daemons]
+    spent = [processor_seconds(pid) - u for pid, u in zip(pids, used, strict=True)]
+
+    def rate(family: str) -> float:
+        deltas = [
+            a.get(family, 0.0) - b.get(family, 0.0)
+            for a, b in zip(after, before, strict=True)
+        ]
+        return float(numpy.mean(deltas)) / FLAGS.seconds
+
+    return Cost(
+        processor=float(numpy.mean(spent)) * 1000 / FLAGS.seconds,
+        memory=float(numpy.mean([memory_bytes(pid) for pid in pids])) / MEBIBYTE,
+        platform_calls=rate("platform_calls_total"),
+        platform_bytes=rate("platform_bytes_total") / 1000,
+        peer_bytes=rate("peer_bytes_total") / 1000,
+    )
+
+
+async def with_daemons(count: int, folder: Path) -> Cost:
+    """Measure a number of linked daemons before the scene's few endpoints."""
+    per_domain = max(count // 3, 1)
+    site = Site(scene=SCENES["daugava"], folder=folder, daemons_per_domain=per_domain)
+    site.daemons = site.daemons[:count]
+    return await _measure_site(site)
+
+
+async def with_endpoints(count: int, folder: Path) -> Cost:
+    """Measure one daemon before a number of endpoints."""
+    site = Site(scene=SCENES["daugava"], folder=folder)
+    site.daemons = site.daemons[:1]
+    return await _measure_site(site, crowd=count)
+
+
+async def with_accounts(count: int, folder: Path) -> Cost:
+    """Measure one daemon with a number of client accounts in the tree."""
+    site = Site(scene=SCENES["daugava"], folder=folder)
+    site.daemons = site.daemons[:1]
+    text = site.scene.declarations.read_text("utf-8")
+    extra = [
+        f"  - {{name: more-{n}, parent: small-studios, account: true, "
+        f"credentials: [sha256:{n:064x}]}}\n"
+        for n in range(count)
+    ]
+    declarations = folder / "many.yaml"
+    folder.mkdir(parents=True, exist_ok=True)
+    declarations.write_text(text + "".join(extra), "utf-8")
+    return await _measure_site(site, declarations=declarations)
+
+
+async def _measure_site(
+    site: Site, *, crowd: int = 0, declarations: Path | None = None
+) -> Cost:
+    try:
+        await site.start()
+        if crowd:
+            site.fleet.start(
+                "crowd",
+                "standins.crowd",
+                f"--count={crowd}",
+                f"--first_port={FIRST_CROWD_PORT}",
+                f"--domains={','.join(site.scene.domains)}",
+                f"--platform_url={site.platform_url}",
+            )
+        applied = tool(
+            site, "apply", str(declarations or site.scene.declarations), "--wait"
+        )
+        if applied.returncode:
+            raise RuntimeError(applied.stderr)
+        expected = site.scene.engines + site.scene.plain_instances + crowd
+        for daemon in site.daemons:
+            await wait_until(
+                f"http://127.0.0.1:{daemon.operations}/status",
+                lambda status: len(status["endpoints"]) >= expected,
+                seconds=60,
+            )
+        await asyncio.sleep(3.0)
+        return await measure(site)
+    finally:
+        site.fleet.stop()
+
+
+async def time_changes(count: int, folder: Path) -> tuple[list[float], float]:
+    """Return the seconds until each change was in force, and platform calls a change.
+
+    Six daemons; each change raises one account's rate.
+    """
+    site = Site(scene=SCENES["daugava"], folder=folder, daemons_per_domain=2)
+    text = site.scene.declarations.read_text("utf-8")
+    changed = folder / "changed.yaml"
+    try:
+        await site.start()
+        tool(site, "apply", str(site.scene.declarations), "--wait")
+        await site.wait_ready()
+        seconds = []
+        async with aiohttp.ClientSession() as session:
+            before = [await read_counters(session, d.operations) for d in site.daemons]
+            started = time.monotonic()
+            for number in range(count):
+                rate = f"requests_per_second: {500 + number}"
+                changed.write_text(text.replace("requests_per_second: 400", rate))
+                tool(site, "apply", str(changed))
+                applied = time.monotonic()
+                revision = number + 2
+                for daemon in site.daemons:
+                    await wait_until(
+                        f"http://127.0.0.1:{daemon.operations}/status",
+                        lambda s, r=revision: s["revision"] >= r,
+                    )
+                seconds.append(time.monotonic() - applied)
+            elapsed = time.monotonic() - started
+            after = [await read_counters(session, d.operations) for d in site.daemons]
+        calls = sum(
+            a["platform_calls_total"] - b["platform_calls_total"]
+            for a, b in zip(after, before, strict=True)
+        )
+        return seconds, (calls - FLAGS.idle_calls * elapsed * 6) / count
+    finally:
+        site.fleet.stop()
+
+
+def fit(sizes: list[int], values: list[float]) -> tuple[float, float, float]:
+    """Return slope, intercept and the root mean square error of a line."""
+    slope, intercept = numpy.polyfit(sizes, values, 1)
+    predicted = numpy.polyval((slope, intercept), sizes)
+    error = float(numpy.sqrt(numpy.mean((numpy.array(values) - predicted) ** 2)))
+    return float(slope), float(intercept), error
+
+
+def report(console: Console, name: str, sizes: list[int], costs: list[Cost]) -> None:
+    """Print the fitted lines of one experiment and plot them."""
+    table = Table(title=f"by number of {name}: {sizes}")
+    for column in ("cost of a daemon", "measured", "slope", "intercept", "rms error"):
+        table.add_column(column)
+    figure, axes = pyplot.subplots(1, len(FIELDS), figsize=(4 * len(FIELDS), 3.2))
+    fields = dataclasses.fields(Cost)
+    for axis, field, (label, unit) in zip(axes, fields, FIELDS, strict=True):
+        values = [getattr(cost, field.name) for cost in costs]
+        slope, intercept, error = fit(sizes, values)
+        measured = ", ".join(f"{value:.2f}" for value in values)
+        table.add_row(
+            f"{label} {unit}",
+            measured,
+            f"{slope:.4f}",
+            f"{intercept:.2f}",
+            f"{error:.2f}",
+        )
+        axis.plot(sizes, values, "o")
+        axis.plot(sizes, numpy.polyval((slope, intercept), sizes))
+        axis.set(xlabel=name, ylabel=f"{label} {unit}")
+    console.print(table)
+    figure.tight_layout()
+    plots = Path(FLAGS.plots)
+    plots.mkdir(parents=True, exist_ok=True)
+    figure.savefig(plots / f"slopes-{name}.png", dpi=80)
+    pyplot.close(figure)
+
+
+async def run(console: Console) -> None:
+    """Run every experiment."""
+    folder = Path(tempfile.mkdtemp(prefix="linnetladder-slopes-"))
+    experiments = {
+        "daemons": (with_daemons, [3, 6, 12, 24]),
+        "endpoints": (with_endpoints, [10, 50, 150, 300]),
+        "accounts": (with_accounts, [10, 500, 2000, 5000]),
+    }
+    for name, (experiment, sizes) in experiments.items():
+        costs = [await experiment(size, folder / f"{name}-{size}") for size in sizes]
+        report(console, name, sizes, costs)
+    seconds, calls = await time_changes(FLAGS.changes, folder / "changes")
+    shown = [numpy.percentile(seconds, p) for p in (50, 99)]
+    console.print(
+        f"{FLAGS.changes} changes, 6 daemons: in force everywhere after p50 "
+        f"{shown[0]:.2f} s, p99 {shown[1]:.2f} s; {calls:.1f} platform calls a change"
+    )
+
+
+def main(argv: list[str]) -> None:
+    """Measure, print and plot."""
+    started = time.monotonic()
+    console = Console(width=150)
+    asyncio.run(run(console))
+    console.print(f"took {time.monotonic() - started:.0f} s")
+    sys.exit(0)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_float("seconds", 8.0, "Length of one measurement.")
+    flags.DEFINE_integer("changes", 20, "Changes to time.")
+    flags.DEFINE_float("idle_calls", 1.9, "Platform calls a second of an idle daemon.")
+    flags.DEFINE_string("plots", "docs/plots", "Folder for the plots.")
+    absl_app.run(main)
--- a/linnetladder/coordination/admission.py
+++ b/linnetladder/coordination/admission.py
@@ -24,7 +24,7 @@
 SCANNED_WAITERS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class PlaceRequest:
     """A wish for a place; ``deadline`` is monotonic seconds."""
 
--- a/linnetladder/coordination/cascade.py
+++ b/linnetladder/coordination/cascade.py
@@ -24,7 +24,7 @@
 FIXED_THRESHOLD_INPUT_TOKENS = 500
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Option:
     """A version that may answer, with its expected quality and expected cost.
 
@@ -37,7 +37,7 @@
     cost: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class PolicyInputs:
     """What a policy may look at beside the options."""
 
--- a/linnetladder/coordination/decision.py
+++ b/linnetladder/coordination/decision.py
@@ -20,7 +20,7 @@
 __all__ = ["Decision", "decide"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Decision:
     """The versions to try in order, or the refusal, with what was passed over."""
 
--- a/linnetladder/coordination/endpoint_choice.py
+++ b/linnetladder/coordination/endpoint_choice.py
@@ -30,7 +30,7 @@
 SAMPLED_FOR_AVERAGE = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class ChoiceInputs:
     """What a strategy may look at beside the pool; ``now`` is monotonic seconds."""
 
--- a/linnetladder/coordination/endpoint_client.py
+++ b/linnetladder/coordination/endpoint_client.py
@@ -57,7 +57,7 @@
     crash_suspected: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class EndpointCall:
     """One attempt to be sent; ``deadline`` is of the monotonic clock.
 
@@ -78,7 +78,7 @@
     resume_after: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Usage:
     """The tokens an endpoint counted."""
 
@@ -86,7 +86,7 @@
     output_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class WholeAnswer:
     """A checked answer in one piece."""
 
--- a/linnetladder/coordination/exchanges.py
+++ b/linnetladder/coordination/exchanges.py
@@ -9,7 +9,7 @@
 __all__ = ["AnswerHead", "Refused", "StreamExchange", "WholeExchange"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class AnswerHead:
     """What is told beside an answer; empty strings are left out.
 
@@ -32,7 +32,7 @@
     receipt: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class WholeExchange:
     """An answer in one piece, already billed."""
 
--- a/linnetladder/coordination/platform.py
+++ b/linnetladder/coordination/platform.py
@@ -63,7 +63,7 @@
     modify_revision: int = ABSENT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Put:
     """Set a key, bound to a lease unless ``lease_id`` is 0."""
 
--- a/linnetladder/coordination/requests.py
+++ b/linnetladder/coordination/requests.py
@@ -13,7 +13,7 @@
 AUTOMATIC_MODEL = "auto"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class SessionWish:
     """What the caller said of a session: open one, or go on with a token."""
 
@@ -21,7 +21,7 @@
     token: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class ChatWork:
     """A chat completion; ``document`` is the body as parsed JSON.
 
@@ -48,7 +48,7 @@
         return {"Content-Type": "application/json"}
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class ServiceWork:
     """A call to pass through to a plain service."""
 
@@ -63,7 +63,7 @@
         return self.headers
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class CallerRequest:
     """One submission of a request.
 
--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -130,7 +130,7 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class PassedOver:
     """One candidate that a decision considered, and why it was not taken."""
 
--- a/linnetladder/protocol/callers.py
+++ b/linnetladder/protocol/callers.py
@@ -67,7 +67,7 @@
     max_completion_tokens: int | None = pydantic.Field(None, ge=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Submission:
     """One HTTP request of a caller as it arrived; ``received`` is monotonic seconds."""
 
--- a/linnetladder/state/ledger.py
+++ b/linnetladder/state/ledger.py
@@ -27,7 +27,7 @@
 BILL_ID_LENGTH = 32
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Bill:
     """What one client account owes for one request.
 
--- a/linnetladder/state/receipts.py
+++ b/linnetladder/state/receipts.py
@@ -17,7 +17,7 @@
 RECEIPT_SALT = b"receipt"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class DecisionInputs:
     """Everything that the choice of a version depends on, beside the snapshot.
 
@@ -39,7 +39,7 @@
     estimates: tuple[tuple[str, float], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Trial:
     """One attempt at an endpoint and how it ended."""
 
@@ -48,7 +48,7 @@
     outcome: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Receipt:
     """What one request was answered or refused with; times are Unix seconds."""
 
