Choose plans by a price of quality; say unknown where a named request may have run

Cause: fuzzing found a refusal with ran no for a request that had run: a daemon that has just started has no configuration, so it can't look the claim up, and answered no. Ruled out: a lost claim (the request was idempotent and has none). Change: whatever names itself is refused with unknown unless a claim lookup shows that it did not run.

--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,282 @@
+"""Cost at the quality target: policies against baselines and an oracle.
+
+A stream of requests of several accounts and kinds is put to the product's own decision
+and learning code. Whether a version's answer would be accepted is drawn beforehand
+from the request's difficulty, which no policy sees; the oracle sees every outcome. A
+rater looks at first answers with some error; studios accept or reject a sample of the
+answers, late. No processes, no network: what is measured is the choice alone.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+import sys
+
+import numpy
+from absl import app as absl_app
+from absl import flags
+from rich.console import Console
+from rich.table import Table
+
+from bench.scenes import SCENES
+from linnetladder.coordination.cascade import POLICIES
+from linnetladder.coordination.decision import decide
+from linnetladder.coordination.quality import QualityLearner
+from linnetladder.coordination.quality_inputs import build_quality_inputs
+from linnetladder.protocol import load_declarations
+from linnetladder.state import DecisionInputs, Snapshot, VersionRef
+from linnetladder.state.estimates import Rating
+from linnetladder.state.snapshot import build_manifest, encode_part
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+TARGET = 0.9
+TOLERANCE = 0.015
+ORACLE_FACTOR = 1.15
+WARM_UP_SHARE = 0.25
+SAMPLED_SHARE = 0.2
+RATING_DELAY_REQUESTS = 200
+NOISE = 0.05
+RATER_MISS = 0.12
+RATER_FALSE_ALARM = 0.08
+SECONDS_BETWEEN = 0.5
+KINDS = {"caption": (200, 40), "blurb": (500, 150), "catalogue": (3000, 700)}
+VERSIONS = ("linnet-small@2026.09", "linnet-medium@2026.08", "linnet-large@2026.06")
+TRUE_SKILL = {
+    "linnet-small@2026.09": {"caption": 2.2, "blurb": 1.0, "catalogue": -0.2},
+    "linnet-medium@2026.08": {"caption": 3.2, "blurb": 2.4, "catalogue": 1.4},
+    "linnet-large@2026.06": {"caption": 4.0, "blurb": 3.6, "catalogue": 3.2},
+}
+DIFFICULTY_SPREAD = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request with the outcome of each version."""
+
+    account: str
+    kind: str
+    accepted: dict[str, bool]
+    rated_poor: dict[str, bool]
+
+
+def build_snapshot(policy: str) -> Snapshot:
+    """Return the example's configuration with one policy and one target for all."""
+    scene = SCENES["daugava"]
+    declarations = load_declarations(scene.declarations).unwrap()
+    parts = {}
+    for part in declarations.parts:
+        if part.node is not None:
+            settings = dataclasses.replace(
+                part.node.settings,
+                cascade_policy=policy,
+                quality_target=TARGET,
+                allowed_versions=VERSIONS,
+            )
+            node = dataclasses.replace(part.node, settings=settings)
+            part = dataclasses.replace(part, node=node)
+        parts[part.name] = part
+    manifest = build_manifest(
+        previous=None,
+        parts=tuple(encode_part(part)[0] for part in parts.values()),
+        withdrawals=(),
+        change_id="bench",
+        author="bench",
+        message="",
+        time_seconds=0.0,
+    )
+    return Snapshot(manifest=manifest, parts=parts)
+
+
+def draw_requests(seed: int, count: int) -> list[Request]:
+    """Return a stream of requests whose difficulty nobody is told."""
+    source = random.Random(seed)
+    accounts = SCENES["daugava"].accounts
+    weights = [10 if a in SCENES["daugava"].large_accounts else 1 for a in accounts]
+    taste = {a: source.gauss(0, 0.5) for a in accounts}
+    requests = []
+    for _ in range(count):
+        account = source.choices(accounts, weights)[0]
+        kind = source.choices(list(KINDS), [5, 3, 2])[0]
+        difficulty = source.gauss(0, DIFFICULTY_SPREAD) + taste[account]
+        accepted = {}
+        poor = {}
+        for version in VERSIONS:
+            logit = TRUE_SKILL[version][kind] - difficulty
+            accepted[version] = source.random() < 1 / (1 + math.exp(-logit))
+            wrong = RATER_FALSE_ALARM if accepted[version] else RATER_MISS
+            poor[version] = (source.random() < wrong) == accepted[version]
+        requests.append(Request(account, kind, accepted, poor))
+    return requests
+
+
+@dataclasses.dataclass(slots=True)
+class Score:
+    """What a policy came to after its warm-up."""
+
+    cost: float = 0.0
+    accepted: int = 0
+    count: int = 0
+    first_half: float = 0.0
+
+    @property
+    def quality(self) -> float:
+        """The share of accepted answers."""
+        return self.accepted / max(self.count, 1)
+
+
+def price_of(snapshot: Snapshot, version: str, kind: str) -> float:
+    """Return the price of one answer."""
+    tokens = KINDS[kind]
+    return snapshot.versions[VersionRef.parse(version)].price(
+        input_tokens=tokens[0], output_tokens=tokens[1]
+    )
+
+
+def run_policy(
+    policy: str, requests: list[Request], seed: int, *, rater: bool
+) -> Score:
+    """Put the requests to one policy, learning as ratings come in."""
+    snapshot = build_snapshot(policy)
+    learner = QualityLearner()
+    source = random.Random(seed + 1)
+    late: collections.deque[tuple[Rating, float]] = collections.deque()
+    score = Score()
+    warm_up = int(len(requests) * WARM_UP_SHARE)
+    for index, request in enumerate(requests):
+        now = index * SECONDS_BETWEEN
+        while late and late[0][0].time_seconds <= now:
+            rating, expected = late.popleft()
+            learner.learn(rating, snapshot)
+            learner.judged(rating.account, expected=expected, accepted=rating.accepted)
+        tokens = KINDS[request.kind]
+        view = snapshot.view(request.account)
+        inputs = DecisionInputs(
+            account=request.account,
+            wanted="auto",
+            request_kind=request.kind,
+            input_tokens=tokens[0],
+            output_tokens=tokens[1],
+            draw=0.5,
+            exploration_draw=source.random(),
+            available=VERSIONS,
+            quality=build_quality_inputs(
+                learner, snapshot, view, request.kind, VERSIONS, rater=rater
+            ),
+        )
+        decision = decide(snapshot, inputs)
+        plan = decision.plan
+        learner.chosen(
+            request.account, target=TARGET, quality=plan.quality, cost=plan.cost
+        )
+        names = [str(step.ref) for step in plan.steps]
+        cost, final = serve(learner, snapshot, request, names, now)
+        accepted = request.accepted[final]
+        if source.random() < SAMPLED_SHARE:
+            seen = accepted if source.random() >= NOISE else not accepted
+            rating = Rating(
+                account=request.account,
+                request_kind=request.kind,
+                target=plan.name,
+                accepted=seen,
+                time_seconds=now + RATING_DELAY_REQUESTS * SECONDS_BETWEEN,
+            )
+            late.append((rating, plan.quality))
+        if index >= warm_up:
+            score.cost += cost
+            score.accepted += accepted
+            score.count += 1
+    return score
+
+
+def serve(
+    learner: QualityLearner,
+    snapshot: Snapshot,
+    request: Request,
+    names: list[str],
+    now: float,
+) -> tuple[float, str]:
+    """Go up a plan's steps while ratings are poor; return the cost and the last."""
+    cost = 0.0
+    for position, name in enumerate(names):
+        cost += price_of(snapshot, name, request.kind)
+        if position + 1 == len(names):
+            break
+        poor = request.rated_poor[name]
+        learner.learn_poor(
+            account=request.account,
+            kind=request.kind,
+            target=">".join(names[: position + 1]),
+            poor=poor,
+            now=now,
+            snapshot=snapshot,
+        )
+        if not poor:
+            break
+    return cost, name
+
+
+def run_oracle(requests: list[Request], quality: float) -> float:
+    """Return the least cost at which a share of the answers is accepted.
+
+    For each request the oracle knows the cheapest version that is accepted. It gives
+    the cheapest version of all to the requests whose acceptance would cost most.
+    """
+    snapshot = build_snapshot("always_cheapest")
+    counted = requests[int(len(requests) * WARM_UP_SHARE) :]
+    base = 0.0
+    extras = []
+    accepted = 0
+    for request in counted:
+        cheapest = price_of(snapshot, VERSIONS[0], request.kind)
+        base += cheapest
+        prices = [
+            price_of(snapshot, version, request.kind)
+            for version in VERSIONS
+            if request.accepted[version]
+        ]
+        if prices and min(prices) == cheapest:
+            accepted += 1
+        elif prices:
+            extras.append(min(prices) - cheapest)
+    extras.sort()
+    needed = max(math.ceil(quality * len(counted)) - accepted, 0)
+    return base + sum(extras[:needed])
+
+
+def main(argv: list[str]) -> None:
+    """Run all policies over all seeds and print the table."""
+    console = Console(width=140)
+    seeds = range(FLAGS.seeds)
+    streams = {seed: draw_requests(seed, FLAGS.requests) for seed in seeds}
+    cases = [(name, False) for name in POLICIES]
+    cases += [("target_on_average", True), ("cheapest_meeting_target", True)]
+    table = Table(title=f"{FLAGS.seeds} seeds of {FLAGS.requests} requests")
+    columns = ("policy", "quality min / mean", "cost mean", "to oracle at its quality")
+    for column in (*columns, "seeds meeting the target"):
+        table.add_column(column)
+    for name, rater in cases:
+        scores = [run_policy(name, streams[s], s, rater=rater) for s in seeds]
+        ratios = [
+            score.cost / run_oracle(streams[seed], min(score.quality, 1.0))
+            for seed, score in zip(seeds, scores, strict=True)
+        ]
+        met = sum(1 for score in scores if score.quality >= TARGET - TOLERANCE)
+        qualities = [score.quality for score in scores]
+        table.add_row(
+            name + (" + rater" if rater else ""),
+            f"{min(qualities):.3f} / {numpy.mean(qualities):.3f}",
+            f"{numpy.mean([score.cost for score in scores]):.0f}",
+            f"{numpy.mean(ratios):.2f} (max {max(ratios):.2f})",
+            f"{met} of {FLAGS.seeds}",
+        )
+    console.print(table)
+    sys.exit(0)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seeds", 10, "Seeds to run.")
+    flags.DEFINE_integer("requests", 8000, "Requests of each seed.")
+    absl_app.run(main)
--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -38,3 +38,12 @@
     When client account "studio" asks for "large@1"
     Then the request is refused as "version_withdrawn" with ran "no"
     And exactly 0 requests ran
+
+  Scenario Outline: What names itself may have run before
+    When client account "<account>" names its request and sends the body "<body>"
+    Then the request is refused as "<kind>" with ran "unknown"
+
+    Examples:
+      | account | body                                             | kind               |
+      | studio  | {"messages":                                     | malformed_json     |
+      | nobody  | {"messages": [{"role": "user", "content": "x"}]} | unknown_credential |
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -213,3 +213,10 @@
         ),
     )
     context.replies.append(reply)
+
+
+@when('client account "{account}" names its request and sends the body "{body}"')
+def send_named_body(context, account, body):
+    headers = {"Idempotency-Key": "named"}
+    work = context.site.send(account=account, body=body.encode(), headers=headers)
+    context.replies.append(run(context, work))
--- a/linnetladder/coordination/cascade.py
+++ b/linnetladder/coordination/cascade.py
@@ -1,8 +1,8 @@
-"""Which allowed version answers first, and which ones a poor answer escalates to.
+"""Which allowed version answers first, and which one a poor answer escalates to.
 
-A policy orders the options of one request into a ladder. The first option answers;
-the rest are tried in turn where escalation is called for. Policies are deterministic
-given their inputs, so that a receipt can be replayed.
+A policy chooses among plans. A plan is one version, or two of them: the first answers,
+its answer is rated, and if the rating is poor the second answers instead. Policies are
+deterministic given their inputs, so that a receipt can be replayed.
 """
 
 import abc
@@ -18,7 +18,11 @@
     "FixedThreshold",
     "Option",
     "POLICIES",
+    "Plan",
+    "PolicyInputs",
     "RandomChoice",
+    "TargetOnAverage",
+    "frontier",
 ]
 
 FIXED_THRESHOLD_INPUT_TOKENS = 500
@@ -37,99 +41,132 @@
     cost: float
 
 
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """The versions to ask in turn, with the quality and cost of the whole."""
+
+    steps: tuple[ModelVersion, ...]
+    quality: float
+    cost: float
+
+    @property
+    def name(self) -> str:
+        """The steps' names, the first one's first."""
+        return ">".join(str(version.ref) for version in self.steps)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PolicyInputs:
-    """What a policy may look at beside the options."""
+    """What a policy may look at beside the plans.
+
+    ``quality_price`` is what one more accepted answer is worth at the moment, in
+    millionths of a currency unit.
+    """
 
     quality_target: float
     input_tokens: int
     draw: float
+    quality_price: float = 0.0
 
 
 class CascadePolicy(abc.ABC):
-    """Order options into a ladder."""
+    """Choose a plan."""
+
+    escalates = False
 
     @abc.abstractmethod
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return the options to try, in order; at least one if any is given."""
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return one of at least one plan."""
 
 
-def _by_cost(option: Option) -> tuple[float, str]:
-    return option.cost, str(option.version.ref)
+def frontier(options: list[Option]) -> list[Option]:
+    """Return the options that no other beats in both cost and quality."""
+    kept: list[Option] = []
+    for option in sorted(options, key=lambda o: (o.cost, -o.quality)):
+        if not kept or option.quality > kept[-1].quality:
+            kept.append(option)
+    return kept
 
 
-def _by_quality(option: Option) -> tuple[float, float, str]:
-    return -option.quality, option.cost, str(option.version.ref)
+def _by_cost(plan: Plan) -> tuple[float, str]:
+    return plan.cost, plan.name
+
+
+def _by_quality(plan: Plan) -> tuple[float, float, str]:
+    return -plan.quality, plan.cost, plan.name
+
+
+class TargetOnAverage(CascadePolicy):
+    """The plan of greatest value, quality being priced so that the target is met.
+
+    The account's price of quality rises while its answers fall short of the target
+    and sinks while they exceed it. So dear plans go where they add most quality for
+    their cost, and the average meets the target at the least cost.
+    """
+
+    escalates = True
+
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return the plan with the greatest quality at its price, less its cost."""
+
+        def loss(plan: Plan) -> tuple[float, str]:
+            return plan.cost - inputs.quality_price * plan.quality, plan.name
+
+        return min(plans, key=loss)
 
 
 class CheapestMeetingTarget(CascadePolicy):
-    """The cheapest option that is expected to meet the quality target.
+    """The cheapest plan that is expected to meet the quality target by itself.
 
-    Where none is, the best one answers. The ladder goes on with options of higher
-    quality, cheapest first.
+    Where none is, the best one.
     """
 
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return the cheapest sufficient option and the better ones above it."""
-        ordered = sorted(options, key=_by_cost)
-        sufficient = [o for o in ordered if o.quality >= inputs.quality_target]
-        if not sufficient:
-            return tuple(sorted(options, key=_by_quality)[:1])
-        first = sufficient[0]
-        better = [o for o in ordered if o.quality > first.quality]
-        return (first, *better)
+    escalates = True
+
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return the cheapest sufficient plan, or the best."""
+        sufficient = [p for p in plans if p.quality >= inputs.quality_target]
+        if sufficient:
+            return min(sufficient, key=_by_cost)
+        return min(plans, key=_by_quality)
 
 
 class AlwaysCheapest(CascadePolicy):
-    """The cheapest option, whatever its quality."""
+    """The cheapest version, whatever its quality."""
 
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return the options from the cheapest up."""
-        return tuple(sorted(options, key=_by_cost))
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return the cheapest plan."""
+        return min(plans, key=_by_cost)
 
 
 class AlwaysBest(CascadePolicy):
-    """The option of highest expected quality."""
+    """The version of highest expected quality."""
 
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return the best option alone."""
-        return tuple(sorted(options, key=_by_quality)[:1])
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return the best plan."""
+        return min(plans, key=_by_quality)
 
 
 class RandomChoice(CascadePolicy):
-    """Any option, evenly."""
+    """Any version, evenly."""
 
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return the option that the draw falls on."""
-        ordered = sorted(options, key=_by_cost)
-        if not ordered:
-            return ()
-        return (ordered[int(inputs.draw * len(ordered)) % len(ordered)],)
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return the plan that the draw falls on."""
+        ordered = sorted(plans, key=_by_cost)
+        return ordered[int(inputs.draw * len(ordered)) % len(ordered)]
 
 
 class FixedThreshold(CascadePolicy):
-    """The cheapest option for short requests, the best one for long requests."""
+    """The cheapest version for short requests, the best one for long requests."""
 
-    def ladder(
-        self, options: tuple[Option, ...], inputs: PolicyInputs
-    ) -> tuple[Option, ...]:
-        """Return one option by the length of the input."""
+    def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
+        """Return one plan by the length of the input."""
         short = inputs.input_tokens < FIXED_THRESHOLD_INPUT_TOKENS
-        key = _by_cost if short else _by_quality
-        return tuple(sorted(options, key=key)[:1])
+        return min(plans, key=_by_cost if short else _by_quality)
 
 
 POLICIES: dict[str, CascadePolicy] = {
+    "target_on_average": TargetOnAverage(),
     "cheapest_meeting_target": CheapestMeetingTarget(),
     "always_cheapest": AlwaysCheapest(),
     "always_best": AlwaysBest(),
--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/completion.py
@@ -125,9 +125,9 @@
 
     async def _true_ran(self, passage: Passage, refusal: Refusal) -> Ran:
         request = passage.request
-        if refusal.ran is not Ran.NO or not request.key_given or not passage.view:
+        if refusal.ran is not Ran.NO or not request.key_given:
             return refusal.ran
-        if passage.idempotent:
+        if passage.idempotent or passage.view is None:
             return Ran.UNKNOWN
         if passage.claim is not None:
             await passage.claims.release(passage.claim)
--- a/linnetladder/coordination/decision.py
+++ b/linnetladder/coordination/decision.py
@@ -6,7 +6,13 @@
 
 import dataclasses
 
-from linnetladder.coordination.cascade import POLICIES, Option, PolicyInputs
+from linnetladder.coordination.cascade import (
+    POLICIES,
+    Option,
+    Plan,
+    PolicyInputs,
+    frontier,
+)
 from linnetladder.coordination.requests import AUTOMATIC_MODEL
 from linnetladder.errors import ErrorKind, Explanation, PassedOver, Refusal
 from linnetladder.state import (
@@ -16,14 +22,20 @@
     Snapshot,
     VersionRef,
 )
+from linnetladder.state.receipts import PlanEstimate
 
 __all__ = ["Decision", "decide"]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Decision:
-    """The versions to try in order, or the refusal, with what was passed over."""
+    """The plan, the versions to fall back on, or the refusal.
+
+    ``ladder`` is the plan's first version and then every other candidate, best value
+    first, for when the first one has no room.
+    """
 
+    plan: Plan | None = None
     ladder: tuple[ModelVersion, ...] = ()
     refusal: Refusal | None = None
     passed_over: tuple[PassedOver, ...] = ()
@@ -65,8 +77,7 @@
     serving = _serving(search, current)
     if not serving:
         return _refuse_unserved(search, current)
-    ladder = _ladder(search, serving)
-    return Decision(ladder=ladder, passed_over=tuple(search.passed_over))
+    return _choose(search, serving)
 
 
 def _refuse_unknown(search: _Search) -> Decision | None:
@@ -197,27 +208,71 @@
     return search.refuse(ErrorKind.NO_ENDPOINT, detail)
 
 
-def _ladder(search: _Search, serving: list[ModelVersion]) -> tuple[ModelVersion, ...]:
+def _choose(search: _Search, serving: list[ModelVersion]) -> Decision:
+    """Let the account's policy choose a plan among the serving versions."""
     inputs = search.inputs
     values = search.view.settings.values
-    estimates = dict(inputs.estimates)
+    policy = POLICIES[values.cascade_policy]
+    plans = _plans(search, serving, escalates=policy.escalates)
+    policy_inputs = PolicyInputs(
+        quality_target=values.quality_target,
+        input_tokens=inputs.input_tokens,
+        draw=inputs.exploration_draw,
+        quality_price=inputs.quality.price,
+    )
+    plan = policy.choose(tuple(plans), policy_inputs)
+    first = plan.steps[0]
+    others = [p for p in plans if len(p.steps) == 1 and p.steps[0] is not first]
+    others.sort(key=lambda p: (p.cost - inputs.quality.price * p.quality, p.name))
+    for other in others:
+        if other.steps[0] not in plan.steps:
+            reason = f"expected quality {other.quality:.2f}, cost {other.cost:.0f}"
+            search.pass_over(other.steps[0].ref, reason)
+    return Decision(
+        plan=plan,
+        ladder=(first, *(p.steps[0] for p in others)),
+        passed_over=tuple(search.passed_over),
+    )
+
+
+def _plans(
+    search: _Search, serving: list[ModelVersion], *, escalates: bool
+) -> list[Plan]:
+    """Return the plans of one version, and of two where a rater is to be had."""
+    inputs = search.inputs
+    estimates = {entry.plan: entry for entry in inputs.quality.estimates}
+    plans = []
     options = []
     for version in serving:
-        declared = version.expected_quality(inputs.request_kind)
-        quality = estimates.get(str(version.ref), declared)
+        known = estimates.get(str(version.ref))
+        quality = (
+            known.quality if known else version.expected_quality(inputs.request_kind)
+        )
         cost = version.price(
             input_tokens=inputs.input_tokens, output_tokens=inputs.output_tokens
         )
+        plans.append(Plan((version,), quality, cost))
         options.append(Option(version, quality, cost))
-    policy_inputs = PolicyInputs(
-        quality_target=values.quality_target,
-        input_tokens=inputs.input_tokens,
-        draw=inputs.exploration_draw,
-    )
-    ladder = POLICIES[values.cascade_policy].ladder(tuple(options), policy_inputs)
-    chosen = {option.version.ref for option in ladder}
-    for option in options:
-        if option.version.ref not in chosen:
-            reason = f"expected quality {option.quality:.2f}, cost {option.cost:.0f}"
-            search.pass_over(option.version.ref, reason)
-    return tuple(option.version for option in ladder)
+    if not escalates or inputs.pin:
+        return plans
+    by_name = {str(option.version.ref): option for option in frontier(options)}
+    for entry in inputs.quality.estimates:
+        names = entry.plan.split(">")
+        if len(names) > 1 and all(name in by_name for name in names):
+            steps = tuple(by_name[name] for name in names)
+            plans.append(_plan_of_steps(steps, names, estimates))
+    return plans
+
+
+def _plan_of_steps(
+    steps: tuple[Option, ...], names: list[str], estimates: dict[str, PlanEstimate]
+) -> Plan:
+    """Return a plan whose later steps cost as often as they are reached."""
+    cost = 0.0
+    reached = 1.0
+    for position, step in enumerate(steps):
+        cost += reached * step.cost
+        prefix = estimates.get(">".join(names[: position + 1]))
+        reached *= prefix.poor_share if prefix else 1.0
+    quality = estimates[">".join(names)].quality
+    return Plan(tuple(step.version for step in steps), quality, cost)
--- a/linnetladder/coordination/discovery.py
+++ b/linnetladder/coordination/discovery.py
@@ -1,7 +1,8 @@
 """Learning of endpoints: the platform's list, and each endpoint's own load report.
 
 Both lag. The list says who exists; the endpoint itself says how loaded it is, what
-it has loaded and whether it is leaving.
+it has loaded and whether it is leaving. A daemon reads a bounded number of reports a
+second, however many endpoints there are; that one is leaving it also hears from peers.
 """
 
 import abc
@@ -18,6 +19,8 @@
 __all__ = ["Discovery", "LoadSource"]
 
 POLLED_AT_ONCE = 32
+REPORTS_PER_SECOND = 10
+LIST_SECONDS_PER_ENDPOINT = 0.05
 
 
 class LoadSource(abc.ABC):
@@ -86,9 +89,11 @@
     async def _poll_list(self) -> None:
         while True:
             await self.read_list()
-            await asyncio.sleep(self.list_seconds)
+            pause = len(self.table.endpoints) * LIST_SECONDS_PER_ENDPOINT
+            await asyncio.sleep(max(self.list_seconds, pause))
 
     async def _poll_loads(self) -> None:
         while True:
             await self.read_loads()
-            await asyncio.sleep(self.load_seconds)
+            listed = len(self.table.endpoints)
+            await asyncio.sleep(max(self.load_seconds, listed / REPORTS_PER_SECOND))
--- a/linnetladder/coordination/entry.py
+++ b/linnetladder/coordination/entry.py
@@ -37,12 +37,14 @@
         self.poison = poison
         self.clock = clock
 
+    def identify(self, passage: Passage) -> Refusal | None:
+        """Find the account and the terms that the request comes under."""
+        return self._find_account(passage) or self._set_terms(passage)
+
     def enter(self, passage: Passage) -> Refusal | None:
-        """Run all checks and return the first refusal."""
+        """Run the other checks and return the first refusal."""
         return (
-            self._find_account(passage)
-            or self._check_body(passage)
-            or self._set_terms(passage)
+            self._check_body(passage)
             or self._check_service(passage)
             or self._check_session(passage)
             or self.poison.refuse_poison(passage.request.fingerprint)
--- a/linnetladder/coordination/peers.py
+++ b/linnetladder/coordination/peers.py
@@ -38,12 +38,13 @@
 
 __all__ = ["Link", "Peers", "choose_neighbours"]
 
-HEARTBEAT_SECONDS = 1.0
-SILENT_SECONDS = 3.5
-OWN_DOMAIN_LINKS = 3
-OTHER_DOMAIN_LINKS = 2
+HEARTBEAT_SECONDS = 2.0
+NEWS_SECONDS = 0.2
+SILENT_SECONDS = 6.5
+OWN_DOMAIN_LINKS = 2
+OTHER_DOMAIN_LINKS = 1
 MAXIMUM_KNOWN = 1024
-MAXIMUM_NAMED = 16
+MAXIMUM_NAMED = 2
 
 
 class Link(abc.ABC):
@@ -200,11 +201,16 @@
                 link.close("a second hello")
 
     async def run(self) -> None:
-        """Send heartbeats and news until cancelled."""
+        """Send heartbeats, and news as soon as there is any, until cancelled."""
+        next_heartbeat = self.clock.monotonic()
         while True:
-            self._close_silent()
-            self.announce()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            now = self.clock.monotonic()
+            if now >= next_heartbeat:
+                next_heartbeat = now + HEARTBEAT_SECONDS
+                self._close_silent()
+                self.announce()
+            self._send_news()
+            await asyncio.sleep(NEWS_SECONDS)
 
     def _close_silent(self) -> None:
         """Close links that have gone silent, so that new ones are opened."""
@@ -215,11 +221,15 @@
                 self.closed(link)
 
     def announce(self) -> None:
-        """Send a heartbeat and the facts that are new to every peer."""
-        news = self._new_facts()
+        """Send a heartbeat to every peer."""
         for link in tuple(self.links.values()):
             link.send(self._heartbeat(link))
-            if news.crashes or news.departures:
+
+    def _send_news(self) -> None:
+        """Send the facts that are new to every peer."""
+        news = self._new_facts()
+        if news.crashes or news.departures:
+            for link in tuple(self.links.values()):
                 link.send(news)
 
     def in_force(self) -> dict[str, int]:
--- /dev/null
+++ b/linnetladder/coordination/quality.py
@@ -0,0 +1,161 @@
+"""What a daemon has learnt of quality, and what it is willing to pay for it.
+
+Ratings arrive late, for a sample only, and noisy. They feed estimates by account, kind
+of request and plan. For each account a price of quality is kept, which rises while the
+plans chosen for it fall short of its target.
+"""
+
+import dataclasses
+import math
+
+from linnetladder.state import AccountView, ModelVersion, Snapshot
+from linnetladder.state.estimates import QualityEstimates, Rating
+
+__all__ = ["QualityLearner", "RATER_FALSE_ALARM", "RATER_SENSITIVITY"]
+
+RATER_SENSITIVITY = 0.85
+RATER_FALSE_ALARM = 0.1
+POOR_SUFFIX = "#poor"
+PRICE_GAIN = 0.2
+MAXIMUM_SHORTFALL = 120.0
+MAXIMUM_WEIGHT = 20.0
+FIRST_PRICE = 1000.0
+FIRST_PRICE_COSTS = 4.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PriceControl:
+    """An account's price of quality: its scale, and the answers that are missing.
+
+    ``shortfall`` sums the target less what was expected, corrected by ratings, in
+    answers; the price is the scale times an exponential of it.
+    """
+
+    scale: float
+    shortfall: float = 0.0
+    chosen: float = 0.0
+    rated: float = 0.0
+
+    def move(self, answers: float) -> None:
+        """Add to the shortfall within its bounds."""
+        moved = self.shortfall + answers
+        self.shortfall = min(max(moved, -MAXIMUM_SHORTFALL), MAXIMUM_SHORTFALL)
+
+
+class QualityLearner:
+    """Estimates of plans and prices of quality."""
+
+    def __init__(self):
+        self.estimates = QualityEstimates()
+        self.controls: dict[str, PriceControl] = {}
+
+    def learn(self, rating: Rating, snapshot: Snapshot) -> None:
+        """Take in a rating of an answer that was given."""
+        if rating.account in snapshot.tree.nodes:
+            self.estimates.add(rating, self._lineage(snapshot, rating.account))
+
+    def learn_poor(
+        self, *, account: str, kind: str, target: str, poor: bool, now: float, snapshot
+    ) -> None:
+        """Take in whether a step's answer was rated poor while it was being served."""
+        rating = Rating(
+            account=account,
+            request_kind=kind + POOR_SUFFIX,
+            target=target,
+            accepted=poor,
+            time_seconds=now,
+        )
+        self.learn(rating, snapshot)
+
+    def quality(
+        self, snapshot: Snapshot, view: AccountView, kind: str, version: ModelVersion
+    ) -> float:
+        """Return the expected share of accepted answers of one version."""
+        return self.estimates.estimate(
+            declared=version.expected_quality(kind),
+            request_kind=kind,
+            target=str(version.ref),
+            lineage=self._lineage(snapshot, view.account),
+        )
+
+    def poor_share(
+        self,
+        snapshot: Snapshot,
+        view: AccountView,
+        kind: str,
+        prefix: str,
+        quality: float,
+    ) -> float:
+        """Return the expected share of a step's answers that are rated poor.
+
+        ``prefix`` names the steps up to this one and ``quality`` is its version's.
+        """
+        declared = quality * RATER_FALSE_ALARM + (1 - quality) * RATER_SENSITIVITY
+        return self.estimates.estimate(
+            declared=declared,
+            request_kind=kind + POOR_SUFFIX,
+            target=prefix,
+            lineage=self._lineage(snapshot, view.account),
+        )
+
+    def plan_quality(
+        self,
+        snapshot: Snapshot,
+        view: AccountView,
+        kind: str,
+        name: str,
+        qualities: tuple[float, ...],
+    ) -> float:
+        """Return the expected share of accepted answers of a plan of several steps."""
+        expected = qualities[-1]
+        for quality in reversed(qualities[:-1]):
+            kept = quality * (1 - RATER_FALSE_ALARM)
+            poor = quality * RATER_FALSE_ALARM + (1 - quality) * RATER_SENSITIVITY
+            expected = kept + poor * expected
+        return self.estimates.estimate(
+            declared=expected,
+            request_kind=kind,
+            target=name,
+            lineage=self._lineage(snapshot, view.account),
+        )
+
+    def price(self, account: str) -> float:
+        """Return what one more accepted answer is worth to an account now."""
+        control = self.controls.get(account)
+        if control is None:
+            control = self._first_control(FIRST_PRICE / FIRST_PRICE_COSTS)
+        return control.scale * math.exp(PRICE_GAIN * control.shortfall)
+
+    def chosen(
+        self, account: str, *, target: float, quality: float, cost: float
+    ) -> None:
+        """Note a chosen plan, so that the price follows the shortfall."""
+        control = self.controls.get(account)
+        if control is None:
+            control = self._first_control(cost)
+            self.controls[account] = control
+        control.chosen += 1.0
+        control.move(target - quality)
+
+    def _first_control(self, cost: float) -> PriceControl:
+        """Return a new account's control, which starts where the busiest one stands."""
+        busiest = max(self.controls.values(), key=lambda c: c.chosen, default=None)
+        if busiest is None:
+            return PriceControl(scale=max(cost, 1.0) * FIRST_PRICE_COSTS)
+        return PriceControl(scale=busiest.scale, shortfall=busiest.shortfall)
+
+    def judged(self, account: str, *, expected: float, accepted: bool) -> None:
+        """Note a rating of a plan's answer, to correct what was expected of it.
+
+        A rating stands for all answers that are not rated, so it counts as many times
+        as there are answers to a rating.
+        """
+        control = self.controls.get(account)
+        if control is None:
+            return
+        control.rated += 1.0
+        weight = min(control.chosen / control.rated, MAXIMUM_WEIGHT)
+        control.move(weight * (expected - accepted))
+
+    def _lineage(self, snapshot: Snapshot, account: str) -> tuple[str, ...]:
+        return tuple(node.name for node in snapshot.tree.lineage(account))
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/router.py
@@ -97,7 +97,11 @@
 
     async def _route(self, passage: Passage) -> Result[Reached, Refusal]:
         """Do everything up to an endpoint's answer."""
-        refusal = self._refuse_at_the_door(passage) or self.checks.enter(passage)
+        refusal = (
+            self.checks.identify(passage)
+            or self._refuse_at_the_door(passage)
+            or self.checks.enter(passage)
+        )
         if refusal is None:
             refusal = self._decide(passage)
         if refusal is None:
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -42,7 +42,8 @@
 FLUSH_SECONDS = 30.0
 SHUTDOWN_SLACK_SECONDS = 60.0
 UPKEEP_SECONDS = 1.0
-DAEMON_COUNT_SECONDS = 5.0
+DAEMON_LIST_SECONDS = 5.0
+SECONDS_PER_LISTED_DAEMON = 0.2
 COLLECTION_THRESHOLDS = (20_000, 20, 50)
 
 
@@ -218,9 +219,12 @@
         """Learn who the other daemons are and how many share the accounts' limits."""
         while True:
             listed = await list_daemons(self.parts.store)
+            count = 0
             if isinstance(listed, Success):
+                count = len(listed.unwrap())
                 self._take_daemons(listed.unwrap())
-            await asyncio.sleep(DAEMON_COUNT_SECONDS)
+            pause = max(DAEMON_LIST_SECONDS, count * SECONDS_PER_LISTED_DAEMON)
+            await asyncio.sleep(pause)
 
     def _take_daemons(self, records: tuple[DaemonRecord, ...]) -> None:
         serving = [r for r in records if r.state is not DaemonState.DRAINING]
--- a/linnetladder/protocol/declarations.py
+++ b/linnetladder/protocol/declarations.py
@@ -81,7 +81,6 @@
     quality_target: Share | None = None
     cascade_policy: str | None = None
     escalation_billing: Literal["final", "all"] | None = None
-    exploration_share: Share | None = None
     requests_per_second: Positive | None = None
     burst: Annotated[int, pydantic.Field(ge=1)] | None = None
     maximum_in_flight: Annotated[int, pydantic.Field(ge=1)] | None = None
--- a/linnetladder/state/receipts.py
+++ b/linnetladder/state/receipts.py
@@ -12,18 +12,49 @@
 
 from linnetladder.state.signing import KeyRing
 
-__all__ = ["DecisionInputs", "Receipt", "Trial", "read_receipt", "sign_receipt"]
+__all__ = [
+    "DecisionInputs",
+    "PlanEstimate",
+    "QualityInputs",
+    "Receipt",
+    "Trial",
+    "read_receipt",
+    "sign_receipt",
+]
 
 RECEIPT_SALT = b"receipt"
 
 
+@dataclasses.dataclass(slots=True)
+class PlanEstimate:
+    """The expected quality of a plan, and how often its first answer is poor.
+
+    ``plan`` is ``model@version``, or two of them joined by ``>``.
+    """
+
+    plan: str
+    quality: float
+    poor_share: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class QualityInputs:
+    """What had been learnt of quality when a decision was made.
+
+    ``price`` is what one more accepted answer was worth to the account, in millionths
+    of a currency unit.
+    """
+
+    estimates: tuple[PlanEstimate, ...] = ()
+    price: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DecisionInputs:
     """Everything that the choice of a version depends on, beside the snapshot.
 
-    ``draw`` is from [0, 1) and settles roll-outs; ``exploration_draw`` settles
-    exploration. ``estimates`` holds the expected quality per ``model@version`` at the
-    time, for versions whose estimate differs from the declared one.
+    ``draw`` is from [0, 1) and settles roll-outs; ``exploration_draw`` settles the
+    random policy. ``available`` names the versions that an endpoint accepted work for.
     """
 
     account: str
@@ -36,7 +67,7 @@
     pin: str = ""
     fresh: bool = True
     available: tuple[str, ...] = ()
-    estimates: tuple[tuple[str, float], ...] = ()
+    quality: QualityInputs = dataclasses.field(default_factory=QualityInputs)
 
 
 @dataclasses.dataclass(slots=True)
--- a/linnetladder/state/settings.py
+++ b/linnetladder/state/settings.py
@@ -33,7 +33,6 @@
     quality_target: float | None = None
     cascade_policy: str | None = None
     escalation_billing: str | None = None
-    exploration_share: float | None = None
     requests_per_second: float | None = None
     burst: int | None = None
     maximum_in_flight: int | None = None
@@ -53,9 +52,8 @@
     allowed_services=(),
     rollouts=(),
     quality_target=0.8,
-    cascade_policy="cheapest_meeting_target",
+    cascade_policy="target_on_average",
     escalation_billing="final",
-    exploration_share=0.0,
     requests_per_second=50.0,
     burst=100,
     maximum_in_flight=64,
@@ -121,7 +119,6 @@
     "quality_target": _no_smaller,
     "cascade_policy": _equal,
     "escalation_billing": _equal,
-    "exploration_share": _no_greater,
     "requests_per_second": _no_greater,
     "burst": _no_greater,
     "maximum_in_flight": _no_greater,
--- a/linnetladder/transport/caller_server.py
+++ b/linnetladder/transport/caller_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+import dataclasses
 
 import orjson
 from aiohttp import web
@@ -108,7 +109,7 @@
             log_failure("request handler failed", error)
             detail = "the daemon failed; whether the request ran is not known"
             return self._refuse_unrouted(
-                Refusal(ErrorKind.INTERNAL, detail, Ran.UNKNOWN)
+                request, Refusal(ErrorKind.INTERNAL, detail, Ran.UNKNOWN)
             )
         finally:
             self.active -= 1
@@ -123,15 +124,16 @@
         if wait > 0:
             detail = f"address {request.remote!r} sends too many requests"
             return self._refuse_unrouted(
+                request,
                 Refusal(
                     ErrorKind.ADDRESS_RATE_LIMITED, detail, retry_after_seconds=wait
-                )
+                ),
             )
         if request.path == TICKET_PATH and request.method == "POST":
             return self._issue_ticket(request)
         parsed = await self._parse(request, received)
         if isinstance(parsed, Failure):
-            return self._refuse_unrouted(parsed.failure())
+            return self._refuse_unrouted(request, parsed.failure())
         exchange = await self.router.answer(parsed.unwrap())
         if isinstance(exchange, StreamExchange):
             return await self._write_stream(request, exchange)
@@ -143,10 +145,10 @@
         """Answer with a ticket for one request that is not idempotent."""
         digest = parse_credential(request.headers)
         if isinstance(digest, Failure):
-            return self._refuse_unrouted(digest.failure())
+            return self._refuse_unrouted(request, digest.failure())
         issued = self.router.issue_ticket(digest.unwrap())
         if isinstance(issued, Failure):
-            return self._refuse_unrouted(issued.failure())
+            return self._refuse_unrouted(request, issued.failure())
         text, ticket = issued.unwrap()
         body = {"ticket": text, "expires_seconds": ticket.expires_seconds}
         return web.Response(body=orjson.dumps(body), content_type="application/json")
@@ -231,8 +233,16 @@
             raise
         return response
 
-    def _refuse_unrouted(self, refusal: Refusal) -> web.Response:
-        """Refuse a request that has not reached the router."""
+    def _refuse_unrouted(
+        self, request: web.BaseRequest, refusal: Refusal
+    ) -> web.Response:
+        """Refuse a request that has not reached the router.
+
+        One that names itself may have run when it was sent before.
+        """
+        named = names.IDEMPOTENCY_KEY in request.headers
+        if refusal.ran is Ran.NO and (named or names.TICKET in request.headers):
+            refusal = dataclasses.replace(refusal, ran=Ran.UNKNOWN)
         self.metrics.count("requests")
         self.metrics.count("refused", label=refusal.kind)
         self.metrics.count("refused_ran", label=refusal.ran)
--- a/linnetladder/transport/instance_list.py
+++ b/linnetladder/transport/instance_list.py
@@ -29,12 +29,14 @@
 
     async def endpoints(self) -> Result[tuple[EndpointReport, ...], PlatformFault]:
         """Return what the list says of every endpoint."""
+        self.metrics.count("platform_calls", label="instances")
         try:
             async with asyncio.timeout(self.timeout_seconds):
                 async with self.session.get(self.url) as response:
                     received = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
+        self.metrics.count("platform_bytes", len(received), label="received")
         if response.status != 200:
             detail = f"{self.url} answered {response.status}"
             return Failure(PlatformFault(FaultKind.UNREACHABLE, detail))
--- a/proof/checker.py
+++ b/proof/checker.py
@@ -194,15 +194,21 @@
 
 
 def check_shutdown(history: History, rules: Rules) -> list[str]:
-    """A graceful shutdown cuts no request in flight."""
-    ended = {event.daemon: event for event in history.of(Stopped)}
+    """A graceful shutdown cuts no request in flight.
+
+    What ends a request is the first stop of its daemon after it was sent.
+    """
+    stops = history.of(Stopped)
     submissions = _submissions(history)
     found = []
     for broken in history.of(Broken):
-        stop = ended.get(submissions[broken.submission].daemon)
-        if broken.caller_left or stop is None or not stop.graceful:
-            continue
-        if submissions[broken.submission].time <= stop.time <= broken.time:
+        sent = submissions[broken.submission]
+        ends = [
+            stop
+            for stop in stops
+            if stop.daemon == sent.daemon and sent.time <= stop.time <= broken.time
+        ]
+        if ends and ends[0].graceful and not broken.caller_left:
             found.append(f"{broken.submission} was cut by a graceful shutdown")
     return found
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -137,3 +137,9 @@
     assert promises == {"in force, never reverts"}
     history.events.append(CutOff(time=9.0, until=15.0, daemon="d1"))
     assert check_history(history, RULES) == []
+
+
+def test_a_kill_before_a_graceful_shutdown_is_not_taken_for_it():
+    history = clean()
+    history.events.append(Stopped(time=4.0, daemon="d2", graceful=True))
+    assert check_history(history, RULES) == []
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -65,6 +65,14 @@
     await asyncio.sleep(2)
 
 
+async def named_request_at_a_daemon_that_has_just_started(world):
+    world.submit("a", daemon="daemon-1")
+    await asyncio.sleep(2)
+    await world.stop("daemon-1")
+    await world.start_daemon("daemon-1")
+    world.submit("a", daemon="daemon-1")
+
+
 async def death_in_an_outage(world):
     world.set_platform_down(True)
     world.submit("a", daemon="daemon-1")
@@ -193,6 +201,13 @@
         always_not_run,
         "not run is true",
     ),
+    (
+        named_request_at_a_daemon_that_has_just_started,
+        Completion,
+        "_true_ran",
+        always_not_run,
+        "not run is true",
+    ),
     (death_in_an_outage, PeerBillCopier, "copy", copy_nothing, "billed exactly once"),
     (
         same_request_at_two_daemons,
