--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -216,6 +216,7 @@
             f"--peer_port={daemon.peers}",
             f"--platform_urls={self.platform_url}",
             f"--instance_list_url={self.platform_url}/instances",
+            f"--ratings_url={self.platform_url}",
             "--drain_notice_seconds=0.2",
             *self.authority.flags(daemon.name),
             *extra,
--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -33,11 +33,16 @@
 from linnetladder.coordination.discovery import LoadSource
 from linnetladder.coordination.endpoint_choice import CHOICES
 from linnetladder.coordination.endpoint_client import EndpointClient
+from linnetladder.coordination.escalation import Escalation
+from linnetladder.coordination.health_watch import HealthWatch
 from linnetladder.coordination.held_blocks import HeldBlocks
 from linnetladder.coordination.peer_configuration import PeerConfiguration
 from linnetladder.coordination.peer_messages import Hello, Neighbour
 from linnetladder.coordination.peers import Peers
 from linnetladder.coordination.platform import InstanceList, KeyValueService
+from linnetladder.coordination.publishing import Publisher
+from linnetladder.coordination.quality import QualityLearner
+from linnetladder.coordination.rating import AnswerRater, RatingFeed
 from linnetladder.coordination.registration import DaemonRecord
 from linnetladder.coordination.tickets import TicketClaims
 from linnetladder.state import Clock, EndpointTable, KeyRing, SigningKey, SystemClock
@@ -49,6 +54,7 @@
     EtcdKeyValue,
     HttpEndpointClient,
     HttpInstanceList,
+    HttpRatingService,
     PeerTransport,
 )
 
@@ -79,6 +85,7 @@
     clock: Clock
     metrics: Metrics
     tracer: Tracer
+    rater: AnswerRater | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -100,6 +107,9 @@
     poison: PoisonBook
     held: HeldBlocks
     peers: Peers
+    learner: QualityLearner
+    watch: HealthWatch
+    feed: RatingFeed | None
     router: Router
 
 
@@ -111,6 +121,7 @@
     instances: HttpInstanceList
     connections: Connections
     client: HttpEndpointClient
+    rater: HttpRatingService | None
     callers: CallerServer
     peer_transport: PeerTransport | None
 
@@ -198,6 +209,15 @@
         metrics=metrics,
         incarnation=incarnation,
     )
+    learner = QualityLearner()
+    watch = HealthWatch(
+        configuration=configuration,
+        publisher=Publisher(store=store, clock=clock),
+        background=background,
+        metrics=metrics,
+        instance=settings.instance,
+        pulls=settings.pull_bad_versions,
+    )
     runner = AttemptRunner(
         configuration=configuration,
         table=table,
@@ -206,18 +226,39 @@
         budget=RetryBudget(share=settings.retry_share),
         ejector=Ejector(clock=clock),
         poison=poison,
+        watch=watch,
         background=background,
         clock=clock,
         metrics=metrics,
         silence_seconds=settings.silence_seconds,
         seed=seed,
     )
+    feed = escalation = None
+    if ports.rater is not None:
+        feed = RatingFeed(
+            rater=ports.rater,
+            learner=learner,
+            watch=watch,
+            configuration=configuration,
+        )
+        escalation = Escalation(
+            rater=ports.rater,
+            learner=learner,
+            runner=runner,
+            configuration=configuration,
+            clock=clock,
+            metrics=metrics,
+        )
     router = Router(
         checks=checks,
         table=table,
         runner=runner,
         claims=claims,
         tickets=tickets,
+        learner=learner,
+        watch=watch,
+        escalation=escalation,
+        feed=feed,
         completion=completion,
         clock=clock,
         metrics=metrics,
@@ -240,6 +281,9 @@
         poison=poison,
         held=held,
         peers=peers,
+        learner=learner,
+        watch=watch,
+        feed=feed,
         router=router,
     )
 
@@ -265,6 +309,9 @@
         clock=clock,
         silence_seconds=settings.silence_seconds,
     )
+    rater = None
+    if settings.ratings_url:
+        rater = HttpRatingService(url=settings.ratings_url, metrics=metrics)
     ports = Ports(
         store=store,
         instances=instances,
@@ -273,6 +320,7 @@
         clock=clock,
         metrics=metrics,
         tracer=_build_tracer(settings),
+        rater=rater,
     )
     core = build_core(
         settings,
@@ -289,6 +337,7 @@
         instances=instances,
         connections=connections,
         client=client,
+        rater=rater,
         callers=_build_callers(settings, core, clock),
         peer_transport=_build_peer_transport(settings, core, clock),
     )
--- a/linnetladder/conf/settings.py
+++ b/linnetladder/conf/settings.py
@@ -52,6 +52,9 @@
     ratings_url: str = pydantic.Field(
         "", description="URL of the rating service; empty to route without ratings."
     )
+    pull_bad_versions: bool = pydantic.Field(
+        True, description="Whether a version under roll-out that turns bad is pulled."
+    )
     seed_peers: tuple[str, ...] = pydantic.Field(
         (),
         description="Peers as instance@IP:port, for when the platform is down.",
--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts.py
@@ -23,6 +23,7 @@
     StreamAnswer,
     WholeAnswer,
 )
+from linnetladder.coordination.health_watch import HealthWatch
 from linnetladder.coordination.passage import Passage
 from linnetladder.coordination.poison import Crash, PoisonBook
 from linnetladder.coordination.requests import ChatWork
@@ -50,6 +51,16 @@
     EndpointFaultKind.FAILED: ErrorKind.ENDPOINT_FAILED,
     EndpointFaultKind.DEADLINE: ErrorKind.DEADLINE_EXCEEDED,
 }
+ANSWERED = "answered"
+NEUTRAL_OUTCOMES = frozenset(
+    {
+        EndpointFaultKind.BUSY,
+        EndpointFaultKind.LEAVING,
+        EndpointFaultKind.CONNECT,
+        EndpointFaultKind.REJECTED,
+        EndpointFaultKind.DEADLINE,
+    }
+)
 RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 EJECTING_FAULTS = frozenset(
     {
@@ -107,6 +118,7 @@
         budget: RetryBudget,
         ejector: Ejector,
         poison: PoisonBook,
+        watch: HealthWatch,
         background: Background,
         clock: Clock,
         metrics: Metrics,
@@ -120,6 +132,7 @@
         self.budget = budget
         self.ejector = ejector
         self.poison = poison
+        self.watch = watch
         self.background = background
         self.clock = clock
         self.metrics = metrics
@@ -216,7 +229,7 @@
             self.cancel_at_endpoint(place.endpoint, call)
             raise
         if isinstance(outcome, Success):
-            self._note(passage, place, "answered")
+            self._note(passage, place, ANSWERED)
             if hop is not None:
                 hop.end(detail=place.endpoint.name)
             return Success(Reached(outcome.unwrap(), place, call))
@@ -274,6 +287,9 @@
         trial = Trial(place.endpoint.name, str(place.target), str(outcome))
         passage.trials.append(trial)
         self.metrics.count("attempts", label=str(outcome))
+        if isinstance(place.target, VersionRef) and outcome not in NEUTRAL_OUTCOMES:
+            right = outcome == ANSWERED
+            self.watch.answered(passage.account, place.target, right=right)
 
     async def learn_from(
         self, passage: Passage, place: Place, fault: EndpointFault
--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/completion.py
@@ -20,6 +20,7 @@
 
 MAXIMUM_PASSED_OVER = 12
 MINIMUM_BILL_WAIT_SECONDS = 5.0
+BILL_ALL_STEPS = "all"
 SESSION_OPENED = "opened"
 SESSION_KEPT = "kept"
 SESSION_RESTARTED = "restarted"
@@ -151,13 +152,22 @@
         )
 
     def _price(self, passage: Passage, usage: Usage) -> float:
+        """Return the price of the answer that is given.
+
+        Accounts whose settings say so also pay for answers that it replaced.
+        """
         target = passage.target
-        if isinstance(target, VersionRef):
-            version = passage.snapshot.versions[target]
-            return version.price(
-                input_tokens=usage.input_tokens, output_tokens=usage.output_tokens
+        if not isinstance(target, VersionRef):
+            return passage.snapshot.services[target].price
+        charged = [(target, usage)]
+        if passage.view.settings.values.escalation_billing == BILL_ALL_STEPS:
+            charged.extend(passage.superseded)
+        return sum(
+            passage.snapshot.versions[ref].price(
+                input_tokens=used.input_tokens, output_tokens=used.output_tokens
             )
-        return passage.snapshot.services[target].price
+            for ref, used in charged
+        )
 
     def _session_token(self, passage: Passage) -> tuple[str, str]:
         """Return the token for the caller to keep, and what became of the session."""
--- /dev/null
+++ b/linnetladder/coordination/health_watch.py
@@ -0,0 +1,108 @@
+"""Versions that turn bad in service: found by a sequential test and pulled.
+
+Two tests run for each version under roll-out: one over ratings, one over whether an
+endpoint answered rightly. When one alarms, the daemon pulls the version at once by
+itself and has it withdrawn for all by the ordinary change of the configuration, which
+any daemon may make: the change is a compare-and-swap, so the first one stands.
+"""
+
+from returns.result import Failure
+
+from linnetladder.coordination.background import Background
+from linnetladder.coordination.configuration import ConfigurationInForce
+from linnetladder.coordination.publishing import Change, Publisher
+from linnetladder.state import VersionRef
+from linnetladder.state.estimates import Rating
+from linnetladder.state.sequential import ChangeTest
+from linnetladder.state.versions import Withdrawal
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["HealthWatch"]
+
+EXPECTED_ANSWERED = 0.995
+TRIES_TO_RECORD = 5
+
+
+class HealthWatch:
+    """Watch versions under roll-out and pull those that turn bad."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationInForce,
+        publisher: Publisher,
+        background: Background,
+        metrics: Metrics,
+        instance: str,
+        pulls: bool,
+    ):
+        self.configuration = configuration
+        self.publisher = publisher
+        self.background = background
+        self.metrics = metrics
+        self.instance = instance
+        self.pulls = pulls
+        self.by_rating: dict[tuple[VersionRef, str], ChangeTest] = {}
+        self.by_answer: dict[VersionRef, ChangeTest] = {}
+        self.pulled: set[VersionRef] = set()
+
+    def is_pulled(self, ref: VersionRef) -> bool:
+        """Tell whether this daemon has pulled a version."""
+        return ref in self.pulled
+
+    async def rated(self, rating: Rating) -> None:
+        """Take in a rating of an answer that one version gave alone."""
+        ref = VersionRef.parse(rating.target)
+        snapshot = self.configuration.snapshot
+        if snapshot is None or not self._is_candidate(rating.account, ref):
+            return
+        key = (ref, rating.request_kind)
+        test = self.by_rating.get(key)
+        if test is None:
+            expected = snapshot.versions[ref].expected_quality(rating.request_kind)
+            test = ChangeTest(expected=expected)
+            self.by_rating[key] = test
+        if test.add(good=rating.accepted):
+            self.pull(ref, f"ratings of {rating.request_kind!r} fell")
+
+    def answered(self, account: str, ref: VersionRef, *, right: bool) -> None:
+        """Take in whether an endpoint answered rightly for a version."""
+        if not self._is_candidate(account, ref):
+            return
+        test = self.by_answer.get(ref)
+        if test is None:
+            test = ChangeTest(expected=EXPECTED_ANSWERED, drops=(0.05, 0.25, 0.5))
+            self.by_answer[ref] = test
+        if test.add(good=right):
+            self.pull(ref, "its endpoints fail to answer rightly")
+
+    def pull(self, ref: VersionRef, reason: str) -> None:
+        """Stop using a version here, and have it withdrawn for all."""
+        if ref in self.pulled or not self.pulls:
+            return
+        self.pulled.add(ref)
+        self.metrics.count("versions_pulled")
+        log_change("version pulled", version=str(ref), reason=reason)
+        self.background.start(self._record(ref, reason))
+
+    async def _record(self, ref: VersionRef, reason: str) -> None:
+        author = f"daemon {self.instance}"
+        order = Withdrawal(ref, reason, author)
+        change = Change(author=author, message=f"pull {ref}: {reason}")
+        for _ in range(TRIES_TO_RECORD):
+            snapshot = self.configuration.snapshot
+            if snapshot is not None and ref in snapshot.withdrawn:
+                return
+            published = await self.publisher.withdraw(order, change)
+            if not isinstance(published, Failure):
+                return
+
+    def _is_candidate(self, account: str, ref: VersionRef) -> bool:
+        """Tell whether a version is under roll-out for an account."""
+        snapshot = self.configuration.snapshot
+        if snapshot is None or ref not in snapshot.versions:
+            return False
+        if account not in snapshot.tree.nodes:
+            return False
+        rollout = snapshot.view(account).settings.rollout(ref.model)
+        return rollout is not None and rollout.candidate == ref.version
--- a/linnetladder/coordination/passage.py
+++ b/linnetladder/coordination/passage.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
+from linnetladder.coordination.cascade import Plan
 from linnetladder.coordination.claims import Claim, ClaimStrategy, ClaimWish
+from linnetladder.coordination.endpoint_client import Usage
 from linnetladder.coordination.requests import CallerRequest
 from linnetladder.errors import PassedOver, Ran
 from linnetladder.state import (
@@ -24,7 +26,8 @@
     """What has been found out and done for one request so far.
 
     ``deadline`` is monotonic seconds. ``ran`` is what is known of this submission;
-    ``entered`` is set while the account's count of requests in flight includes it.
+    ``superseded`` holds the versions whose answers an escalation replaced, with what
+    they used. ``entered`` is set while the account's count of requests in flight includes it.
     """
 
     request: CallerRequest
@@ -36,7 +39,9 @@
     priority: int = 0
     inputs: DecisionInputs | None = None
     passed_over: tuple[PassedOver, ...] = ()
+    plan: Plan | None = None
     ladder: tuple[ModelVersion, ...] = ()
+    superseded: tuple[tuple[Target, Usage], ...] = ()
     target: Target = ""
     claim: Claim | None = None
     claims: ClaimStrategy | None = None
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/router.py
@@ -16,8 +16,13 @@
 from linnetladder.coordination.decision import decide
 from linnetladder.coordination.endpoint_client import StreamAnswer, WholeAnswer
 from linnetladder.coordination.entry import EntryChecks
+from linnetladder.coordination.escalation import Escalation
 from linnetladder.coordination.exchanges import Refused, StreamExchange, WholeExchange
+from linnetladder.coordination.health_watch import HealthWatch
 from linnetladder.coordination.passage import Passage
+from linnetladder.coordination.quality import QualityLearner
+from linnetladder.coordination.quality_inputs import build_quality_inputs
+from linnetladder.coordination.rating import RatingFeed
 from linnetladder.coordination.requests import CallerRequest, ChatWork
 from linnetladder.coordination.streams import RoutedStream
 from linnetladder.coordination.tickets import Ticket, TicketClaims
@@ -46,6 +51,10 @@
         runner: AttemptRunner,
         claims: ClaimStrategy,
         tickets: TicketClaims,
+        learner: QualityLearner,
+        watch: HealthWatch,
+        escalation: Escalation | None,
+        feed: RatingFeed | None,
         completion: Completion,
         clock: Clock,
         metrics: Metrics,
@@ -57,6 +66,10 @@
         self.runner = runner
         self.claims = claims
         self.tickets = tickets
+        self.learner = learner
+        self.watch = watch
+        self.escalation = escalation
+        self.feed = feed
         self.completion = completion
         self.clock = clock
         self.metrics = metrics
@@ -81,8 +94,23 @@
         reached = outcome.unwrap()
         if isinstance(reached.answer, StreamAnswer):
             return self._begin_stream(passage, reached)
+        try:
+            reached = await self._escalate(passage, reached)
+        except asyncio.CancelledError:
+            self._caller_left(passage)
+            raise
         return await self._finish_whole(passage, reached)
 
+    async def _escalate(self, passage: Passage, reached: Reached) -> Reached:
+        """Go on with the plan if its first step answered and a rater is to be had."""
+        plan = passage.plan
+        if self.escalation is None or plan is None or passage.session is not None:
+            return reached
+        if passage.target != plan.steps[0].ref or not passage.idempotent:
+            return reached
+        passage.ran = Ran.YES
+        return (await self.escalation.finish(passage, reached)).unwrap()
+
     def issue_ticket(
         self, credential_digest: str
     ) -> Result[tuple[str, Ticket], Refusal]:
@@ -139,7 +167,14 @@
             hop.end(failed=decision.refusal is not None)
         if decision.refusal is not None:
             return decision.refusal
+        passage.plan = decision.plan
         passage.ladder = decision.ladder
+        self.learner.chosen(
+            passage.account,
+            target=passage.view.settings.values.quality_target,
+            quality=decision.plan.quality,
+            cost=decision.plan.cost,
+        )
         passage.target = decision.ladder[0].ref
         return None
 
@@ -148,6 +183,12 @@
         now = self.clock.monotonic()
         key = f"{passage.account}\0{request.request_key}"
         limit = passage.view.settings.values.maximum_output_tokens
+        available = tuple(
+            str(version.ref)
+            for version in passage.view.allowed
+            if self.table.accepts_work(version.ref, now)
+            and not self.watch.is_pulled(version.ref)
+        )
         return DecisionInputs(
             account=passage.account,
             wanted=work.wanted,
@@ -158,10 +199,14 @@
             exploration_draw=self.random.random(),
             pin=str(passage.session.pin) if passage.session else "",
             fresh=self.checks.is_fresh(passage),
-            available=tuple(
-                str(version.ref)
-                for version in passage.view.allowed
-                if self.table.accepts_work(version.ref, now)
+            available=available,
+            quality=build_quality_inputs(
+                self.learner,
+                passage.snapshot,
+                passage.view,
+                request.request_kind,
+                available,
+                rater=self.escalation is not None and not work.stream,
             ),
         )
 
@@ -220,6 +265,7 @@
         if refusal is not None:
             return await self._refuse(passage, refusal)
         head = self.completion.answer_head(passage)
+        self._expect_rating(passage)
         self.metrics.count("answered", label=str(passage.target))
         self._close(passage, refused="")
         return WholeExchange(
@@ -229,8 +275,14 @@
             body=answer.body,
         )
 
+    def _expect_rating(self, passage: Passage) -> None:
+        """Remember what was expected, for when the answer is rated."""
+        if self.feed is not None and passage.plan is not None:
+            self.feed.expect(passage.request.request_id, passage.plan.quality)
+
     def _begin_stream(self, passage: Passage, reached: Reached) -> RoutedStream:
         passage.ran = Ran.YES
+        self._expect_rating(passage)
         now = self.clock.monotonic()
         self.metrics.record("first_byte_seconds", now - passage.request.received)
         return RoutedStream(
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -87,6 +87,8 @@
         self._run(self._upkeep())
         self._run(self._follow_daemons())
         self._run(parts.held.run())
+        if parts.feed is not None:
+            self._run(parts.feed.run())
         if parts.peer_transport is not None:
             self._run(parts.peers.run())
             self._run(parts.peer_transport.run())
@@ -117,6 +119,8 @@
         await self.operations.stop()
         await parts.connections.close()
         await parts.instances.close()
+        if parts.rater is not None:
+            await parts.rater.close()
         await parts.store.close()
         parts.router.tracer.close()
         log_change("stopped", drained=idle, bills_recorded=flushed)
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -43,6 +43,7 @@
     "attempts": Family("Attempts sent to endpoints", "outcome"),
     "retries": Family("Attempts after the first"),
     "escalations": Family("Answers replaced by one of a better version"),
+    "versions_pulled": Family("Versions pulled because they turned bad"),
     "stream_resumes": Family("Streams resumed after their connection broke"),
     "caller_left": Family("Requests whose caller left before the end"),
     "bills": Family("Bills that stand at the platform"),
--- a/linnetladder/transport/__init__.py
+++ b/linnetladder/transport/__init__.py
@@ -7,6 +7,7 @@
 from linnetladder.transport.key_value import EtcdKeyValue
 from linnetladder.transport.operations_server import OperationsServer, StatusSource
 from linnetladder.transport.peer_links import Certificates, PeerTransport
+from linnetladder.transport.rating_service import HttpRatingService
 
 __all__ = [
     "Certificates",
@@ -15,6 +16,7 @@
     "EtcdKeyValue",
     "HttpEndpointClient",
     "HttpInstanceList",
+    "HttpRatingService",
     "OperationsServer",
     "PeerTransport",
     "StatusSource",
--- /dev/null
+++ b/linnetladder/transport/rating_service.py
@@ -0,0 +1,104 @@
+"""The rating service over HTTP."""
+
+import asyncio
+
+import aiohttp
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import FaultKind, PlatformFault
+from linnetladder.coordination.rating import AnswerRater, RatingPage, RatingQuestion
+from linnetladder.state.estimates import Rating
+from linnetladder.telemetry import Metrics
+
+__all__ = ["HttpRatingService"]
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+PAGE_SECONDS = 1.0
+
+
+class VerdictBody(pydantic.BaseModel):
+    """The answer to a question."""
+
+    poor: bool
+
+
+class RatingBody(pydantic.BaseModel):
+    """One rating of the feed."""
+
+    account: str
+    request_kind: str
+    target: str
+    accepted: bool
+    time_seconds: float
+    request_id: str = ""
+
+
+class PageBody(pydantic.BaseModel):
+    """A page of the feed."""
+
+    position: int
+    ratings: list[RatingBody]
+
+
+class HttpRatingService(AnswerRater):
+    """Call the service at one URL."""
+
+    def __init__(self, *, url: str, metrics: Metrics):
+        self.url = url.rstrip("/")
+        self.metrics = metrics
+        self.session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def is_poor(
+        self, question: RatingQuestion, *, seconds: float
+    ) -> Result[bool, PlatformFault]:
+        """Put an answer to the service."""
+        params = {
+            "request_id": question.request_id,
+            "account": question.account,
+            "kind": question.request_kind,
+            "target": question.target,
+        }
+        received = await self._send(
+            "POST", "/rate", seconds, params=params, data=question.answer
+        )
+        if isinstance(received, Failure):
+            return received
+        try:
+            return Success(VerdictBody.model_validate_json(received.unwrap()).poor)
+        except pydantic.ValidationError as error:
+            return Failure(PlatformFault(FaultKind.REJECTED, str(error)))
+
+    async def page(self, position: int) -> Result[RatingPage, PlatformFault]:
+        """Read the feed."""
+        params = {"after": str(position)}
+        received = await self._send("GET", "/ratings", PAGE_SECONDS, params=params)
+        if isinstance(received, Failure):
+            return received
+        try:
+            body = PageBody.model_validate_json(received.unwrap())
+        except pydantic.ValidationError as error:
+            return Failure(PlatformFault(FaultKind.REJECTED, str(error)))
+        ratings = tuple(Rating(**entry.model_dump()) for entry in body.ratings)
+        return Success(RatingPage(body.position, ratings))
+
+    async def _send(
+        self, method: str, path: str, seconds: float, **options: object
+    ) -> Result[bytes, PlatformFault]:
+        self.metrics.count("platform_calls", label="ratings")
+        try:
+            async with asyncio.timeout(seconds):
+                async with self.session.request(
+                    method, self.url + path, headers=JSON_HEADERS, **options
+                ) as response:
+                    received = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
+        if response.status != 200:
+            detail = f"{self.url}{path} answered {response.status}"
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, detail))
+        return Success(received)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,8 @@
 FLAGS = flags.FLAGS
 MAXIMUM_VALUE_BYTES = 1_048_576
 SLOW_SECONDS = 0.25
+POOR_MARK = "make-it-poor"
+RATINGS_PER_PAGE = 1000
 
 
 class PlatformStandIn:
@@ -34,6 +36,8 @@
         self.instances: dict[str, dict] = {}
         self.listed: list[tuple[float, list[dict]]] = []
         self.list_lag_seconds = list_lag_seconds
+        self.ratings: list[dict] = []
+        self.rate_calls = 0
         self.restored = asyncio.Event()
         self.restored.set()
 
@@ -239,6 +243,25 @@
     async def calls(request: web.Request) -> web.Response:
         return web.json_response(dict(platform.calls))
 
+    async def rate(request: web.Request) -> web.Response:
+        poor = POOR_MARK.encode() in await request.read()
+        platform.rate_calls += 1
+        return web.json_response(
+            {"poor": poor and "large" not in request.query["target"]}
+        )
+
+    async def ratings(request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+        found = platform.ratings[after : after + RATINGS_PER_PAGE]
+        return web.json_response({"position": after + len(found), "ratings": found})
+
+    async def add_ratings(request: web.Request) -> web.Response:
+        platform.ratings.extend(await request.json())
+        return web.json_response({})
+
+    app.router.add_post("/rate", rate)
+    app.router.add_get("/ratings", ratings)
+    app.router.add_post("/ratings", add_ratings)
     app.router.add_get("/instances", instances)
     app.router.add_post("/instances", register)
     app.router.add_delete("/instances/{name}", remove)
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -204,6 +204,7 @@
             peer_port=0,
             platform_urls=(self.platform_url,),
             instance_list_url=f"{self.platform_url}/instances",
+            ratings_url=self.platform_url,
             configuration_poll_seconds=0.2,
             list_poll_seconds=0.1,
             load_poll_seconds=0.1,
