--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,6 +24,11 @@
 from bench.overhead import processor_seconds
 from bench.processes import wait_until
 from bench.scenes import SCENES, Site
+from linnetladder.coordination.publishing import Change, Publisher
+from linnetladder.protocol.declarations import parse_declarations
+from linnetladder.state import SystemClock
+from linnetladder.telemetry import Metrics
+from linnetladder.transport import EtcdKeyValue
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402
@@ -166,11 +171,18 @@
 async def time_changes(count: int, folder: Path) -> tuple[list[float], float]:
     """Return the seconds until each change was in force, and platform calls a change.
 
-    Six daemons; each change raises one account's rate.
+    Six daemons; each change raises the rate of some accounts. The time runs from the
+    acceptance of a change until the last daemon shows it.
     """
     site = Site(scene=SCENES["daugava"], folder=folder, daemons_per_domain=2)
     text = site.scene.declarations.read_text("utf-8")
-    changed = folder / "changed.yaml"
+    store = EtcdKeyValue(
+        urls=(site.platform_url,),
+        timeout_seconds=5.0,
+        clock=SystemClock(),
+        metrics=Metrics(),
+    )
+    publisher = Publisher(store=store, clock=SystemClock())
     try:
         await site.start()
         tool(site, "apply", str(site.scene.declarations), "--wait")
@@ -181,27 +193,38 @@
             started = time.monotonic()
             for number in range(count):
                 rate = f"requests_per_second: {500 + number}"
-                changed.write_text(text.replace("requests_per_second: 400", rate))
-                tool(site, "apply", str(changed))
-                applied = time.monotonic()
-                revision = number + 2
-                for daemon in site.daemons:
-                    await wait_until(
-                        f"http://127.0.0.1:{daemon.operations}/status",
-                        lambda s, r=revision: s["revision"] >= r,
-                    )
-                seconds.append(time.monotonic() - applied)
+                changed = text.replace("requests_per_second: 400", rate)
+                seconds.append(await _time_change(session, site, publisher, changed))
             elapsed = time.monotonic() - started
             after = [await read_counters(session, d.operations) for d in site.daemons]
         calls = sum(
             a["platform_calls_total"] - b["platform_calls_total"]
             for a, b in zip(after, before, strict=True)
         )
-        return seconds, (calls - FLAGS.idle_calls * elapsed * 6) / count
+        return seconds, calls / count - FLAGS.idle_calls * elapsed * 6 / count
     finally:
+        await store.close()
         site.fleet.stop()
 
 
+async def _time_change(
+    session: aiohttp.ClientSession, site: Site, publisher: Publisher, text: str
+) -> float:
+    """Publish one change and return the seconds until all daemons show it."""
+    parts = parse_declarations(text, file="change").unwrap().parts
+    plan = (await publisher.plan(parts, reinstate=frozenset())).unwrap()
+    change = Change(author="bench", message="change")
+    manifest = (await publisher.publish(plan, change)).unwrap()
+    accepted = time.monotonic()
+    waiting = {daemon.operations for daemon in site.daemons}
+    while waiting:
+        for port in tuple(waiting):
+            async with session.get(f"http://127.0.0.1:{port}/status") as response:
+                if (await response.json())["revision"] >= manifest.revision:
+                    waiting.discard(port)
+    return time.monotonic() - accepted
+
+
 def fit(sizes: list[int], values: list[float]) -> tuple[float, float, float]:
     """Return slope, intercept and the root mean square error of a line."""
     slope, intercept = numpy.polyfit(sizes, values, 1)
--- a/linnetladder/coordination/configuration.py
+++ b/linnetladder/coordination/configuration.py
@@ -24,6 +24,7 @@
     PartRef,
     decode_manifest,
     decode_part,
+    encode_head,
     encode_manifest,
     encode_part,
 )
@@ -34,6 +35,7 @@
     "HISTORY_PREFIX",
     "PART_PREFIX",
     "ConfigurationInForce",
+    "fetch_manifest",
     "fetch_snapshot",
     "history_key",
     "part_key",
@@ -72,6 +74,21 @@
     return Success(part)
 
 
+async def fetch_manifest(
+    store: KeyValueService, head: Manifest
+) -> Result[Manifest, PlatformFault]:
+    """Return the whole manifest that a head stands for."""
+    found = await store.get(history_key(head.revision))
+    if isinstance(found, Failure):
+        return found
+    record = found.unwrap()
+    manifest = decode_manifest(record.value) if record is not None else None
+    if manifest is None or manifest.checkpoint_id != head.checkpoint_id:
+        detail = f"the manifest of revision {head.revision} is missing"
+        return Failure(PlatformFault(FaultKind.REJECTED, detail))
+    return Success(manifest)
+
+
 async def fetch_snapshot(
     store: KeyValueService, manifest: Manifest, *, held: Snapshot | None = None
 ) -> Result[Snapshot, PlatformFault]:
@@ -143,7 +160,7 @@
         """
         head = decode_manifest(record.value)
         if head.revision > self.revision:
-            fetched = await fetch_snapshot(self.store, head, held=self.snapshot)
+            fetched = await self._fetch(head)
             if isinstance(fetched, Failure):
                 self.metrics.count("platform_faults", label=fetched.failure().kind)
                 return
@@ -155,6 +172,12 @@
         if head.revision < self.revision:
             await self._heal(record)
 
+    async def _fetch(self, head: Manifest) -> Result[Snapshot, PlatformFault]:
+        manifest = await fetch_manifest(self.store, head)
+        if isinstance(manifest, Failure):
+            return manifest
+        return await fetch_snapshot(self.store, manifest.unwrap(), held=self.snapshot)
+
     def confirm_by_peer(
         self, *, revision: int, checkpoint_id: str, when: float
     ) -> None:
@@ -186,13 +209,12 @@
             content = encode_part(self.snapshot.parts[ref.name])[1]
             put = Put(part_key(ref.digest), content)
             await self.store.transact(conditions=(Condition(put.key),), puts=(put,))
-        encoded = encode_manifest(manifest)
         revision = older.modify_revision if older else 0
         written = await self.store.transact(
             conditions=(Condition(HEAD_KEY, revision),),
             puts=(
-                Put(HEAD_KEY, encoded),
-                Put(history_key(manifest.revision), encoded),
+                Put(HEAD_KEY, encode_head(manifest)),
+                Put(history_key(manifest.revision), encode_manifest(manifest)),
             ),
         )
         if isinstance(written, Success) and written.unwrap().succeeded:
--- a/linnetladder/coordination/passage.py
+++ b/linnetladder/coordination/passage.py
@@ -27,7 +27,8 @@
 
     ``deadline`` is monotonic seconds. ``ran`` is what is known of this submission;
     ``superseded`` holds the versions whose answers an escalation replaced, with what
-    they used. ``entered`` is set while the account's count of requests in flight includes it.
+    they used. ``entered`` is set while the account's count of requests in flight
+    includes it.
     """
 
     request: CallerRequest
--- a/linnetladder/coordination/publishing.py
+++ b/linnetladder/coordination/publishing.py
@@ -16,6 +16,7 @@
 from linnetladder.coordination.configuration import (
     HEAD_KEY,
     HISTORY_PREFIX,
+    fetch_manifest,
     fetch_snapshot,
     history_key,
     part_key,
@@ -34,6 +35,7 @@
     Part,
     build_manifest,
     decode_manifest,
+    encode_head,
     encode_manifest,
     encode_part,
 )
@@ -135,8 +137,12 @@
         if isinstance(found, Failure):
             return Failure(_platform_fault(found.failure()))
         record = found.unwrap()
-        manifest = decode_manifest(record.value) if record else None
-        return Success(Head(record, manifest))
+        if record is None:
+            return Success(Head(None, None))
+        manifest = await fetch_manifest(self.store, decode_manifest(record.value))
+        if isinstance(manifest, Failure):
+            return Failure(_platform_fault(manifest.failure()))
+        return Success(Head(record, manifest.unwrap()))
 
     async def read_snapshot(self, manifest: Manifest) -> Result[Snapshot, PublishFault]:
         """Return the whole configuration of a manifest."""
@@ -259,8 +265,10 @@
     async def _swap_head(
         self, head: Head, manifest: Manifest
     ) -> Result[Manifest, PublishFault]:
-        content = encode_manifest(manifest)
-        puts = (Put(HEAD_KEY, content), Put(history_key(manifest.revision), content))
+        puts = (
+            Put(HEAD_KEY, encode_head(manifest)),
+            Put(history_key(manifest.revision), encode_manifest(manifest)),
+        )
         swapped = await swap(
             self.store, expected=head.record, puts=puts, settle_seconds=SETTLE_SECONDS
         )
--- a/linnetladder/state/snapshot.py
+++ b/linnetladder/state/snapshot.py
@@ -34,6 +34,7 @@
     "checkpoint_id",
     "decode_manifest",
     "decode_part",
+    "encode_head",
     "encode_manifest",
     "encode_part",
 ]
@@ -125,6 +126,14 @@
     return _dump(manifest)
 
 
+def encode_head(manifest: Manifest) -> bytes:
+    """Return what the head holds: the manifest without its parts.
+
+    Every daemon reads the head often, so its size must not grow with the tree.
+    """
+    return _dump(dataclasses.replace(manifest, parts=()))
+
+
 def decode_manifest(content: bytes) -> Manifest:
     """Read a manifest; raise `pydantic.ValidationError` if it is malformed."""
     return _MANIFEST_ADAPTER.validate_json(content)
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -9,9 +9,10 @@
 import pytest
 from returns.result import Success
 
-from linnetladder.coordination import completion, decision
+from linnetladder.coordination import completion
 from linnetladder.coordination.attempts import AttemptRunner
 from linnetladder.coordination.bill_copies import PeerBillCopier
+from linnetladder.coordination.cascade import POLICIES, AlwaysBest
 from linnetladder.coordination.completion import Completion
 from linnetladder.coordination.configuration import ConfigurationInForce
 from linnetladder.coordination.entry import EntryChecks
@@ -20,6 +21,7 @@
 from linnetladder.errors import Ran
 from linnetladder.protocol.engines import AnswerCheck
 from linnetladder.state import Endpoint, Snapshot
+from linnetladder.state.snapshot import decode_manifest
 from linnetladder.transport.caller_server import CallerServer
 from proof import Rules, check_history
 from tests.support.memory import run_virtual
@@ -172,10 +174,7 @@
 
 
 async def follow_anything(self, record, *, read_started):
-    from linnetladder.coordination.configuration import fetch_snapshot
-    from linnetladder.state.snapshot import decode_manifest
-
-    fetched = await fetch_snapshot(self.store, decode_manifest(record.value))
+    fetched = await self._fetch(decode_manifest(record.value))
     if isinstance(fetched, Success):
         self.snapshot = fetched.unwrap()
 
@@ -285,11 +284,8 @@
     def view_of_studio(self, account, view=Snapshot.view):
         return view(self, "studio" if account == "cheap" else account)
 
-    def prefer_dear(search, serving):
-        return tuple(sorted(serving, key=lambda v: -v.output_price))
-
     monkeypatch.setattr(Snapshot, "view", view_of_studio)
-    monkeypatch.setattr(decision, "_ladder", prefer_dear)
+    monkeypatch.setitem(POLICIES, "target_on_average", AlwaysBest())
     assert promises_broken(model_that_is_not_allowed) & {
         "allowed version",
         "billed exactly once",
