--- a/bench/reference.py
+++ b/bench/reference.py
@@ -23,9 +23,9 @@
     lines = [
         "# Settings of a daemon",
         "",
-        f"Each is a flag `--name` and an environment variable `{ENVIRONMENT_PREFIX}NAME`;",
-        "the flag goes first. `linnetladderd --check` validates them and names each",
-        "problem by id.",
+        f"Each is a flag `--name` and a variable `{ENVIRONMENT_PREFIX}NAME` of the",
+        "environment; the flag goes first. `linnetladderd --check` validates them and",
+        "names each problem by id.",
         "",
         "| name | default | meaning |",
         "|---|---|---|",
