Start an account's price of quality from what its first choices imply

Cause: in the demo nearly everything went to the cheapest version, since a new account's price started far too low and its first 50 requests missed the target. Change: the first 20 choices meet the target alone and set the price; a quality floor.

--- a/features/steps/cascades_steps.py
+++ b/features/steps/cascades_steps.py
@@ -17,7 +17,7 @@
 def pays_well(context, account):
     """Set a price at which a plan that escalates is worth more than either alone."""
     for daemon in context.site.daemons:
-        control = PriceControl(scale=200_000.0)
+        control = PriceControl(scale=200_000.0, chosen=1000.0)
         daemon.parts.learner.controls[account] = control
 
 
--- a/linnetladder/coordination/cascade.py
+++ b/linnetladder/coordination/cascade.py
@@ -23,6 +23,7 @@
     "RandomChoice",
     "TargetOnAverage",
     "frontier",
+    "implied_price",
 ]
 
 FIXED_THRESHOLD_INPUT_TOKENS = 500
@@ -60,10 +61,12 @@
     """What a policy may look at beside the plans.
 
     ``quality_price`` is what one more accepted answer is worth at the moment, in
-    millionths of a currency unit.
+    millionths of a currency unit, and negative while that is not known. Below
+    ``quality_floor`` no plan may lie, if there is one above it.
     """
 
     quality_target: float
+    quality_floor: float
     input_tokens: int
     draw: float
     quality_price: float = 0.0
@@ -88,6 +91,16 @@
     return kept
 
 
+def implied_price(chosen: Plan, plans: list[Plan]) -> float:
+    """Return the least price of quality at which a plan beats the cheaper ones."""
+    prices = [
+        (chosen.cost - plan.cost) / (chosen.quality - plan.quality)
+        for plan in plans
+        if plan.quality < chosen.quality and plan.cost < chosen.cost
+    ]
+    return max(prices, default=0.0)
+
+
 def _by_cost(plan: Plan) -> tuple[float, str]:
     return plan.cost, plan.name
 
@@ -101,18 +114,24 @@
 
     The account's price of quality rises while its answers fall short of the target
     and sinks while they exceed it. So dear plans go where they add most quality for
-    their cost, and the average meets the target at the least cost.
+    their cost, and the average meets the target at the least cost. While an account's
+    price is not known, each of its requests has to meet the target by itself.
     """
 
     escalates = True
 
     def choose(self, plans: tuple[Plan, ...], inputs: PolicyInputs) -> Plan:
         """Return the plan with the greatest quality at its price, less its cost."""
+        if inputs.quality_price < 0:
+            return CheapestMeetingTarget().choose(plans, inputs)
+        allowed = [plan for plan in plans if plan.quality >= inputs.quality_floor]
 
         def loss(plan: Plan) -> tuple[float, str]:
             return plan.cost - inputs.quality_price * plan.quality, plan.name
 
-        return min(plans, key=loss)
+        if not allowed:
+            return min(plans, key=_by_quality)
+        return min(allowed, key=loss)
 
 
 class CheapestMeetingTarget(CascadePolicy):
--- a/linnetladder/coordination/decision.py
+++ b/linnetladder/coordination/decision.py
@@ -12,6 +12,7 @@
     Plan,
     PolicyInputs,
     frontier,
+    implied_price,
 )
 from linnetladder.coordination.requests import AUTOMATIC_MODEL
 from linnetladder.errors import ErrorKind, Explanation, PassedOver, Refusal
@@ -31,11 +32,13 @@
 class Decision:
     """The plan, the versions to fall back on, or the refusal.
 
+    ``implied_price`` is the price of quality at which the plan beats cheaper ones.
     ``ladder`` is the plan's first version and then every other candidate, best value
     first, for when the first one has no room.
     """
 
     plan: Plan | None = None
+    implied_price: float = 0.0
     ladder: tuple[ModelVersion, ...] = ()
     refusal: Refusal | None = None
     passed_over: tuple[PassedOver, ...] = ()
@@ -218,6 +221,7 @@
         quality_target=values.quality_target,
         input_tokens=inputs.input_tokens,
         draw=inputs.exploration_draw,
+        quality_floor=values.quality_floor,
         quality_price=inputs.quality.price,
     )
     plan = policy.choose(tuple(plans), policy_inputs)
@@ -230,6 +234,7 @@
             search.pass_over(other.steps[0].ref, reason)
     return Decision(
         plan=plan,
+        implied_price=implied_price(plan, plans),
         ladder=(first, *(p.steps[0] for p in others)),
         passed_over=tuple(search.passed_over),
     )
--- a/linnetladder/coordination/quality.py
+++ b/linnetladder/coordination/quality.py
@@ -19,8 +19,8 @@
 PRICE_GAIN = 0.2
 MAXIMUM_SHORTFALL = 120.0
 MAXIMUM_WEIGHT = 20.0
-FIRST_PRICE = 1000.0
-FIRST_PRICE_COSTS = 4.0
+FIRST_CHOICES = 20
+PRICE_UNKNOWN = -1.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -31,7 +31,7 @@
     answers; the price is the scale times an exponential of it.
     """
 
-    scale: float
+    scale: float = 1.0
     shortfall: float = 0.0
     chosen: float = 0.0
     rated: float = 0.0
@@ -120,30 +120,33 @@
         )
 
     def price(self, account: str) -> float:
-        """Return what one more accepted answer is worth to an account now."""
+        """Return what one more accepted answer is worth to an account now.
+
+        It is negative while too little was chosen for the account to tell.
+        """
         control = self.controls.get(account)
-        if control is None:
-            control = self._first_control(FIRST_PRICE / FIRST_PRICE_COSTS)
+        if control is None or control.chosen < FIRST_CHOICES:
+            return PRICE_UNKNOWN
         return control.scale * math.exp(PRICE_GAIN * control.shortfall)
 
     def chosen(
-        self, account: str, *, target: float, quality: float, cost: float
+        self, account: str, *, target: float, quality: float, price: float
     ) -> None:
-        """Note a chosen plan, so that the price follows the shortfall."""
+        """Note a chosen plan, so that the price follows the shortfall.
+
+        ``price`` is the price of quality that the choice implies; the mean of an
+        account's first choices is where its price starts from.
+        """
         control = self.controls.get(account)
         if control is None:
-            control = self._first_control(cost)
+            control = PriceControl()
             self.controls[account] = control
         control.chosen += 1.0
+        if control.chosen <= FIRST_CHOICES:
+            control.scale += price / FIRST_CHOICES
+            return
         control.move(target - quality)
 
-    def _first_control(self, cost: float) -> PriceControl:
-        """Return a new account's control, which starts where the busiest one stands."""
-        busiest = max(self.controls.values(), key=lambda c: c.chosen, default=None)
-        if busiest is None:
-            return PriceControl(scale=max(cost, 1.0) * FIRST_PRICE_COSTS)
-        return PriceControl(scale=busiest.scale, shortfall=busiest.shortfall)
-
     def judged(self, account: str, *, expected: float, accepted: bool) -> None:
         """Note a rating of a plan's answer, to correct what was expected of it.
 
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/router.py
@@ -173,7 +173,7 @@
             passage.account,
             target=passage.view.settings.values.quality_target,
             quality=decision.plan.quality,
-            cost=decision.plan.cost,
+            price=decision.implied_price,
         )
         passage.target = decision.ladder[0].ref
         return None
--- a/linnetladder/protocol/declarations.py
+++ b/linnetladder/protocol/declarations.py
@@ -79,6 +79,7 @@
     allowed_services: list[Name] | None = None
     rollouts: dict[Name, RolloutModel] | None = None
     quality_target: Share | None = None
+    quality_floor: Share | None = None
     cascade_policy: str | None = None
     escalation_billing: Literal["final", "all"] | None = None
     requests_per_second: Positive | None = None
--- a/linnetladder/state/settings.py
+++ b/linnetladder/state/settings.py
@@ -31,6 +31,7 @@
     allowed_services: tuple[str, ...] | None = None
     rollouts: tuple[Rollout, ...] | None = None
     quality_target: float | None = None
+    quality_floor: float | None = None
     cascade_policy: str | None = None
     escalation_billing: str | None = None
     requests_per_second: float | None = None
@@ -52,6 +53,7 @@
     allowed_services=(),
     rollouts=(),
     quality_target=0.8,
+    quality_floor=0.0,
     cascade_policy="target_on_average",
     escalation_billing="final",
     requests_per_second=50.0,
@@ -117,6 +119,7 @@
     "allowed_services": is_narrower_pattern_set,
     "rollouts": _equal,
     "quality_target": _no_smaller,
+    "quality_floor": _no_smaller,
     "cascade_policy": _equal,
     "escalation_billing": _equal,
     "requests_per_second": _no_greater,
