--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -271,8 +271,12 @@
         "accounts": (with_accounts, [10, 500, 2000, 5000]),
     }
     for name, (experiment, sizes) in experiments.items():
+        if name not in FLAGS.only:
+            continue
         costs = [await experiment(size, folder / f"{name}-{size}") for size in sizes]
         report(console, name, sizes, costs)
+    if "changes" not in FLAGS.only:
+        return
     seconds, calls = await time_changes(FLAGS.changes, folder / "changes")
     shown = [numpy.percentile(seconds, p) for p in (50, 99)]
     console.print(
@@ -293,6 +297,9 @@
 if __name__ == "__main__":
     flags.DEFINE_float("seconds", 8.0, "Length of one measurement.")
     flags.DEFINE_integer("changes", 20, "Changes to time.")
-    flags.DEFINE_float("idle_calls", 1.9, "Platform calls a second of an idle daemon.")
+    flags.DEFINE_float("idle_calls", 3.0, "Platform calls a second of an idle daemon.")
+    flags.DEFINE_list(
+        "only", ["daemons", "endpoints", "accounts", "changes"], "What to measure."
+    )
     flags.DEFINE_string("plots", "docs/plots", "Folder for the plots.")
     absl_app.run(main)
--- a/linnetladder/coordination/bill_copies.py
+++ b/linnetladder/coordination/bill_copies.py
@@ -39,7 +39,7 @@
                 for link, is_held in zip(asked, held, strict=True)
                 if is_held
             )
-        linked = len(holders | set(self.peers.links))
+        linked = len(holders | {link.hello.instance for link in self._candidates()})
         return bool(holders) and len(holders) >= min(COPIES, linked)
 
     async def drop(self, block: BillBlock) -> None:
@@ -56,7 +56,7 @@
         links = [
             link
             for link in self.peers.links.values()
-            if link.heard is None or not link.heard.draining
+            if link.responds and not (link.heard and link.heard.draining)
         ]
         links.sort(key=lambda link: (link.hello.failure_domain == own, id(link)))
         first: dict[str, Link] = {}
@@ -74,6 +74,7 @@
             async with asyncio.timeout(COPY_SECONDS):
                 await held
         except TimeoutError:
+            link.responds = False
             return False
         finally:
             self.peers.holds.pop(key, None)
--- a/linnetladder/coordination/decision.py
+++ b/linnetladder/coordination/decision.py
@@ -27,6 +27,8 @@
 
 __all__ = ["Decision", "decide"]
 
+PULLED_REASON = "this daemon has pulled it because it turned bad"
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Decision:
@@ -195,7 +197,9 @@
     available = set(search.inputs.available)
     serving = []
     for version in current:
-        if str(version.ref) in available:
+        if str(version.ref) in search.inputs.pulled:
+            search.pass_over(version.ref, PULLED_REASON)
+        elif str(version.ref) in available:
             serving.append(version)
         else:
             search.pass_over(version.ref, "no endpoint accepts work for it")
@@ -207,6 +211,9 @@
         detail = "every allowed version is under roll-out and can't be confirmed"
         return search.refuse(ErrorKind.CONFIGURATION_STALE, detail)
     names = ", ".join(str(version.ref) for version in current)
+    if all(str(version.ref) in search.inputs.pulled for version in current):
+        detail = f"version {names} was pulled because it turned bad"
+        return search.refuse(ErrorKind.VERSION_WITHDRAWN, detail)
     detail = f"no endpoint accepts work for {names}"
     return search.refuse(ErrorKind.NO_ENDPOINT, detail)
 
--- a/linnetladder/coordination/discovery.py
+++ b/linnetladder/coordination/discovery.py
@@ -19,7 +19,7 @@
 __all__ = ["Discovery", "LoadSource"]
 
 POLLED_AT_ONCE = 32
-REPORTS_PER_SECOND = 10
+REPORTS_PER_SECOND = 6
 LIST_SECONDS_PER_ENDPOINT = 0.05
 
 
--- a/linnetladder/coordination/health_watch.py
+++ b/linnetladder/coordination/health_watch.py
@@ -46,9 +46,9 @@
         self.by_answer: dict[VersionRef, ChangeTest] = {}
         self.pulled: set[VersionRef] = set()
 
-    def is_pulled(self, ref: VersionRef) -> bool:
-        """Tell whether this daemon has pulled a version."""
-        return ref in self.pulled
+    def pulled_names(self) -> tuple[str, ...]:
+        """Return the versions that this daemon has pulled."""
+        return tuple(sorted(str(ref) for ref in self.pulled))
 
     async def rated(self, rating: Rating) -> None:
         """Take in a rating of an answer that one version gave alone."""
--- a/linnetladder/coordination/peers.py
+++ b/linnetladder/coordination/peers.py
@@ -38,9 +38,9 @@
 
 __all__ = ["Link", "Peers", "choose_neighbours"]
 
-HEARTBEAT_SECONDS = 2.0
-NEWS_SECONDS = 0.2
-SILENT_SECONDS = 6.5
+HEARTBEAT_SECONDS = 4.0
+NEWS_SECONDS = 0.25
+SILENT_SECONDS = 13.0
 OWN_DOMAIN_LINKS = 2
 OTHER_DOMAIN_LINKS = 1
 MAXIMUM_KNOWN = 1024
@@ -48,13 +48,17 @@
 
 
 class Link(abc.ABC):
-    """A stream to one peer that has said who it is."""
+    """A stream to one peer that has said who it is.
+
+    ``responds`` is false from an unanswered question until the peer is heard again.
+    """
 
     def __init__(self, *, hello: Hello, dialer: str, now: float):
         self.hello = hello
         self.dialer = dialer
         self.heard: Heartbeat | None = None
         self.heard_at = now
+        self.responds = True
 
     @abc.abstractmethod
     def send(self, message: PeerMessage) -> None:
@@ -257,6 +261,7 @@
 
     def _take_heartbeat(self, link: Link, heartbeat: Heartbeat) -> None:
         link.heard = heartbeat
+        link.responds = True
         link.heard_at = self.clock.monotonic()
         self.learn(heartbeat.neighbours)
         if heartbeat.revision > self.configuration.revision:
--- a/linnetladder/coordination/quality.py
+++ b/linnetladder/coordination/quality.py
@@ -48,6 +48,8 @@
     def __init__(self):
         self.estimates = QualityEstimates()
         self.controls: dict[str, PriceControl] = {}
+        self.lineages: dict[str, tuple[str, ...]] = {}
+        self.lineage_revision = 0
 
     def learn(self, rating: Rating, snapshot: Snapshot) -> None:
         """Take in a rating of an answer that was given."""
@@ -161,4 +163,11 @@
         control.move(weight * (expected - accepted))
 
     def _lineage(self, snapshot: Snapshot, account: str) -> tuple[str, ...]:
-        return tuple(node.name for node in snapshot.tree.lineage(account))
+        if snapshot.revision != self.lineage_revision:
+            self.lineage_revision = snapshot.revision
+            self.lineages.clear()
+        known = self.lineages.get(account)
+        if known is None:
+            known = tuple(node.name for node in snapshot.tree.lineage(account))
+            self.lineages[account] = known
+        return known
--- a/linnetladder/coordination/rating.py
+++ b/linnetladder/coordination/rating.py
@@ -14,7 +14,7 @@
 
 __all__ = ["AnswerRater", "RatingFeed", "RatingPage", "RatingQuestion"]
 
-POLL_SECONDS = 1.0
+POLL_SECONDS = 2.0
 MAXIMUM_EXPECTED = 20_000
 
 
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/router.py
@@ -23,11 +23,21 @@
 from linnetladder.coordination.quality import QualityLearner
 from linnetladder.coordination.quality_inputs import build_quality_inputs
 from linnetladder.coordination.rating import RatingFeed
-from linnetladder.coordination.requests import CallerRequest, ChatWork
+from linnetladder.coordination.requests import (
+    AUTOMATIC_MODEL,
+    CallerRequest,
+    ChatWork,
+)
 from linnetladder.coordination.streams import RoutedStream
 from linnetladder.coordination.tickets import Ticket, TicketClaims
 from linnetladder.errors import ErrorKind, Ran, Refusal
-from linnetladder.state import Clock, DecisionInputs, EndpointTable, Target
+from linnetladder.state import (
+    AccountView,
+    Clock,
+    DecisionInputs,
+    EndpointTable,
+    Target,
+)
 from linnetladder.telemetry import Metrics, Tracer
 
 __all__ = ["Router"]
@@ -183,12 +193,7 @@
         now = self.clock.monotonic()
         key = f"{passage.account}\0{request.request_key}"
         limit = passage.view.settings.values.maximum_output_tokens
-        available = tuple(
-            str(version.ref)
-            for version in passage.view.allowed
-            if self.table.accepts_work(version.ref, now)
-            and not self.watch.is_pulled(version.ref)
-        )
+        available = self._available(passage.view, work.wanted, now)
         return DecisionInputs(
             account=passage.account,
             wanted=work.wanted,
@@ -200,6 +205,7 @@
             pin=str(passage.session.pin) if passage.session else "",
             fresh=self.checks.is_fresh(passage),
             available=available,
+            pulled=self.watch.pulled_names(),
             quality=build_quality_inputs(
                 self.learner,
                 passage.snapshot,
@@ -210,6 +216,17 @@
             ),
         )
 
+    def _available(self, view: AccountView, wanted: str, now: float) -> tuple[str, ...]:
+        """Return the versions that fit the wish and that an endpoint works for."""
+        model, _, version = wanted.partition("@")
+        return tuple(
+            str(entry.ref)
+            for entry in view.allowed
+            if model in (AUTOMATIC_MODEL, entry.ref.model)
+            and version in ("", entry.ref.version)
+            and self.table.accepts_work(entry.ref, now)
+        )
+
     async def _claim(self, passage: Passage) -> Refusal | None:
         """Take the right to run a non-idempotent request that the caller named."""
         request = passage.request
--- a/linnetladder/state/receipts.py
+++ b/linnetladder/state/receipts.py
@@ -54,7 +54,8 @@
     """Everything that the choice of a version depends on, beside the snapshot.
 
     ``draw`` is from [0, 1) and settles roll-outs; ``exploration_draw`` settles the
-    random policy. ``available`` names the versions that an endpoint accepted work for.
+    random policy. ``available`` names the versions that an endpoint accepted work for,
+    ``pulled`` those that the daemon had stopped using.
     """
 
     account: str
@@ -67,6 +68,7 @@
     pin: str = ""
     fresh: bool = True
     available: tuple[str, ...] = ()
+    pulled: tuple[str, ...] = ()
     quality: QualityInputs = dataclasses.field(default_factory=QualityInputs)
 
 
