--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,103 @@
+"""What open streams cost a daemon: memory for each, processor time for each event."""
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+from absl import app as absl_app
+from absl import flags
+from rich.console import Console
+
+from bench.demo import tool
+from bench.overhead import processor_seconds
+from bench.scenes import SCENES, Site, credential
+from bench.slopes import memory_bytes
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+TOKEN_SECONDS = 0.038
+ANSWER_CHARACTERS = 3000
+MEASURE_SECONDS = 6.0
+KIBIBYTE = 1024
+
+
+class Readers:
+    """Callers that read streams and count events."""
+
+    def __init__(self, *, url: str):
+        self.url = url
+        self.events = 0
+
+    async def read(self, session: aiohttp.ClientSession) -> None:
+        """Read one stream to its end."""
+        messages = [{"role": "user", "content": "x" * ANSWER_CHARACTERS}]
+        document = {
+            "model": "linnet-medium@2026.08",
+            "messages": messages,
+            "stream": True,
+        }
+        headers = {"Authorization": f"Bearer {credential('ozols')}"}
+        async with session.post(
+            self.url, data=json.dumps(document), headers=headers
+        ) as response:
+            async for chunk in response.content.iter_any():
+                self.events += chunk.count(b"\n\n")
+
+
+async def run(console: Console) -> bool:
+    """Open the streams and measure while they flow."""
+    folder = Path(tempfile.mkdtemp(prefix="linnetladder-streams-"))
+    site = Site(scene=SCENES["daugava"], folder=folder, token_seconds=TOKEN_SECONDS)
+    site.daemons = site.daemons[:1]
+    text = site.scene.declarations.read_text("utf-8")
+    text = text.replace("quality_target: 0.9", "maximum_in_flight: 4096")
+    declarations = folder / "settings.yaml"
+    declarations.write_text(text, "utf-8")
+    try:
+        await site.start("--maximum_queue=4096")
+        if tool(site, "apply", str(declarations), "--wait").returncode:
+            return False
+        await site.wait_ready()
+        pid = site.fleet.processes[site.daemons[0].name].pid
+        before = memory_bytes(pid)
+        readers = Readers(url=site.caller_url(site.daemons[0]) + "/v1/chat/completions")
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            tasks = [
+                asyncio.ensure_future(readers.read(session))
+                for _ in range(FLAGS.streams)
+            ]
+            await asyncio.sleep(4.0)
+            events, used = readers.events, processor_seconds(pid)
+            started = time.monotonic()
+            await asyncio.sleep(MEASURE_SECONDS)
+            elapsed = time.monotonic() - started
+            flowed = readers.events - events
+            spent = processor_seconds(pid) - used
+            during = memory_bytes(pid)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+    finally:
+        site.fleet.stop()
+    console.print(
+        f"{FLAGS.streams} streams: {flowed / elapsed:.0f} events/s, "
+        f"{spent * 1e6 / max(flowed, 1):.0f} us of processor time an event, "
+        f"{(during - before) / KIBIBYTE / FLAGS.streams:.1f} KiB a stream"
+    )
+    return flowed > 0
+
+
+def main(argv: list[str]) -> None:
+    """Measure and print."""
+    sys.exit(0 if asyncio.run(run(Console(width=120))) else 1)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("streams", 40, "Streams to open.")
+    absl_app.run(main)
