--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/completion.py
@@ -62,6 +62,7 @@
         bill = self._build_bill(passage, usage, complete=complete)
         puts = passage.claims.answered(passage.claim) if passage.claim else ()
         safe = self.bills.add(bill, puts)
+        hop = passage.trace.begin("bill") if passage.trace else None
         wait = max(passage.deadline - before, MINIMUM_BILL_WAIT_SECONDS)
         try:
             async with asyncio.timeout(wait):
@@ -76,6 +77,8 @@
             return Refusal(
                 ErrorKind.BILL_NOT_RECORDED, detail, Ran.YES, retry_after_seconds=5.0
             )
+        if hop is not None:
+            hop.end()
         self.metrics.record("bill_seconds", self.clock.monotonic() - before)
         return None
 
