--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,61 @@
+"""Long outages, on virtual time."""
+
+import asyncio
+
+from proof import Rules, check_history
+from tests.support.memory import run_virtual
+from tests.support.world import ALLOWED, World
+
+HALF_AN_HOUR = 1800
+PAUSE_SECONDS = 12
+
+
+def test_half_an_hour_without_the_platform_loses_and_doubles_nothing():
+    async def scenario():
+        world = World()
+        await world.start()
+        world.set_platform_down(True)
+        for number in range(HALF_AN_HOUR // PAUSE_SECONDS):
+            name = world.names[number % 3]
+            kind = "stream" if number % 2 else "chat"
+            world.submit(f"a{number}", daemon=name, kind=kind)
+            await asyncio.sleep(PAUSE_SECONDS)
+            if number == 70:
+                world.kill("daemon-2")
+                await world.start_daemon("daemon-2")
+        unrecorded = [m.core.bills.unrecorded for m in world.members.values()]
+        held = [len(m.core.held.blocks) for m in world.members.values()]
+        await world.settle()
+        left = [len(m.core.held.blocks) for m in world.members.values()]
+        return world, unrecorded, held, left
+
+    world, unrecorded, held, left = run_virtual(scenario())
+    assert check_history(world.history, Rules(allowed=ALLOWED)) == []
+    assert len(world.history.bills) == HALF_AN_HOUR // PAUSE_SECONDS
+    assert sum(unrecorded) > 100
+    assert sum(held) >= sum(unrecorded)
+    assert left == [0, 0, 0]
+
+
+def test_a_daemon_refuses_work_at_the_bound_of_unrecorded_bills():
+    async def scenario():
+        world = World()
+        await world.start()
+        for member in world.members.values():
+            member.core.bills.maximum_unrecorded = 3
+        world.set_platform_down(True)
+        for number in range(6):
+            world.submit(f"a{number}", daemon="daemon-1", named=False)
+            await asyncio.sleep(2)
+        refused = [
+            event
+            for event in world.history.events
+            if getattr(event, "kind", "") == "platform_unavailable"
+        ]
+        await world.settle()
+        return world, refused
+
+    world, refused = run_virtual(scenario())
+    assert check_history(world.history, Rules(allowed=ALLOWED)) == []
+    assert [event.ran for event in refused] == ["no", "no", "no"]
+    assert len(world.history.bills) == 3
