Give places and counts back when the program itself fails; part what had grown

Cause: an exception other than a cancellation left a place at an endpoint taken and an account's request in flight counted for good (found by reading the awaits). Change: both are given back on any exception; the meaning of faults has a module of its own; stand-ins of endpoints share their flags and their listing.

--- /dev/null
+++ b/linnetladder/coordination/attempt_faults.py
@@ -0,0 +1,76 @@
+"""What an attempt's failure means: for the caller, for the endpoint, for a retry."""
+
+from linnetladder.coordination.endpoint_client import EndpointFault, EndpointFaultKind
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.state import Endpoint
+
+__all__ = [
+    "EJECTING_FAULTS",
+    "FAULT_KINDS",
+    "NEUTRAL_OUTCOMES",
+    "deadline_fault",
+    "fault_refusal",
+    "silent_fault",
+    "worse",
+]
+
+FAULT_KINDS: dict[EndpointFaultKind, ErrorKind] = {
+    EndpointFaultKind.CONNECT: ErrorKind.ENDPOINT_FAILED,
+    EndpointFaultKind.BUSY: ErrorKind.OVERLOADED,
+    EndpointFaultKind.LEAVING: ErrorKind.NO_ENDPOINT,
+    EndpointFaultKind.REJECTED: ErrorKind.ENDPOINT_REJECTED,
+    EndpointFaultKind.BROKEN: ErrorKind.ENDPOINT_FAILED,
+    EndpointFaultKind.SILENT: ErrorKind.ENDPOINT_SILENT,
+    EndpointFaultKind.CROSSED: ErrorKind.ENDPOINT_ANSWER_INVALID,
+    EndpointFaultKind.CUT: ErrorKind.ENDPOINT_ANSWER_INVALID,
+    EndpointFaultKind.WRONG_VERSION: ErrorKind.ENDPOINT_ANSWER_INVALID,
+    EndpointFaultKind.FAILED: ErrorKind.ENDPOINT_FAILED,
+    EndpointFaultKind.DEADLINE: ErrorKind.DEADLINE_EXCEEDED,
+}
+NEUTRAL_OUTCOMES = frozenset(
+    {
+        EndpointFaultKind.BUSY,
+        EndpointFaultKind.LEAVING,
+        EndpointFaultKind.CONNECT,
+        EndpointFaultKind.REJECTED,
+        EndpointFaultKind.DEADLINE,
+    }
+)
+RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+EJECTING_FAULTS = frozenset(
+    {
+        EndpointFaultKind.CONNECT,
+        EndpointFaultKind.BROKEN,
+        EndpointFaultKind.SILENT,
+        EndpointFaultKind.CROSSED,
+        EndpointFaultKind.CUT,
+        EndpointFaultKind.WRONG_VERSION,
+        EndpointFaultKind.FAILED,
+    }
+)
+
+
+def fault_refusal(fault: EndpointFault, ran: Ran) -> Refusal:
+    """Return the refusal that answers an endpoint's fault."""
+    kind = FAULT_KINDS[fault.kind]
+    retry_after = None if kind is ErrorKind.ENDPOINT_REJECTED else 1.0
+    return Refusal(kind, fault.detail, ran, retry_after_seconds=retry_after)
+
+
+def worse(known: Ran, added: Ran) -> Ran:
+    """Combine what two attempts tell of whether the request ran."""
+    return max(known, added, key=RAN_ORDER.index)
+
+
+def deadline_fault() -> EndpointFault:
+    """Return the fault of a call whose deadline has passed."""
+    detail = "the deadline passed before the endpoint answered"
+    return EndpointFault(
+        kind=EndpointFaultKind.DEADLINE, ran=Ran.UNKNOWN, detail=detail
+    )
+
+
+def silent_fault(endpoint: Endpoint) -> EndpointFault:
+    """Return the fault of a call that was broken off after a silence."""
+    detail = f"the connection to endpoint {endpoint.name!r} went silent"
+    return EndpointFault(kind=EndpointFaultKind.SILENT, ran=Ran.UNKNOWN, detail=detail)
--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts.py
@@ -12,6 +12,14 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.admission import Admission, PlaceRequest
+from linnetladder.coordination.attempt_faults import (
+    EJECTING_FAULTS,
+    NEUTRAL_OUTCOMES,
+    deadline_fault,
+    fault_refusal,
+    silent_fault,
+    worse,
+)
 from linnetladder.coordination.background import Background
 from linnetladder.coordination.configuration import ConfigurationInForce
 from linnetladder.coordination.ejection import Ejector
@@ -37,42 +45,7 @@
 
 MAXIMUM_ATTEMPTS = 4
 RETRY_PAUSE_SECONDS = 0.02
-
-FAULT_KINDS: dict[EndpointFaultKind, ErrorKind] = {
-    EndpointFaultKind.CONNECT: ErrorKind.ENDPOINT_FAILED,
-    EndpointFaultKind.BUSY: ErrorKind.OVERLOADED,
-    EndpointFaultKind.LEAVING: ErrorKind.NO_ENDPOINT,
-    EndpointFaultKind.REJECTED: ErrorKind.ENDPOINT_REJECTED,
-    EndpointFaultKind.BROKEN: ErrorKind.ENDPOINT_FAILED,
-    EndpointFaultKind.SILENT: ErrorKind.ENDPOINT_SILENT,
-    EndpointFaultKind.CROSSED: ErrorKind.ENDPOINT_ANSWER_INVALID,
-    EndpointFaultKind.CUT: ErrorKind.ENDPOINT_ANSWER_INVALID,
-    EndpointFaultKind.WRONG_VERSION: ErrorKind.ENDPOINT_ANSWER_INVALID,
-    EndpointFaultKind.FAILED: ErrorKind.ENDPOINT_FAILED,
-    EndpointFaultKind.DEADLINE: ErrorKind.DEADLINE_EXCEEDED,
-}
 ANSWERED = "answered"
-NEUTRAL_OUTCOMES = frozenset(
-    {
-        EndpointFaultKind.BUSY,
-        EndpointFaultKind.LEAVING,
-        EndpointFaultKind.CONNECT,
-        EndpointFaultKind.REJECTED,
-        EndpointFaultKind.DEADLINE,
-    }
-)
-RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
-EJECTING_FAULTS = frozenset(
-    {
-        EndpointFaultKind.CONNECT,
-        EndpointFaultKind.BROKEN,
-        EndpointFaultKind.SILENT,
-        EndpointFaultKind.CROSSED,
-        EndpointFaultKind.CUT,
-        EndpointFaultKind.WRONG_VERSION,
-        EndpointFaultKind.FAILED,
-    }
-)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -221,10 +194,10 @@
         if hop is not None:
             call.headers["traceparent"] = passage.trace.parent_header(hop)
         known_before = passage.ran
-        passage.ran = _more(known_before, Ran.UNKNOWN)
+        passage.ran = worse(known_before, Ran.UNKNOWN)
         try:
             outcome = await self._call(place.endpoint, call)
-        except asyncio.CancelledError:
+        except BaseException:
             place.release(self.clock.monotonic())
             self.cancel_at_endpoint(place.endpoint, call)
             raise
@@ -237,7 +210,7 @@
         self._note(passage, place, fault.kind)
         if hop is not None:
             hop.end(detail=f"{place.endpoint.name}: {fault.detail}", failed=True)
-        passage.ran = _more(known_before, fault.ran)
+        passage.ran = worse(known_before, fault.ran)
         if fault.kind in (EndpointFaultKind.DEADLINE, EndpointFaultKind.SILENT):
             self.cancel_at_endpoint(place.endpoint, call)
         try:
@@ -277,11 +250,11 @@
     ) -> Result[WholeAnswer | StreamAnswer, EndpointFault]:
         """Return what a call that was broken off has come to."""
         if verdict is Verdict.DEADLINE:
-            return Failure(_deadline_fault())
+            return Failure(deadline_fault())
         self.client.suspect(endpoint)
         if verdict is Verdict.FINISHED:
             return await self.client.resume(endpoint, call)
-        return Failure(_silent_fault(endpoint))
+        return Failure(silent_fault(endpoint))
 
     def _note(self, passage: Passage, place: Place, outcome: str) -> None:
         trial = Trial(place.endpoint.name, str(place.target), str(outcome))
@@ -360,18 +333,6 @@
         return dataclasses.replace(refusal, ran=passage.ran)
 
 
-def fault_refusal(fault: EndpointFault, ran: Ran) -> Refusal:
-    """Return the refusal that answers an endpoint's fault."""
-    kind = FAULT_KINDS[fault.kind]
-    retry_after = None if kind is ErrorKind.ENDPOINT_REJECTED else 1.0
-    return Refusal(kind, fault.detail, ran, retry_after_seconds=retry_after)
-
-
-def _more(known: Ran, added: Ran) -> Ran:
-    """Combine what two attempts tell of whether the request ran."""
-    return max(known, added, key=RAN_ORDER.index)
-
-
 def _build_call(passage: Passage, target: Target, resume_after: int) -> EndpointCall:
     request = passage.request
     work = request.work
@@ -393,15 +354,3 @@
         fresh_connection=not passage.idempotent,
         resume_after=resume_after,
     )
-
-
-def _deadline_fault() -> EndpointFault:
-    detail = "the deadline passed before the endpoint answered"
-    return EndpointFault(
-        kind=EndpointFaultKind.DEADLINE, ran=Ran.UNKNOWN, detail=detail
-    )
-
-
-def _silent_fault(endpoint: Endpoint) -> EndpointFault:
-    detail = f"the connection to endpoint {endpoint.name!r} went silent"
-    return EndpointFault(kind=EndpointFaultKind.SILENT, ran=Ran.UNKNOWN, detail=detail)
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/router.py
@@ -95,20 +95,25 @@
         passage = Passage(request=request)
         passage.trace = self.tracer.begin(request.trace_parent)
         try:
-            outcome = await self._route(passage)
+            return await self._answer(passage)
         except asyncio.CancelledError:
-            self._caller_left(passage)
+            self.metrics.count("caller_left")
+            self._close(passage, refused="caller_left")
             raise
+        except Exception:
+            self._close(passage, refused=ErrorKind.INTERNAL)
+            raise
+
+    async def _answer(
+        self, passage: Passage
+    ) -> WholeExchange | StreamExchange | Refused:
+        outcome = await self._route(passage)
         if isinstance(outcome, Failure):
             return await self._refuse(passage, outcome.failure())
         reached = outcome.unwrap()
         if isinstance(reached.answer, StreamAnswer):
             return self._begin_stream(passage, reached)
-        try:
-            reached = await self._escalate(passage, reached)
-        except asyncio.CancelledError:
-            self._caller_left(passage)
-            raise
+        reached = await self._escalate(passage, reached)
         return await self._finish_whole(passage, reached)
 
     async def _escalate(self, passage: Passage, reached: Reached) -> Reached:
@@ -274,11 +279,7 @@
         now = self.clock.monotonic()
         reached.place.release(now)
         self.runner.ejector.succeeded(reached.place.endpoint)
-        try:
-            refusal = await self.completion.bill(passage, answer.usage)
-        except asyncio.CancelledError:
-            self._caller_left(passage)
-            raise
+        refusal = await self.completion.bill(passage, answer.usage)
         if refusal is not None:
             return await self._refuse(passage, refusal)
         head = self.completion.answer_head(passage)
@@ -318,10 +319,6 @@
         self._close(passage, refused=refusal.kind)
         return refused
 
-    def _caller_left(self, passage: Passage) -> None:
-        self.metrics.count("caller_left")
-        self._close(passage, refused="caller_left")
-
     def _close(self, passage: Passage, *, refused: str) -> None:
         self.runner.end_trial(passage, clean=not refused)
         self.checks.leave(passage)
--- a/linnetladder/coordination/streams.py
+++ b/linnetladder/coordination/streams.py
@@ -11,7 +11,8 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.attempts import AttemptRunner, Reached, fault_refusal
+from linnetladder.coordination.attempt_faults import fault_refusal
+from linnetladder.coordination.attempts import AttemptRunner, Reached
 from linnetladder.coordination.completion import Completion
 from linnetladder.coordination.endpoint_client import (
     EndpointFault,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,7 +19,7 @@
 from aiohttp import web
 
 from standins.history import Recorder, proof_key
-from standins.registering import register, unregister
+from standins.registering import define_endpoint_flags, list_while_serving
 from standins.serving import serve
 
 __all__ = ["EngineStandIn", "answer_text", "build_app", "split_tokens"]
@@ -430,31 +430,14 @@
         recorder=Recorder(source=FLAGS.name, path=FLAGS.history),
     )
     app = build_app(engine)
-
-    async def on_startup(app: web.Application) -> None:
-        app["listing"] = asyncio.ensure_future(
-            register(FLAGS.platform_url, engine.entry())
-        )
-
-    async def on_shutdown(app: web.Application) -> None:
-        await unregister(FLAGS.platform_url, engine.name)
-
-    if FLAGS.platform_url:
-        app.on_startup.append(on_startup)
-        app.on_shutdown.append(on_shutdown)
+    list_while_serving(app, FLAGS.platform_url, engine.entry)
     serve(app, port=FLAGS.port)
 
 
 if __name__ == "__main__":
-    flags.DEFINE_integer("port", 9000, "Port to listen on.")
+    define_endpoint_flags(name="engine", port=9000, capacity=8)
     flags.DEFINE_string("advertise", "", "Address to be listed with, if another.")
-    flags.DEFINE_string("name", "engine", "Name of the endpoint.")
-    flags.DEFINE_string("failure_domain", "", "Failure domain of the endpoint.")
-    flags.DEFINE_string("service", "", "Service the endpoint belongs to.")
     flags.DEFINE_list("versions", [], "Versions it serves, as model@version.")
-    flags.DEFINE_integer("capacity", 8, "Requests it runs at once.")
     flags.DEFINE_float("token_seconds", 0.0, "Time between two tokens.")
     flags.DEFINE_float("prefill_seconds", 0.0, "Time of a prefix that is not cached.")
-    flags.DEFINE_string("platform_url", "", "Platform to be listed at.")
-    flags.DEFINE_string("history", "", "File to append recorded events to.")
     absl_app.run(main)
--- a/standins/registering.py
+++ b/standins/registering.py
@@ -1,10 +1,13 @@
 """Tell the platform's stand-in that an instance lives, leaves or is gone."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
+from absl import flags
+from aiohttp import web
 
-__all__ = ["register", "unregister"]
+__all__ = ["define_endpoint_flags", "list_while_serving", "register", "unregister"]
 
 TRIES = 100
 PAUSE_SECONDS = 0.1
@@ -29,3 +32,31 @@
                 return
         except aiohttp.ClientError:
             return
+
+
+def list_while_serving(
+    app: web.Application, platform_url: str, entry: Callable[[], dict]
+) -> None:
+    """Have an application's instance listed from its start to its shutdown."""
+    if not platform_url:
+        return
+
+    async def on_startup(app: web.Application) -> None:
+        app["listing"] = asyncio.ensure_future(register(platform_url, entry()))
+
+    async def on_shutdown(app: web.Application) -> None:
+        await unregister(platform_url, entry()["name"])
+
+    app.on_startup.append(on_startup)
+    app.on_shutdown.append(on_shutdown)
+
+
+def define_endpoint_flags(*, name: str, port: int, capacity: int) -> None:
+    """Define the flags that all stand-ins of endpoints take."""
+    flags.DEFINE_integer("port", port, "Port to listen on.")
+    flags.DEFINE_string("name", name, "Name of the endpoint.")
+    flags.DEFINE_string("failure_domain", "", "Failure domain of the endpoint.")
+    flags.DEFINE_string("service", "", "Service the endpoint belongs to.")
+    flags.DEFINE_integer("capacity", capacity, "Requests it runs at once.")
+    flags.DEFINE_string("platform_url", "", "Platform to be listed at.")
+    flags.DEFINE_string("history", "", "File to append recorded events to.")
--- a/standins/service.py
+++ b/standins/service.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from standins.history import Recorder, proof_key
-from standins.registering import register, unregister
+from standins.registering import define_endpoint_flags, list_while_serving
 from standins.serving import serve
 
 __all__ = ["ServiceStandIn", "build_app"]
@@ -135,28 +135,11 @@
         recorder=Recorder(source=FLAGS.name, path=FLAGS.history),
     )
     app = build_app(service)
-
-    async def on_startup(app: web.Application) -> None:
-        app["listing"] = asyncio.ensure_future(
-            register(FLAGS.platform_url, service.entry())
-        )
-
-    async def on_shutdown(app: web.Application) -> None:
-        await unregister(FLAGS.platform_url, service.name)
-
-    if FLAGS.platform_url:
-        app.on_startup.append(on_startup)
-        app.on_shutdown.append(on_shutdown)
+    list_while_serving(app, FLAGS.platform_url, service.entry)
     serve(app, port=FLAGS.port)
 
 
 if __name__ == "__main__":
-    flags.DEFINE_integer("port", 9100, "Port to listen on.")
-    flags.DEFINE_string("name", "service", "Name of the endpoint.")
-    flags.DEFINE_string("failure_domain", "", "Failure domain of the endpoint.")
-    flags.DEFINE_string("service", "", "Service the endpoint belongs to.")
-    flags.DEFINE_integer("capacity", 16, "Calls it runs at once.")
+    define_endpoint_flags(name="service", port=9100, capacity=16)
     flags.DEFINE_float("work_seconds", 0.0, "Time of one call.")
-    flags.DEFINE_string("platform_url", "", "Platform to be listed at.")
-    flags.DEFINE_string("history", "", "File to append recorded events to.")
     absl_app.run(main)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,28 @@
+"""The router when the program itself fails."""
+
+import asyncio
+
+from tests.support.site import LocalSite
+
+
+def test_a_fault_of_the_program_leaks_neither_place_nor_count():
+    async def scenario():
+        site = LocalSite()
+        await site.start()
+        try:
+            parts = site.daemons[0].parts
+
+            async def broken(endpoint, call):
+                raise RuntimeError("a fault of the program")
+
+            parts.client.call = broken
+            reply = await site.chat()
+            assert reply.document["kind"] == "internal"
+            assert reply.document["ran"] == "unknown"
+            assert parts.limits.in_flight == {}
+            assert {e.in_flight for e in parts.table.endpoints.values()} == {0}
+            assert parts.poison.running == {}
+        finally:
+            await site.stop()
+
+    asyncio.run(scenario())
