--- a/bench/demo.py
+++ b/bench/demo.py
@@ -8,7 +8,6 @@
 import collections
 import dataclasses
 import json
-import random
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from bench.demo_load import Load, Task
 from bench.scenes import SCENES, Scene, Site, credential
 from standins.engine import answer_text
 
@@ -34,39 +34,6 @@
 HIGHEST_MICROSECONDS = 600_000_000
 MICROSECONDS = 1_000_000
 
-STYLE_GUIDE = (
-    "House style. Measures in millimetres, prices with a comma, no exclamation "
-    "marks. Names of papers and inks stay as the maker writes them; the letters "
-    "āčēģīķļņšūž are never replaced. Headlines carry no full stop. "
-) * 12
-LATVIAN = (
-    "Kalendārs 2027, krītpapīrs 170 g/m², šūtas lapas, zelta spiedums uz vāka",
-    "Brošūra «Jūrmalas kāpas», A5, 24 lpp., ķīmiski balināts papīrs",
-    "Vizītkartes ar čiekuru ornamentu, 400 g/m², noapaļoti stūri",
-)
-ARABIC = (
-    "إنّا لله وإنّا إليه راجعون — انتقل إلى رحمة الله تعالى سالم بن خلفان المعولي، "
-    "والد كلٍّ من خلفان ومريم، والعزاء في مجلس المعاولة بروي",
-    "ينعى آل الحارثي فقيدتهم شيخة بنت محمد، وتُقبل التعازي بعد صلاة المغرب 🕌",
-    "Passed away peacefully: Salim bin Khalfan Al Maʿwali, father of Maryam.",
-)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Task:
-    """One request of the load, and what must come of it."""
-
-    account: str
-    kind: str
-    path: str = "/v1/chat/completions"
-    method: str = "POST"
-    model: str = "auto"
-    messages: tuple[dict, ...] = ()
-    stream: bool = False
-    raw: bytes | None = None
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
-    expected_refusal: str = ""
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Outcome:
@@ -84,137 +51,6 @@
     total: float = 0.0
 
 
-class Load:
-    """The mixed load of a scene, the same for a seed."""
-
-    def __init__(self, *, scene: Scene, seed: int):
-        self.scene = scene
-        self.random = random.Random(seed)
-        self.serial = 0
-
-    def tasks(self, count: int) -> list[Task]:
-        """Return the requests of the load."""
-        makers = [self._long, self._medium, self._short, self._service, self._effect]
-        weights = [4, 4, 6, 2, 2]
-        tasks = [self.random.choices(makers, weights)[0]() for _ in range(count - 8)]
-        tasks.extend(self._forbidden())
-        self.random.shuffle(tasks)
-        return tasks
-
-    def _account(self) -> str:
-        large = self.random.random() < 0.6
-        names = self.scene.large_accounts if large else self.scene.accounts
-        return self.random.choice(names)
-
-    def _texts(self) -> tuple[str, ...]:
-        return LATVIAN if self.scene.name == "daugava" else ARABIC
-
-    def _chat(self, kind: str, system: str, *, repeat: int) -> Task:
-        self.serial += 1
-        text = " ".join(self.random.choices(self._texts(), k=repeat))
-        return Task(
-            account=self._account(),
-            kind=kind,
-            messages=(
-                {"role": "system", "content": system},
-                {"role": "user", "content": f"{self.serial}. {text}"},
-            ),
-            stream=self.random.random() < 0.5,
-        )
-
-    def _long(self) -> Task:
-        kind = "catalogue" if self.scene.name == "daugava" else "notice"
-        return self._chat(kind, STYLE_GUIDE, repeat=4)
-
-    def _medium(self) -> Task:
-        kind = "blurb" if self.scene.name == "daugava" else "condolence"
-        return self._chat(kind, "Rewrite kindly and briefly.", repeat=2)
-
-    def _short(self) -> Task:
-        kind = "caption" if self.scene.name == "daugava" else "line"
-        return self._chat(kind, "One line.", repeat=1)
-
-    def _service(self) -> Task:
-        self.serial += 1
-        return Task(
-            account=self._account(),
-            kind="service",
-            method="GET",
-            path=f"/v1/services/{self.scene.plain_service}/proofs/{self.serial}?size=a5",
-        )
-
-    def _effect(self) -> Task:
-        self.serial += 1
-        return Task(
-            account=self._account(),
-            kind="effect",
-            path=f"/v1/services/{self.scene.plain_service}/orders",
-            raw=json.dumps({"order": self.serial}).encode(),
-            headers={"Idempotency-Key": f"order-{self.serial}"},
-        )
-
-    def _forbidden(self) -> list[Task]:
-        chat = ({"role": "user", "content": "x"},)
-        dear = "linnet-large" if self.scene.name == "daugava" else "linnet-notice"
-        cheap_account = self.scene.accounts[-1]
-        some = self.scene.accounts[0]
-        foreign = {"Linnetladder-Session": "0000000001.e30.AAAA"}
-        return [
-            Task(
-                account=cheap_account,
-                kind="forbidden",
-                model=dear,
-                messages=chat,
-                expected_refusal="model_not_allowed",
-            ),
-            Task(
-                account=some,
-                kind="forbidden",
-                model="linnet-unheard-of",
-                messages=chat,
-                expected_refusal="unknown_model",
-            ),
-            Task(
-                account="nobody",
-                kind="forbidden",
-                messages=chat,
-                expected_refusal="unknown_credential",
-            ),
-            Task(
-                account="",
-                kind="forbidden",
-                messages=chat,
-                expected_refusal="missing_credential",
-            ),
-            Task(
-                account=some,
-                kind="forbidden",
-                raw=b'{"messages": [',
-                expected_refusal="malformed_json",
-            ),
-            Task(
-                account=some,
-                kind="forbidden",
-                raw=b'{"messages": "not a list"}',
-                expected_refusal="invalid_request",
-            ),
-            Task(
-                account=some,
-                kind="forbidden",
-                path="/v1/services/unheard-of/x",
-                raw=b"{}",
-                expected_refusal="unknown_service",
-            ),
-            Task(
-                account=some,
-                kind="forbidden",
-                messages=chat,
-                headers=foreign,
-                expected_refusal="session_invalid",
-            ),
-        ]
-
-
 class Caller:
     """Send tasks and see what comes back."""
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 import json
-import random
 import signal
 import sys
 import tempfile
@@ -22,8 +21,9 @@
 from rich.table import Table
 
 from bench.demo import tool
+from bench.fault_load import Callers
 from bench.processes import wait_for
-from bench.scenes import SCENES, DaemonPorts, Site, credential
+from bench.scenes import SCENES, DaemonPorts, Site
 from proof import History, Rules, Violation, check_history
 from proof.history import (
     Accepted,
@@ -40,13 +40,10 @@
     Submitted,
     Withdrawn,
 )
-from standins.engine import CRASH_MARK, answer_text
 
 __all__ = ["main"]
 
 FLAGS = flags.FLAGS
-CALLERS = 40
-SUBMISSIONS_OF_A_KEY = 4
 QUIET_SECONDS = 12.0
 SETTLE_SECONDS = 12.0
 OBSERVE_SECONDS = 0.5
@@ -64,131 +61,6 @@
     return Rules(allowed=allowed)
 
 
-class Callers:
-    """A closed loop of callers that send a request again when it is not answered."""
-
-    def __init__(self, *, site: Site, history: History, seed: int):
-        self.site = site
-        self.history = history
-        self.random = random.Random(seed)
-        self.serial = 0
-        self.running = True
-        self.latencies: list[tuple[float, float]] = []
-        self.session: aiohttp.ClientSession | None = None
-
-    async def run(self) -> None:
-        """Send requests until `running` is unset."""
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as self.session:
-            await asyncio.gather(*(self._work() for _ in range(CALLERS)))
-
-    async def poison(self, key: str) -> None:
-        """Send a deadly request to every daemon in turn, each time as a new one."""
-        for number in range(2 * len(self.site.daemons)):
-            daemon = self.site.daemons[number % len(self.site.daemons)]
-            await self._submit(key, "ozols", "chat", daemon, f"{key}-{number}", True)
-
-    async def _work(self) -> None:
-        while self.running:
-            self.serial += 1
-            key = f"k{self.serial}"
-            kind = self.random.choices(["chat", "stream", "order"], [4, 4, 2])[0]
-            account = self.random.choice(self.site.scene.accounts)
-            await self._send(key, account, kind)
-
-    async def _send(self, key: str, account: str, kind: str) -> None:
-        """Submit a key until it is answered or there is no use in going on."""
-        started = time.monotonic()
-        for _ in range(SUBMISSIONS_OF_A_KEY):
-            daemon = self.random.choice(self.site.daemons)
-            event = await self._submit(key, account, kind, daemon, key, False)
-            if isinstance(event, Answered):
-                self.latencies.append((started, time.monotonic() - started))
-                return
-            if isinstance(event, Refused) and event.ran == "yes":
-                return
-            await asyncio.sleep(0.2 * self.random.random())
-
-    async def _submit(
-        self,
-        key: str,
-        account: str,
-        kind: str,
-        daemon: DaemonPorts,
-        name: str,
-        deadly: bool,
-    ) -> Answered | Refused | Broken:
-        self.serial += 1
-        submission = f"{key}/{self.serial}"
-        is_order = kind == "order"
-        self.history.events.append(
-            Submitted(
-                time=time.monotonic(),
-                submission=submission,
-                key=key,
-                account=account,
-                daemon=daemon.name,
-                idempotent=not is_order,
-            )
-        )
-        text = f"proof-key:{key}; " + (CRASH_MARK if deadly else "proof " * 8)
-        path = "/v1/services/layout-app/orders" if is_order else "/v1/chat/completions"
-        document = {
-            "messages": [{"role": "user", "content": text}],
-            "stream": kind == "stream",
-        }
-        headers = {
-            "Authorization": f"Bearer {credential(account)}",
-            "Idempotency-Key": name,
-            "Linnetladder-Deadline-Ms": "8000",
-            "Linnetladder-Kind": self.random.choice(["caption", "catalogue"]),
-        }
-        try:
-            async with self.session.post(
-                self.site.caller_url(daemon) + path,
-                data=text.encode() if is_order else json.dumps(document).encode(),
-                headers=headers,
-            ) as response:
-                content = await response.read()
-            event = _judge(submission, document, is_order, response, content)
-        except (aiohttp.ClientError, OSError):
-            event = Broken(time=time.monotonic(), submission=submission)
-        self.history.events.append(event)
-        return event
-
-
-def _judge(submission, document, is_order, response, content):
-    """Return what a reply is: an answer, right or not, a refusal or neither."""
-    now = time.monotonic()
-    if response.status != 200:
-        problem = json.loads(content)
-        return Refused(
-            time=now, submission=submission, kind=problem["kind"], ran=problem["ran"]
-        )
-    version = response.headers.get("X-Served-Version", "")
-    if is_order:
-        right = json.loads(content)["method"] == "POST"
-        return Answered(time=now, submission=submission, version=version, right=right)
-    expected = answer_text(document["messages"], version)
-    if not document["stream"]:
-        text = json.loads(content)["choices"][0]["message"]["content"]
-        right = text == expected
-        return Answered(time=now, submission=submission, version=version, right=right)
-    *events, rest = content.split(b"\n\n")
-    if events and events[-1].startswith(b"event: error"):
-        problem = json.loads(events[-1].split(b"data: ", 1)[1])
-        return Refused(
-            time=now, submission=submission, kind=problem["kind"], ran=problem["ran"]
-        )
-    if rest or not events or events[-1] != b"data: [DONE]":
-        return Broken(time=now, submission=submission)
-    deltas = [json.loads(e[6:])["choices"][0]["delta"] for e in events[:-1]]
-    text = "".join(delta.get("content", "") for delta in deltas)
-    return Answered(
-        time=now, submission=submission, version=version, right=text == expected
-    )
-
-
 class Faults:
     """Bring the faults about, one after another, and count them."""
 
--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -165,22 +165,8 @@
         load_seconds=settings.load_poll_seconds,
     )
     held = HeldBlocks(store=store, clock=clock, metrics=metrics)
-    peers = Peers(
-        own=Hello(
-            instance=settings.instance,
-            incarnation=incarnation,
-            failure_domain=settings.failure_domain,
-            peer_address="",
-        ),
-        configuration=configuration,
-        exchange=PeerConfiguration(
-            configuration=configuration, keys=keys, table=table, metrics=metrics
-        ),
-        poison=poison,
-        table=table,
-        held=held,
-        clock=clock,
-        metrics=metrics,
+    peers = _build_peers(
+        settings, ports, incarnation, configuration, keys, table, poison, held
     )
     bills = BillWriter(
         store=store,
@@ -233,22 +219,7 @@
         silence_seconds=settings.silence_seconds,
         seed=seed,
     )
-    feed = escalation = None
-    if ports.rater is not None:
-        feed = RatingFeed(
-            rater=ports.rater,
-            learner=learner,
-            watch=watch,
-            configuration=configuration,
-        )
-        escalation = Escalation(
-            rater=ports.rater,
-            learner=learner,
-            runner=runner,
-            configuration=configuration,
-            clock=clock,
-            metrics=metrics,
-        )
+    feed, escalation = _build_ratings(ports, learner, watch, runner, configuration)
     router = Router(
         checks=checks,
         table=table,
@@ -288,6 +259,61 @@
     )
 
 
+def _build_peers(
+    settings: Settings,
+    ports: Ports,
+    incarnation: str,
+    configuration: ConfigurationInForce,
+    keys: KeyRing,
+    table: EndpointTable,
+    poison: PoisonBook,
+    held: HeldBlocks,
+) -> Peers:
+    """Return the daemon's side of its links."""
+    own = Hello(
+        instance=settings.instance,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        peer_address="",
+    )
+    exchange = PeerConfiguration(
+        configuration=configuration, keys=keys, table=table, metrics=ports.metrics
+    )
+    return Peers(
+        own=own,
+        configuration=configuration,
+        exchange=exchange,
+        poison=poison,
+        table=table,
+        held=held,
+        clock=ports.clock,
+        metrics=ports.metrics,
+    )
+
+
+def _build_ratings(
+    ports: Ports,
+    learner: QualityLearner,
+    watch: HealthWatch,
+    runner: AttemptRunner,
+    configuration: ConfigurationInForce,
+) -> tuple[RatingFeed | None, Escalation | None]:
+    """Return what follows ratings and acts on them, if there is a rating service."""
+    if ports.rater is None:
+        return None, None
+    feed = RatingFeed(
+        rater=ports.rater, learner=learner, watch=watch, configuration=configuration
+    )
+    escalation = Escalation(
+        rater=ports.rater,
+        learner=learner,
+        runner=runner,
+        clock=ports.clock,
+        metrics=ports.metrics,
+    )
+    return feed, escalation
+
+
 def assemble(settings: Settings) -> Parts:
     """Build a daemon's parts with the real transport."""
     clock = SystemClock()
--- a/linnetladder/coordination/escalation.py
+++ b/linnetladder/coordination/escalation.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.attempts import AttemptRunner, Reached
-from linnetladder.coordination.configuration import ConfigurationInForce
 from linnetladder.coordination.endpoint_client import StreamAnswer, Usage
 from linnetladder.coordination.passage import Passage
 from linnetladder.coordination.quality import QualityLearner
@@ -33,14 +32,12 @@
         rater: AnswerRater,
         learner: QualityLearner,
         runner: AttemptRunner,
-        configuration: ConfigurationInForce,
         clock: Clock,
         metrics: Metrics,
     ):
         self.rater = rater
         self.learner = learner
         self.runner = runner
-        self.configuration = configuration
         self.clock = clock
         self.metrics = metrics
 
