Renew copies of bills whose holders are replaced

Cause: copies were made once. Reading the awaits showed that if both holders were replaced during an outage, the owner's death lost the bill; the new test lost it. Change: the owner looks after its copies until the block stands, and counts only holders that are still linked in the incarnation that took them.

--- a/linnetladder/coordination/bill_copies.py
+++ b/linnetladder/coordination/bill_copies.py
@@ -12,6 +12,13 @@
 COPY_SECONDS = 0.5
 
 
+Holder = tuple[str, str]
+
+
+def _holder(link: Link) -> Holder:
+    return link.hello.instance, link.hello.incarnation
+
+
 class PeerBillCopier(BillCopier):
     """Have two peers hold each block, in other failure domains if there are any.
 
@@ -21,33 +28,31 @@
 
     def __init__(self, *, peers: Peers):
         self.peers = peers
-        self.holders: dict[tuple[str, int], set[str]] = {}
+        self.holders: dict[tuple[str, int], set[Holder]] = {}
 
     async def copy(self, block: BillBlock) -> bool:
-        """Return whether enough peers hold the block."""
+        """Bring a block's copies up to their number and return whether they are.
+
+        A holder that is no longer linked, or was replaced, does not count.
+        """
         key = (block.incarnation, block.sequence)
-        holders = self.holders.setdefault(key, set())
-        candidates = [
-            link for link in self._candidates() if link.hello.instance not in holders
-        ]
-        needed = min(COPIES, len(holders) + len(candidates)) - len(holders)
-        if needed > 0:
-            asked = candidates[:needed]
-            held = await asyncio.gather(*(self._ask(link, block) for link in asked))
-            holders.update(
-                link.hello.instance
-                for link, is_held in zip(asked, held, strict=True)
-                if is_held
-            )
-        linked = len(holders | {link.hello.instance for link in self._candidates()})
-        return bool(holders) and len(holders) >= min(COPIES, linked)
+        linked = {_holder(link) for link in self.peers.links.values()}
+        holders = self.holders.get(key, set()) & linked
+        self.holders[key] = holders
+        candidates = [c for c in self._candidates() if _holder(c) not in holders]
+        wanted = min(COPIES, len(holders) + len(candidates))
+        asked = candidates[: wanted - len(holders)]
+        held = await asyncio.gather(*(self._ask(link, block) for link in asked))
+        holders.update(
+            _holder(link) for link, is_held in zip(asked, held, strict=True) if is_held
+        )
+        return bool(holders) and len(holders) >= wanted
 
     async def drop(self, block: BillBlock) -> None:
         """Tell the holders that the block stands."""
         holders = self.holders.pop((block.incarnation, block.sequence), set())
-        for instance in holders:
-            link = self.peers.links.get(instance)
-            if link is not None:
+        for link in tuple(self.peers.links.values()):
+            if _holder(link) in holders:
                 link.send(BillStands(block.incarnation, block.sequence))
 
     def _candidates(self) -> list[Link]:
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing.py
@@ -28,6 +28,7 @@
 FIRST_RETRY_SECONDS = 0.1
 MAXIMUM_RETRY_SECONDS = 2.0
 SETTLE_SECONDS = 0.5
+RENEW_COPIES_SECONDS = 2.0
 SLOW_BLOCK_INTERVAL_SECONDS = 0.05
 
 
@@ -51,7 +52,7 @@
 
     @abc.abstractmethod
     async def copy(self, block: BillBlock) -> bool:
-        """Return whether enough peers hold the block."""
+        """Return whether enough peers hold the block; may be asked again."""
 
     @abc.abstractmethod
     async def drop(self, block: BillBlock) -> None:
@@ -212,14 +213,20 @@
         copying.cancel()
         await self.copier.drop(block)
 
-    async def _copy_if_slow(self, block: BillBlock, entries: list[_Entry]) -> bool:
-        """Have peers hold the block if the platform has not taken it soon."""
+    async def _copy_if_slow(self, block: BillBlock, entries: list[_Entry]) -> None:
+        """Have peers hold the block while the platform does not take it.
+
+        Holders may be replaced too, so the copies are looked after until the block
+        stands and this task is cancelled.
+        """
         await asyncio.sleep(self.copy_after_seconds)
         while not await self.copier.copy(block):
             await asyncio.sleep(FIRST_RETRY_SECONDS)
         self.metrics.count("bill_blocks_copied")
         _release(entries)
-        return True
+        while True:
+            await asyncio.sleep(RENEW_COPIES_SECONDS)
+            await self.copier.copy(block)
 
 
 def _release(entries: list[_Entry]) -> None:
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -59,3 +59,20 @@
     assert check_history(world.history, Rules(allowed=ALLOWED)) == []
     assert [event.ran for event in refused] == ["no", "no", "no"]
     assert len(world.history.bills) == 3
+
+
+def test_copies_are_renewed_when_their_holders_are_replaced():
+    async def scenario():
+        world = World()
+        await world.start()
+        world.set_platform_down(True)
+        world.submit("a", daemon="daemon-1")
+        await asyncio.sleep(5)
+        for name in ("daemon-2", "daemon-3", "daemon-1"):
+            world.kill(name)
+            await world.start_daemon(name)
+            await asyncio.sleep(8)
+        await world.settle()
+        return check_history(world.history, Rules(allowed=ALLOWED))
+
+    assert run_virtual(scenario()) == []
