Take out what nothing uses, and the last assertion on elapsed time

Cause: a bill copier and a method that nothing called; a test that asserted seconds. Change: removed; the test now asserts that no engine had finished when the deadline's refusal came.

--- a/linnetladder/coordination/__init__.py
+++ b/linnetladder/coordination/__init__.py
@@ -7,7 +7,7 @@
 from linnetladder.coordination.admission import Admission
 from linnetladder.coordination.attempts import AttemptRunner
 from linnetladder.coordination.background import Background
-from linnetladder.coordination.billing import BillWriter, NoCopies
+from linnetladder.coordination.billing import BillWriter
 from linnetladder.coordination.claims import CompareAndSwapClaims
 from linnetladder.coordination.completion import Completion
 from linnetladder.coordination.configuration import ConfigurationInForce
@@ -39,7 +39,6 @@
     "Ejector",
     "EntryChecks",
     "LiveState",
-    "NoCopies",
     "PoisonBook",
     "Refused",
     "Registration",
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing.py
@@ -19,7 +19,7 @@
 from linnetladder.state.ledger import block_key, encode_block
 from linnetladder.telemetry import Metrics
 
-__all__ = ["BillBlock", "BillCopier", "BillWriter", "NoCopies", "write_block"]
+__all__ = ["BillBlock", "BillCopier", "BillWriter", "write_block"]
 
 MAXIMUM_BILLS_PER_BLOCK = 1000
 MAXIMUM_OPEN_BLOCKS = 2
@@ -59,17 +59,6 @@
         """Tell the holders that the block stands."""
 
 
-class NoCopies(BillCopier):
-    """No peers: a bill is safe only when its block stands."""
-
-    async def copy(self, block: BillBlock) -> bool:
-        """Report that nobody holds the block."""
-        return False
-
-    async def drop(self, block: BillBlock) -> None:
-        """Do nothing."""
-
-
 async def write_block(store: KeyValueService, block: BillBlock) -> bool:
     """Make one try at creating a block and return whether it stands.
 
--- a/linnetladder/state/estimates.py
+++ b/linnetladder/state/estimates.py
@@ -89,8 +89,3 @@
                 expected = (known.accepted + strength * expected) / total
             strength = PARENT_RATINGS
         return expected
-
-    def rated(self, *, request_kind: str, target: str, node: str) -> float:
-        """Return the discounted number of ratings at a node."""
-        known = self.evidence.get((node, request_kind, target))
-        return known.rated if known else 0.0
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -106,11 +106,10 @@
     async def scenario(site):
         for engine in site.engines:
             engine.token_seconds = 0.2
-        started = asyncio.get_running_loop().time()
-        reply = await site.chat("x" * 100, headers={"Linnetladder-Deadline-Ms": "300"})
-        elapsed = asyncio.get_running_loop().time() - started
+        reply = await site.chat("x" * 600, headers={"Linnetladder-Deadline-Ms": "300"})
         assert reply.document["kind"] == "deadline_exceeded"
-        assert elapsed < 2.0
+        events = [e["event"] for g in site.engines for e in g.recorder.events]
+        assert "finish" not in events
         await site.wait_for(
             lambda: any(
                 event["event"] == "cancel"
