--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts.py
@@ -190,7 +190,8 @@
     ) -> Result[Reached, EndpointFault]:
         """Send the request once and note how that went."""
         call = _build_call(passage, place.target, resume_after)
-        hop = passage.trace.begin("attempt") if passage.trace else None
+        attempt = passage.trace.begin("attempt") if passage.trace else None
+        hop = passage.trace.begin("endpoint") if passage.trace else None
         if hop is not None:
             call.headers["traceparent"] = passage.trace.parent_header(hop)
         known_before = passage.ran
@@ -205,6 +206,7 @@
             self._note(passage, place, ANSWERED)
             if hop is not None:
                 hop.end(detail=place.endpoint.name)
+                attempt.end()
             return Success(Reached(outcome.unwrap(), place, call))
         fault = outcome.failure()
         self._note(passage, place, fault.kind)
@@ -217,6 +219,8 @@
             await self.learn_from(passage, place, fault)
         finally:
             place.release(self.clock.monotonic())
+            if attempt is not None:
+                attempt.end(detail=str(fault.kind), failed=True)
         return outcome
 
     def cancel_at_endpoint(self, endpoint: Endpoint, call: EndpointCall) -> None:
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 
 from returns.result import Success
 
@@ -19,7 +20,7 @@
 from linnetladder.state.ledger import block_key, encode_block
 from linnetladder.telemetry import Metrics
 
-__all__ = ["BillBlock", "BillCopier", "BillWriter", "write_block"]
+__all__ = ["BillBlock", "BillCopier", "BillWriter", "Safety", "write_block"]
 
 MAXIMUM_BILLS_PER_BLOCK = 1000
 MAXIMUM_OPEN_BLOCKS = 2
@@ -32,6 +33,13 @@
 SLOW_BLOCK_INTERVAL_SECONDS = 0.05
 
 
+class Safety(enum.Enum):
+    """What makes a bill safe: that it stands, or that peers hold it."""
+
+    STANDS = "platform bill"
+    COPIED = "peer copy"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BillBlock:
     """A numbered block of one incarnation, with writes that stand or fall with it."""
@@ -118,7 +126,7 @@
         return self.unrecorded >= self.maximum_unrecorded
 
     def add(self, bill: Bill, puts: tuple[Put, ...] = ()) -> asyncio.Future:
-        """Take in a bill and return a future that is done when the bill is safe."""
+        """Take in a bill and return a future of the `Safety` that it comes to."""
         safe = asyncio.get_running_loop().create_future()
         self.waiting.append(_Entry(bill, puts, safe))
         self.unrecorded += 1
@@ -193,7 +201,7 @@
             self.metrics.count("bill_block_retries")
             await asyncio.sleep(backoff)
             backoff = min(backoff * 2, MAXIMUM_RETRY_SECONDS)
-        _release(entries)
+        _release(entries, Safety.STANDS)
         self.unrecorded -= len(entries)
         self.metrics.count("bill_blocks")
         self.metrics.count("bills", len(entries))
@@ -212,13 +220,13 @@
         while not await self.copier.copy(block):
             await asyncio.sleep(FIRST_RETRY_SECONDS)
         self.metrics.count("bill_blocks_copied")
-        _release(entries)
+        _release(entries, Safety.COPIED)
         while True:
             await asyncio.sleep(RENEW_COPIES_SECONDS)
             await self.copier.copy(block)
 
 
-def _release(entries: list[_Entry]) -> None:
+def _release(entries: list[_Entry], safety: Safety) -> None:
     for entry in entries:
         if not entry.safe.done():
-            entry.safe.set_result(None)
+            entry.safe.set_result(safety)
--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/completion.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from linnetladder.coordination.billing import BillWriter
+from linnetladder.coordination.billing import BillWriter, Safety
 from linnetladder.coordination.claims import ClaimStrategy
 from linnetladder.coordination.endpoint_client import Usage
 from linnetladder.coordination.exchanges import AnswerHead, Refused
@@ -62,7 +62,7 @@
         bill = self._build_bill(passage, usage, complete=complete)
         puts = passage.claims.answered(passage.claim) if passage.claim else ()
         safe = self.bills.add(bill, puts)
-        hop = passage.trace.begin("bill") if passage.trace else None
+        hop = passage.trace.begin(Safety.STANDS.value) if passage.trace else None
         wait = max(passage.deadline - before, MINIMUM_BILL_WAIT_SECONDS)
         try:
             async with asyncio.timeout(wait):
@@ -78,6 +78,7 @@
                 ErrorKind.BILL_NOT_RECORDED, detail, Ran.YES, retry_after_seconds=5.0
             )
         if hop is not None:
+            hop.name = safe.result().value
             hop.end()
         self.metrics.record("bill_seconds", self.clock.monotonic() - before)
         return None
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -35,7 +35,8 @@
 
 def test_an_answer_has_a_span_for_each_hop():
     spans = traced(lambda site: site.chat(model="small"), share=1.0)
-    assert {span.name for span in spans} == {"caller", "decision", "attempt", "bill"}
+    names = {"caller", "decision", "attempt", "endpoint", "platform bill"}
+    assert {span.name for span in spans} == names
     assert len({span.context.trace_id for span in spans}) == 1
     root = next(span for span in spans if span.name == "caller")
     children = [span for span in spans if span is not root]
@@ -52,6 +53,17 @@
     assert "platform claim" in names
 
 
+def test_a_bill_that_peers_hold_has_a_span_at_the_peer():
+    async def outage(site):
+        await site.add_daemon("daemon-2", "riga-pl")
+        links = site.daemons[0].parts.peers.links
+        await site.wait_for(lambda: len(links) == 1)
+        site.platform.set_mode("down")
+        await site.chat(model="small")
+
+    assert "peer copy" in {span.name for span in traced(outage, share=1.0)}
+
+
 def test_a_refusal_is_kept_and_joins_the_callers_trace():
     def refused(site):
         return site.chat(model="none", headers={"traceparent": PARENT})
