Answer a head that can't be read with a problem of the closed list

Cause: too long headers and what is not HTTP got the library's plain-text answer. Change: the connection handler answers them as header_too_large and malformed_http. Figures: the new test sees both kinds over a raw connection, and the next request served.

--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -37,6 +37,8 @@
     MALFORMED_JSON = "malformed_json"
     INVALID_REQUEST = "invalid_request"
     INVALID_HEADER = "invalid_header"
+    HEADER_TOO_LARGE = "header_too_large"
+    MALFORMED_HTTP = "malformed_http"
     BODY_TOO_LARGE = "body_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     MISSING_CREDENTIAL = "missing_credential"
@@ -87,6 +89,8 @@
     ErrorKind.MALFORMED_JSON: Answer(400, "The body is not JSON"),
     ErrorKind.INVALID_REQUEST: Answer(422, "The body does not fit the format"),
     ErrorKind.INVALID_HEADER: Answer(400, "A header has an invalid value"),
+    ErrorKind.HEADER_TOO_LARGE: Answer(431, "A header is too long"),
+    ErrorKind.MALFORMED_HTTP: Answer(400, "The request is not valid HTTP"),
     ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is too large"),
     ErrorKind.REQUEST_TIMEOUT: Answer(408, "The request arrived too slowly"),
     ErrorKind.MISSING_CREDENTIAL: Answer(401, "No credential was given"),
--- a/linnetladder/transport/caller_server.py
+++ b/linnetladder/transport/caller_server.py
@@ -28,6 +28,7 @@
 from linnetladder.protocol.problems import PROBLEM_TYPE
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_failure
+from linnetladder.transport.problem_server import ProblemServer
 
 __all__ = ["CallerServer"]
 
@@ -68,8 +69,9 @@
 
     async def start(self, *, address: str, port: int) -> int:
         """Listen and return the port; raise `OSError` if that is not possible."""
-        server = web.Server(
+        server = ProblemServer(
             self._handle,
+            metrics=self.metrics,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_SECONDS,
             max_field_size=self.header_bytes,
--- /dev/null
+++ b/linnetladder/transport/problem_server.py
@@ -0,0 +1,68 @@
+"""An HTTP server that answers what it can't read with a problem of the closed list."""
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from linnetladder.coordination import Refused
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.protocol import encode_problem
+from linnetladder.protocol.problems import PROBLEM_TYPE
+from linnetladder.telemetry import Metrics
+
+__all__ = ["ProblemServer"]
+
+UNREAD = "unread"
+
+
+class ProblemHandler(web.RequestHandler):
+    """Answer requests whose head can't be read."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the problem and have the connection closed after it.
+
+        Which request this was can't be known, nor whether it ran when it was sent
+        before.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionError("part of an answer was sent already")
+        refusal = _refusal(status, exc)
+        metrics = self._manager.metrics
+        metrics.count("requests")
+        metrics.count("refused", label=refusal.kind)
+        metrics.count("refused_ran", label=refusal.ran)
+        refused = Refused(request_id=UNREAD, refusal=refusal, receipt="")
+        response = web.Response(
+            status=refusal.status,
+            body=encode_problem(refused),
+            headers={"Content-Type": PROBLEM_TYPE},
+        )
+        response.force_close()
+        return response
+
+
+class ProblemServer(web.Server):
+    """Serve connections with `ProblemHandler`."""
+
+    def __init__(self, handler, *, metrics: Metrics, **options: object):
+        super().__init__(handler, **options)
+        self.metrics = metrics
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of one new connection."""
+        return ProblemHandler(self, loop=self._loop, **self._kwargs)
+
+
+def _refusal(status: int, exc: BaseException | None) -> Refusal:
+    if isinstance(exc, LineTooLong):
+        detail = "a header or the request line is too long"
+        return Refusal(ErrorKind.HEADER_TOO_LARGE, detail, Ran.UNKNOWN)
+    if status < 500:
+        detail = "the request is not valid HTTP"
+        return Refusal(ErrorKind.MALFORMED_HTTP, detail, Ran.UNKNOWN)
+    return Refusal(ErrorKind.INTERNAL, "the daemon failed", Ran.UNKNOWN)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -88,6 +88,21 @@
     with_site(scenario)
 
 
+def test_a_head_that_can_not_be_read_is_a_problem_of_the_closed_list():
+    async def scenario(site):
+        long = HEAD.format(length=2).replace(
+            "Host: x", f"Host: x\nX-Long: {'h' * 40000}"
+        )
+        received = await raw_exchange(site, long, b"{}")
+        assert b" 431 " in received.split(b"\r\n")[0], received[:200]
+        assert b'"kind":"header_too_large"' in received
+        received = await raw_exchange(site, "nonsense\n\n")
+        assert b'"kind":"malformed_http"' in received, received[:200]
+        assert (await site.chat()).status == 200
+
+    with_site(scenario)
+
+
 def test_invalid_headers_have_a_kind_of_their_own():
     async def scenario(site):
         for name, value in (
