--- a/bench/faults.py
+++ b/bench/faults.py
@@ -46,6 +46,7 @@
 FLAGS = flags.FLAGS
 QUIET_SECONDS = 12.0
 SETTLE_SECONDS = 12.0
+FREEZE_SECONDS = 6.0
 OBSERVE_SECONDS = 0.5
 SMALL = frozenset({"linnet-small@2026.09", "linnet-small@2026.11"})
 MEDIUM = SMALL | {"linnet-medium@2026.08"}
@@ -78,6 +79,7 @@
                 self.kill_engine,
                 self.silence,
                 self.kill_daemon,
+                self.freeze_daemon,
                 self.platform_outage_with_a_death,
                 self.pause_platform,
                 self.lose_replies,
@@ -120,6 +122,17 @@
         await asyncio.sleep(1.0)
         self.site.start_daemon(daemon)
 
+    async def freeze_daemon(self) -> None:
+        """Stop a daemon's process from running for a while, then let it go on."""
+        self.counts["daemon frozen"] += 1
+        daemon = self.site.daemons[4]
+        frozen = time.monotonic()
+        self.site.fleet.send(daemon.name, signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_SECONDS)
+        self.site.fleet.send(daemon.name, signal.SIGCONT)
+        cut = CutOff(time=frozen, until=time.monotonic(), daemon=daemon.name)
+        self.history.events.append(cut)
+
     async def stop_daemon(self) -> None:
         """Shut a daemon down gracefully and replace it."""
         self.counts["daemon shut down"] += 1
