Check withdrawal and poison after the wait for a place, not before it

Cause: reading the awaits again. A request was held against withdrawals before it waited for a place, and could wait ten seconds and more: a version withdrawn meanwhile received new work, which breaks a promise; so did a request that turned poison meanwhile. And a caller that left between a stream's last event and its end marker had its bill voided under the same record id as the one for what was passed on, so it was not billed at all. Ruled out: the fuzz world saw none of it since its endpoints are never full that long. Change: both are checked at the last moment before sending; a stream's bill stands once its events were passed on.

--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts.py
@@ -131,13 +131,14 @@
         """Make attempts at endpoints that were not tried, from a stream's position."""
         last: EndpointFault | None = None
         for attempt in range(MAXIMUM_ATTEMPTS):
-            refusal = self._withdrawn_meanwhile(passage, target)
-            if refusal is not None:
-                return Failure(refusal)
             placed = await self._take_place(passage, target, tried)
             if isinstance(placed, Failure):
                 return Failure(self._place_refusal(placed.failure(), last, passage))
             place = placed.unwrap()
+            refusal = self._forbidden_meanwhile(passage, target)
+            if refusal is not None:
+                place.release(self.clock.monotonic())
+                return Failure(refusal)
             reached = await self._attempt(passage, place, resume_after)
             if isinstance(reached, Success):
                 return reached
@@ -147,6 +148,20 @@
                 break
         return Failure(fault_refusal(last, passage.ran))
 
+    def _forbidden_meanwhile(self, passage: Passage, target: Target) -> Refusal | None:
+        """Refuse what may no longer be sent, at the last moment before it is.
+
+        A request may have waited long for its place, so nothing that was checked
+        before the wait can be relied on.
+        """
+        withdrawn = self._withdrawn_meanwhile(passage, target)
+        if withdrawn is not None:
+            return withdrawn
+        poison = self.poison.refuse_poison(passage.request.fingerprint)
+        if poison is None:
+            return None
+        return dataclasses.replace(poison, ran=passage.ran)
+
     def _withdrawn_meanwhile(self, passage: Passage, target: Target) -> Refusal | None:
         """Refuse a version that was withdrawn since it was chosen."""
         if not isinstance(target, VersionRef):
--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/completion.py
@@ -49,17 +49,18 @@
         self.incarnation = incarnation
 
     async def bill(
-        self, passage: Passage, usage: Usage, *, complete: bool = True
+        self, passage: Passage, usage: Usage, *, passed_on: bool = False
     ) -> Refusal | None:
         """Bill an answer and return once the bill is safe, or the refusal.
 
         The answer's end is released by the caller of this method. When the bill can't
         be made safe in time, it is taken back and the answer is not given. It is taken
-        back as well when the caller leaves, unless the request is not idempotent: then
-        its effect stands and so does its bill.
+        back as well when the caller leaves, unless the answer was ``passed_on`` but for
+        its end marker, or the request is not idempotent: then its effect stands and so
+        does its bill.
         """
         before = self.clock.monotonic()
-        bill = self._build_bill(passage, usage, complete=complete)
+        bill = self._build_bill(passage, usage, complete=True)
         puts = passage.claims.answered(passage.claim) if passage.claim else ()
         safe = self.bills.add(bill, puts)
         hop = passage.trace.begin(Safety.STANDS.value) if passage.trace else None
@@ -68,7 +69,7 @@
             async with asyncio.timeout(wait):
                 await asyncio.shield(safe)
         except asyncio.CancelledError:
-            if passage.idempotent:
+            if passage.idempotent and not passed_on:
                 self._void(bill, safe)
             raise
         except TimeoutError:
--- a/linnetladder/coordination/streams.py
+++ b/linnetladder/coordination/streams.py
@@ -61,6 +61,7 @@
         self.usage: Usage | None = None
         self.passed_on = 0
         self.resumes = 0
+        self.billed = False
         self.finished = False
 
     async def chunks(self) -> AsyncIterator[bytes | Refused]:
@@ -91,7 +92,7 @@
         self.metrics.count("caller_left")
         await self.reached.answer.close()
         self.runner.cancel_at_endpoint(self.reached.place.endpoint, self.reached.call)
-        if self.passed_on:
+        if self.passed_on and not self.billed:
             usage = self._usage_so_far()
             self.completion.bill_without_waiting(self.passage, usage, complete=False)
         self._finish("")
@@ -110,7 +111,10 @@
         return b"".join(event.data for event in events), end
 
     async def _end(self, end: StreamEvent) -> bytes | Refused:
-        refusal = await self.completion.bill(self.passage, self._usage_so_far())
+        self.billed = True
+        refusal = await self.completion.bill(
+            self.passage, self._usage_so_far(), passed_on=True
+        )
         if refusal is not None:
             return await self._refuse(refusal)
         endpoint = self.reached.place.endpoint
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -109,6 +109,7 @@
         self.callers: set[asyncio.Task] = set()
         self.tokens: dict[str, tuple[str, str]] = {}
         self.keys: dict[str, str] = {}
+        self.fingerprints: set[str] = set()
         self.down_since = 0.0
         self.observer: asyncio.Task | None = None
 
@@ -325,6 +326,7 @@
     ) -> str:
         parsed = self._parse(key, account, kind, named, token, deadline_seconds)
         self.keys[parsed.request_key] = key
+        self.fingerprints.add(parsed.fingerprint)
         try:
             exchange = await member.core.router.answer(parsed)
             if isinstance(exchange, StreamExchange):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -158,3 +158,28 @@
         assert parts.limits.in_flight == {}
 
     with_site(scenario)
+
+
+def test_a_caller_that_leaves_before_the_end_marker_is_still_billed():
+    async def scenario(site):
+        site.platform.set_mode("down")
+        body = json.dumps(
+            {"messages": [{"role": "user", "content": "xyz"}], "stream": True}
+        )
+        headers = {"Authorization": "Bearer studio"}
+        url = site.caller_url(0) + "/v1/chat/completions"
+        async with site.session.post(url, data=body, headers=headers) as response:
+            received = b""
+            while b'"finish_reason":"stop"' not in received:
+                received += await response.content.readany()
+            await asyncio.sleep(0.3)
+            response.close()
+        parts = site.daemons[0].parts
+        await site.wait_for(lambda: parts.metrics.value("caller_left") > 0)
+        site.platform.set_mode("up")
+        await site.wait_for(lambda: parts.bills.unrecorded == 0)
+        from linnetladder.coordination.ledger_reading import read_bills
+
+        assert len((await read_bills(site.store)).unwrap()) == 1
+
+    with_site(scenario)
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from linnetladder.coordination.poison import Crash
 from proof import Rules, check_history
 from tests.support.memory import run_virtual
 from tests.support.world import ALLOWED, World
@@ -76,3 +77,44 @@
         return check_history(world.history, Rules(allowed=ALLOWED))
 
     assert run_virtual(scenario()) == []
+
+
+def queue_then(change):
+    """Let a request wait for a place for ten seconds while something changes."""
+
+    async def scenario():
+        world = World()
+        await world.start()
+        for fake in world.fakes.values():
+            fake.running += 100
+        await asyncio.sleep(3)
+        world.submit("a", daemon="daemon-1")
+        await change(world)
+        await asyncio.sleep(10)
+        for fake in world.fakes.values():
+            fake.running -= 100
+        await asyncio.sleep(5)
+        await world.settle()
+        return world
+
+    return run_virtual(scenario())
+
+
+def test_a_version_withdrawn_while_a_request_waits_is_not_used():
+    world = queue_then(lambda world: world.withdraw("small@1"))
+    assert check_history(world.history, Rules(allowed=ALLOWED)) == []
+    kinds = [getattr(event, "kind", "") for event in world.history.events]
+    assert "version_withdrawn" in kinds
+
+
+def test_a_request_that_turns_poison_while_it_waits_is_not_run():
+    async def poison(world):
+        await asyncio.sleep(1)
+        book = world.members["daemon-1"].core.poison
+        (fingerprint,) = world.fingerprints
+        for endpoint in ("x", "y"):
+            book.learn(Crash(fingerprint, endpoint))
+
+    world = queue_then(poison)
+    kinds = [getattr(event, "kind", "") for event in world.history.events]
+    assert "poison_request" in kinds
