--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -68,6 +68,7 @@
     TICKET_INVALID = "ticket_invalid"
     TICKET_FOREIGN = "ticket_foreign"
     POISON_REQUEST = "poison_request"
+    SUSPECTED_POISON = "suspected_poison"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_REJECTED = "endpoint_rejected"
     ENDPOINT_SILENT = "endpoint_silent"
@@ -124,6 +125,7 @@
     ErrorKind.TICKET_INVALID: Answer(403, "The ticket is not valid"),
     ErrorKind.TICKET_FOREIGN: Answer(409, "The ticket belongs to another daemon"),
     ErrorKind.POISON_REQUEST: Answer(422, "The request crashes endpoints"),
+    ErrorKind.SUSPECTED_POISON: Answer(503, "The request may crash endpoints"),
     ErrorKind.ENDPOINT_FAILED: Answer(502, "The endpoint failed"),
     ErrorKind.ENDPOINT_REJECTED: Answer(422, "The endpoint rejected the request"),
     ErrorKind.ENDPOINT_SILENT: Answer(504, "The endpoint went silent"),
--- /dev/null
+++ b/linnetladder/forwarding/coordination/budget.py
@@ -0,0 +1,88 @@
+"""How many requests may be sent again, over a sliding window and all daemons."""
+
+import collections
+
+from linnetladder.forwarding.settings import SettingsHolder
+from linnetladder.state import Clock
+
+__all__ = ["ServiceBudget", "WindowBudget"]
+
+# The part of the shared allowance that this daemon spends by itself; the rest covers
+# peers that count fewer daemons for a moment.
+RATIO_SHARE = 0.85
+SLACK_SHARE = 0.6
+BUCKET_SECONDS = 0.5
+
+
+class WindowCounter:
+    """Count events in a window that slides by half seconds."""
+
+    def __init__(self):
+        self.buckets: collections.deque[list] = collections.deque()
+        self.total = 0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        bucket = int(now / BUCKET_SECONDS)
+        if not self.buckets or self.buckets[-1][0] != bucket:
+            self.buckets.append([bucket, 0])
+        self.buckets[-1][1] += 1
+        self.total += 1
+
+    def count(self, now: float, window: float) -> int:
+        """Return the events of the last ``window`` seconds."""
+        oldest = int((now - window) / BUCKET_SECONDS)
+        while self.buckets and self.buckets[0][0] < oldest:
+            self.total -= self.buckets.popleft()[1]
+        return self.total
+
+
+class ServiceBudget:
+    """The counts of one service."""
+
+    def __init__(self):
+        self.requests = WindowCounter()
+        self.repeats = WindowCounter()
+
+
+class WindowBudget:
+    """Allow repeats up to this daemon's part of the shared allowance.
+
+    The part that grows with traffic follows this daemon's own requests, so the sum
+    over all daemons keeps the bound without a word between them; the fixed part is
+    divided by the number of daemons.
+    """
+
+    def __init__(self, *, settings: SettingsHolder, clock: Clock):
+        self.settings = settings
+        self.clock = clock
+        self.daemons = 1
+        self.services: dict[str, ServiceBudget] = {}
+
+    def earn(self, service: str) -> None:
+        """Count a caller's request."""
+        self._budget(service).requests.add(self.clock.monotonic())
+
+    def left(self, service: str) -> float:
+        """Return how many repeats are left at this moment."""
+        now = self.clock.monotonic()
+        bounds = self.settings.bounds
+        budget = self._budget(service)
+        requests = budget.requests.count(now, bounds.retry_window)
+        repeats = budget.repeats.count(now, bounds.retry_window)
+        allowed = bounds.retry_ratio * RATIO_SHARE * requests
+        allowed += bounds.retry_slack * SLACK_SHARE / max(self.daemons, 1)
+        return allowed - repeats
+
+    def spend(self, service: str, *, reserve: float = 0.0) -> bool:
+        """Take one repeat, if more than ``reserve`` are left."""
+        if self.left(service) < 1.0 + reserve:
+            return False
+        self._budget(service).repeats.add(self.clock.monotonic())
+        return True
+
+    def _budget(self, service: str) -> ServiceBudget:
+        known = self.services.get(service)
+        if known is None:
+            known = self.services[service] = ServiceBudget()
+        return known
--- /dev/null
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -0,0 +1,112 @@
+"""What endpoints are busy with, from this daemon's own sends and its peers' news.
+
+A prompt that was sent and has not produced its first token is backlog. Its length in
+seconds is estimated from how fast each model was seen to read prompts.
+"""
+
+import dataclasses
+
+from linnetladder.state import Clock, Endpoint
+
+__all__ = ["EndpointLoads", "PeerLoad", "Work"]
+
+# One prompt token of the smallest model on an idle engine; learnt from the first
+# answers on.
+FIRST_SECONDS_PER_TOKEN = 25e-6
+LEARNING_WEIGHT = 0.05
+PEER_LOAD_SECONDS = 2.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Work:
+    """A request at an endpoint; ``backlog`` is seconds until its first token."""
+
+    endpoint: str
+    model: str
+    tokens: int
+    backlog: float
+    started: float
+
+
+@dataclasses.dataclass(slots=True)
+class PeerLoad:
+    """What one peer has at one endpoint, and when it said so."""
+
+    in_flight: int
+    backlog: float
+    heard: float
+
+
+class EndpointLoads:
+    """Sum up the work at each endpoint."""
+
+    def __init__(self, *, clock: Clock):
+        self.clock = clock
+        self.backlog: dict[str, float] = {}
+        self.peers: dict[str, dict[str, PeerLoad]] = {}
+        self.seconds_per_token: dict[str, float] = {}
+
+    def begin(self, endpoint: Endpoint, *, model: str, tokens: int) -> Work:
+        """Count a request in."""
+        backlog = tokens * self.token_seconds(model)
+        work = Work(endpoint.name, model, tokens, backlog, self.clock.monotonic())
+        endpoint.in_flight += 1
+        self.backlog[endpoint.name] = self.backlog.get(endpoint.name, 0.0) + backlog
+        return work
+
+    def first_token(self, work: Work) -> float:
+        """Count a prompt as read and return the seconds that it took."""
+        elapsed = self.clock.monotonic() - work.started
+        if work.tokens:
+            known = self.token_seconds(work.model)
+            seen = elapsed / work.tokens
+            change = (seen - known) * LEARNING_WEIGHT
+            self.seconds_per_token[work.model] = known + change
+        self._take_backlog(work)
+        return elapsed
+
+    def end(self, endpoint: Endpoint, work: Work) -> None:
+        """Count a request out."""
+        endpoint.in_flight -= 1
+        self._take_backlog(work)
+
+    def token_seconds(self, model: str) -> float:
+        """Return the seconds a model takes to read one prompt token."""
+        return self.seconds_per_token.get(model, FIRST_SECONDS_PER_TOKEN)
+
+    def backlog_of(self, endpoint: Endpoint) -> float:
+        """Return the seconds of prompts that wait at an endpoint, from all daemons."""
+        own = self.backlog.get(endpoint.name, 0.0)
+        return own + sum(load.backlog for load in self._peer_loads(endpoint))
+
+    def in_flight_of(self, endpoint: Endpoint) -> int:
+        """Return the requests at an endpoint, from all daemons."""
+        others = sum(load.in_flight for load in self._peer_loads(endpoint))
+        return endpoint.in_flight + others
+
+    def learn(self, peer: str, rows: dict[str, tuple[int, float]]) -> None:
+        """Take in all that a peer has at endpoints."""
+        now = self.clock.monotonic()
+        for loads in self.peers.values():
+            loads.pop(peer, None)
+        for endpoint, (in_flight, backlog) in rows.items():
+            loads = self.peers.setdefault(endpoint, {})
+            loads[peer] = PeerLoad(in_flight, backlog, now)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint that was replaced."""
+        self.backlog.pop(endpoint, None)
+        self.peers.pop(endpoint, None)
+
+    def _peer_loads(self, endpoint: Endpoint) -> list[PeerLoad]:
+        loads = self.peers.get(endpoint.name)
+        if not loads:
+            return []
+        oldest = self.clock.monotonic() - PEER_LOAD_SECONDS
+        return [load for load in loads.values() if load.heard >= oldest]
+
+    def _take_backlog(self, work: Work) -> None:
+        if work.backlog:
+            left = self.backlog.get(work.endpoint, 0.0) - work.backlog
+            self.backlog[work.endpoint] = max(left, 0.0)
+            work.backlog = 0.0
--- /dev/null
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -0,0 +1,443 @@
+"""The way of a forwarded request, from its arrival to the end of its answer."""
+
+import asyncio
+import dataclasses
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.budget import WindowBudget
+from linnetladder.forwarding.coordination.calls import (
+    CallFault,
+    CallFaultKind,
+    Reply,
+)
+from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.sender import Sender, Sent
+from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
+from linnetladder.forwarding.protocol.events import EventSplitter
+from linnetladder.forwarding.state import (
+    CallerHead,
+    ClientAccount,
+    ForwardRequest,
+    RequestKind,
+    Route,
+    RoutingTable,
+    credential_digest,
+)
+from linnetladder.forwarding.state.requests import ANY_MODEL
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics, log_request
+
+__all__ = ["Forwarder"]
+
+# The answer leaves this long before the caller stops waiting for it.
+ANSWER_SECONDS = 0.02
+# Repeats that escalations leave for attempts that failed.
+ESCALATION_RESERVE = 3.0
+DEFAULT_DEADLINE_SECONDS = 30.0
+SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(slots=True)
+class StreamState:
+    """How far a stream has been passed on; ``last_id`` is its last whole event."""
+
+    position: int
+    last_id: int | None = None
+    events: int = 0
+    begun: bool = False
+
+
+class Forwarder:
+    """Let requests in, send them on, and pass the answers back."""
+
+    def __init__(
+        self,
+        *,
+        in_force: TableInForce,
+        sender: Sender,
+        sizing: SizingPolicy,
+        budget: WindowBudget,
+        outcomes: Outcomes,
+        crashes: CrashLog,
+        bills: BillBuffer,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.in_force = in_force
+        self.sender = sender
+        self.sizing = sizing
+        self.budget = budget
+        self.outcomes = outcomes
+        self.crashes = crashes
+        self.bills = bills
+        self.clock = clock
+        self.metrics = metrics
+        self.active = 0
+
+    async def answer(
+        self, head: CallerHead, body: bytes, *, received: float, reply: Reply
+    ) -> None:
+        """Answer one request; the reply is whole, or visibly broken off, after it."""
+        self.metrics.count("requests")
+        admitted = self._admit(head, body, received)
+        if isinstance(admitted, Failure):
+            await self._refuse(head, None, admitted.failure(), reply)
+            return
+        request = admitted.unwrap()
+        self.active += 1
+        try:
+            await self._serve_in_time(request, reply)
+        except asyncio.CancelledError:
+            self.metrics.count("caller_left")
+            self._log(request, "caller left", status=0)
+            raise
+        finally:
+            self.active -= 1
+
+    def _admit(
+        self, head: CallerHead, body: bytes, received: float
+    ) -> Result[ForwardRequest, Refusal]:
+        """Check what can be checked before any endpoint is asked."""
+        stale = self.in_force.refuse_stale()
+        table = self.in_force.table
+        if table is None:
+            return Failure(stale)
+        route = table.find(head.host, head.path)
+        if route is None:
+            detail = f"no route for host {head.host!r} and path {head.path!r}"
+            return Failure(self.in_force.refuse_absent(ErrorKind.UNKNOWN_PATH, detail))
+        account = None
+        if table.accounts and not route.public:
+            if stale is not None:
+                return Failure(stale)
+            found = self._find_account(table, head)
+            if isinstance(found, Failure):
+                return found
+            account = found.unwrap()
+        request = self._build(head, body, received, route, account, table.version)
+        poison = self.crashes.refuse(request.fingerprint)
+        if poison is not None:
+            return Failure(poison)
+        self.budget.earn(request.service)
+        return Success(request)
+
+    def _find_account(
+        self, table: RoutingTable, head: CallerHead
+    ) -> Result[ClientAccount, Refusal]:
+        if head.credential is None:
+            detail = "the request carries no credential"
+            kind = ErrorKind.MISSING_CREDENTIAL
+            return Failure(self.in_force.refuse_absent(kind, detail))
+        account = table.account_of(credential_digest(head.credential))
+        if account is None:
+            detail = "no client account has the request's credential"
+            kind = ErrorKind.UNKNOWN_CREDENTIAL
+            return Failure(self.in_force.refuse_absent(kind, detail))
+        return Success(account)
+
+    def _build(
+        self,
+        head: CallerHead,
+        body: bytes,
+        received: float,
+        route: Route,
+        account: ClientAccount | None,
+        version: int,
+    ) -> ForwardRequest:
+        seconds = head.deadline_seconds or DEFAULT_DEADLINE_SECONDS
+        seconds = min(seconds, route.timeout_seconds)
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        prompt = head.prompt
+        key = prompt.session if prompt is not None else head.attempt_id
+        name = account.name if account is not None else ""
+        digest = xxhash.xxh3_128(f"{head.method} {head.target}\0{name}\0".encode())
+        digest.update(body)
+        return ForwardRequest(
+            head=head,
+            body=body,
+            route=route,
+            service=route.choose_service(key),
+            account=account,
+            received=received,
+            deadline=received + seconds - ANSWER_SECONDS,
+            priority=priority,
+            fingerprint=digest.hexdigest(),
+            configuration_version=version,
+        )
+
+    async def _serve_in_time(self, request: ForwardRequest, reply: Reply) -> None:
+        remaining = request.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(remaining, 0.0)):
+                if request.route.kind is RequestKind.STREAMING:
+                    await self._serve_stream(request, reply)
+                else:
+                    await self._serve_plain(request, reply)
+        except TimeoutError:
+            await self._end_at_deadline(request, reply)
+
+    async def _end_at_deadline(self, request: ForwardRequest, reply: Reply) -> None:
+        if reply.begun:
+            reply.break_off()
+            self._log(request, "broken off at the deadline", status=0)
+            return
+        ran = Ran.UNKNOWN if request.ran else Ran.NO
+        kind = ErrorKind.DEADLINE_EXCEEDED if request.ran else ErrorKind.OVERLOADED
+        detail = "the deadline passed before an endpoint had answered"
+        await self._refuse(request.head, request, Refusal(kind, detail, ran), reply)
+
+    async def _serve_plain(self, request: ForwardRequest, reply: Reply) -> None:
+        """Pass a whole answer back; a failed idempotent request is sent again."""
+        while True:
+            opened = await self.sender.open(request, model="", resume_after="")
+            if isinstance(opened, Failure):
+                await self._refuse(request.head, request, opened.failure(), reply)
+                return
+            sent = opened.unwrap()
+            try:
+                body = await self._read_whole(request, sent)
+            except CallFault as fault:
+                await self.sender.learn_broken(request, sent, fault)
+                continue
+            finally:
+                self.sender.close(request, sent, bad=True)
+            status = sent.exchange.head.status
+            if status >= SERVER_ERROR and self._may_send_again(request):
+                continue
+            await reply.send(status, sent.exchange.head.headers, body)
+            self._finish(request, sent, "answered", status=status, events=0)
+            return
+
+    async def _read_whole(self, request: ForwardRequest, sent: Sent) -> bytes:
+        body = await sent.exchange.read()
+        status = sent.exchange.head.status
+        slow = self.outcomes.is_slow(
+            request.route.name, "", sent.first_byte_seconds, learn=status < SERVER_ERROR
+        )
+        self.sender.close(request, sent, bad=slow or status >= SERVER_ERROR)
+        return body
+
+    def _may_send_again(self, request: ForwardRequest) -> bool:
+        """Tell whether a failed answer is worth another attempt."""
+        if not self.sender.may_repeat(request) or not request.route.repeatable:
+            return False
+        return self.budget.left(request.service) >= 1.0
+
+    async def _serve_stream(self, request: ForwardRequest, reply: Reply) -> None:
+        """Climb the model sizes, then pass the events of one answer on."""
+        state = StreamState(position=self.sizing.first(self._sizing(request)))
+        while True:
+            model = self._model(request, state.position)
+            opened = await self.sender.open(
+                request, model=model, resume_after=_resume_point(request, state)
+            )
+            if isinstance(opened, Failure):
+                await self._give_up_stream(request, reply, state, opened.failure())
+                return
+            sent = opened.unwrap()
+            try:
+                done = await self._pass_on(request, reply, state, sent)
+            finally:
+                self.sender.close(request, sent, bad=False)
+            if done:
+                return
+
+    async def _pass_on(
+        self, request: ForwardRequest, reply: Reply, state: StreamState, sent: Sent
+    ) -> bool:
+        """Pass one attempt's answer on; false if another attempt should follow."""
+        head = sent.exchange.head
+        if head.status != 200:
+            return await self._pass_failure(request, reply, state, sent)
+        if not state.begun:
+            climbed = self._climb(request, state, sent)
+            if climbed:
+                return False
+        try:
+            await self._pass_events(request, reply, state, sent)
+        except CallFault as fault:
+            await self.sender.learn_broken(request, sent, fault)
+            return False
+        slow = self.outcomes.is_slow(
+            request.route.name, sent.model, sent.first_byte_seconds, learn=True
+        )
+        self.sender.close(request, sent, bad=slow)
+        self._finish(request, sent, "answered", status=200, events=state.events)
+        return True
+
+    def _climb(self, request: ForwardRequest, state: StreamState, sent: Sent) -> bool:
+        """Drop a doubtful answer for a larger model's, if all bounds allow it."""
+        if not self.sender.may_repeat(request) or not request.route.repeatable:
+            return False
+        if request.head.model != ANY_MODEL or not request.route.models:
+            return False
+        confidence = sent.exchange.head.confidence
+        following = self.sizing.following(
+            self._sizing(request), position=state.position, confidence=confidence
+        )
+        request.history.append(f"confidence={confidence}")
+        if following is None:
+            return False
+        if self.budget.left(request.service) < 1.0 + ESCALATION_RESERVE:
+            self.metrics.count("escalations_skipped")
+            return False
+        self.metrics.count("escalations")
+        state.position = following
+        self.sender.close(request, sent, bad=False)
+        request.endpoints_tried.remove(sent.endpoint.name)
+        return True
+
+    async def _pass_events(
+        self, request: ForwardRequest, reply: Reply, state: StreamState, sent: Sent
+    ) -> None:
+        """Pass whole events on as they come, each once and in order."""
+        splitter = EventSplitter()
+        async for data in sent.exchange.chunks():
+            passed = []
+            for event in splitter.feed(data):
+                known = state.last_id is not None and event.event_id is not None
+                if known and event.event_id <= state.last_id:
+                    continue
+                if event.event_id is not None:
+                    state.last_id = event.event_id
+                passed.append(event.content)
+            if not passed:
+                continue
+            state.events += len(passed)
+            if not state.begun:
+                state.begun = True
+                await reply.begin(200, sent.exchange.head.headers)
+            await reply.write(b"".join(passed))
+        if splitter.rest:
+            raise _cut_within_event()
+        if not state.begun:
+            state.begun = True
+            await reply.begin(200, sent.exchange.head.headers)
+        await reply.finish()
+
+    async def _pass_failure(
+        self, request: ForwardRequest, reply: Reply, state: StreamState, sent: Sent
+    ) -> bool:
+        """Pass an endpoint's failure on, or try elsewhere."""
+        head = sent.exchange.head
+        try:
+            body = await sent.exchange.read()
+        except CallFault as fault:
+            await self.sender.learn_broken(request, sent, fault)
+            return False
+        self.sender.close(request, sent, bad=head.status >= SERVER_ERROR)
+        if head.status >= SERVER_ERROR and self._may_send_again(request):
+            return False
+        if state.begun:
+            reply.break_off()
+        else:
+            await reply.send(head.status, head.headers, body)
+        self._finish(request, sent, "failed", status=head.status, events=state.events)
+        return True
+
+    async def _give_up_stream(
+        self,
+        request: ForwardRequest,
+        reply: Reply,
+        state: StreamState,
+        refusal: Refusal,
+    ) -> None:
+        if not state.begun:
+            await self._refuse(request.head, request, refusal, reply)
+            return
+        reply.break_off()
+        self._log(request, "broken off", status=0, detail=refusal.detail)
+
+    def _model(self, request: ForwardRequest, position: int) -> str:
+        if request.head.model != ANY_MODEL or not request.route.models:
+            return ""
+        return request.route.models[position]
+
+    def _sizing(self, request: ForwardRequest) -> SizingInputs:
+        table = self.in_force.table
+        service = table.services.get(request.service)
+        objective = request.received + request.route.objective_seconds
+        model = request.route.models[0] if request.route.models else ""
+        return SizingInputs(
+            route=request.route,
+            prompt=request.head.prompt,
+            engine=service.engine if service is not None else None,
+            remaining=objective - self.clock.monotonic(),
+            wait=self.sender.selection.shortest_wait(
+                self.sender.inputs(request, model)
+            ),
+        )
+
+    def _finish(
+        self, request: ForwardRequest, sent: Sent, outcome: str, *, status: int, events
+    ) -> None:
+        self.metrics.count("answered", label=sent.model or request.service)
+        self.bills.add(request, model=sent.model, events=events)
+        self._log(request, outcome, status=status, events=events)
+
+    async def _refuse(
+        self,
+        head: CallerHead,
+        request: ForwardRequest | None,
+        refusal: Refusal,
+        reply: Reply,
+    ) -> None:
+        self.metrics.count("refused", label=refusal.kind)
+        self.metrics.count("refused_ran", label=refusal.ran)
+        if request is not None:
+            self._log(
+                request, refusal.kind, status=refusal.status, detail=refusal.detail
+            )
+            if request.ran:
+                self.bills.add(request, model="", events=0)
+        else:
+            log_request(
+                "refused",
+                request=head.attempt_id,
+                kind=refusal.kind,
+                status=refusal.status,
+                detail=refusal.detail,
+                configuration_age=round(self.in_force.age(), 3),
+            )
+        await reply.refuse(refusal)
+
+    def _log(
+        self, request: ForwardRequest, outcome: str, *, status: int, **more: object
+    ) -> None:
+        elapsed = self.clock.monotonic() - request.received
+        self.metrics.record("total_seconds", elapsed)
+        log_request(
+            outcome,
+            request=request.head.attempt_id,
+            route=request.route.name,
+            service=request.service,
+            account=request.account_name,
+            configuration=request.configuration_version,
+            configuration_age=round(self.in_force.age(), 3),
+            status=status,
+            ran=request.ran,
+            seconds=round(elapsed, 4),
+            attempts=request.history,
+            **more,
+        )
+
+
+def _resume_point(request: ForwardRequest, state: StreamState) -> str:
+    """Return the id of the event after which an attempt should go on."""
+    if state.last_id is not None:
+        return str(state.last_id)
+    return request.head.resume_after
+
+
+def _cut_within_event() -> CallFault:
+    """Return the fault of a stream that ended within an event."""
+    detail = "the stream ended within an event"
+    return CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
--- /dev/null
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -0,0 +1,341 @@
+"""Which version of a service a request may run on while a roll-out is under way.
+
+Each order has a record in the platform's store. Any daemon may move it forward, by a
+write that holds only over the revision it read, so no lease is needed and whoever is
+left goes on where another stopped. The share of sessions on the new version follows
+from the record's start and the elapsed time alone; a session keeps its version.
+"""
+
+import collections
+import dataclasses
+import random
+
+import xxhash
+
+from linnetladder.forwarding.coordination.directory import Directory, version_of
+from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.outcomes import (
+    Outcomes,
+    Tally,
+    evidence_of_badness,
+)
+from linnetladder.forwarding.coordination.sources import OperatorSource
+from linnetladder.forwarding.settings import SettingsHolder
+from linnetladder.forwarding.state import RolloutOrder, RolloutPhase, RolloutRecord
+from linnetladder.state import Clock, Endpoint
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["Rollouts", "VersionRule"]
+
+# Shares of an order's duration at which its phases begin. The second half may move
+# sessions; the last tenth is left for reads and writes that are slow.
+RAMP_FROM = 0.52
+FULL_FROM = 0.68
+COMPLETE_FROM = 0.76
+COMPLETE_LATEST = 0.92
+# New sessions on the candidate while it has shown nothing yet.
+CANARY_SHARE = 0.08
+# A log likelihood ratio at which a version counts as bad: one false alarm in e^9.
+BAD_EVIDENCE = 9.0
+MINIMUM_BAD_ANSWERS = 4.0
+MAXIMUM_SESSIONS = 20_000
+DRAW_SCALE = 1 << 64
+STEP_JITTER_SECONDS = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionRule:
+    """What holds for one request: a version it must avoid, or prefer.
+
+    ``only_target`` and ``avoid_target`` exclude each other; both are false where
+    nothing is being rolled out.
+    """
+
+    target: str = ""
+    only_target: bool = False
+    avoid_target: bool = False
+
+    def allows(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint may run the request."""
+        if not self.target:
+            return True
+        is_target = version_of(endpoint) == self.target
+        if self.only_target:
+            return is_target
+        return not (self.avoid_target and is_target)
+
+
+class Rollouts:
+    """Follow orders, choose versions, and move the records forward."""
+
+    def __init__(
+        self,
+        *,
+        source: OperatorSource,
+        directory: Directory,
+        outcomes: Outcomes,
+        loads: EndpointLoads,
+        settings: SettingsHolder,
+        clock: Clock,
+        metrics: Metrics,
+        seed: int,
+    ):
+        self.source = source
+        self.directory = directory
+        self.outcomes = outcomes
+        self.loads = loads
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.random = random.Random(seed)
+        self.orders: dict[str, RolloutOrder] = {}
+        self.records: dict[str, RolloutRecord] = {}
+        self.began: dict[tuple[str, int], float] = {}
+        self.bad_targets: set[tuple[str, int]] = set()
+        self.sessions: collections.OrderedDict[str, tuple[str, float]] = (
+            collections.OrderedDict()
+        )
+        self.exposed: collections.Counter[tuple[str, int]] = collections.Counter()
+
+    def take_orders(self, orders: tuple[RolloutOrder, ...]) -> None:
+        """Take in the operator's orders."""
+        for order in orders:
+            known = self.orders.get(order.service)
+            if known is None or order.revision > known.revision:
+                self.orders[order.service] = order
+                log_change(
+                    "roll-out ordered",
+                    service=order.service,
+                    target=order.target,
+                    seconds=order.duration_seconds,
+                    revision=order.revision,
+                )
+
+    def take_records(self, records: tuple[RolloutRecord, ...]) -> None:
+        """Take in the records as the store holds them."""
+        for record in records:
+            known = self.records.get(record.service)
+            if known is not None and record.revision <= known.revision:
+                continue
+            self.records[record.service] = record
+            log_change(
+                "roll-out phase",
+                service=record.service,
+                target=record.target,
+                phase=record.phase,
+                revision=record.revision,
+            )
+
+    def active(self) -> list[RolloutOrder]:
+        """Return the orders that have no final record."""
+        found = []
+        for service, order in self.orders.items():
+            record = self._record(service)
+            if record is None or not record.phase.final:
+                found.append(order)
+        return found
+
+    def rule_for(self, service: str, session: str) -> VersionRule:
+        """Return the versions that a request of a session may run on."""
+        order = self.orders.get(service)
+        if order is None:
+            return VersionRule()
+        if self._is_bad(order):
+            return VersionRule(order.target, avoid_target=True)
+        record = self._record(service)
+        if record is None:
+            return VersionRule(order.target, avoid_target=True)
+        if record.phase in (RolloutPhase.FULL, RolloutPhase.COMPLETE):
+            return VersionRule(order.target, only_target=True)
+        if self._draw(order, session) < self._share(order, record):
+            if self._may_expose(order, record, session):
+                return VersionRule(order.target, only_target=True)
+        return VersionRule(order.target, avoid_target=True)
+
+    def note_run(self, service: str, session: str, version: str) -> None:
+        """Remember the version that a session ran on."""
+        order = self.orders.get(service)
+        if order is not None and version == order.target:
+            self.exposed[(service, order.revision)] += 1
+        if not session:
+            return
+        key = f"{service}\0{session}"
+        self.sessions[key] = (version, self.clock.monotonic())
+        self.sessions.move_to_end(key)
+        if len(self.sessions) > MAXIMUM_SESSIONS:
+            self.sessions.popitem(last=False)
+
+    def export_bad(self) -> list[tuple[str, int]]:
+        """Return the orders whose target was found bad here."""
+        return sorted(self.bad_targets)
+
+    def learn_bad(self, found: list[tuple[str, int]]) -> None:
+        """Believe a peer that found a target bad."""
+        for service, revision in found:
+            self._mark_bad(service, revision, reason="peer")
+
+    async def step(self) -> None:
+        """Judge and move each order that is under way."""
+        for order in self.active():
+            self._judge(order)
+            following = self._next(order)
+            if following is not None:
+                await self._write(order, following)
+
+    def _judge(self, order: RolloutOrder) -> None:
+        """Mark a target as bad when its answers show it."""
+        if self._is_bad(order):
+            return
+        pool = self.directory.pool(order.service)
+        if pool is None:
+            return
+        new = frozenset(e.name for e in pool.endpoints if version_of(e) == order.target)
+        old = frozenset(e.name for e in pool.endpoints) - new
+        for route in (None, *self.outcomes.routes()):
+            candidate = self.outcomes.tally(new, route)
+            baseline = self.outcomes.tally(old, route)
+            if self._shows_bad(candidate, baseline):
+                self._mark_bad(
+                    order.service,
+                    order.revision,
+                    reason="answers",
+                    route=route or "all",
+                    bad=round(candidate.bad, 1),
+                    total=round(candidate.total, 1),
+                    usual_bad=round(baseline.bad, 1),
+                    usual_total=round(baseline.total, 1),
+                )
+                return
+
+    def _shows_bad(self, candidate: Tally, baseline: Tally) -> bool:
+        """Tell whether the bad answers are the version's and not one endpoint's."""
+        if candidate.bad < MINIMUM_BAD_ANSWERS:
+            return False
+        if candidate.endpoints > 1 and candidate.endpoints_bad < 2:
+            return False
+        return evidence_of_badness(candidate, baseline) >= BAD_EVIDENCE
+
+    def _mark_bad(
+        self, service: str, revision: int, *, reason: str, **evidence: object
+    ) -> None:
+        if (service, revision) in self.bad_targets:
+            return
+        self.bad_targets.add((service, revision))
+        self.metrics.count("versions_pulled")
+        log_change(
+            "version found bad",
+            service=service,
+            order=revision,
+            reason=reason,
+            **evidence,
+        )
+
+    def _is_bad(self, order: RolloutOrder) -> bool:
+        record = self._record(order.service)
+        if record is not None and record.phase is RolloutPhase.ROLLED_BACK:
+            return True
+        if record is not None and record.phase is RolloutPhase.COMPLETE:
+            return False
+        return (order.service, order.revision) in self.bad_targets
+
+    def _record(self, service: str) -> RolloutRecord | None:
+        """Return the record of a service's present order."""
+        record = self.records.get(service)
+        order = self.orders.get(service)
+        if record is None or order is None:
+            return None
+        return record if record.order_revision == order.revision else None
+
+    def _elapsed(self, order: RolloutOrder, record: RolloutRecord) -> float:
+        """Return the seconds since an order was begun, by this daemon's clock.
+
+        Unix time counts only once, when the record is first seen.
+        """
+        key = (order.service, order.revision)
+        began = self.began.get(key)
+        now = self.clock.monotonic()
+        if began is None:
+            age = min(
+                max(self.clock.unix() - record.started_unix, 0.0),
+                order.duration_seconds,
+            )
+            began = self.began[key] = now - age
+        return now - began
+
+    def _share(self, order: RolloutOrder, record: RolloutRecord) -> float:
+        """Return the share of sessions that belong on the target by now."""
+        elapsed = self._elapsed(order, record) / order.duration_seconds
+        if record.phase is not RolloutPhase.RAMP or elapsed < RAMP_FROM:
+            return CANARY_SHARE
+        progress = (elapsed - RAMP_FROM) / (FULL_FROM - RAMP_FROM)
+        return min(CANARY_SHARE + (1 - CANARY_SHARE) * progress, 1.0)
+
+    def _draw(self, order: RolloutOrder, session: str) -> float:
+        text = f"{order.service}\0{order.revision}\0{session}"
+        return xxhash.xxh64_intdigest(text.encode()) / DRAW_SCALE
+
+    def _may_expose(
+        self, order: RolloutOrder, record: RolloutRecord, session: str
+    ) -> bool:
+        """Keep a session of the old version there while sessions must not move."""
+        known = self.sessions.get(f"{order.service}\0{session}")
+        if known is None or record.phase is RolloutPhase.RAMP:
+            return True
+        version, seen = known
+        if version == order.target:
+            return True
+        recent = self.clock.monotonic() - seen < self.settings.bounds.session
+        return not recent
+
+    def _next(self, order: RolloutOrder) -> RolloutRecord | None:
+        """Return the record that should follow the present one, if any."""
+        record = self._record(order.service)
+        if record is None:
+            return self._first(order)
+        if self._is_bad(order):
+            return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
+        elapsed = self._elapsed(order, record) / order.duration_seconds
+        if record.phase is RolloutPhase.CANARY and elapsed >= RAMP_FROM:
+            return dataclasses.replace(record, phase=RolloutPhase.RAMP)
+        if record.phase is RolloutPhase.RAMP and elapsed >= FULL_FROM:
+            return dataclasses.replace(record, phase=RolloutPhase.FULL)
+        if record.phase is RolloutPhase.FULL and self._may_complete(order, elapsed):
+            return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
+        return None
+
+    def _first(self, order: RolloutOrder) -> RolloutRecord:
+        known = self.records.get(order.service)
+        return RolloutRecord(
+            service=order.service,
+            target=order.target,
+            order_revision=order.revision,
+            phase=RolloutPhase.CANARY,
+            started_unix=self.clock.unix(),
+            revision=known.revision if known is not None else 0,
+        )
+
+    def _may_complete(self, order: RolloutOrder, elapsed: float) -> bool:
+        """Tell whether the old version's endpoints may be stopped."""
+        if elapsed < COMPLETE_FROM:
+            return False
+        if elapsed >= COMPLETE_LATEST:
+            return True
+        pool = self.directory.pool(order.service)
+        if pool is None:
+            return False
+        old = [e for e in pool.endpoints if version_of(e) != order.target]
+        return not any(self.loads.in_flight_of(endpoint) for endpoint in old)
+
+    async def _write(self, order: RolloutOrder, record: RolloutRecord) -> None:
+        """Write a step, then read what holds; another daemon may have been first."""
+        written = await self.source.write_rollout(record)
+        self.metrics.count("rollout_writes")
+        log_change(
+            "roll-out step",
+            service=order.service,
+            phase=record.phase,
+            over_revision=record.revision,
+            outcome=str(written),
+        )
+        read = await self.source.read_rollouts()
+        self.take_records(read.value_or(()))
--- /dev/null
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -0,0 +1,116 @@
+"""Which endpoint runs the next attempt.
+
+Prompts go to the endpoint that their last shared part hashes to, unless its backlog
+is long, so that parts stay cached in one place without a word between daemons. Plain
+requests go to the endpoint with the fewest requests for its slots.
+"""
+
+import dataclasses
+
+import xxhash
+
+from linnetladder.forwarding.coordination.directory import Directory
+from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.rollouts import VersionRule
+from linnetladder.state import Clock, Endpoint
+
+__all__ = ["Selection", "SelectionInputs"]
+
+# A prompt leaves the endpoint of its shared part when that one's backlog is longer
+# than the shortest by this much; reading the part anew takes about as long.
+AFFINITY_BACKLOG_SECONDS = 0.35
+# What one request in flight is taken to add to a prompt's wait.
+IN_FLIGHT_SECONDS = 0.004
+FULL_SECONDS = 2.0
+BAD_SHARE_SECONDS = 1.5
+OTHER_DOMAIN_LOAD = 0.1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SelectionInputs:
+    """What a choice rests on; ``affinity`` is empty where no prompt is shared."""
+
+    service: str
+    rule: VersionRule
+    affinity: str
+    generates: bool
+    tried: tuple[str, ...]
+
+
+class Selection:
+    """Choose among the endpoints of a service that accept work."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        loads: EndpointLoads,
+        outcomes: Outcomes,
+        clock: Clock,
+        own_domain: str,
+    ):
+        self.directory = directory
+        self.loads = loads
+        self.outcomes = outcomes
+        self.clock = clock
+        self.own_domain = own_domain
+
+    def choose(self, inputs: SelectionInputs) -> Endpoint | None:
+        """Return the endpoint for an attempt, or ``None`` if there is none."""
+        candidates = self.candidates(inputs)
+        if not candidates:
+            return None
+        if inputs.generates:
+            return self._for_prompt(candidates, inputs.affinity)
+        return min(candidates, key=self._plain_load)
+
+    def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
+        """Return the endpoints that may run the request, untried ones if any."""
+        pool = self.directory.pool(inputs.service)
+        if pool is None:
+            return []
+        now = self.clock.monotonic()
+        usable = [
+            endpoint
+            for endpoint in pool.endpoints
+            if endpoint.listed and not endpoint.leaving and inputs.rule.allows(endpoint)
+        ]
+        healthy = [e for e in usable if now >= e.ejected_until] or usable
+        untried = [e for e in healthy if e.name not in inputs.tried]
+        return untried or [e for e in usable if e.name not in inputs.tried]
+
+    def shortest_wait(self, inputs: SelectionInputs) -> float:
+        """Return the least seconds of prompts that wait at any candidate."""
+        waits = [self.loads.backlog_of(e) for e in self.candidates(inputs)]
+        return min(waits, default=0.0)
+
+    def _for_prompt(self, candidates: list[Endpoint], affinity: str) -> Endpoint:
+        waits = {e.name: self._prompt_wait(e) for e in candidates}
+        shortest = min(waits.values())
+        if not affinity:
+            return min(candidates, key=lambda e: waits[e.name])
+        ranked = sorted(candidates, key=lambda e: _rank(affinity, e.name))
+        for endpoint in ranked:
+            if waits[endpoint.name] <= shortest + AFFINITY_BACKLOG_SECONDS:
+                return endpoint
+        return ranked[0]
+
+    def _prompt_wait(self, endpoint: Endpoint) -> float:
+        in_flight = self.loads.in_flight_of(endpoint)
+        wait = self.loads.backlog_of(endpoint) + in_flight * IN_FLIGHT_SECONDS
+        wait += self.outcomes.bad_share(endpoint.name) * BAD_SHARE_SECONDS
+        if in_flight >= endpoint.capacity:
+            wait += FULL_SECONDS
+        return wait
+
+    def _plain_load(self, endpoint: Endpoint) -> tuple[float, int]:
+        load = self.loads.in_flight_of(endpoint) / endpoint.capacity
+        load += self.outcomes.bad_share(endpoint.name)
+        if endpoint.failure_domain != self.own_domain:
+            load += OTHER_DOMAIN_LOAD
+        return load, _rank(self.own_domain, endpoint.name)
+
+
+def _rank(key: str, endpoint: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\0{endpoint}".encode())
--- /dev/null
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -0,0 +1,309 @@
+"""Attempts at endpoints, repeated within the bounds until one gives an answer.
+
+A request that may not be repeated is sent once, unless nothing of it was sent or the
+endpoint says that it did not run. Others may be sent again to another endpoint,
+within the route's attempts and the shared budget.
+"""
+
+import dataclasses
+
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.ejection import Ejector
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.budget import WindowBudget
+from linnetladder.forwarding.coordination.calls import (
+    CallFault,
+    CallFaultKind,
+    EndpointCalls,
+    Exchange,
+)
+from linnetladder.forwarding.coordination.directory import Directory, version_of
+from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads, Work
+from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.rollouts import Rollouts
+from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
+from linnetladder.forwarding.protocol import EndpointCall
+from linnetladder.forwarding.state import ForwardRequest, RequestKind
+from linnetladder.state import Clock, Endpoint
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["Sender", "Sent"]
+
+URGENCY_STEP = 2
+MOST_URGENT = 1
+LEAST_URGENT = 9
+# Sends that prove not to have run are not attempts, but there is an end to them.
+MAXIMUM_SENDS = 6
+RETRY_SECONDS = 0.25
+# An attempt with less time than this left is not worth sending.
+LEAST_SECONDS = 0.01
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Sent:
+    """An attempt whose answer has begun; `Sender.close` ends it."""
+
+    endpoint: Endpoint
+    work: Work
+    exchange: Exchange
+    model: str
+    first_byte_seconds: float
+    closed: bool = False
+
+
+class Sender:
+    """Send attempts and learn from how they end."""
+
+    def __init__(
+        self,
+        *,
+        calls: EndpointCalls,
+        selection: Selection,
+        directory: Directory,
+        loads: EndpointLoads,
+        outcomes: Outcomes,
+        rollouts: Rollouts,
+        budget: WindowBudget,
+        crashes: CrashLog,
+        ejector: Ejector,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.calls = calls
+        self.selection = selection
+        self.directory = directory
+        self.loads = loads
+        self.outcomes = outcomes
+        self.rollouts = rollouts
+        self.budget = budget
+        self.crashes = crashes
+        self.ejector = ejector
+        self.clock = clock
+        self.metrics = metrics
+
+    async def open(
+        self, request: ForwardRequest, *, model: str, resume_after: str
+    ) -> Result[Sent, Refusal]:
+        """Return an attempt whose answer has begun, or why there is none."""
+        last: CallFault | None = None
+        for _ in range(MAXIMUM_SENDS):
+            refusal = self._refuse_attempt(request, last)
+            if refusal is not None:
+                return Failure(refusal)
+            endpoint = self.selection.choose(self.inputs(request, model))
+            if endpoint is None:
+                return Failure(_no_endpoint(request, last))
+            if request.arrivals and not self.budget.spend(request.service):
+                return Failure(_budget_spent(request, last))
+            try:
+                sent = await self._send(request, endpoint, model, resume_after)
+            except CallFault as fault:
+                last = fault
+                await self._learn(request, endpoint, fault)
+                continue
+            if sent is not None:
+                return Success(sent)
+        return Failure(_no_endpoint(request, last))
+
+    def inputs(self, request: ForwardRequest, model: str) -> SelectionInputs:
+        """Return what the choice of an endpoint rests on."""
+        prompt = request.head.prompt
+        session = prompt.session if prompt is not None else request.head.attempt_id
+        return SelectionInputs(
+            service=request.service,
+            rule=self.rollouts.rule_for(request.service, session),
+            affinity=_affinity(request, model),
+            generates=prompt is not None,
+            tried=tuple(request.endpoints_tried),
+        )
+
+    def may_repeat(self, request: ForwardRequest) -> bool:
+        """Tell whether the request may run once more, the budget aside."""
+        if request.ran and not request.route.repeatable:
+            return False
+        return request.attempts < request.route.maximum_attempts
+
+    def close(self, request: ForwardRequest, sent: Sent, *, bad: bool) -> None:
+        """End an attempt and count how it went."""
+        if sent.closed:
+            return
+        sent.closed = True
+        sent.exchange.close()
+        self.loads.end(sent.endpoint, sent.work)
+        self.outcomes.add(sent.endpoint.name, request.route.name, bad=bad)
+        if not bad:
+            self.ejector.succeeded(sent.endpoint)
+
+    async def learn_broken(
+        self, request: ForwardRequest, sent: Sent, fault: CallFault
+    ) -> None:
+        """Take in that an answer broke off after it had begun."""
+        self.close(request, sent, bad=True)
+        await self._learn(request, sent.endpoint, fault, counted=True)
+
+    async def _send(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        model: str,
+        resume_after: str,
+    ) -> Sent | None:
+        """Send once; return ``None`` if the endpoint says that it did not run."""
+        prompt = request.head.prompt
+        tokens = prompt.input_tokens if prompt is not None else 0
+        work = self.loads.begin(endpoint, model=model, tokens=tokens)
+        request.endpoints_tried.append(endpoint.name)
+        ran_before = request.ran
+        request.attempts += 1
+        request.arrivals += 1
+        request.ran = True
+        try:
+            exchange = await self.calls.open(
+                self._call(request, endpoint, model, resume_after)
+            )
+        except CallFault as fault:
+            self.loads.end(endpoint, work)
+            request.ran = ran_before or fault.may_have_run
+            if not fault.may_have_run:
+                request.attempts -= 1
+                request.arrivals -= 1
+            raise
+        except BaseException:
+            self.loads.end(endpoint, work)
+            raise
+        if exchange.head.not_run or exchange.head.misdirected:
+            request.ran = ran_before
+            request.attempts -= 1
+            self._note_not_run(request, endpoint, exchange)
+            exchange.close()
+            self.loads.end(endpoint, work)
+            return None
+        seconds = self.loads.first_token(work)
+        self._note_begun(request, endpoint, model, seconds, exchange)
+        return Sent(
+            endpoint=endpoint,
+            work=work,
+            exchange=exchange,
+            model=model,
+            first_byte_seconds=seconds,
+        )
+
+    def _call(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        model: str,
+        resume_after: str,
+    ) -> EndpointCall:
+        urgency = MOST_URGENT + URGENCY_STEP * max(request.priority, 0)
+        return EndpointCall(
+            request=request,
+            instance=endpoint.name,
+            address=endpoint.address,
+            remaining_seconds=request.deadline - self.clock.monotonic(),
+            urgency=min(urgency, LEAST_URGENT),
+            model=model,
+            resume_after=resume_after,
+            fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
+        )
+
+    def _note_begun(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        model: str,
+        seconds: float,
+        exchange: Exchange,
+    ) -> None:
+        status = exchange.head.status
+        request.history.append(f"{endpoint.name}/{model}={status}@{seconds:.3f}")
+        self.metrics.count("attempts", label=f"status_{status // 100}xx")
+        self.metrics.record("first_byte_seconds", seconds)
+        if exchange.head.closes:
+            self.metrics.count("connections_closed")
+        prompt = request.head.prompt
+        session = prompt.session if prompt is not None else ""
+        self.rollouts.note_run(request.service, session, version_of(endpoint))
+
+    def _note_not_run(
+        self, request: ForwardRequest, endpoint: Endpoint, exchange: Exchange
+    ) -> None:
+        request.history.append(f"{endpoint.name}=not_run:{exchange.head.status}")
+        self.metrics.count("attempts", label="not_run")
+        if exchange.head.misdirected:
+            self.directory.mark_leaving(endpoint, reason="address taken over")
+
+    async def _learn(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        fault: CallFault,
+        *,
+        counted: bool = False,
+    ) -> None:
+        """Take in a failed call: the endpoint's health, and whether it crashed."""
+        request.history.append(f"{endpoint.name}={fault.kind}")
+        self.metrics.count("attempts", label=fault.kind)
+        if not counted:
+            self.outcomes.add(endpoint.name, request.route.name, bad=True)
+        self.calls.suspect(endpoint.address)
+        dead = fault.kind is CallFaultKind.CONNECT
+        if fault.kind is not CallFaultKind.CONNECT and fault.may_have_run:
+            dead = not await self.calls.is_reachable(endpoint.address)
+            if dead and fault.kind is CallFaultKind.BROKEN:
+                name = f"{endpoint.name}:{endpoint.incarnation}"
+                self.crashes.learn(request.fingerprint, name)
+        pool = self.directory.pool(request.service)
+        if self.ejector.failed(endpoint, pool, dead=dead):
+            self.metrics.count("ejections")
+            log_change(
+                "endpoint left out",
+                endpoint=endpoint.name,
+                fault=str(fault.kind),
+                detail=fault.detail,
+                request=request.head.attempt_id,
+            )
+
+    def _refuse_attempt(
+        self, request: ForwardRequest, last: CallFault | None
+    ) -> Refusal | None:
+        """Return why no attempt may follow, if so."""
+        remaining = request.deadline - self.clock.monotonic()
+        if remaining < LEAST_SECONDS:
+            return _refusal(request, ErrorKind.DEADLINE_EXCEEDED, "no time is left")
+        if not self.may_repeat(request):
+            detail = last.detail if last is not None else "all attempts are used"
+            return _refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
+        return self.crashes.refuse(request.fingerprint) if last is not None else None
+
+
+def _affinity(request: ForwardRequest, model: str) -> str:
+    prompt = request.head.prompt
+    if prompt is None or not prompt.shared_part:
+        return ""
+    return f"{model}/{prompt.shared_part}"
+
+
+def _refusal(request: ForwardRequest, kind: ErrorKind, detail: str) -> Refusal:
+    ran = Ran.UNKNOWN if request.ran else Ran.NO
+    if not request.ran and kind is ErrorKind.ENDPOINT_FAILED:
+        kind = ErrorKind.OVERLOADED
+    if request.ran and kind in (ErrorKind.NO_ENDPOINT, ErrorKind.OVERLOADED):
+        kind = ErrorKind.ENDPOINT_FAILED
+    return Refusal(kind, detail, ran, retry_after_seconds=RETRY_SECONDS)
+
+
+def _no_endpoint(request: ForwardRequest, last: CallFault | None) -> Refusal:
+    detail = f"no endpoint of service {request.service!r} takes the request"
+    if last is not None:
+        detail += f"; the last attempt failed: {last.detail}"
+    return _refusal(request, ErrorKind.NO_ENDPOINT, detail)
+
+
+def _budget_spent(request: ForwardRequest, last: CallFault | None) -> Refusal:
+    detail = f"the retry budget of service {request.service!r} is spent"
+    if last is not None:
+        detail += f"; the last attempt failed: {last.detail}"
+    return _refusal(request, ErrorKind.OVERLOADED, detail)
--- /dev/null
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -0,0 +1,79 @@
+"""What forwarding reads from a platform, and the little that it writes there."""
+
+import abc
+import dataclasses
+
+from returns.result import Result
+
+from linnetladder.coordination.platform import PlatformFault
+from linnetladder.forwarding.state import RolloutOrder, RolloutRecord, RoutingTable
+from linnetladder.state import EndpointReport
+
+__all__ = ["ConfigurationReading", "DaemonAddress", "OperatorSource"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationReading:
+    """What the operator has written; ``table`` is ``None`` if nothing yet."""
+
+    table: RoutingTable | None
+    orders: tuple[RolloutOrder, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonAddress:
+    """Where a daemon takes messages of its peers."""
+
+    instance: str
+    incarnation: str
+    failure_domain: str
+    host: str
+    port: int
+
+
+class OperatorSource(abc.ABC):
+    """The platform's store, read in the product's own types.
+
+    Reads are linearizable: what they return was in force after they began.
+    """
+
+    @abc.abstractmethod
+    async def read_configuration(self) -> Result[ConfigurationReading, PlatformFault]:
+        """Return the newest configuration and all orders for roll-outs."""
+
+    @abc.abstractmethod
+    async def read_endpoints(
+        self,
+    ) -> Result[tuple[EndpointReport, ...], PlatformFault]:
+        """Return every endpoint that is registered and can be read."""
+
+    @abc.abstractmethod
+    async def read_rollouts(self) -> Result[tuple[RolloutRecord, ...], PlatformFault]:
+        """Return the state of every roll-out that was begun."""
+
+    @abc.abstractmethod
+    async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
+        """Write a roll-out's state over the revision it names.
+
+        Returns whether it was written; false means that somebody else was first.
+        """
+
+    @abc.abstractmethod
+    async def read_daemons(self) -> Result[tuple[DaemonAddress, ...], PlatformFault]:
+        """Return the daemons that are registered; may be seconds old."""
+
+    @abc.abstractmethod
+    async def register_daemon(
+        self, address: DaemonAddress, *, seconds: float
+    ) -> Result[None, PlatformFault]:
+        """Register a daemon, or renew its registration."""
+
+    @abc.abstractmethod
+    async def write_bills(
+        self, *, incarnation: str, sequence: int, content: bytes
+    ) -> Result[bool, PlatformFault]:
+        """Create one block of bills; false if it stood already."""
+
+    @abc.abstractmethod
+    async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
+        """Return the secret that all daemons share, creating it if there is none."""
--- /dev/null
+++ b/linnetladder/forwarding/protocol/dialects.py
@@ -0,0 +1,83 @@
+"""What forwarding needs of a wire format, behind abstract base classes.
+
+A platform's adapter decodes heads into these types once; nothing else knows how its
+headers are spelled.
+"""
+
+import abc
+import dataclasses
+from collections.abc import Mapping
+
+from linnetladder.forwarding.state import CallerHead, ForwardRequest
+
+__all__ = [
+    "AnswerHead",
+    "CallerDialect",
+    "EndpointCall",
+    "EndpointDialect",
+    "HeadProblem",
+]
+
+
+class HeadProblem(Exception):
+    """A request's head that the wire format does not allow."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EndpointCall:
+    """One attempt at an endpoint.
+
+    ``remaining_seconds`` is what the endpoint may use. ``urgency`` is 0 for the most
+    urgent work. ``model`` is empty where the caller's own word is passed on.
+    """
+
+    request: ForwardRequest
+    instance: str
+    address: str
+    remaining_seconds: float
+    urgency: int
+    model: str = ""
+    resume_after: str = ""
+    fresh_connection: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerHead:
+    """The head of an endpoint's answer.
+
+    ``not_run`` is the endpoint's word that it did not and will not run the request.
+    ``sealed`` tells whether it carries the endpoint's digest. ``confidence`` is the
+    model's opinion of its answer, 0 to 100. ``headers`` are the ones to pass on.
+    """
+
+    status: int
+    attempt_id: str
+    not_run: bool
+    misdirected: bool
+    sealed: bool
+    confidence: float | None
+    closes: bool
+    length: int | None
+    headers: tuple[tuple[str, str], ...]
+
+
+class CallerDialect(abc.ABC):
+    """The callers' side of a wire format."""
+
+    @abc.abstractmethod
+    def read_head(
+        self, method: str, target: str, headers: Mapping[str, str]
+    ) -> CallerHead:
+        """Return a request's head; raise `HeadProblem` if it is not allowed."""
+
+
+class EndpointDialect(abc.ABC):
+    """The endpoints' side of a wire format."""
+
+    @abc.abstractmethod
+    def call_headers(self, call: EndpointCall) -> list[tuple[str, str]]:
+        """Return the headers of an attempt."""
+
+    @abc.abstractmethod
+    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+        """Return an answer's head."""
--- /dev/null
+++ b/linnetladder/forwarding/protocol/events.py
@@ -0,0 +1,49 @@
+"""Splitting a stream into whole server-sent events."""
+
+import dataclasses
+
+__all__ = ["Event", "EventSplitter"]
+
+SEPARATOR = b"\n\n"
+ID_FIELD = b"id:"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One whole event as received; ``event_id`` is ``None`` where it has no id."""
+
+    content: bytes
+    event_id: int | None
+
+
+class EventSplitter:
+    """Collect bytes and give back the events that are whole.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> [event.event_id for event in splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")]
+    [1]
+    >>> splitter.rest
+    b'id: 2'
+    """
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take in bytes and return the events that they complete."""
+        buffered = self.rest + data
+        if SEPARATOR not in buffered:
+            self.rest = buffered
+            return []
+        *whole, self.rest = buffered.split(SEPARATOR)
+        return [Event(part + SEPARATOR, _event_id(part)) for part in whole]
+
+
+def _event_id(content: bytes) -> int | None:
+    for line in content.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            text = line[len(ID_FIELD) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/linnetladder/forwarding/protocol/news.py
@@ -0,0 +1,64 @@
+"""What daemons tell each other in one signed datagram.
+
+A message says all that its sender has to say, so a lost one is made good by the next.
+It is authenticated with a secret that the platform's store holds, and a receiver
+takes a sender's messages only in rising order.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import zlib
+
+import orjson
+import pydantic
+
+__all__ = ["News", "decode_news", "encode_news"]
+
+SIGNATURE_BYTES = 16
+MAXIMUM_BYTES = 60_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class News:
+    """One daemon's word on what it sees.
+
+    ``loads`` holds rows of endpoint, requests in flight and backlog in seconds;
+    ``outcomes`` rows of endpoint, route, bad answers and answers; ``crashes`` pairs
+    of fingerprint and endpoint; ``bad_targets`` pairs of service and order;
+    ``leaving`` pairs of endpoint and incarnation.
+    """
+
+    instance: str
+    incarnation: str
+    sequence: int
+    loads: list[tuple[str, int, float]]
+    outcomes: list[tuple[str, str, float, float]]
+    crashes: list[tuple[str, str]]
+    bad_targets: list[tuple[str, int]]
+    leaving: list[tuple[str, str]]
+
+
+_ADAPTER = pydantic.TypeAdapter(News)
+
+
+def encode_news(news: News, *, secret: bytes) -> bytes:
+    """Return a signed datagram."""
+    content = zlib.compress(orjson.dumps(news), 1)
+    return _sign(content, secret) + content
+
+
+def decode_news(datagram: bytes, *, secret: bytes) -> News | None:
+    """Return the news, or ``None`` if its signature or form is wrong."""
+    signature, content = datagram[:SIGNATURE_BYTES], datagram[SIGNATURE_BYTES:]
+    if not hmac.compare_digest(signature, _sign(content, secret)):
+        return None
+    try:
+        plain = zlib.decompressobj().decompress(content, MAXIMUM_BYTES * 10)
+        return _ADAPTER.validate_json(plain)
+    except (zlib.error, pydantic.ValidationError):
+        return None
+
+
+def _sign(content: bytes, secret: bytes) -> bytes:
+    return hashlib.blake2s(content, key=secret, digest_size=SIGNATURE_BYTES).digest()
--- /dev/null
+++ b/linnetladder/forwarding/state/rollouts.py
@@ -0,0 +1,47 @@
+"""Orders to move a service to another version, and how far each has come."""
+
+import dataclasses
+import enum
+
+__all__ = ["RolloutOrder", "RolloutPhase", "RolloutRecord"]
+
+
+class RolloutPhase(enum.StrEnum):
+    """How far a roll-out is; it only moves forward in this order or to the end."""
+
+    CANARY = "canary"
+    RAMP = "ramp"
+    FULL = "full"
+    COMPLETE = "complete"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def final(self) -> bool:
+        """Whether nothing follows."""
+        return self in (RolloutPhase.COMPLETE, RolloutPhase.ROLLED_BACK)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutOrder:
+    """An operator's order; ``revision`` tells orders for one service apart."""
+
+    service: str
+    target: str
+    duration_seconds: float
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutRecord:
+    """The state of an order as the store holds it.
+
+    ``started_unix`` is Unix time in seconds; ``revision`` is the store's, 0 before
+    the record was first written.
+    """
+
+    service: str
+    target: str
+    order_revision: int
+    phase: RolloutPhase
+    started_unix: float
+    revision: int = 0
--- /dev/null
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -0,0 +1,227 @@
+"""The HTTP server that callers connect to."""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.calls import Reply
+from linnetladder.forwarding.coordination.forwarder import Forwarder
+from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.protocol import CallerDialect, HeadProblem
+from linnetladder.forwarding.state import CallerLimits
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics, log_failure, log_request
+
+__all__ = ["ForwardingServer"]
+
+BACKLOG = 1024
+READ_BYTES = 256 * 1024
+# Connections may stay idle for as long as the widest limit of any configuration, so
+# that none is closed under a caller that keeps to the one in force.
+IDLE_SECONDS = 120.0
+BODY_SECONDS = 10.0
+PROBLEM_TYPE = "text/plain; charset=utf-8"
+
+
+class HttpReply(Reply):
+    """An answer over one aiohttp request."""
+
+    def __init__(self, *, request: web.BaseRequest, closing: bool):
+        self.request = request
+        self.closing = closing
+        self.response: web.StreamResponse | None = None
+        self.begun = False
+
+    async def send(
+        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        self.begun = True
+        self.response = web.Response(status=status, headers=headers, body=body)
+        await self._send()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal as text."""
+        self.begun = True
+        headers = {"Content-Type": PROBLEM_TYPE}
+        if refusal.retry_after_seconds is not None and refusal.ran is Ran.NO:
+            headers["Retry-After"] = f"{refusal.retry_after_seconds:.2f}"
+        text = f"{refusal.kind}: {refusal.title}; ran: {refusal.ran}; {refusal.detail}"
+        self.response = web.Response(
+            status=refusal.status, headers=headers, body=text.encode()
+        )
+        await self._send()
+
+    async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the head of a stream."""
+        self.begun = True
+        self.response = web.StreamResponse(status=status, headers=headers)
+        self._close_if_leaving()
+        await self.response.prepare(self.request)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a stream."""
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """Cut the connection."""
+        transport = self.request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def _send(self) -> None:
+        self._close_if_leaving()
+        await self.response.prepare(self.request)
+        await self.response.write_eof()
+
+    def _close_if_leaving(self) -> None:
+        if self.closing:
+            self.response.force_close()
+            self.response.headers["Connection"] = "close"
+
+
+class ForwardingHandler(web.RequestHandler):
+    """Answer requests whose head can't be read."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer of the closed list and close the connection after it."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("part of an answer was sent already")
+        kind = ErrorKind.INTERNAL
+        if isinstance(exc, LineTooLong):
+            kind = ErrorKind.HEADER_TOO_LARGE
+        elif status < 500:
+            kind = ErrorKind.MALFORMED_HTTP
+        if kind is ErrorKind.INTERNAL and exc is not None:
+            log_failure("request failed", exc)
+        refusal = Refusal(kind, str(message or exc), Ran.UNKNOWN)
+        log_request("unreadable", kind=kind, detail=refusal.detail[:200])
+        response = web.Response(
+            status=refusal.status, text=f"{kind}: {refusal.title}; ran: unknown"
+        )
+        response.force_close()
+        return response
+
+
+class HandlerServer(web.Server):
+    """Serve connections with `ForwardingHandler`."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of one new connection."""
+        return ForwardingHandler(self, loop=self._loop, **self._kwargs)
+
+
+class ForwardingServer:
+    """Read requests, hand them to the forwarder, and send its answers."""
+
+    def __init__(
+        self,
+        *,
+        forwarder: Forwarder,
+        in_force: TableInForce,
+        dialect: CallerDialect,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.forwarder = forwarder
+        self.in_force = in_force
+        self.dialect = dialect
+        self.clock = clock
+        self.metrics = metrics
+        self.active = 0
+        self.leaving = False
+        self.handlers: HandlerServer | None = None
+        self.server: asyncio.Server | None = None
+
+    async def start(self, *, address: str, port: int) -> None:
+        """Listen; raise `OSError` if that is not possible."""
+        limits = CallerLimits()
+        self.handlers = HandlerServer(
+            self.handle,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_SECONDS,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            max_headers=512,
+            lingering_time=0.0,
+            access_log=None,
+            auto_decompress=False,
+            read_bufsize=READ_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self.handlers, host=address, port=port, backlog=BACKLOG
+        )
+
+    async def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        if self.server is not None:
+            self.server.close()
+        if self.handlers is not None:
+            await self.handlers.shutdown(0.1)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.active += 1
+        reply = HttpReply(request=request, closing=self.leaving)
+        received = self.clock.monotonic()
+        try:
+            await self._answer(request, reply, received)
+        finally:
+            self.active -= 1
+        if reply.response is None:
+            raise ConnectionError("the answer was broken off")
+        return reply.response
+
+    async def _answer(
+        self, request: web.BaseRequest, reply: HttpReply, received: float
+    ) -> None:
+        try:
+            head = self.dialect.read_head(
+                request.method, request.raw_path, request.headers
+            )
+        except HeadProblem as problem:
+            detail = str(problem)
+            log_request("refused", kind=ErrorKind.INVALID_HEADER, detail=detail)
+            await reply.refuse(Refusal(ErrorKind.INVALID_HEADER, detail))
+            return
+        body, refusal = await self._read_body(request)
+        if refusal is not None:
+            log_request("refused", request=head.attempt_id, kind=refusal.kind)
+            await reply.refuse(refusal)
+            return
+        reply.closing = reply.closing or self.leaving
+        await self.forwarder.answer(head, body, received=received, reply=reply)
+
+    async def _read_body(
+        self, request: web.BaseRequest
+    ) -> tuple[bytes, Refusal | None]:
+        """Return the whole body, or why it was not taken."""
+        if not request.body_exists:
+            return b"", None
+        table = self.in_force.table
+        limits = table.limits if table is not None else CallerLimits()
+        content = bytearray()
+        try:
+            async with asyncio.timeout(BODY_SECONDS):
+                async for chunk in request.content.iter_any():
+                    content += chunk
+                    if len(content) > limits.body_bytes:
+                        detail = f"the body exceeds {limits.body_bytes} bytes"
+                        return b"", Refusal(ErrorKind.BODY_TOO_LARGE, detail)
+        except TimeoutError:
+            detail = f"the body was not complete after {BODY_SECONDS:g} s"
+            return b"", Refusal(ErrorKind.REQUEST_TIMEOUT, detail)
+        return bytes(content), None
--- /dev/null
+++ b/linnetladder/forwarding/transport/news_socket.py
@@ -0,0 +1,78 @@
+"""News between daemons over UDP."""
+
+import asyncio
+
+from linnetladder.forwarding.coordination.peer_news import PeerNews
+from linnetladder.forwarding.protocol.news import (
+    MAXIMUM_BYTES,
+    decode_news,
+    encode_news,
+)
+from linnetladder.telemetry import Metrics, log_failure
+
+__all__ = ["NewsSocket"]
+
+# Often enough that two messages fit into the second within which a bad version or a
+# crashing request should be known everywhere.
+INTERVAL_SECONDS = 0.3
+# A large fleet sends to a fixed number of peers a second, so it sends less often.
+PEERS_PER_SECOND = 80.0
+
+
+class NewsSocket(asyncio.DatagramProtocol):
+    """Send this daemon's news to its peers and take in theirs."""
+
+    def __init__(self, *, news: PeerNews, metrics: Metrics):
+        self.news = news
+        self.metrics = metrics
+        self.secret = b""
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, *, address: str, port: int) -> None:
+        """Bind the socket; raise `OSError` if that is not possible."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(address, port))
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the socket."""
+        self.transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Count what the network could not deliver."""
+        self.metrics.count("peer_messages", label="undeliverable")
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take in a peer's news."""
+        self.metrics.count("peer_bytes", len(data), label="received")
+        news = decode_news(data, secret=self.secret) if self.secret else None
+        if news is None:
+            self.metrics.count("rejected_peers", label="news")
+            return
+        try:
+            self.news.take(news)
+        except Exception as error:
+            log_failure("peer news failed", error)
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        while True:
+            receivers = self.news.receivers()
+            pause = max(INTERVAL_SECONDS, len(receivers) / PEERS_PER_SECOND)
+            await asyncio.sleep(pause)
+            if self.secret and receivers:
+                self._send(receivers)
+
+    def stop(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _send(self, receivers) -> None:
+        datagram = encode_news(self.news.build(), secret=self.secret)
+        if len(datagram) > MAXIMUM_BYTES:
+            self.metrics.count("peer_messages", label="too_large")
+            return
+        for receiver in receivers:
+            self.transport.sendto(datagram, (receiver.host, receiver.port))
+            self.metrics.count("peer_messages", label="sent")
+            self.metrics.count("peer_bytes", len(datagram), label="sent")
--- /dev/null
+++ b/linnetladder/platform/documents.py
@@ -0,0 +1,228 @@
+"""The documents in the platform's store, decoded into the product's types.
+
+The platform's names are as in its pages. ``GoalMs`` is the time to the first byte,
+``Sizes`` the models from the smallest, ``Priority`` 0 the most urgent, ``Public`` a
+route without credentials and ``Split`` the shares of several services.
+"""
+
+from typing import Literal
+
+import pydantic
+
+from linnetladder.forwarding.state import (
+    CallerLimits,
+    ClientAccount,
+    EngineSpec,
+    ModelSize,
+    RequestKind,
+    RolloutOrder,
+    Route,
+    RoutingTable,
+    ServiceShare,
+    ServiceSpec,
+    credential_digest,
+)
+from linnetladder.state import EndpointReport, VersionRef
+
+__all__ = ["ConfigurationModel", "RolloutModel", "ServerModel", "StatusModel"]
+
+MILLISECONDS = 1000.0
+
+
+class SplitModel(pydantic.BaseModel):
+    """One share of a route."""
+
+    Service: str
+    Weight: float = 1.0
+
+
+class RouteModel(pydantic.BaseModel):
+    """One route."""
+
+    Name: str
+    Host: str
+    PathPrefix: str
+    Kind: Literal["idempotent", "non_idempotent", "streaming"]
+    TimeoutMs: float
+    GoalMs: float = 0
+    Priority: int = 0
+    Sizes: list[str] = []
+    Service: str = ""
+    Split: list[SplitModel] = []
+    Attempts: int = 1
+    Public: bool = False
+    CanResume: bool = False
+    GapTargetMs: float = 0
+
+    def decode(self) -> Route:
+        """Return the route."""
+        shares = [ServiceShare(part.Service, part.Weight) for part in self.Split]
+        if not shares:
+            shares = [ServiceShare(self.Service, 1.0)]
+        timeout = self.TimeoutMs / MILLISECONDS
+        return Route(
+            name=self.Name,
+            host=self.Host.lower(),
+            prefix=self.PathPrefix,
+            kind=RequestKind(self.Kind),
+            timeout_seconds=timeout,
+            objective_seconds=self.GoalMs / MILLISECONDS or timeout,
+            priority=self.Priority,
+            shares=tuple(shares),
+            maximum_attempts=max(self.Attempts, 1),
+            public=self.Public,
+            resumable=self.CanResume,
+            models=tuple(self.Sizes),
+            gap_objective_seconds=self.GapTargetMs / MILLISECONDS,
+        )
+
+
+class ModelModel(pydantic.BaseModel):
+    """A model that a service's engines run."""
+
+    Name: str
+    Cost: float = 0
+
+
+class EngineModel(pydantic.BaseModel):
+    """The engines of a service."""
+
+    Slots: int = 1
+    KvCapacity: int = 0
+    Models: list[ModelModel] = []
+
+    def decode(self) -> EngineSpec:
+        """Return the engine's figures."""
+        return EngineSpec(
+            slots=self.Slots,
+            cache_tokens=self.KvCapacity,
+            models=tuple(ModelSize(m.Name, m.Cost) for m in self.Models),
+        )
+
+
+class ServiceModel(pydantic.BaseModel):
+    """One service."""
+
+    Name: str
+    HealthPath: str = ""
+    MaxConns: int = 0
+    Engine: EngineModel | None = None
+
+    def decode(self) -> ServiceSpec:
+        """Return the service."""
+        return ServiceSpec(
+            name=self.Name,
+            health_path=self.HealthPath,
+            maximum_connections=self.MaxConns,
+            engine=self.Engine.decode() if self.Engine is not None else None,
+        )
+
+
+class TenantModel(pydantic.BaseModel):
+    """One client account."""
+
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+
+    def decode(self) -> ClientAccount:
+        """Return the client account; its keys are kept as digests only."""
+        return ClientAccount(
+            name=self.Name,
+            credentials=tuple(credential_digest(key) for key in self.ApiKeys),
+            priority=self.Priority,
+        )
+
+
+class LimitsModel(pydantic.BaseModel):
+    """What callers may send."""
+
+    MaxHeaderBytes: int = 16_384
+    MaxBodyBytes: int = 4_194_304
+    HeaderTimeoutMs: float = 3000
+    IdleTimeoutMs: float = 15_000
+
+    def decode(self) -> CallerLimits:
+        """Return the limits."""
+        return CallerLimits(
+            header_bytes=self.MaxHeaderBytes,
+            body_bytes=self.MaxBodyBytes,
+            header_seconds=self.HeaderTimeoutMs / MILLISECONDS,
+            idle_seconds=self.IdleTimeoutMs / MILLISECONDS,
+        )
+
+
+class ConfigurationModel(pydantic.BaseModel):
+    """The operator's whole configuration."""
+
+    Version: int
+    Routes: list[RouteModel] = []
+    Services: list[ServiceModel] = []
+    Tenants: list[TenantModel] = []
+    Limits: LimitsModel = LimitsModel()
+
+    def decode(self, *, revision: int) -> RoutingTable:
+        """Return the routing table that the store holds at a revision."""
+        return RoutingTable(
+            version=self.Version,
+            revision=revision,
+            routes=[route.decode() for route in self.Routes],
+            services=[service.decode() for service in self.Services],
+            accounts=[tenant.decode() for tenant in self.Tenants],
+            limits=self.Limits.decode(),
+        )
+
+
+class RolloutModel(pydantic.BaseModel):
+    """The operator's order to move a service to a version."""
+
+    Service: str
+    Target: str
+    DurationS: float = pydantic.Field(gt=0)
+
+    def decode(self, *, revision: int) -> RolloutOrder:
+        """Return the order."""
+        return RolloutOrder(
+            service=self.Service,
+            target=self.Target,
+            duration_seconds=self.DurationS,
+            revision=revision,
+        )
+
+
+class StatusModel(pydantic.BaseModel):
+    """What the operator reads of a roll-out."""
+
+    State: Literal["in_progress", "complete", "rolled_back"]
+    Target: str
+
+
+class ServerModel(pydantic.BaseModel):
+    """A worker's entry; ``born`` is the Unix millisecond of its start."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+    Service: str = pydantic.Field(min_length=1)
+    Address: str = pydantic.Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    Zone: str
+    Version: str
+    Slots: int = pydantic.Field(ge=1)
+    State: Literal["ready", "draining"]
+    ColdMs: float = pydantic.Field(ge=0)
+    Seq: int
+    Phase: str | None = None
+    Models: list[dict] | None = None
+    born: int | None = None
+
+    def decode(self, *, name: str) -> EndpointReport:
+        """Return what the entry says of the endpoint with an id."""
+        return EndpointReport(
+            name=name,
+            incarnation=str(self.born or ""),
+            address=self.Address,
+            failure_domain=self.Zone,
+            service=self.Service,
+            versions=frozenset((VersionRef(self.Service, self.Version),)),
+            capacity=self.Slots,
+            leaving=self.State == "draining",
+        )
--- /dev/null
+++ b/linnetladder/platform/settings.py
@@ -0,0 +1,137 @@
+"""The platform's settings file, lines of ``a.b=value``, decoded into settings."""
+
+import os
+from pathlib import Path
+
+import pydantic
+
+from linnetladder.forwarding.settings import Bounds, FleetSettings
+
+__all__ = ["SettingsProblem", "read_settings", "settings_path"]
+
+PATH_VARIABLE = "LINNETLADDER_BOOT"
+MILLISECONDS = 1000.0
+
+
+class SettingsProblem(Exception):
+    """A settings file that can't be read or lacks something."""
+
+
+class BoundsModel(pydantic.BaseModel):
+    """The platform's bounds; milliseconds and seconds as their names say."""
+
+    ContactMs: float = 3000
+    ConfigMs: float = 2000
+    DrainMs: float = 2000
+    GraceS: float = 8
+    StrictRevoke: bool = True
+    RevokeMs: float = 5000
+    BudgetRatio: float = 0.9
+    BudgetWindowS: float = 10
+    BudgetSlack: float = 50
+    ExposureShare: float = 0.15
+    ExposureSlack: float = 30
+    RollbackMs: float = 5000
+    SessionS: float = 5
+    ReuseWindowS: float = 10
+
+    def decode(self) -> Bounds:
+        """Return the bounds in seconds."""
+        return Bounds(
+            contact=self.ContactMs / MILLISECONDS,
+            configuration=self.ConfigMs / MILLISECONDS,
+            drain=self.DrainMs / MILLISECONDS,
+            grace=self.GraceS,
+            strict_revocation=self.StrictRevoke,
+            revoke=self.RevokeMs / MILLISECONDS,
+            retry_ratio=self.BudgetRatio,
+            retry_window=self.BudgetWindowS,
+            retry_slack=self.BudgetSlack,
+            exposure_share=self.ExposureShare,
+            exposure_slack=self.ExposureSlack,
+            rollback=self.RollbackMs / MILLISECONDS,
+            session=self.SessionS,
+            cache_reuse=self.ReuseWindowS,
+        )
+
+
+class ListenModel(pydantic.BaseModel):
+    """The addresses to listen on, ``IP:port``."""
+
+    Front: str
+    Ready: str
+
+
+class ProviderModel(pydantic.BaseModel):
+    """Where the store is."""
+
+    Address: str
+
+
+class SettingsModel(pydantic.BaseModel):
+    """The fields of the file that matter here; others are ignored."""
+
+    Node: str
+    Zone: str
+    Ip: str
+    Zones: dict[str, str] = {}
+    Listen: ListenModel
+    PortRange: str
+    Provider: ProviderModel
+    Bounds: BoundsModel = BoundsModel()
+
+    def decode(self) -> FleetSettings:
+        """Return the daemon's settings."""
+        first, _, last = self.PortRange.partition(",")
+        return FleetSettings(
+            instance=self.Node,
+            failure_domain=self.Zone,
+            failure_domains=tuple(self.Zones),
+            address=self.Ip,
+            caller_port=_port(self.Listen.Front),
+            ready_port=_port(self.Listen.Ready),
+            peer_ports=(int(first), int(last or first)),
+            store_address=self.Provider.Address,
+            bounds=self.Bounds.decode(),
+        )
+
+
+def settings_path() -> Path:
+    """Return the path that the environment names; raise `SettingsProblem`."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsProblem(f"the environment variable {PATH_VARIABLE} is not set")
+    return Path(path)
+
+
+def read_settings(path: Path) -> FleetSettings:
+    """Return the settings in a file; raise `SettingsProblem` with what is wrong."""
+    try:
+        text = path.read_text()
+        return SettingsModel.model_validate(_parse(text)).decode()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsProblem(f"can't read {path}: {error}") from error
+    except (pydantic.ValidationError, ValueError) as error:
+        raise SettingsProblem(f"{path} is not valid: {error}") from error
+
+
+def _parse(text: str) -> dict:
+    """Return the lines as nested tables."""
+    fields: dict = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if not separator:
+            continue
+        table = fields
+        *outer, last = name.strip().split(".")
+        for part in outer:
+            inner = table.setdefault(part, {})
+            if not isinstance(inner, dict):
+                raise ValueError(f"field {name!r} is both a value and a table")
+            table = inner
+        table[last] = value.strip()
+    return fields
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
--- /dev/null
+++ b/linnetladder/platform/source.py
@@ -0,0 +1,202 @@
+"""The operator's documents and the daemons' own records in the platform's store."""
+
+import orjson
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import Condition, PlatformFault, Put, Record
+from linnetladder.forwarding.coordination.sources import (
+    ConfigurationReading,
+    DaemonAddress,
+    OperatorSource,
+)
+from linnetladder.forwarding.state import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutRecord,
+    RoutingTable,
+)
+from linnetladder.platform.documents import (
+    ConfigurationModel,
+    RolloutModel,
+    ServerModel,
+    StatusModel,
+)
+from linnetladder.platform.store import PlatformStore
+from linnetladder.state import EndpointReport
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["PlatformSource"]
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+ORDER_PREFIX = "op/rollout/"
+STATUS_PREFIX = "status/rollout/"
+SERVER_PREFIX = "servers/"
+RECORD_PREFIX = "linnetladder/rollouts/"
+DAEMON_PREFIX = "linnetladder/daemons/"
+LEDGER_PREFIX = "linnetladder/ledger/"
+SECRET_KEY = "linnetladder/peer-secret"
+
+_RECORD = pydantic.TypeAdapter(RolloutRecord)
+_DAEMON = pydantic.TypeAdapter(DaemonAddress)
+
+
+class PlatformSource(OperatorSource):
+    """Read and write through one client of the store."""
+
+    def __init__(self, *, store: PlatformStore, metrics: Metrics):
+        self.store = store
+        self.metrics = metrics
+        self.table: RoutingTable | None = None
+        self.lease = 0
+        self.unreadable: dict[str, int] = {}
+
+    async def read_configuration(self) -> Result[ConfigurationReading, PlatformFault]:
+        """Read everything below the operator's prefix."""
+        read = await self.store.list_prefix(OPERATOR_PREFIX)
+        if isinstance(read, Failure):
+            return read
+        orders = []
+        for record in read.unwrap():
+            if record.key == CONFIGURATION_KEY:
+                self._decode_table(record)
+            elif record.key.startswith(ORDER_PREFIX):
+                order = self._decode_order(record)
+                if order is not None:
+                    orders.append(order)
+        return Success(ConfigurationReading(table=self.table, orders=tuple(orders)))
+
+    async def read_endpoints(
+        self,
+    ) -> Result[tuple[EndpointReport, ...], PlatformFault]:
+        """Read the workers' entries; those that can't be read are left out."""
+        read = await self.store.list_prefix(SERVER_PREFIX)
+        if isinstance(read, Failure):
+            return read
+        reports = []
+        for record in read.unwrap():
+            try:
+                model = ServerModel.model_validate_json(record.value)
+            except pydantic.ValidationError as error:
+                self._note_unreadable(record, error)
+                continue
+            reports.append(model.decode(name=record.key.removeprefix(SERVER_PREFIX)))
+        return Success(tuple(reports))
+
+    async def read_rollouts(self) -> Result[tuple[RolloutRecord, ...], PlatformFault]:
+        """Read the records that daemons keep of roll-outs."""
+        read = await self.store.list_prefix(RECORD_PREFIX)
+        if isinstance(read, Failure):
+            return read
+        records = []
+        for record in read.unwrap():
+            try:
+                fields = orjson.loads(record.value)
+                fields["revision"] = record.modify_revision
+                records.append(_RECORD.validate_python(fields))
+            except (ValueError, TypeError) as error:
+                self._note_unreadable(record, error)
+        return Success(tuple(records))
+
+    async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
+        """Write the daemons' record and the operator's status together."""
+        key = RECORD_PREFIX + record.service
+        status = StatusModel(State=_STATES[record.phase], Target=record.target)
+        written = await self.store.transact(
+            conditions=(Condition(key, record.revision),),
+            puts=(
+                Put(key, orjson.dumps(record)),
+                Put(STATUS_PREFIX + record.service, status.model_dump_json().encode()),
+            ),
+        )
+        return written.map(lambda outcome: outcome.succeeded)
+
+    async def read_daemons(self) -> Result[tuple[DaemonAddress, ...], PlatformFault]:
+        """Read the daemons' registrations; may be seconds old."""
+        read = await self.store.list_prefix(DAEMON_PREFIX, stale=True)
+        if isinstance(read, Failure):
+            return read
+        daemons = []
+        for record in read.unwrap():
+            try:
+                daemons.append(_DAEMON.validate_json(record.value))
+            except pydantic.ValidationError as error:
+                self._note_unreadable(record, error)
+        return Success(tuple(daemons))
+
+    async def register_daemon(
+        self, address: DaemonAddress, *, seconds: float
+    ) -> Result[None, PlatformFault]:
+        """Keep a lease alive, or take one and write the registration under it."""
+        if self.lease:
+            kept = await self.store.keep_alive(self.lease)
+            if isinstance(kept, Failure) or kept.unwrap() > 0:
+                return kept.map(lambda left: None)
+        taken = await self.store.grant_lease(seconds=seconds)
+        if isinstance(taken, Failure):
+            return taken
+        self.lease = taken.unwrap()
+        put = Put(DAEMON_PREFIX + address.instance, orjson.dumps(address), self.lease)
+        written = await self.store.transact(puts=(put,))
+        if isinstance(written, Failure):
+            self.lease = 0
+        return written.map(lambda outcome: None)
+
+    async def write_bills(
+        self, *, incarnation: str, sequence: int, content: bytes
+    ) -> Result[bool, PlatformFault]:
+        """Create a block that nobody has written before."""
+        key = f"{LEDGER_PREFIX}{incarnation}/{sequence:08d}"
+        written = await self.store.transact(
+            conditions=(Condition(key),), puts=(Put(key, content),)
+        )
+        return written.map(lambda outcome: outcome.succeeded)
+
+    async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
+        """Create the secret if there is none, then return the one that stands."""
+        read = await self.store.get(SECRET_KEY)
+        if isinstance(read, Failure):
+            return read
+        if read.unwrap() is None:
+            put = Put(SECRET_KEY, proposed.encode())
+            await self.store.transact(conditions=(Condition(SECRET_KEY),), puts=(put,))
+            read = await self.store.get(SECRET_KEY)
+        return read.map(lambda record: record.value.decode() if record else "")
+
+    def _decode_table(self, record: Record) -> None:
+        """Decode the configuration, once per revision."""
+        revision = record.modify_revision
+        if self.table is not None and self.table.revision >= revision:
+            return
+        try:
+            model = ConfigurationModel.model_validate_json(record.value)
+        except pydantic.ValidationError as error:
+            self._note_unreadable(record, error)
+            return
+        self.table = model.decode(revision=revision)
+
+    def _decode_order(self, record: Record) -> RolloutOrder | None:
+        try:
+            model = RolloutModel.model_validate_json(record.value)
+        except pydantic.ValidationError as error:
+            self._note_unreadable(record, error)
+            return None
+        return model.decode(revision=record.modify_revision)
+
+    def _note_unreadable(self, record: Record, error: Exception) -> None:
+        """Count an entry that can't be read and log it once per revision."""
+        self.metrics.count("platform_faults", label="unreadable_entry")
+        if self.unreadable.get(record.key) == record.modify_revision:
+            return
+        self.unreadable[record.key] = record.modify_revision
+        log_change("entry can't be read", key=record.key, error=str(error)[:300])
+
+
+_STATES = {
+    RolloutPhase.CANARY: "in_progress",
+    RolloutPhase.RAMP: "in_progress",
+    RolloutPhase.FULL: "in_progress",
+    RolloutPhase.COMPLETE: "complete",
+    RolloutPhase.ROLLED_BACK: "rolled_back",
+}
--- /dev/null
+++ b/linnetladder/platform/store.py
@@ -0,0 +1,271 @@
+"""The platform's key-value store over HTTP, behind the product's `KeyValueService`."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import aiohttp
+import pydantic
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    KeyValueService,
+    PlatformFault,
+    Put,
+    Record,
+    TransactionOutcome,
+    WatchEvent,
+)
+from linnetladder.state import Clock
+from linnetladder.telemetry import Metrics
+
+__all__ = ["PlatformStore"]
+
+# A healthy store answers in milliseconds; a slow one was seen to take half a second.
+CALL_SECONDS = 1.0
+WATCH_SECONDS = 10.0
+MILLISECONDS = 1000
+PAGES = 50
+
+Answer = TypeVar("Answer", bound=pydantic.BaseModel)
+
+
+class ItemModel(pydantic.BaseModel):
+    """A key as the store returns it; ``Rev`` is its last change."""
+
+    Key: str
+    Value: str = ""
+    Rev: int
+    Created: int = 0
+    Removed: bool = False
+
+    def decode(self) -> Record:
+        """Return the record; raise `ValueError` if its value is not base64."""
+        return Record(
+            key=self.Key,
+            value=base64.b64decode(self.Value, validate=True),
+            create_revision=self.Created,
+            modify_revision=self.Rev,
+        )
+
+
+class RangeModel(pydantic.BaseModel):
+    """A page of items; ``At`` is the store's revision."""
+
+    Entries: list[ItemModel] = []
+    HasMore: bool = False
+    At: int = 0
+
+
+class WatchModel(pydantic.BaseModel):
+    """The changes that a watch has seen."""
+
+    events: list[ItemModel] = []
+    At: int = 0
+
+
+class TransactionModel(pydantic.BaseModel):
+    """A transaction that was carried out."""
+
+    Rev: int = 0
+
+
+class LeaseModel(pydantic.BaseModel):
+    """A lease and how long it holds."""
+
+    Lease: int = 0
+    TtlMs: float = 0
+
+
+class PlatformStore(KeyValueService):
+    """Call the store at its one address."""
+
+    def __init__(self, *, address: str, clock: Clock, metrics: Metrics):
+        self.address = address
+        self.clock = clock
+        self.metrics = metrics
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def get(self, key: str) -> Result[Record | None, PlatformFault]:
+        """Read one key."""
+        path = "/-/kv-key?" + urlencode({"Key": key})
+        read = await self._call("GET", path, ItemModel, missing=None)
+        if isinstance(read, Failure) or read.unwrap() is None:
+            return read
+        try:
+            return Success(read.unwrap().decode())
+        except ValueError as error:
+            return Failure(PlatformFault(FaultKind.REJECTED, f"key {key!r}: {error}"))
+
+    async def list_prefix(
+        self, prefix: str, *, after: str = "", limit: int = 0, stale: bool = False
+    ) -> Result[tuple[Record, ...], PlatformFault]:
+        """Read all pages below a prefix; values that can't be read are left out.
+
+        A ``stale`` read may be seconds old and costs a tenth.
+        """
+        records: list[Record] = []
+        for _ in range(PAGES):
+            query = {"PathPrefix": prefix}
+            if after:
+                query["After"] = after
+            if stale:
+                query["Serializable"] = "1"
+            path = "/-/kv-range?" + urlencode(query)
+            read = await self._call("GET", path, RangeModel)
+            if isinstance(read, Failure):
+                return read
+            page = read.unwrap()
+            records.extend(self._decode_all(page.Entries))
+            if not page.HasMore or not page.Entries or 0 < limit <= len(records):
+                break
+            after = page.Entries[-1].Key
+        return Success(tuple(records[:limit] if limit else records))
+
+    async def transact(
+        self,
+        *,
+        conditions: tuple[Condition, ...] = (),
+        puts: tuple[Put, ...] = (),
+        deletes: tuple[str, ...] = (),
+    ) -> Result[TransactionOutcome, PlatformFault]:
+        """Write all or nothing."""
+        body = {
+            "ExpectRev": [{"Key": c.key, "Rev": c.modify_revision} for c in conditions],
+            "Writes": [_write(put) for put in puts],
+            "Delete": list(deletes),
+        }
+        done = await self._call("POST", "/-/kv-txn", TransactionModel, body=body)
+        if isinstance(done, Failure):
+            return done
+        answer = done.unwrap()
+        if answer is None:
+            return Success(TransactionOutcome(False, 0))
+        return Success(TransactionOutcome(True, answer.Rev))
+
+    async def grant_lease(self, *, seconds: float) -> Result[int, PlatformFault]:
+        """Take a lease."""
+        body = {"TtlMs": int(seconds * MILLISECONDS)}
+        taken = await self._call("POST", "/-/kv-lease", LeaseModel, body=body)
+        return taken.map(lambda answer: answer.Lease)
+
+    async def keep_alive(self, lease_id: int) -> Result[float, PlatformFault]:
+        """Renew a lease."""
+        kept = await self._call(
+            "POST", f"/-/kv-keep/{lease_id}", LeaseModel, missing=LeaseModel()
+        )
+        return kept.map(lambda answer: answer.TtlMs / MILLISECONDS)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformFault]:
+        """End a lease."""
+        path = f"/-/kv-lease-end/{lease_id}"
+        ended = await self._call("DELETE", path, LeaseModel, missing=LeaseModel())
+        return ended.map(lambda answer: None)
+
+    async def watch(
+        self, prefix: str
+    ) -> AsyncIterator[Result[WatchEvent, PlatformFault]]:
+        """Yield changes from the present revision on until a call fails."""
+        first = await self._call(
+            "GET", "/-/kv-range?" + urlencode({"PathPrefix": prefix}), RangeModel
+        )
+        if isinstance(first, Failure):
+            yield first
+            return
+        after = first.unwrap().At
+        while True:
+            query = {
+                "PathPrefix": prefix,
+                "After": after,
+                "WaitMs": int(WATCH_SECONDS * MILLISECONDS),
+            }
+            path = "/-/kv-watch?" + urlencode(query)
+            seen = await self._call(
+                "GET", path, WatchModel, seconds=WATCH_SECONDS + CALL_SECONDS
+            )
+            if isinstance(seen, Failure):
+                yield seen
+                return
+            after = max(after, seen.unwrap().At)
+            for item in seen.unwrap().events:
+                value = None if item.Removed else item.decode().value
+                yield Success(WatchEvent(key=item.Key, value=value, revision=item.Rev))
+
+    def _decode_all(self, items: list[ItemModel]) -> list[Record]:
+        records = []
+        for item in items:
+            try:
+                records.append(item.decode())
+            except ValueError:
+                self.metrics.count("platform_faults", label="unreadable_value")
+        return records
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        model: type[Answer],
+        *,
+        body: dict | None = None,
+        missing: Answer | None = None,
+        seconds: float = CALL_SECONDS,
+    ) -> Result[Answer | None, PlatformFault]:
+        """Make one call; ``missing`` stands for 404, ``None`` for a condition that failed.
+        """
+        began = self.clock.monotonic()
+        name = path.removeprefix("/-/").partition("?")[0].partition("/")[0]
+        self.metrics.count("platform_calls", label=name)
+        lost = FaultKind.UNREACHABLE if method == "GET" else FaultKind.UNKNOWN_OUTCOME
+        url = f"http://{self.address}{path}"
+        try:
+            async with asyncio.timeout(seconds):
+                async with self.session.request(method, url, json=body) as response:
+                    content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
+        except TimeoutError:
+            return Failure(PlatformFault(lost, f"{name}: no answer in {seconds:g} s"))
+        except (aiohttp.ClientError, OSError) as error:
+            return Failure(PlatformFault(lost, f"{name}: {error!r}"))
+        finally:
+            self.metrics.record("platform_seconds", self.clock.monotonic() - began)
+        return _decode(name, response.status, content, model, missing)
+
+
+def _decode(
+    name: str, status: int, content: bytes, model: type[Answer], missing: Answer | None
+) -> Result[Answer | None, PlatformFault]:
+    """Return what an answer says."""
+    if status == 412:
+        return Success(None)
+    if status == 404 and (missing is not None or name == "kv-key"):
+        return Success(missing)
+    if status in (429, 503):
+        return Failure(PlatformFault(FaultKind.UNREACHABLE, f"{name}: {status}"))
+    if status != 200:
+        detail = f"{name}: {status} {content[:100]!r}"
+        return Failure(PlatformFault(FaultKind.REJECTED, detail))
+    try:
+        return Success(model.model_validate_json(content))
+    except pydantic.ValidationError as error:
+        return Failure(PlatformFault(FaultKind.REJECTED, f"{name}: {error}"))
+
+
+def _write(put: Put) -> dict:
+    return {
+        "Key": put.key,
+        "Value": base64.b64encode(put.value).decode(),
+        "Lease": put.lease_id,
+    }
--- a/linnetladder/state/__init__.py
+++ b/linnetladder/state/__init__.py
@@ -4,7 +4,7 @@
 is encoded for the platform's key-value service.
 """
 
-from linnetladder.state.clock import Clock, SystemClock
+from linnetladder.state.clock import BootClock, Clock, SystemClock
 from linnetladder.state.endpoint_table import EndpointTable, Target
 from linnetladder.state.endpoints import Endpoint, EndpointReport
 from linnetladder.state.ledger import Bill
@@ -19,6 +19,7 @@
 __all__ = [
     "AccountView",
     "Bill",
+    "BootClock",
     "Clock",
     "DecisionInputs",
     "Endpoint",
--- a/linnetladder/state/clock.py
+++ b/linnetladder/state/clock.py
@@ -3,7 +3,7 @@
 import abc
 import time
 
-__all__ = ["Clock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "SystemClock"]
 
 
 class Clock(abc.ABC):
@@ -28,3 +28,15 @@
     def unix(self) -> float:
         """Return the operating system's Unix time."""
         return time.time()
+
+
+class BootClock(SystemClock):
+    """A monotonic clock that goes on while the machine is suspended.
+
+    Freshness and leases must count the seconds of a suspension, which the ordinary
+    monotonic clock leaves out.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds since the machine was started, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/linnetladder/telemetry/__init__.py
+++ b/linnetladder/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from linnetladder.telemetry.logs import configure_logs, log_change, log_failure
 from linnetladder.telemetry.metrics import Metrics
+from linnetladder.telemetry.request_log import log_request, start_request_log
 from linnetladder.telemetry.traces import Hop, RequestTrace, Tracer, build_tracer
 
 __all__ = [
@@ -13,4 +14,6 @@
     "configure_logs",
     "log_change",
     "log_failure",
+    "log_request",
+    "start_request_log",
 ]
