Grant the lapse grace only after a lost read; take no request after the notice

LOST: a request that came on a kept connection 3.4 s after SIGTERM outlived the grace. Change: an outage is a gap of 2.2 s; after the notice idle connections are closed and what still comes is refused with a short Retry-After.

--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -125,8 +125,11 @@
         log_change("draining", in_flight=self.callers.active)
         notice = loop.time() + NOTICE_SECONDS
         while loop.time() < ends:
-            if loop.time() >= notice and self.callers.active == 0:
-                break
+            if loop.time() >= notice:
+                if not self.callers.refusing:
+                    self.callers.refuse_new()
+                if self.callers.active == 0:
+                    break
             await asyncio.sleep(IDLE_POLL_SECONDS)
         unfinished = self.callers.active
         flushed = False
--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -19,8 +19,9 @@
 # Entries that lapsed while the register was away are back within this time of its
 # return, by the platform's word; a second more covers the interval between reads.
 LAPSE_GRACE_SECONDS = 3.0
-# Reads that fail for longer than this count as an outage of the register.
-OUTAGE_SECONDS = 1.2
+# Readings further apart than this mean that at least one was lost to an outage of the
+# register; they come at intervals well below it.
+OUTAGE_SECONDS = 2.2
 
 
 class Directory:
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -21,8 +21,8 @@
 
 __all__ = ["Follower"]
 
-# Leaves time for one lost or slow read within the two seconds in which a changed
-# configuration or a leaving endpoint must be known; peers' news make most reads earlier.
+# Leaves time for a slow read within the two seconds in which a changed configuration or
+# a leaving endpoint must be known; news of peers make most reads earlier.
 READ_SECONDS = 1.25
 JITTER_SECONDS = 0.1
 RETRY_SECONDS = 0.2
--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -22,6 +22,8 @@
 # that none is closed under a caller that keeps to the one in force.
 IDLE_SECONDS = 120.0
 BODY_SECONDS = 10.0
+# Another instance takes the request at once.
+LEAVING_RETRY_SECONDS = 0.02
 PROBLEM_TYPE = "text/plain; charset=utf-8"
 
 
@@ -142,6 +144,7 @@
         self.metrics = metrics
         self.active = 0
         self.leaving = False
+        self.refusing = False
         self.handlers: HandlerServer | None = None
         self.server: asyncio.Server | None = None
 
@@ -172,13 +175,22 @@
         if self.handlers is not None:
             await self.handlers.shutdown(0.1)
 
+    def refuse_new(self) -> None:
+        """Take no more requests: close idle connections, refuse what still comes."""
+        self.refusing = True
+        for handler in self.handlers.connections:
+            handler.close()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.active += 1
         reply = HttpReply(request=request, closing=self.leaving)
         received = self.clock.monotonic()
         try:
-            await self._answer(request, reply, received)
+            if self.refusing:
+                await reply.refuse(_leaving_refusal())
+            else:
+                await self._answer(request, reply, received)
         finally:
             self.active -= 1
         if reply.response is None:
@@ -225,3 +237,10 @@
             detail = f"the body was not complete after {BODY_SECONDS:g} s"
             return b"", Refusal(ErrorKind.REQUEST_TIMEOUT, detail)
         return bytes(content), None
+
+
+def _leaving_refusal() -> Refusal:
+    detail = "the daemon is shutting down; another one takes the request"
+    return Refusal(
+        ErrorKind.DRAINING, detail, retry_after_seconds=LEAVING_RETRY_SECONDS
+    )
--- a/linnetladder/platform/store.py
+++ b/linnetladder/platform/store.py
@@ -217,7 +217,7 @@
         missing: Answer | None = None,
         seconds: float = CALL_SECONDS,
     ) -> Result[Answer | None, PlatformFault]:
-        """Make one call; ``missing`` stands for 404, ``None`` for a failed condition."""
+        """Make one call; ``missing`` stands for 404, ``None`` for a failed check."""
         began = self.clock.monotonic()
         name = path.removeprefix("/-/").partition("?")[0].partition("/")[0]
         self.metrics.count("platform_calls", label=name)
