Close only idle connections at shutdown

Ruled out: requests that were passed on; none of the traced ones was. Change: idle connections are closed for good; the others stay and refuse what comes next.

--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -89,7 +89,12 @@
 
 
 class ForwardingHandler(web.RequestHandler):
-    """Answer requests whose head can't be read."""
+    """One connection; requests whose head can't be read are answered here."""
+
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        waiting = self._waiter is not None and not self._waiter.done()
+        return waiting and not self._messages
 
     def handle_error(
         self,
@@ -176,10 +181,15 @@
             await self.handlers.shutdown(0.1)
 
     def refuse_new(self) -> None:
-        """Take no more requests: close idle connections, refuse what still comes."""
+        """Take no more requests: close idle connections, refuse what still comes.
+
+        Connections whose answer is under way stay open; what is sent on them later is
+        refused.
+        """
         self.refusing = True
         for handler in self.handlers.connections:
-            handler.close()
+            if handler.is_idle():
+                handler.force_close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
