--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,74 @@
+"""What is refused at the door, and whether the refusal is certain and true."""
+
+import pytest
+
+from linnetladder.errors import ErrorKind, Ran
+from tests.support.forwarding import (
+    LocalDaemon,
+    head,
+    ready_daemon,
+    table,
+)
+
+
+def test_a_known_credential_is_let_in_and_its_account_named():
+    daemon = ready_daemon()
+    reply = daemon.answer(head("/fetch/1"))
+    assert reply.status == 200
+    assert daemon.calls.calls[0].request.account_name == "studio"
+
+
+@pytest.mark.parametrize(
+    ("changes", "kind"),
+    [
+        ({"key": "other"}, ErrorKind.UNKNOWN_CREDENTIAL),
+        ({"key": None}, ErrorKind.MISSING_CREDENTIAL),
+        ({"path": "/nowhere/"}, ErrorKind.UNKNOWN_PATH),
+    ],
+)
+def test_absence_is_certain_only_while_the_configuration_is_fresh(changes, kind):
+    daemon = ready_daemon()
+    changes = {"path": "/fetch/1", **changes}
+    assert daemon.answer(head(**changes)).refusal.kind is kind
+    daemon.clock.now += 2.0
+    late = daemon.answer(head(**changes)).refusal
+    assert late.kind is ErrorKind.CONFIGURATION_STALE
+    assert late.retry_after_seconds
+    assert daemon.calls.calls == []
+
+
+def test_keyed_requests_are_refused_before_a_withdrawn_key_could_be_accepted():
+    daemon = ready_daemon()
+    daemon.source.down = True
+    daemon.clock.now += daemon.holder.bounds.revoke - 0.95
+    assert daemon.answer(head("/fetch/1")).status == 200
+    daemon.clock.now += 0.1
+    reply = daemon.answer(head("/fetch/1"))
+    assert reply.refusal.kind is ErrorKind.CONFIGURATION_STALE
+    assert reply.refusal.ran is Ran.NO
+
+
+def test_a_daemon_that_has_read_nothing_refuses_as_not_run():
+    reply = LocalDaemon().answer(head("/fetch/1"))
+    assert reply.refusal.kind is ErrorKind.CONFIGURATION_UNAVAILABLE
+    assert reply.status == 503
+
+
+def test_a_configuration_never_steps_back():
+    daemon = ready_daemon()
+    daemon.source.table = table(5, accounts=(("studio", "key-2"),))
+    assert daemon.read()
+    daemon.source.table = table(4)
+    assert daemon.read()
+    assert daemon.in_force.table.version == 5
+    assert daemon.answer(head("/fetch/1")).status == 401
+    assert daemon.answer(head("/fetch/1", key="key-2")).status == 200
+
+
+def test_freshness_counts_from_the_start_of_the_read():
+    daemon = ready_daemon()
+    daemon.in_force.confirm(None, read_began=daemon.clock.now - 4.0)
+    assert daemon.in_force.age() == pytest.approx(0.0)
+    daemon.clock.now += 3.0
+    daemon.in_force.confirm(None, read_began=daemon.clock.now - 2.0)
+    assert daemon.in_force.age() == pytest.approx(2.0)
--- /dev/null
+++ b/tests/forwarding/test_directory.py
@@ -0,0 +1,77 @@
+"""Endpoints that leave, lapse while the register is away, or come back."""
+
+import pytest
+
+from tests.support.forwarding import ready_daemon, report
+
+
+def usable(daemon, service="engines"):
+    pool = daemon.directory.pool(service)
+    members = pool.endpoints if pool is not None else ()
+    return sorted(e.name for e in members if e.listed and not e.leaving)
+
+
+def test_a_removed_entry_is_out_of_use_at_the_next_reading():
+    daemon = ready_daemon()
+    daemon.clock.now += 1.35
+    del daemon.source.endpoints["engine-1"]
+    assert daemon.read()
+    assert usable(daemon) == ["engine-2", "engine-3"]
+
+
+def test_entries_that_lapsed_in_an_outage_stay_in_use_until_the_grace_ends():
+    daemon = ready_daemon()
+    daemon.source.down = True
+    daemon.clock.now += 6.0
+    assert not daemon.read()
+    daemon.source.down = False
+    lapsed = daemon.source.endpoints.pop("engine-1")
+    assert daemon.read()
+    assert "engine-1" in usable(daemon)
+    daemon.clock.now += 1.3
+    daemon.source.endpoints["engine-1"] = lapsed
+    assert daemon.read()
+    daemon.clock.now += 2.1
+    assert daemon.read()
+    assert usable(daemon) == ["engine-1", "engine-2", "engine-3"]
+
+
+def test_an_entry_still_missing_after_the_grace_is_gone():
+    daemon = ready_daemon()
+    daemon.clock.now += 6.0
+    del daemon.source.endpoints["engine-1"]
+    for _ in range(4):
+        assert daemon.read()
+        daemon.clock.now += 1.3
+    assert usable(daemon) == ["engine-2", "engine-3"]
+
+
+def test_draining_is_believed_and_never_undone_for_the_same_start():
+    daemon = ready_daemon()
+    daemon.source.endpoints["engine-1"] = report("engine-1", leaving=True)
+    assert daemon.read()
+    daemon.source.endpoints["engine-1"] = report("engine-1")
+    assert daemon.read()
+    assert "engine-1" not in usable(daemon)
+
+
+def test_a_worker_that_starts_again_under_its_id_is_new():
+    daemon = ready_daemon()
+    daemon.source.endpoints["engine-1"] = report("engine-1", leaving=True)
+    assert daemon.read()
+    daemon.source.endpoints["engine-1"] = report(
+        "engine-1", incarnation="2", address="10.0.0.9:81"
+    )
+    assert daemon.read()
+    found = daemon.table.endpoints["engine-1"]
+    assert (found.incarnation, found.address) == ("2", "10.0.0.9:81")
+    assert "engine-1" in usable(daemon)
+
+
+@pytest.mark.parametrize("gap", [1.25, 1.35, 2.0])
+def test_the_usual_interval_between_readings_is_no_outage(gap):
+    daemon = ready_daemon()
+    daemon.clock.now += gap
+    daemon.source.endpoints.clear()
+    assert daemon.read()
+    assert usable(daemon) == []
--- /dev/null
+++ b/tests/forwarding/test_rollouts.py
@@ -0,0 +1,235 @@
+"""Roll-outs: agreement between daemons, exposure, verdicts, steps by anybody."""
+
+import asyncio
+
+import pytest
+
+from linnetladder.forwarding.coordination.directory import version_of
+from linnetladder.forwarding.state import RolloutOrder, RolloutPhase
+from tests.support.forwarding import (
+    LocalDaemon,
+    ManualClock,
+    MemorySource,
+    report,
+    table,
+)
+
+SECONDS = 24.0
+SESSIONS = [f"session-{number}" for number in range(400)]
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    """Three daemons over one store, with a roll-out just ordered."""
+
+    async def at_once(seconds):
+        return None
+
+    monkeypatch.setattr(asyncio, "sleep", at_once)
+    source, clock = MemorySource(table=table()), ManualClock()
+    for name in ("old-1", "old-2", "old-3"):
+        source.endpoints[name] = report(name)
+    for name in ("new-1", "new-2", "new-3"):
+        source.endpoints[name] = report(name, version="v2")
+    source.orders["engines"] = RolloutOrder(
+        service="engines", target="v2", duration_seconds=SECONDS, revision=7
+    )
+    daemons = [
+        LocalDaemon(name=f"daemon-{number}", source=source, clock=clock)
+        for number in (1, 2, 3)
+    ]
+    return source, clock, daemons
+
+
+def pass_time(clock, daemons, seconds, *, stepping=None):
+    """Let all daemons read, and some of them step, every half second."""
+    for _ in range(round(seconds * 2)):
+        clock.now += 0.5
+        for daemon in daemons:
+            daemon.read()
+        for daemon in stepping if stepping is not None else daemons:
+            asyncio.run(daemon.rollouts.step())
+
+
+def on_target(daemon):
+    return {
+        session
+        for session in SESSIONS
+        if daemon.rollouts.rule_for("engines", session).only_target
+    }
+
+
+def tell(daemons):
+    """Pass everybody's news to everybody."""
+    for sender in daemons:
+        for receiver in daemons:
+            receiver.peers.take(sender.peers.build())
+
+
+def test_before_the_first_record_nothing_runs_on_the_target(fleet):
+    source, clock, daemons = fleet
+    assert daemons[0].read()
+    assert on_target(daemons[0]) == set()
+
+
+def test_daemons_agree_on_every_session_at_every_moment(fleet):
+    source, clock, daemons = fleet
+    for _ in range(44):
+        pass_time(clock, daemons, 0.5)
+        assert on_target(daemons[0]) == on_target(daemons[1]) == on_target(daemons[2])
+
+
+def test_a_step_is_acted_on_only_when_all_daemons_have_read_it(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 1.0)
+    first_read = on_target(daemons[0])
+    assert source.records["engines"].phase is RolloutPhase.CANARY
+    assert first_read == set()
+    clock.now += 2.1
+    assert on_target(daemons[0])
+
+
+def test_no_session_moves_in_the_first_half_once_the_canary_runs(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 3.5)
+    first = on_target(daemons[0])
+    assert 0 < len(first) < 0.15 * len(SESSIONS)
+    pass_time(clock, daemons, SECONDS / 2 - 4.0)
+    assert on_target(daemons[0]) == first
+
+
+def test_no_session_moves_back_while_the_share_rises(fleet):
+    source, clock, daemons = fleet
+    moved = set()
+    for _ in range(44):
+        pass_time(clock, daemons, 0.5)
+        now = on_target(daemons[0])
+        assert moved <= now
+        moved = now
+    assert moved == set(SESSIONS)
+
+
+def test_a_good_version_is_complete_in_time(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, SECONDS - 0.5)
+    assert source.writes == [
+        RolloutPhase.CANARY,
+        RolloutPhase.RAMP,
+        RolloutPhase.COMPLETE,
+    ]
+
+
+def test_the_old_version_is_not_stopped_while_it_works(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 17.0)
+    busy = daemons[1].table.endpoints["old-2"]
+    busy.in_flight += 1
+    tell(daemons)
+    daemons[0].loads.peers["old-2"]["daemon-2"].heard = clock.now + 60
+    pass_time(clock, daemons, 3.0, stepping=daemons[:1])
+    assert source.records["engines"].phase is RolloutPhase.RAMP
+    busy.in_flight -= 1
+    tell(daemons)
+    pass_time(clock, daemons, 1.0)
+    assert source.records["engines"].phase is RolloutPhase.COMPLETE
+
+
+def test_whoever_is_left_goes_on_where_another_stopped(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 10.0, stepping=daemons[:1])
+    pass_time(clock, daemons, SECONDS - 10.5, stepping=daemons[2:])
+    assert source.records["engines"].phase is RolloutPhase.COMPLETE
+
+
+def test_a_step_whose_reply_was_lost_is_taken_once(fleet):
+    source, clock, daemons = fleet
+    source.lose_replies = 1
+    pass_time(clock, daemons, SECONDS - 0.5)
+    assert source.writes.count(RolloutPhase.CANARY) == 1
+    assert source.records["engines"].phase is RolloutPhase.COMPLETE
+
+
+def spoil(daemon, *, route="draft", endpoints=("new-1", "new-2"), bad=6, good=6):
+    for name in endpoints:
+        for _ in range(bad):
+            daemon.outcomes.add(name, route, bad=True)
+        for _ in range(good):
+            daemon.outcomes.add(name, route, bad=False)
+    for name in ("old-1", "old-2"):
+        for _ in range(60):
+            daemon.outcomes.add(name, route, bad=False)
+
+
+def test_a_bad_version_is_left_at_once_and_rolled_back(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    spoil(daemons[0])
+    asyncio.run(daemons[0].rollouts.step())
+    assert on_target(daemons[0]) == set()
+    assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
+    daemons[1].read()
+    assert on_target(daemons[1]) == set()
+
+
+def test_a_bad_version_is_left_everywhere_while_the_store_is_down(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    source.down = True
+    spoil(daemons[0])
+    asyncio.run(daemons[0].rollouts.step())
+    tell(daemons)
+    assert all(on_target(daemon) == set() for daemon in daemons)
+    source.down = False
+    pass_time(clock, daemons, 1.0)
+    assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
+
+
+def test_bad_answers_seen_by_several_daemons_are_added_up(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    for daemon, name in zip(daemons, ("new-1", "new-2", "new-3"), strict=True):
+        spoil(daemon, endpoints=(name,), bad=2, good=1)
+        daemon.rollouts._judge(source.orders["engines"])
+        assert not daemon.rollouts.bad_targets
+    tell(daemons)
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert daemons[0].rollouts.bad_targets
+
+
+def test_one_bad_endpoint_does_not_condemn_its_version(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    spoil(daemons[0], endpoints=("new-1",), bad=12, good=0)
+    daemons[0].outcomes.add("new-2", "draft", bad=False)
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert not daemons[0].rollouts.bad_targets
+
+
+def test_a_version_that_is_bad_on_one_route_is_found(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    for name in ("new-1", "new-2"):
+        for _ in range(100):
+            daemons[0].outcomes.add(name, "other", bad=False)
+    spoil(daemons[0])
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert daemons[0].rollouts.bad_targets
+
+
+def test_a_target_that_was_rolled_back_runs_under_a_new_order(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    spoil(daemons[0])
+    asyncio.run(daemons[0].rollouts.step())
+    source.orders["engines"] = RolloutOrder(
+        service="engines", target="v2", duration_seconds=SECONDS, revision=900
+    )
+    clock.now += 60
+    pass_time(clock, daemons, SECONDS - 0.5)
+    assert source.records["engines"].phase is RolloutPhase.COMPLETE
+
+
+def test_an_endpoint_of_another_version_is_told_by_its_service(fleet):
+    source, clock, daemons = fleet
+    daemons[0].read()
+    assert version_of(daemons[0].table.endpoints["new-1"]) == "v2"
--- /dev/null
+++ b/tests/support/forwarding.py
@@ -0,0 +1,495 @@
+"""A forwarding daemon's coordination over fakes, on a clock that tests move."""
+
+import asyncio
+import dataclasses
+
+from returns.result import Failure, Success
+
+from linnetladder.coordination.ejection import Ejector
+from linnetladder.coordination.platform import FaultKind, PlatformFault
+from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.budget import WindowBudget
+from linnetladder.forwarding.coordination.calls import (
+    CallFault,
+    CallFaultKind,
+    EndpointCalls,
+    Exchange,
+    Reply,
+)
+from linnetladder.forwarding.coordination.directory import Directory
+from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.following import Follower
+from linnetladder.forwarding.coordination.forwarder import Forwarder
+from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.peer_news import PeerNews
+from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.rollouts import Rollouts
+from linnetladder.forwarding.coordination.selection import Selection
+from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.sizing import ConfidenceLadder
+from linnetladder.forwarding.coordination.sources import (
+    DaemonAddress,
+    OperatorSource,
+    StoreReading,
+)
+from linnetladder.forwarding.policy_settings import PolicySettings
+from linnetladder.forwarding.protocol import AnswerHead
+from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
+from linnetladder.forwarding.state import (
+    CallerHead,
+    CallerLimits,
+    ClientAccount,
+    EngineSpec,
+    ModelSize,
+    Prompt,
+    PromptPart,
+    RequestKind,
+    Route,
+    RoutingTable,
+    ServiceShare,
+    ServiceSpec,
+    credential_digest,
+)
+from linnetladder.state import Clock, EndpointReport, EndpointTable, VersionRef
+from linnetladder.telemetry import Metrics
+
+MODELS = ("small", "middle", "large")
+
+
+class ManualClock(Clock):
+    """A clock that stands still until a test moves it."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.unix_offset = 1_700_000_000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def unix(self) -> float:
+        return self.now + self.unix_offset
+
+
+def route(name="draft", *, kind=RequestKind.STREAMING, **changes) -> Route:
+    """Return a route of the service ``engines`` or, if not a stream, ``desk``."""
+    streaming = kind is RequestKind.STREAMING
+    fields = {
+        "name": name,
+        "host": "api.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_seconds": 12.0,
+        "objective_seconds": 2.0,
+        "priority": 1,
+        "shares": (ServiceShare("engines" if streaming else "desk", 1.0),),
+        "maximum_attempts": 3 if streaming else 2,
+        "resumable": streaming,
+        "models": MODELS if streaming else (),
+    }
+    fields.update(changes)
+    return Route(**fields)
+
+
+def table(version=1, *, routes=None, accounts=(("studio", "key-1"),)) -> RoutingTable:
+    """Return a routing table with the usual routes and one client account."""
+    return RoutingTable(
+        version=version,
+        revision=version,
+        routes=routes
+        or (
+            route("draft"),
+            route("fetch", kind=RequestKind.IDEMPOTENT),
+            route("save", kind=RequestKind.NON_IDEMPOTENT, maximum_attempts=1),
+        ),
+        services=(
+            ServiceSpec(
+                name="engines",
+                health_path="/healthz",
+                maximum_connections=100,
+                engine=EngineSpec(
+                    slots=8,
+                    cache_tokens=100_000,
+                    models=(
+                        ModelSize("small", 0.02),
+                        ModelSize("middle", 0.16),
+                        ModelSize("large", 0.31),
+                    ),
+                ),
+            ),
+            ServiceSpec(name="desk", health_path="/healthz", maximum_connections=10),
+        ),
+        accounts=[
+            ClientAccount(name=name, credentials=(credential_digest(key),))
+            for name, key in accounts
+        ],
+        limits=CallerLimits(),
+    )
+
+
+def report(name, *, service="engines", version="v1", **changes) -> EndpointReport:
+    """Return a register's entry."""
+    fields = {
+        "name": name,
+        "incarnation": "1",
+        "address": f"10.0.0.{sum(name.encode()) % 250}:80",
+        "failure_domain": "east",
+        "service": service,
+        "versions": frozenset((VersionRef(service, version),)),
+        "capacity": 8,
+    }
+    fields.update(changes)
+    return EndpointReport(**fields)
+
+
+def head(
+    path="/draft/1", *, attempt_id="a1", key="key-1", session="s1", **changes
+) -> CallerHead:
+    """Return a caller's head; a draft has a prompt of two parts."""
+    prompt = None
+    if path.startswith("/draft/"):
+        parts = (PromptPart(session, 800), PromptPart(f"own-{attempt_id}", 200))
+        prompt = Prompt(input_tokens=1000, output_tokens=80, parts=parts)
+    fields = {
+        "attempt_id": attempt_id,
+        "method": "POST",
+        "target": path,
+        "path": path,
+        "host": "api.example",
+        "headers": (),
+        "credential": key,
+        "deadline_seconds": 6.0,
+        "model": "*" if prompt is not None else "",
+        "prompt": prompt,
+        "resume_after": "",
+    }
+    fields.update(changes)
+    return CallerHead(**fields)
+
+
+@dataclasses.dataclass
+class Script:
+    """What one call to an endpoint does.
+
+    ``fault`` fails it before its answer; ``cut_after`` breaks it off after so many
+    chunks.
+    """
+
+    status: int = 200
+    chunks: tuple[bytes, ...] = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+    confidence: float | None = 90.0
+    not_run: bool = False
+    misdirected: bool = False
+    fault: CallFault | None = None
+    cut_after: int | None = None
+    seconds: float = 0.0
+
+
+class ScriptedExchange(Exchange):
+    """An answer that follows a script."""
+
+    def __init__(self, *, script: Script, attempt_id: str):
+        super().__init__(
+            head=AnswerHead(
+                status=script.status,
+                attempt_id=attempt_id,
+                not_run=script.not_run,
+                misdirected=script.misdirected,
+                sealed=True,
+                confidence=script.confidence,
+                closes=False,
+                length=None,
+                headers=(("Seal", "x"),),
+            )
+        )
+        self.script = script
+        self.closed = False
+
+    async def read(self) -> bytes:
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    async def chunks(self):
+        for index, chunk in enumerate(self.script.chunks):
+            if index == self.script.cut_after:
+                raise cut()
+            yield chunk
+        if self.script.cut_after == len(self.script.chunks):
+            raise cut()
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class ScriptedCalls(EndpointCalls):
+    """Endpoints that answer from a list of scripts, and then as usual."""
+
+    def __init__(self, *, clock: ManualClock):
+        self.clock = clock
+        self.scripts: list[Script] = []
+        self.calls = []
+        self.exchanges = []
+        self.reachable = True
+        self.suspected = []
+
+    async def open(self, call):
+        self.calls.append(call)
+        script = self.scripts.pop(0) if self.scripts else Script()
+        self.clock.now += script.seconds
+        await asyncio.sleep(0)
+        if script.fault is not None:
+            raise script.fault
+        exchange = ScriptedExchange(
+            script=script, attempt_id=call.request.head.attempt_id
+        )
+        self.exchanges.append(exchange)
+        return exchange
+
+    async def is_reachable(self, address):
+        return self.reachable
+
+    def suspect(self, address):
+        self.suspected.append(address)
+
+
+class RecordedReply(Reply):
+    """What a caller got."""
+
+    def __init__(self):
+        self.begun = False
+        self.status = 0
+        self.body = b""
+        self.refusal = None
+        self.whole = False
+        self.broken = False
+
+    async def send(self, status, headers, body):
+        self.begun = self.whole = True
+        self.status, self.body = status, body
+
+    async def refuse(self, refusal):
+        self.begun = self.whole = True
+        self.refusal, self.status = refusal, refusal.status
+
+    async def begin(self, status, headers):
+        assert not self.begun
+        self.begun, self.status = True, status
+
+    async def write(self, data):
+        assert not self.whole and not self.broken
+        self.body += data
+
+    async def finish(self):
+        self.whole = True
+
+    def break_off(self):
+        self.broken = True
+
+
+class MemorySource(OperatorSource):
+    """The store's records in memory, shared by the daemons of a test."""
+
+    def __init__(self, *, table=None):
+        self.table = table
+        self.orders = {}
+        self.records = {}
+        self.endpoints = {}
+        self.daemons = {}
+        self.blocks = {}
+        self.revision = 100
+        self.down = False
+        self.lose_replies = 0
+        self.writes = []
+
+    def fault(self):
+        return Failure(PlatformFault(FaultKind.UNREACHABLE, "down"))
+
+    async def read(self):
+        if self.down:
+            return self.fault()
+        return Success(
+            StoreReading(
+                table=self.table,
+                orders=tuple(self.orders.values()),
+                records=tuple(self.records.values()),
+                endpoints=tuple(self.endpoints.values()),
+                daemons=tuple(self.daemons.values()),
+            )
+        )
+
+    async def write_rollout(self, record):
+        if self.down:
+            return self.fault()
+        known = self.records.get(record.service)
+        if record.revision != (known.revision if known is not None else 0):
+            return Success(False)
+        self.revision += 1
+        self.records[record.service] = dataclasses.replace(
+            record, revision=self.revision
+        )
+        self.writes.append(record.phase)
+        return self.reply(True)
+
+    def reply(self, value):
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return Failure(PlatformFault(FaultKind.UNKNOWN_OUTCOME, "lost"))
+        return Success(value)
+
+    async def register_daemon(self, address, *, seconds):
+        if self.down:
+            return self.fault()
+        self.daemons[address.instance] = address
+        return Success(None)
+
+    async def write_bills(self, *, incarnation, sequence, content):
+        if self.down:
+            return self.fault()
+        created = (incarnation, sequence) not in self.blocks
+        self.blocks.setdefault((incarnation, sequence), content)
+        return self.reply(created)
+
+    async def shared_secret(self, proposed):
+        return Success("secret")
+
+
+class LocalDaemon:
+    """One daemon's coordination."""
+
+    def __init__(self, *, name="daemon-1", source=None, clock=None, policy=None):
+        self.clock = clock or ManualClock()
+        self.source = source or MemorySource(table=table())
+        self.metrics = Metrics()
+        self.holder = SettingsHolder(
+            settings=FleetSettings(
+                instance=name,
+                failure_domain="east",
+                failure_domains=("east", "west"),
+                address="10.1.0.1",
+                caller_port=80,
+                ready_port=81,
+                peer_ports=(90, 95),
+                store_address="10.9.0.1:80",
+            )
+        )
+        clock, metrics = self.clock, self.metrics
+        self.table = EndpointTable()
+        self.loads = EndpointLoads(clock=clock)
+        self.outcomes = Outcomes(clock=clock)
+        self.crashes = CrashLog(clock=clock)
+        self.directory = Directory(table=self.table, loads=self.loads, clock=clock)
+        self.rollouts = Rollouts(
+            source=self.source,
+            directory=self.directory,
+            outcomes=self.outcomes,
+            loads=self.loads,
+            clock=clock,
+            metrics=metrics,
+            seed=1,
+        )
+        self.peers = PeerNews(
+            instance=name,
+            incarnation=f"{name}-1",
+            table=self.table,
+            loads=self.loads,
+            outcomes=self.outcomes,
+            crashes=self.crashes,
+            rollouts=self.rollouts,
+            metrics=metrics,
+            seed=1,
+        )
+        self.budget = WindowBudget(settings=self.holder, clock=clock)
+        self.in_force = TableInForce(settings=self.holder, clock=clock)
+        self.follower = Follower(
+            source=self.source,
+            in_force=self.in_force,
+            directory=self.directory,
+            rollouts=self.rollouts,
+            peers=self.peers,
+            budget=self.budget,
+            address=DaemonAddress(
+                instance=name,
+                incarnation=f"{name}-1",
+                failure_domain="east",
+                host="10.1.0.1",
+                port=90,
+            ),
+            clock=clock,
+            metrics=metrics,
+            seed=1,
+        )
+        self.calls = ScriptedCalls(clock=clock)
+        self.bills = BillBuffer(
+            source=self.source, incarnation=f"{name}-1", clock=clock, metrics=metrics
+        )
+        self.selection = Selection(
+            directory=self.directory,
+            loads=self.loads,
+            outcomes=self.outcomes,
+            clock=clock,
+            own_domain="east",
+        )
+        self.sender = Sender(
+            calls=self.calls,
+            selection=self.selection,
+            directory=self.directory,
+            loads=self.loads,
+            outcomes=self.outcomes,
+            rollouts=self.rollouts,
+            budget=self.budget,
+            crashes=self.crashes,
+            ejector=Ejector(clock=clock),
+            clock=clock,
+            metrics=metrics,
+        )
+        self.forwarder = Forwarder(
+            in_force=self.in_force,
+            sender=self.sender,
+            sizing=ConfidenceLadder(
+                loads=self.loads, policy=policy or PolicySettings()
+            ),
+            budget=self.budget,
+            outcomes=self.outcomes,
+            crashes=self.crashes,
+            bills=self.bills,
+            clock=clock,
+            metrics=metrics,
+        )
+
+    def read(self) -> bool:
+        """Read the store once."""
+        return asyncio.run(self.follower.read_once())
+
+    def answer(self, request_head=None, *scripts, body=b"") -> RecordedReply:
+        """Answer one request with endpoints that follow scripts."""
+        self.calls.scripts = list(scripts)
+        reply = RecordedReply()
+        asyncio.run(
+            self.forwarder.answer(
+                request_head or head(),
+                body,
+                received=self.clock.monotonic(),
+                reply=reply,
+            )
+        )
+        return reply
+
+
+def ready_daemon(**options) -> LocalDaemon:
+    """Return a daemon that knows three engines and two desks."""
+    daemon = LocalDaemon(**options)
+    for name in ("engine-1", "engine-2", "engine-3"):
+        daemon.source.endpoints[name] = report(name)
+    for name in ("desk-1", "desk-2"):
+        daemon.source.endpoints[name] = report(name, service="desk")
+    assert daemon.read()
+    return daemon
+
+
+def broken(*, ran=True, kind=CallFaultKind.BROKEN) -> CallFault:
+    """Return a call's failure before its answer."""
+    return CallFault(kind, "broken off", may_have_run=ran)
+
+
+def cut() -> CallFault:
+    """Return the failure of an answer that had begun."""
+    return CallFault(CallFaultKind.BROKEN, "cut", may_have_run=True)
