Hash the key of a split route as bytes; stand-in of the users' store, adapter's tests

Change: the text is encoded; standins/fleet_store.py speaks the store's published calls; tests of settings, documents, headers, news, and that no wire name leaves the adapter.

--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -114,7 +114,8 @@
         if len(self.shares) == 1:
             return self.shares[0].service
         total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh64_intdigest(f"{self.name}\0{key}") / DRAW_SCALE * total
+        text = f"{self.name}\0{key}".encode()
+        point = xxhash.xxh64_intdigest(text) / DRAW_SCALE * total
         for share in self.shares:
             point -= share.weight
             if point < 0:
--- /dev/null
+++ b/standins/fleet_store.py
@@ -0,0 +1,193 @@
+"""The users' store as its published pages describe it, in one process.
+
+It speaks HTTP on loopback: items with revisions, ranges, waiting watches, transactions
+with conditions, and leases. ``faults`` holds what befalls the next calls:
+``unavailable`` answers 503 and does nothing, ``lost_reply`` carries a write out and
+closes the connection.
+"""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+
+import orjson
+from aiohttp import web
+
+__all__ = ["FleetStore"]
+
+PAGE_ITEMS = 500
+
+
+@dataclasses.dataclass
+class Item:
+    """A key's value and revisions."""
+
+    value: str
+    revision: int
+    created: int
+    lease: int = 0
+
+
+class FleetStore:
+    """Serve the store's calls."""
+
+    def __init__(self):
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self.leases: set[int] = set()
+        self.history: list[dict] = []
+        self.faults: collections.deque[str] = collections.deque()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.returned_keys: list[list[str]] = []
+        self.changed = asyncio.Event()
+        self.runner: web.ServerRunner | None = None
+
+    async def start(self, *, port: int = 0) -> str:
+        """Listen on loopback and return ``IP:port``."""
+        self.runner = web.ServerRunner(web.Server(self.handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", port)
+        await site.start()
+        bound = self.runner.addresses[0][1]
+        return f"127.0.0.1:{bound}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self.runner.cleanup()
+
+    def put(self, key: str, document: dict) -> int:
+        """Write a document and return its revision."""
+        return self.put_bytes(key, orjson.dumps(document))
+
+    def put_bytes(self, key: str, value: bytes, *, lease: int = 0) -> int:
+        """Write bytes and return their revision."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known is not None else self.revision
+        encoded = base64.b64encode(value).decode()
+        self.items[key] = Item(encoded, self.revision, created, lease)
+        self._record(self._row(key))
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record({"Key": key, "Rev": self.revision, "Removed": True})
+
+    def value(self, key: str) -> bytes:
+        """Return a key's value."""
+        return base64.b64decode(self.items[key].value)
+
+    def encoded(self, key: str) -> str:
+        """Return a key's value as it travels."""
+        return self.items[key].value
+
+    def end_leases(self) -> None:
+        """End all leases and remove their keys."""
+        self.leases.clear()
+        for key in [key for key, item in self.items.items() if item.lease]:
+            self.remove(key)
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer one call."""
+        name, _, argument = request.path.removeprefix("/-/").partition("/")
+        self.calls[name] += 1
+        fault = self.faults.popleft() if self.faults else ""
+        if fault == "unavailable":
+            return web.Response(status=503)
+        content = await request.read()
+        body = orjson.loads(content) if content else {}
+        status, answer = await self._answer(name, argument, request.query, body)
+        if fault == "lost_reply":
+            request.transport.close()
+        return web.Response(
+            status=status,
+            body=orjson.dumps(answer),
+            content_type="application/json",
+        )
+
+    async def _answer(self, name, argument, query, body) -> tuple[int, dict]:
+        match name:
+            case "kv-key":
+                return self._get(query["Key"])
+            case "kv-range":
+                return 200, self._range(query["PathPrefix"], query.get("After", ""))
+            case "kv-watch":
+                return 200, await self._watch(query)
+            case "kv-txn":
+                return self._transact(body)
+            case "kv-lease":
+                self.leases.add(len(self.leases) + self.revision + 1000)
+                return 200, {"Lease": max(self.leases), "TtlMs": body["TtlMs"]}
+            case "kv-keep":
+                if int(argument) in self.leases:
+                    return 200, {"TtlMs": 3000}
+                return 404, {}
+            case "kv-lease-end":
+                self.leases.discard(int(argument))
+                return 200, {}
+        return 404, {}
+
+    def _get(self, key: str) -> tuple[int, dict]:
+        if key not in self.items:
+            return 404, {"At": self.revision}
+        return 200, {**self._row(key), "At": self.revision}
+
+    def _range(self, prefix: str, after: str) -> dict:
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        self.returned_keys.append(keys[:PAGE_ITEMS])
+        return {
+            "Entries": [self._row(key) for key in keys[:PAGE_ITEMS]],
+            "HasMore": len(keys) > PAGE_ITEMS,
+            "At": self.revision,
+        }
+
+    async def _watch(self, query) -> dict:
+        after = int(query["After"])
+        try:
+            async with asyncio.timeout(int(query["WaitMs"]) / 1000):
+                while True:
+                    events = [
+                        event
+                        for event in self.history
+                        if event["Rev"] > after
+                        and event["Key"].startswith(query["PathPrefix"])
+                    ]
+                    if events:
+                        return {"events": events, "At": self.revision}
+                    self.changed.clear()
+                    await self.changed.wait()
+        except TimeoutError:
+            return {"events": [], "At": self.revision}
+
+    def _transact(self, body: dict) -> tuple[int, dict]:
+        conditions = body.get("ExpectRev", [])
+        writes = body.get("Writes", [])
+        for condition in conditions:
+            item = self.items.get(condition["Key"])
+            if (item.revision if item is not None else 0) != condition["Rev"]:
+                return 412, {"Entries": []}
+        if any(w.get("Lease") and w["Lease"] not in self.leases for w in writes):
+            return 404, {}
+        for write in writes:
+            value = base64.b64decode(write["Value"], validate=True)
+            self.put_bytes(write["Key"], value, lease=write.get("Lease", 0))
+        for key in body.get("Delete", []):
+            self.remove(key)
+        return 200, {"Rev": self.revision}
+
+    def _row(self, key: str) -> dict:
+        item = self.items[key]
+        return {
+            "Key": key,
+            "Value": item.value,
+            "Rev": item.revision,
+            "Created": item.created,
+            "Lease": item.lease,
+        }
+
+    def _record(self, event: dict) -> None:
+        self.history.append(event)
+        self.changed.set()
--- /dev/null
+++ b/tests/forwarding/test_platform.py
@@ -0,0 +1,412 @@
+"""The platform's adapter: settings, documents and headers, decoded once."""
+
+import asyncio
+import base64
+import pathlib
+import re
+
+import orjson
+import pytest
+
+from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.protocol import EndpointCall, HeadProblem
+from linnetladder.forwarding.state import (
+    ForwardRequest,
+    RequestKind,
+    RolloutPhase,
+    RolloutRecord,
+    credential_digest,
+)
+from linnetladder.platform import (
+    PlatformCallers,
+    PlatformEndpoints,
+    PlatformSource,
+    PlatformStore,
+    SettingsProblem,
+    read_settings,
+)
+from linnetladder.platform.documents import ConfigurationModel
+from linnetladder.telemetry import Metrics
+from standins.fleet_store import FleetStore
+from tests.support.forwarding import ManualClock, head, route, table
+
+SETTINGS = """Node=edge-a-1
+Zone=a
+Ip=10.1.0.4
+Zones.a=r
+Zones.b=r
+Listen.Front=10.1.0.4:8001
+Listen.Ready=10.1.0.4:8002
+PortRange=7000,7015
+Provider.Address=10.9.0.1:8003
+Bounds.RevokeMs=4000
+Bounds.StrictRevoke=false
+Unknown.Field=1
+"""
+
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "API.example",
+            "PathPrefix": "/a/",
+            "Kind": "streaming",
+            "TimeoutMs": 12000,
+            "GoalMs": 2000,
+            "Priority": 1,
+            "Sizes": ["m0", "m1"],
+            "Split": [
+                {"Service": "s1", "Weight": 90},
+                {"Service": "s2", "Weight": 10},
+            ],
+            "Attempts": 3,
+            "CanResume": True,
+        },
+        {
+            "Name": "r2",
+            "Host": "api.example",
+            "PathPrefix": "/a/b/",
+            "Kind": "non_idempotent",
+            "TimeoutMs": 600,
+            "Service": "s2",
+            "Public": True,
+        },
+    ],
+    "Services": [
+        {"Name": "s1", "Engine": {"Slots": 8, "Models": [{"Name": "m0", "Cost": 0.1}]}},
+        {"Name": "s2"},
+    ],
+    "Limits": {"MaxBodyBytes": 1000, "IdleTimeoutMs": 9000},
+    "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Priority": 2}],
+}
+
+WORKER = {
+    "Service": "s1",
+    "Address": "10.0.0.9:8080",
+    "Zone": "a",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdMs": 0,
+    "Seq": 4,
+    "born": 1790000000000,
+}
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text(SETTINGS)
+    settings = read_settings(path)
+    assert settings.instance == "edge-a-1"
+    assert settings.failure_domains == ("a", "b")
+    assert (settings.caller_port, settings.ready_port) == (8001, 8002)
+    assert settings.peer_ports == (7000, 7015)
+    assert settings.bounds.revoke == 4.0
+    assert not settings.bounds.strict_revocation
+
+
+@pytest.mark.parametrize(
+    "change", [("Node=edge-a-1\n", ""), ("7000,7015", "x"), ("4000", "soon")]
+)
+def test_bad_settings_are_a_clear_error(tmp_path, change):
+    path = tmp_path / "node.conf"
+    path.write_text(SETTINGS.replace(*change))
+    with pytest.raises(SettingsProblem, match="not valid"):
+        read_settings(path)
+    with pytest.raises(SettingsProblem, match="can't read"):
+        read_settings(tmp_path / "missing")
+
+
+def test_the_configuration_becomes_routes_accounts_and_limits():
+    decoded = ConfigurationModel.model_validate(CONFIGURATION).decode(revision=40)
+    assert (decoded.version, decoded.revision) == (7, 40)
+    found = decoded.find("api.example", "/a/b/c")
+    assert (found.name, found.public) == ("r2", True)
+    assert found.kind is RequestKind.NON_IDEMPOTENT
+    assert decoded.find("api.example", "/a/x").name == "r1"
+    assert decoded.find("api.example", "/b/") is None
+    assert decoded.find("other.example", "/a/x") is None
+    assert decoded.account_of(credential_digest("k2")).name == "t1"
+    assert decoded.limits.body_bytes == 1000
+    chosen = [decoded.routes[0].choose_service(f"k{n}") for n in range(1000)]
+    assert 850 < chosen.count("s1") < 950
+
+
+def with_store(work):
+    """Run work against a store of this repository over HTTP."""
+
+    async def scenario():
+        server = FleetStore()
+        address = await server.start()
+        store = PlatformStore(address=address, clock=ManualClock(), metrics=Metrics())
+        source = PlatformSource(store=store, metrics=Metrics())
+        try:
+            return await work(server, store, source)
+        finally:
+            await store.close()
+            await server.stop()
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "resting"},
+        {"Slots": "8"},
+        {"Slots": 0},
+        {"Address": "nowhere"},
+        {"Service": None},
+        {"born": "yesterday"},
+        {"Models": "m0"},
+    ],
+)
+def test_a_malformed_entry_names_no_worker_and_the_others_hold(change):
+    async def work(server, store, source):
+        server.put("servers/good", WORKER)
+        server.put("servers/bad", {**WORKER, **change})
+        server.put_bytes("servers/binary", b"\xff\xfe")
+        read = (await source.read()).unwrap()
+        assert [endpoint.name for endpoint in read.endpoints] == ["good"]
+        assert read.endpoints[0].incarnation == "1790000000000"
+
+    with_store(work)
+
+
+@pytest.mark.parametrize("field", ["Service", "Address", "Slots", "State", "Seq"])
+def test_an_entry_that_lacks_a_field_names_no_worker(field):
+    async def work(server, store, source):
+        entry = {name: value for name, value in WORKER.items() if name != field}
+        server.put("servers/bad", entry)
+        assert (await source.read()).unwrap().endpoints == ()
+
+    with_store(work)
+
+
+def test_one_call_reads_the_operator_the_daemons_and_the_workers():
+    async def work(server, store, source):
+        server.put("op/config", CONFIGURATION)
+        server.put("op/rollout/s1", {"Service": "s1", "Target": "v2", "DurationS": 24})
+        server.put("servers/w1", WORKER)
+        server.put("linnetladder/ledger/x/1", {"not": "followed"})
+        reading = (await source.read()).unwrap()
+        assert reading.table.version == 7
+        assert reading.orders[0].target == "v2"
+        assert server.calls["kv-range"] == 1
+        assert server.returned_keys[-1] == ["op/config", "op/rollout/s1", "servers/w1"]
+
+    with_store(work)
+
+
+def test_a_configuration_that_cannot_be_read_leaves_the_one_before():
+    async def work(server, store, source):
+        server.put("op/config", CONFIGURATION)
+        await source.read()
+        server.put("op/config", {"Version": "eight"})
+        assert (await source.read()).unwrap().table.version == 7
+
+    with_store(work)
+
+
+def test_a_roll_out_is_written_once_with_the_operators_status():
+    async def work(server, store, source):
+        record = RolloutRecord(
+            service="s1",
+            target="v2",
+            order_revision=3,
+            phase=RolloutPhase.CANARY,
+            ordered_unix=1.0,
+            canary_unix=2.0,
+        )
+        assert (await source.write_rollout(record)).unwrap()
+        assert not (await source.write_rollout(record)).unwrap()
+        status = orjson.loads(server.value("status/rollout/s1"))
+        assert status == {"State": "in_progress", "Target": "v2"}
+        (found,) = (await source.read()).unwrap().records
+        assert found.revision > 0
+
+    with_store(work)
+
+
+@pytest.mark.parametrize(
+    ("fault", "kind"),
+    [
+        ("unavailable", FaultKind.UNREACHABLE),
+        ("lost_reply", FaultKind.UNKNOWN_OUTCOME),
+    ],
+)
+def test_a_failed_write_says_whether_it_may_have_taken_effect(fault, kind):
+    async def work(server, store, source):
+        server.faults.append(fault)
+        written = await source.write_bills(
+            incarnation="i", sequence=1, content=b"bills"
+        )
+        assert written.failure().kind is kind
+        again = await source.write_bills(incarnation="i", sequence=1, content=b"bills")
+        assert again.unwrap() is (fault == "unavailable")
+
+    with_store(work)
+
+
+def test_a_registration_is_taken_again_when_its_lease_has_ended():
+    async def work(server, store, source):
+        from linnetladder.forwarding.coordination.sources import DaemonAddress
+
+        address = DaemonAddress(
+            instance="d1",
+            incarnation="i",
+            failure_domain="a",
+            host="10.0.0.1",
+            port=7000,
+        )
+        await source.register_daemon(address, seconds=8)
+        assert (await source.read()).unwrap().daemons == (address,)
+        server.end_leases()
+        assert (await source.read()).unwrap().daemons == ()
+        await source.register_daemon(address, seconds=8)
+        assert (await source.read()).unwrap().daemons == (address,)
+
+    with_store(work)
+
+
+def test_the_store_is_watched_from_the_present_on():
+    async def work(server, store, source):
+        server.put("op/config", CONFIGURATION)
+        events = store.watch("op/")
+        following = asyncio.ensure_future(anext(events))
+        await asyncio.sleep(0.05)
+        server.put("op/config", {**CONFIGURATION, "Version": 8})
+        event = (await following).unwrap()
+        assert orjson.loads(event.value)["Version"] == 8
+        await events.aclose()
+
+    with_store(work)
+
+
+HEADERS = {
+    "Host": "API.example:80",
+    "Linnetladder-Attempt-Id": "a1",
+    "Linnetladder-Deadline-Ms": "1500",
+    "Linnetladder-Model": "*",
+    "Linnetladder-Token-Counts": "1460,80",
+    "Linnetladder-Prompt-Prefix": "5c1e:800,91bd:410,e440:250",
+    "Authorization": "Bearer k1",
+    "Linnetladder-Tenant": "forged",
+    "Linnetladder-Hold": "forged",
+    "Kv-From": "forged",
+    "Connection": "keep-alive, X-Private",
+    "X-Private": "1",
+    "X-Kept": "2",
+    "Content-Length": "5",
+}
+
+
+def test_a_head_is_decoded_and_what_the_system_sets_is_not_passed_on():
+    decoded = PlatformCallers().read_head("POST", "/a/x?q=1", HEADERS)
+    assert decoded.headers == (
+        ("Linnetladder-Attempt-Id", "a1"),
+        ("Linnetladder-Token-Counts", "1460,80"),
+        ("Linnetladder-Prompt-Prefix", "5c1e:800,91bd:410,e440:250"),
+        ("X-Kept", "2"),
+    )
+    assert (decoded.path, decoded.host) == ("/a/x", "api.example")
+    assert decoded.deadline_seconds == 1.5
+    assert decoded.credential == "k1"
+    assert decoded.prompt.session == "91bd"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Linnetladder-Attempt-Id": ""},
+        {"Linnetladder-Deadline-Ms": "soon"},
+        {"Linnetladder-Token-Counts": "many"},
+        {"Linnetladder-Prompt-Prefix": "5c1e"},
+    ],
+)
+def test_a_malformed_head_is_a_problem(change):
+    with pytest.raises(HeadProblem):
+        PlatformCallers().read_head("POST", "/a/", {**HEADERS, **change})
+
+
+def test_an_attempt_carries_the_account_and_never_the_key():
+    decoded = PlatformCallers().read_head("POST", "/a/x", HEADERS)
+    call = EndpointCall(
+        request=ForwardRequest(
+            head=decoded,
+            body=b"",
+            route=route(),
+            service="s1",
+            account=table().accounts["studio"],
+            received=0.0,
+            deadline=1.0,
+            priority=0,
+            fingerprint="",
+            configuration_version=1,
+        ),
+        instance="w1",
+        address="10.0.0.9:80",
+        remaining_seconds=0.7509,
+        urgency=1,
+        model="m1",
+        resume_after="4",
+    )
+    sent = dict(PlatformEndpoints().call_headers(call))
+    assert sent["Linnetladder-Tenant"] == "studio"
+    assert sent["Linnetladder-Expect-Instance"] == "w1"
+    assert sent["Linnetladder-Deadline-Ms"] == "750"
+    assert sent["Linnetladder-Model"] == "m1"
+    assert sent["Last-Event-Id"] == "4"
+    assert "Authorization" not in sent
+
+
+def test_an_answer_keeps_its_headers_but_for_those_of_the_connection():
+    answer = PlatformEndpoints().read_answer(
+        200,
+        {
+            "Linnetladder-Attempt-Id": "a1",
+            "Linnetladder-Server-Seal": "s",
+            "Linnetladder-Confidence": "57",
+            "Connection": "close",
+            "Content-Length": "9",
+        },
+    )
+    assert (answer.sealed, answer.closes, answer.length) == (True, True, 9)
+    assert answer.confidence == 57.0
+    assert [name for name, _ in answer.headers] == [
+        "Linnetladder-Attempt-Id",
+        "Linnetladder-Server-Seal",
+        "Linnetladder-Confidence",
+    ]
+
+
+def test_a_head_without_a_prompt_has_no_session():
+    assert head("/fetch/1").prompt is None
+
+
+WIRE_NAMES = re.compile(
+    r"Linnetladder-(Attempt|Token|Prompt|Tenant|Expect|Not-Run|Server|Urgency|Conf)"
+    r"|/-/|\bKvCapacity\b|\bPathPrefix\b|\bGoalMs\b|\bApiKeys\b"
+    r"|\bTimeoutMs\b|\bCanResume\b|\bExpectRev\b|\bop/config\b|\bservers/"
+)
+
+
+def test_no_name_of_the_wire_is_known_outside_the_adapter():
+    package = pathlib.Path(__file__).parents[2] / "linnetladder"
+    found = [
+        f"{path.relative_to(package)}: {match.group()}"
+        for path in package.rglob("*.py")
+        if "platform" not in path.relative_to(package).parts[:1]
+        for match in WIRE_NAMES.finditer(path.read_text("utf-8"))
+    ]
+    assert found == []
+
+
+def test_values_are_encoded_as_padded_base64():
+    async def work(server, store, source):
+        await source.write_bills(incarnation="i", sequence=1, content=b"ab")
+        key = "linnetladder/ledger/i/00000001"
+        assert base64.b64decode(server.encoded(key), validate=True) == b"ab"
+
+    with_store(work)
