Tell lapsed from removed entries; add up the few answers of a canary

Change: only entries missing at the first reading after an outage have a grace, of 2.2 s, with readings every 0.4 s meanwhile. Failures and broken calls are counted apart, over a short and a long memory, against several falls of the usual share; a suspect gets no larger share.

--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -16,9 +16,9 @@
 
 __all__ = ["Directory"]
 
-# Entries that lapsed while the register was away are back within this time of its
-# return, by the platform's word; a second more covers the interval between reads.
-LAPSE_GRACE_SECONDS = 3.0
+# Entries that lapsed while the register was away are back within two seconds of its
+# return, by the platform's word.
+LAPSE_GRACE_SECONDS = 2.2
 # Readings further apart than this mean that at least one was lost to an outage of the
 # register; they come at intervals well below it.
 OUTAGE_SECONDS = 2.2
@@ -32,24 +32,35 @@
         self.loads = loads
         self.clock = clock
         self.last_read = math.inf
-        self.lapse_until = -math.inf
+        self.lapsed: dict[str, float] = {}
         self.read_once = False
         self.by_service: dict[str, Pool] = {}
 
     def take(self, reports: Iterable[EndpointReport]) -> None:
         """Take in one complete reading."""
         now = self.clock.monotonic()
-        if now - self.last_read > OUTAGE_SECONDS:
-            self.lapse_until = now + LAPSE_GRACE_SECONDS
+        after_outage = now - self.last_read > OUTAGE_SECONDS
         self.last_read = now
         self.read_once = True
         names = set()
         for report in reports:
             names.add(report.name)
             self._merge(report)
-        self.table.keep_listed(names | self._lapsed(names, now))
+        if after_outage:
+            self._note_lapsed(names, now)
+        self.lapsed = {
+            name: until
+            for name, until in self.lapsed.items()
+            if until > now and name not in names
+        }
+        self.table.keep_listed(names | self.lapsed.keys())
         self._index()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no entry may still come back after an outage."""
+        return not self.lapsed
+
     def pool(self, service: str) -> Pool | None:
         """Return the endpoints of a service, whether or not they accept work."""
         return self.by_service.get(service)
@@ -78,15 +89,13 @@
         if endpoint.leaving and not was_leaving:
             log_change("endpoint leaves", endpoint=report.name, reason="register")
 
-    def _lapsed(self, names: set[str], now: float) -> set[str]:
-        """Return endpoints whose entries may only have lapsed in an outage."""
-        if now >= self.lapse_until:
-            return set()
-        return {
-            endpoint.name
-            for endpoint in self.table.endpoints.values()
-            if endpoint.listed and not endpoint.leaving and endpoint.name not in names
-        }
+    def _note_lapsed(self, names: set[str], now: float) -> None:
+        """Keep endpoints for a while whose entries were lost during an outage."""
+        for endpoint in self.table.endpoints.values():
+            if not endpoint.listed or endpoint.leaving or endpoint.name in names:
+                continue
+            self.lapsed[endpoint.name] = now + LAPSE_GRACE_SECONDS
+            log_change("entry may have lapsed", endpoint=endpoint.name)
 
     def _index(self) -> None:
         members: dict[str, list[Endpoint]] = {}
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -26,6 +26,8 @@
 READ_SECONDS = 1.25
 JITTER_SECONDS = 0.1
 RETRY_SECONDS = 0.2
+# While entries may come back after an outage, or have to be given up.
+UNSETTLED_SECONDS = 0.4
 STEP_SECONDS = 0.5
 REGISTRATION_PAUSE_SECONDS = 2.5
 REGISTRATION_SECONDS = 8.0
@@ -69,6 +71,8 @@
             self.wanted.clear()
             succeeded = await self.read_once()
             pause = READ_SECONDS if succeeded else RETRY_SECONDS
+            if not self.directory.is_settled:
+                pause = min(pause, UNSETTLED_SECONDS)
             pause += self.random.uniform(0, JITTER_SECONDS)
             try:
                 async with asyncio.timeout(pause):
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -15,7 +15,7 @@
     Reply,
 )
 from linnetladder.forwarding.coordination.in_force import TableInForce
-from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.outcomes import Outcomes, Verdict
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.sender import Sender, Sent
 from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
@@ -208,7 +208,7 @@
                 await self.sender.learn_broken(request, sent, fault)
                 continue
             finally:
-                self.sender.close(request, sent, bad=True)
+                self.sender.close(request, sent, Verdict.BROKEN)
             status = sent.exchange.head.status
             if status >= SERVER_ERROR and self._may_send_again(request):
                 continue
@@ -222,7 +222,7 @@
         slow = self.outcomes.is_slow(
             request.route.name, "", sent.first_byte_seconds, learn=status < SERVER_ERROR
         )
-        self.sender.close(request, sent, bad=slow or status >= SERVER_ERROR)
+        self.sender.close(request, sent, _verdict(status, slow=slow))
         return body
 
     def _may_send_again(self, request: ForwardRequest) -> bool:
@@ -246,7 +246,7 @@
             try:
                 done = await self._pass_on(request, reply, state, sent)
             finally:
-                self.sender.close(request, sent, bad=False)
+                self.sender.close(request, sent, Verdict.GOOD)
             if done:
                 return
 
@@ -269,7 +269,7 @@
         slow = self.outcomes.is_slow(
             request.route.name, sent.model, sent.first_byte_seconds, learn=True
         )
-        self.sender.close(request, sent, bad=slow)
+        self.sender.close(request, sent, _verdict(200, slow=slow))
         self._finish(request, sent, "answered", status=200, events=state.events)
         return True
 
@@ -291,7 +291,7 @@
             return False
         self.metrics.count("escalations")
         state.position = following
-        self.sender.close(request, sent, bad=False)
+        self.sender.close(request, sent, Verdict.GOOD)
         request.endpoints_tried.remove(sent.endpoint.name)
         return True
 
@@ -333,7 +333,7 @@
         except CallFault as fault:
             await self.sender.learn_broken(request, sent, fault)
             return False
-        self.sender.close(request, sent, bad=head.status >= SERVER_ERROR)
+        self.sender.close(request, sent, _verdict(head.status, slow=False))
         if head.status >= SERVER_ERROR and self._may_send_again(request):
             return False
         if state.begun:
@@ -440,6 +440,11 @@
     return request.head.resume_after
 
 
+def _verdict(status: int, *, slow: bool) -> Verdict:
+    failed = slow or status >= SERVER_ERROR
+    return Verdict.FAILED if failed else Verdict.GOOD
+
+
 def _cut_within_event() -> CallFault:
     """Return the fault of a stream that ended within an event."""
     detail = "the stream ended within an event"
--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -5,51 +5,83 @@
 """
 
 import dataclasses
+import enum
 import math
 
 from linnetladder.state import Clock
 
-__all__ = ["Outcomes", "Row", "Tally"]
+__all__ = ["Outcomes", "Row", "Tally", "Verdict", "evidence_of_badness"]
 
-HALF_LIFE_SECONDS = 6.0
+# Recent answers show a change soon; a longer memory adds up the few answers of a
+# version that gets little traffic yet.
+RECENT_HALF_LIFE_SECONDS = 6.0
+LONG_HALF_LIFE_SECONDS = 25.0
 NEGLIGIBLE = 0.05
 # An answer counts as slow at this many times of what the route's answers take.
 SLOW_FACTOR = 3.5
 SLOW_MINIMUM_SECONDS = 0.12
 LATENCY_WEIGHT = 0.08
 PEER_ROWS_SECONDS = 6.0
+# Falls of the share of good answers that are looked for.
+DROPS = (0.15, 0.3, 0.5, 0.7)
+
+
+class Verdict(enum.IntEnum):
+    """How one attempt went.
+
+    ``FAILED`` is an answer that says so or came far too late; ``BROKEN`` a call that
+    gave no answer, which may be the network's fault.
+    """
+
+    GOOD = 0
+    FAILED = 1
+    BROKEN = 2
 
 
 @dataclasses.dataclass(slots=True)
 class Row:
-    """Faded counts of answers and of bad ones among them."""
+    """Faded counts: all answers, failed ones, and calls that broke."""
 
-    bad: float = 0.0
+    broken: float = 0.0
+    failed: float = 0.0
     total: float = 0.0
+    long_failed: float = 0.0
+    long_total: float = 0.0
     updated: float = 0.0
 
     def fade(self, now: float) -> None:
         """Bring the counts up to a moment."""
-        factor = 0.5 ** ((now - self.updated) / HALF_LIFE_SECONDS)
-        self.bad *= factor
-        self.total *= factor
+        elapsed = now - self.updated
+        if elapsed <= 0:
+            return
+        recent = 0.5 ** (elapsed / RECENT_HALF_LIFE_SECONDS)
+        self.broken *= recent
+        self.failed *= recent
+        self.total *= recent
+        longer = 0.5 ** (elapsed / LONG_HALF_LIFE_SECONDS)
+        self.long_failed *= longer
+        self.long_total *= longer
         self.updated = now
 
+    def counts(self) -> tuple[float, float, float, float, float]:
+        """Return the counts in the order of the fields."""
+        return (
+            self.broken,
+            self.failed,
+            self.total,
+            self.long_failed,
+            self.long_total,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Tally:
     """Counts of a group of endpoints, and how many of them answered badly."""
 
-    bad: float = 0.0
-    total: float = 0.0
-    endpoints_bad: int = 0
+    counts: Row = dataclasses.field(default_factory=Row)
+    endpoints_failed: int = 0
     endpoints: int = 0
 
-    @property
-    def share(self) -> float:
-        """The share of bad answers."""
-        return self.bad / self.total if self.total else 0.0
-
 
 class Outcomes:
     """Rows by endpoint and route, of this daemon and of each peer."""
@@ -60,15 +92,19 @@
         self.peers: dict[str, tuple[float, dict[tuple[str, str], Row]]] = {}
         self.latency: dict[tuple[str, str], float] = {}
 
-    def add(self, endpoint: str, route: str, *, bad: bool) -> None:
-        """Count one answer."""
+    def add(self, endpoint: str, route: str, verdict: Verdict) -> None:
+        """Count one attempt."""
         now = self.clock.monotonic()
         row = self.rows.get((endpoint, route))
         if row is None:
             row = self.rows[(endpoint, route)] = Row(updated=now)
         row.fade(now)
         row.total += 1
-        row.bad += bad
+        row.broken += verdict is Verdict.BROKEN
+        if verdict is not Verdict.BROKEN:
+            row.failed += verdict is Verdict.FAILED
+            row.long_failed += verdict is Verdict.FAILED
+            row.long_total += 1
 
     def is_slow(self, route: str, model: str, seconds: float, *, learn: bool) -> bool:
         """Tell whether a first byte came far later than is usual for its route."""
@@ -83,50 +119,50 @@
             self.latency[(route, model)] = usual + (capped - usual) * LATENCY_WEIGHT
         return slow
 
-    def export(self) -> list[tuple[str, str, float, float]]:
+    def export(self) -> list[tuple[str, str, float, float, float, float, float]]:
         """Return this daemon's rows that still matter."""
         now = self.clock.monotonic()
         found = []
         for key, row in list(self.rows.items()):
             row.fade(now)
-            if row.total < NEGLIGIBLE:
+            if row.total < NEGLIGIBLE and row.long_total < NEGLIGIBLE:
                 del self.rows[key]
                 continue
-            found.append((*key, round(row.bad, 2), round(row.total, 2)))
+            found.append((*key, *(round(count, 2) for count in row.counts())))
         return found
 
-    def learn(self, peer: str, rows: list[tuple[str, str, float, float]]) -> None:
+    def learn(
+        self,
+        peer: str,
+        rows: list[tuple[str, str, float, float, float, float, float]],
+    ) -> None:
         """Replace what a peer said."""
         now = self.clock.monotonic()
         table = {
-            (endpoint, route): Row(bad, total, now)
-            for endpoint, route, bad, total in rows
+            (endpoint, route): Row(*counts, now) for endpoint, route, *counts in rows
         }
         self.peers[peer] = (now, table)
 
     def tally(self, endpoints: frozenset[str], route: str | None = None) -> Tally:
         """Sum the rows of some endpoints, on one route or on all."""
         now = self.clock.monotonic()
-        by_endpoint: dict[str, list[float]] = {}
+        by_endpoint: dict[str, Row] = {}
         for (endpoint, row_route), row in self._all_rows(now):
             if endpoint not in endpoints or route not in (None, row_route):
                 continue
             row.fade(now)
-            counts = by_endpoint.setdefault(endpoint, [0.0, 0.0])
-            counts[0] += row.bad
-            counts[1] += row.total
+            _add(by_endpoint.setdefault(endpoint, Row()), row)
         tally = Tally()
-        for bad, total in by_endpoint.values():
-            tally.bad += bad
-            tally.total += total
+        for row in by_endpoint.values():
+            _add(tally.counts, row)
             tally.endpoints += 1
-            tally.endpoints_bad += bad >= 0.5
+            tally.endpoints_failed += row.long_failed >= 0.5
         return tally
 
     def bad_share(self, endpoint: str) -> float:
-        """Return an endpoint's share of bad answers, shrunk towards none."""
-        tally = self.tally(frozenset((endpoint,)))
-        return tally.bad / (tally.total + 4.0)
+        """Return an endpoint's share of bad attempts, shrunk towards none."""
+        counts = self.tally(frozenset((endpoint,))).counts
+        return (counts.failed + counts.broken) / (counts.total + 4.0)
 
     def routes(self) -> set[str]:
         """Return the routes that have rows."""
@@ -141,16 +177,33 @@
             yield from table.items()
 
 
-def evidence_of_badness(candidate: Tally, baseline: Tally) -> float:
-    """Return the log likelihood ratio of a bad against a usual share of bad answers.
+def _add(total: Row, row: Row) -> None:
+    total.broken += row.broken
+    total.failed += row.failed
+    total.total += row.total
+    total.long_failed += row.long_failed
+    total.long_total += row.long_total
+
 
-    The usual share is the baseline's, shrunk towards a small prior; bad means three
-    times that and at least a fifth.
+def evidence_of_badness(candidate: Row, baseline: Row) -> float:
+    """Return the log likelihood ratio of a bad against a usual share of failures.
+
+    The usual share is the baseline's, shrunk towards a small prior. Of all falls that
+    are looked for, over the recent and the longer memory, the likeliest one counts,
+    less what looking for several of them costs.
     """
-    usual = (baseline.bad + 0.3) / (baseline.total + 10.0)
-    usual = min(max(usual, 0.01), 0.6)
-    worse = min(max(3.0 * usual, 0.2), 0.9)
-    good = max(candidate.total - candidate.bad, 0.0)
-    return candidate.bad * math.log(worse / usual) + good * math.log(
-        (1 - worse) / (1 - usual)
+    pairs = (
+        (candidate.failed, candidate.total - candidate.broken),
+        (candidate.long_failed, candidate.long_total),
     )
+    usual = (baseline.long_failed + 0.3) / (baseline.long_total + 10.0)
+    usual = min(max(usual, 0.01), 0.6)
+    best = -math.inf
+    for failed, total in pairs:
+        good = max(total - failed, 0.0)
+        for drop in DROPS:
+            worse = usual + (1 - usual) * drop
+            ratio = failed * math.log(worse / usual)
+            ratio += good * math.log((1 - worse) / (1 - usual))
+            best = max(best, ratio)
+    return best - math.log(len(DROPS) * len(pairs))
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -17,7 +17,6 @@
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import (
     Outcomes,
-    Tally,
     evidence_of_badness,
 )
 from linnetladder.forwarding.coordination.sources import OperatorSource
@@ -38,10 +37,13 @@
 # the same moment.
 AHEAD_SECONDS = 2.0
 # Sessions on the candidate while it has shown nothing yet.
-CANARY_SHARE = 0.06
-# A log likelihood ratio at which a version counts as bad: one false alarm in e^9.
-BAD_EVIDENCE = 9.0
-MINIMUM_BAD_ANSWERS = 4.0
+CANARY_SHARE = 0.09
+# A log likelihood ratio at which a version counts as bad: one false alarm in e^8.
+BAD_EVIDENCE = 8.0
+# Above this one a version gets no larger share until more answers have come in.
+SUSPECT_EVIDENCE = 1.5
+DOUBT_LATEST = 0.66
+MINIMUM_FAILURES = 2.5
 DRAW_SCALE = 1 << 64
 # Daemons that see the same step to take wait differently long, so that the first one's
 # news spares the others their writes.
@@ -70,6 +72,21 @@
         return not (self.avoid_target and is_target)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """How a target's answers on a route compare with the old version's.
+
+    ``evidence`` is a log likelihood ratio; the counts fade with time.
+    """
+
+    route: str
+    evidence: float
+    failed: float
+    total: float
+    usual_failed: float
+    usual_total: float
+
+
 class Rollouts:
     """Follow orders, choose versions, and move the records forward."""
 
@@ -179,34 +196,46 @@
         """Mark a target as bad when its answers show it."""
         if self._is_bad(order):
             return
+        for finding in self._findings(order):
+            if finding.evidence >= BAD_EVIDENCE:
+                self._mark_bad(
+                    order.service,
+                    order.revision,
+                    reason="answers",
+                    **dataclasses.asdict(finding),
+                )
+                return
+
+    def _findings(self, order: RolloutOrder) -> list[Finding]:
+        """Compare the target's answers with the old version's, by route and on all."""
         pool = self.directory.pool(order.service)
         if pool is None:
-            return
+            return []
         new = frozenset(e.name for e in pool.endpoints if version_of(e) == order.target)
         old = frozenset(e.name for e in pool.endpoints) - new
-        for route in (None, *self.outcomes.routes()):
+        found = []
+        for route in (None, *sorted(self.outcomes.routes())):
             candidate = self.outcomes.tally(new, route)
+            if candidate.counts.long_failed < MINIMUM_FAILURES:
+                continue
+            if candidate.endpoints > 1 and candidate.endpoints_failed < 2:
+                continue
             baseline = self.outcomes.tally(old, route)
-            if self._shows_bad(candidate, baseline):
-                self._mark_bad(
-                    order.service,
-                    order.revision,
-                    reason="answers",
+            found.append(
+                Finding(
                     route=route or "all",
-                    bad=round(candidate.bad, 1),
-                    total=round(candidate.total, 1),
-                    usual_bad=round(baseline.bad, 1),
-                    usual_total=round(baseline.total, 1),
+                    evidence=evidence_of_badness(candidate.counts, baseline.counts),
+                    failed=round(candidate.counts.long_failed, 1),
+                    total=round(candidate.counts.long_total, 1),
+                    usual_failed=round(baseline.counts.long_failed, 1),
+                    usual_total=round(baseline.counts.long_total, 1),
                 )
-                return
+            )
+        return found
 
-    def _shows_bad(self, candidate: Tally, baseline: Tally) -> bool:
-        """Tell whether the bad answers are the version's and not one endpoint's."""
-        if candidate.bad < MINIMUM_BAD_ANSWERS:
-            return False
-        if candidate.endpoints > 1 and candidate.endpoints_bad < 2:
-            return False
-        return evidence_of_badness(candidate, baseline) >= BAD_EVIDENCE
+    def _is_suspect(self, order: RolloutOrder) -> bool:
+        """Tell whether a target's answers speak against it, if not yet clearly."""
+        return any(f.evidence >= SUSPECT_EVIDENCE for f in self._findings(order))
 
     def _mark_bad(
         self, service: str, revision: int, *, reason: str, **evidence: object
@@ -281,6 +310,8 @@
         elapsed = self._since(order, record.ordered_unix)
         judged = order.duration_seconds * RAMP_FROM - AHEAD_SECONDS
         if record.phase is RolloutPhase.CANARY and elapsed >= judged:
+            if self._is_suspect(order):
+                return self._after_doubt(order, record, elapsed)
             ramp = self.clock.unix() + AHEAD_SECONDS
             return dataclasses.replace(
                 record, phase=RolloutPhase.RAMP, ramp_unix=round(ramp, 3)
@@ -289,6 +320,15 @@
             return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
         return None
 
+    def _after_doubt(
+        self, order: RolloutOrder, record: RolloutRecord, elapsed: float
+    ) -> RolloutRecord | None:
+        """Wait for more answers of a suspect, and give it up when time runs out."""
+        if elapsed < order.duration_seconds * DOUBT_LATEST:
+            return None
+        self._mark_bad(order.service, order.revision, reason="still in doubt")
+        return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
+
     def _first(self, order: RolloutOrder) -> RolloutRecord:
         known = self.records.get(order.service)
         now = self.clock.unix()
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -20,7 +20,7 @@
 )
 from linnetladder.forwarding.coordination.directory import Directory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads, Work
-from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.outcomes import Outcomes, Verdict
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
@@ -125,22 +125,22 @@
             return False
         return request.attempts < request.route.maximum_attempts
 
-    def close(self, request: ForwardRequest, sent: Sent, *, bad: bool) -> None:
+    def close(self, request: ForwardRequest, sent: Sent, verdict: Verdict) -> None:
         """End an attempt and count how it went."""
         if sent.closed:
             return
         sent.closed = True
         sent.exchange.close()
         self.loads.end(sent.endpoint, sent.work)
-        self.outcomes.add(sent.endpoint.name, request.route.name, bad=bad)
-        if not bad:
+        self.outcomes.add(sent.endpoint.name, request.route.name, verdict)
+        if verdict is not Verdict.BROKEN:
             self.ejector.succeeded(sent.endpoint)
 
     async def learn_broken(
         self, request: ForwardRequest, sent: Sent, fault: CallFault
     ) -> None:
         """Take in that an answer broke off after it had begun."""
-        self.close(request, sent, bad=True)
+        self.close(request, sent, Verdict.BROKEN)
         await self._learn(request, sent.endpoint, fault, counted=True)
 
     async def _send(
@@ -244,7 +244,7 @@
         request.history.append(f"{endpoint.name}={fault.kind}")
         self.metrics.count("attempts", label=fault.kind)
         if not counted:
-            self.outcomes.add(endpoint.name, request.route.name, bad=True)
+            self.outcomes.add(endpoint.name, request.route.name, Verdict.BROKEN)
         self.calls.suspect(endpoint.address)
         dead = fault.kind is CallFaultKind.CONNECT
         if fault.kind is not CallFaultKind.CONNECT and fault.may_have_run:
--- a/linnetladder/forwarding/protocol/news.py
+++ b/linnetladder/forwarding/protocol/news.py
@@ -25,7 +25,7 @@
 
     ``revision`` is the newest one of the store's that it knows and all must know.
     ``loads`` holds rows of endpoint, requests in flight and backlog in seconds;
-    ``outcomes`` rows of endpoint, route, bad answers and answers; ``crashes`` pairs
+    ``outcomes`` rows of endpoint, route and the counts of `Row`; ``crashes`` pairs
     of fingerprint and endpoint; ``bad_targets`` pairs of service and order;
     ``leaving`` pairs of endpoint and incarnation.
     """
@@ -35,7 +35,7 @@
     sequence: int
     revision: int
     loads: list[tuple[str, int, float]]
-    outcomes: list[tuple[str, str, float, float]]
+    outcomes: list[tuple[str, str, float, float, float, float, float]]
     crashes: list[tuple[str, str]]
     bad_targets: list[tuple[str, int]]
     leaving: list[tuple[str, str]]
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -46,6 +46,28 @@
     assert usable(daemon) == ["engine-2", "engine-3"]
 
 
+def test_an_entry_removed_after_the_outage_is_gone_at_once():
+    daemon = ready_daemon()
+    daemon.clock.now += 6.0
+    assert daemon.read()
+    daemon.clock.now += 0.5
+    del daemon.source.endpoints["engine-1"]
+    assert daemon.read()
+    assert usable(daemon) == ["engine-2", "engine-3"]
+
+
+def test_readings_come_sooner_until_lapsed_entries_are_settled():
+    daemon = ready_daemon()
+    daemon.clock.now += 6.0
+    del daemon.source.endpoints["engine-1"]
+    assert daemon.read()
+    assert not daemon.directory.is_settled
+    for _ in range(6):
+        daemon.clock.now += 0.4
+        assert daemon.read()
+    assert daemon.directory.is_settled
+
+
 def test_draining_is_believed_and_never_undone_for_the_same_start():
     daemon = ready_daemon()
     daemon.source.endpoints["engine-1"] = report("engine-1", leaving=True)
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from linnetladder.forwarding.coordination.directory import version_of
+from linnetladder.forwarding.coordination.outcomes import Verdict
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase
 from tests.support.forwarding import (
     LocalDaemon,
@@ -152,12 +153,12 @@
 def spoil(daemon, *, route="draft", endpoints=("new-1", "new-2"), bad=6, good=6):
     for name in endpoints:
         for _ in range(bad):
-            daemon.outcomes.add(name, route, bad=True)
+            daemon.outcomes.add(name, route, Verdict.FAILED)
         for _ in range(good):
-            daemon.outcomes.add(name, route, bad=False)
+            daemon.outcomes.add(name, route, Verdict.GOOD)
     for name in ("old-1", "old-2"):
         for _ in range(60):
-            daemon.outcomes.add(name, route, bad=False)
+            daemon.outcomes.add(name, route, Verdict.GOOD)
 
 
 def test_a_bad_version_is_left_at_once_and_rolled_back(fleet):
@@ -200,7 +201,7 @@
     source, clock, daemons = fleet
     pass_time(clock, daemons, 4.0)
     spoil(daemons[0], endpoints=("new-1",), bad=12, good=0)
-    daemons[0].outcomes.add("new-2", "draft", bad=False)
+    daemons[0].outcomes.add("new-2", "draft", Verdict.GOOD)
     daemons[0].rollouts._judge(source.orders["engines"])
     assert not daemons[0].rollouts.bad_targets
 
@@ -210,7 +211,7 @@
     pass_time(clock, daemons, 4.0)
     for name in ("new-1", "new-2"):
         for _ in range(100):
-            daemons[0].outcomes.add(name, "other", bad=False)
+            daemons[0].outcomes.add(name, "other", Verdict.GOOD)
     spoil(daemons[0])
     daemons[0].rollouts._judge(source.orders["engines"])
     assert daemons[0].rollouts.bad_targets
@@ -233,3 +234,68 @@
     source, clock, daemons = fleet
     daemons[0].read()
     assert version_of(daemons[0].table.endpoints["new-1"]) == "v2"
+
+
+def test_few_answers_at_a_time_add_up_to_a_verdict(fleet):
+    """A canary that gets one request a second, every other one failing."""
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 3.0)
+    for second in range(18):
+        clock.now += 1.0
+        failed = second % 2 == 0
+        verdict = Verdict.FAILED if failed else Verdict.GOOD
+        daemons[0].outcomes.add(f"new-{1 + second // 2 % 3}", "draft", verdict)
+        for _ in range(8):
+            daemons[0].outcomes.add("old-1", "draft", Verdict.GOOD)
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert daemons[0].rollouts.bad_targets
+
+
+def test_a_bad_version_is_found_while_the_old_one_fails_too(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    for serial in range(60):
+        verdict = Verdict.FAILED if serial % 3 == 0 else Verdict.GOOD
+        daemons[0].outcomes.add("old-1", "draft", verdict)
+    for serial in range(40):
+        verdict = Verdict.FAILED if serial % 4 else Verdict.GOOD
+        daemons[0].outcomes.add(f"new-{1 + serial % 2}", "draft", verdict)
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert daemons[0].rollouts.bad_targets
+
+
+def test_a_version_that_turns_bad_late_is_not_excused_by_its_past(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 3.0)
+    for serial in range(600):
+        daemons[0].outcomes.add(f"new-{1 + serial % 3}", "draft", Verdict.GOOD)
+        clock.now += 0.03
+    for serial in range(80):
+        verdict = Verdict.FAILED if serial % 2 else Verdict.GOOD
+        daemons[0].outcomes.add(f"new-{1 + serial % 3}", "draft", verdict)
+        clock.now += 0.05
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert daemons[0].rollouts.bad_targets
+
+
+def test_a_suspect_gets_no_larger_share_until_it_is_cleared(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 9.5)
+    spoil(daemons[0], bad=2, good=7)
+    pass_time(clock, daemons, 2.0, stepping=daemons[:1])
+    assert source.records["engines"].phase is RolloutPhase.CANARY
+    for name in ("new-1", "new-2", "new-3"):
+        for _ in range(20):
+            daemons[0].outcomes.add(name, "draft", Verdict.GOOD)
+    pass_time(clock, daemons, 1.0, stepping=daemons[:1])
+    assert source.records["engines"].phase is RolloutPhase.RAMP
+
+
+def test_broken_connections_do_not_condemn_a_version(fleet):
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 4.0)
+    for name in ("new-1", "new-2", "new-3"):
+        for _ in range(20):
+            daemons[0].outcomes.add(name, "draft", Verdict.BROKEN)
+    daemons[0].rollouts._judge(source.orders["engines"])
+    assert not daemons[0].rollouts.bad_targets
