--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -24,6 +24,7 @@
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
+from linnetladder.forwarding.coordination.urgency import urgency
 from linnetladder.forwarding.protocol import EndpointCall
 from linnetladder.forwarding.state import ForwardRequest, RequestKind
 from linnetladder.state import Clock, Endpoint
@@ -31,9 +32,6 @@
 
 __all__ = ["Sender", "Sent"]
 
-URGENCY_STEP = 2
-MOST_URGENT = 1
-LEAST_URGENT = 9
 # Sends that prove not to have run are not attempts, but there is an end to them.
 MAXIMUM_SENDS = 6
 RETRY_SECONDS = 0.25
@@ -197,13 +195,15 @@
         model: str,
         resume_after: str,
     ) -> EndpointCall:
-        urgency = MOST_URGENT + URGENCY_STEP * max(request.priority, 0)
+        prompt = request.head.prompt
+        tokens = prompt.input_tokens if prompt is not None else 0
+        reading = tokens * self.loads.token_seconds(model)
         return EndpointCall(
             request=request,
             instance=endpoint.name,
             address=endpoint.address,
             remaining_seconds=request.deadline - self.clock.monotonic(),
-            urgency=min(urgency, LEAST_URGENT),
+            urgency=urgency(reading_seconds=reading, priority=request.priority),
             model=model,
             resume_after=resume_after,
             fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -1,6 +1,7 @@
 """Streams: sizes, events in order, resumption, and ends that can be told apart."""
 
 from linnetladder.forwarding.policy_settings import PolicySettings
+from linnetladder.forwarding.state import Prompt
 from tests.support.forwarding import Script, cut, head, ready_daemon
 
 ONE = b"id: 1\ndata: a\n\n"
@@ -82,6 +83,17 @@
     assert daemon.calls.calls[0].resume_after == "7"
 
 
+def test_short_prompts_go_before_long_ones_whatever_their_rank():
+    """The heaviest days queue long prompts of one kind before short ones of another."""
+    daemon = ready_daemon()
+    short = Prompt(input_tokens=400, output_tokens=80, parts=())
+    long = Prompt(input_tokens=40_000, output_tokens=80, parts=())
+    daemon.answer(head(prompt=long, attempt_id="long"))
+    daemon.answer(head(prompt=short, attempt_id="short"))
+    first, second = (call.urgency for call in daemon.calls.calls)
+    assert second < first
+
+
 def test_escalations_leave_a_reserve_of_the_budget():
     daemon = ready_daemon()
     daemon.budget.daemons = 1000
