Part coordination by concern into packages

Moves only: configuration, routing, membership, cascades, attempts, admission, billing, claims, peers.

--- a/bench/decision_time.py
+++ b/bench/decision_time.py
@@ -9,13 +9,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from linnetladder.coordination.decision import decide
-from linnetladder.coordination.endpoint_choice import (
+from linnetladder.coordination.cascades.inputs import build_quality_inputs
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.routing.decision import decide
+from linnetladder.coordination.routing.endpoint_choice import (
     AffinityBoundedByLoad,
     ChoiceInputs,
 )
-from linnetladder.coordination.quality import QualityLearner
-from linnetladder.coordination.quality_inputs import build_quality_inputs
 from linnetladder.state import (
     DecisionInputs,
     EndpointReport,
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -20,10 +20,10 @@
 from rich.table import Table
 
 from bench.scenes import SCENES
-from linnetladder.coordination.cascade import POLICIES
-from linnetladder.coordination.decision import decide
-from linnetladder.coordination.quality import QualityLearner
-from linnetladder.coordination.quality_inputs import build_quality_inputs
+from linnetladder.coordination.cascades.inputs import build_quality_inputs
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.cascades.policies import POLICIES
+from linnetladder.coordination.routing.decision import decide
 from linnetladder.protocol import load_declarations
 from linnetladder.state import DecisionInputs, Snapshot, VersionRef
 from linnetladder.state.estimates import Rating
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from bench.overhead import processor_seconds
 from bench.processes import wait_until
 from bench.scenes import SCENES, Site
-from linnetladder.coordination.publishing import Change, Publisher
+from linnetladder.coordination.configuration.publishing import Change, Publisher
 from linnetladder.protocol.declarations import parse_declarations
 from linnetladder.state import SystemClock
 from linnetladder.telemetry import Metrics
--- a/features/steps/cascades_steps.py
+++ b/features/steps/cascades_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from linnetladder.coordination.quality import PriceControl
+from linnetladder.coordination.cascades.learner import PriceControl
 from linnetladder.state import VersionRef
 from tests.support.site import declarations_text
 
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from linnetladder.coordination.explaining import Replay, explain_receipt
-from linnetladder.coordination.publishing import Change, PublishFaultKind
+from linnetladder.coordination.configuration.publishing import Change, PublishFaultKind
+from linnetladder.coordination.routing.explaining import Replay, explain_receipt
 from linnetladder.protocol.declarations import parse_declarations
 from linnetladder.state.receipts import read_receipt
 from tests.support.site import declarations_text
--- a/features/steps/outages_steps.py
+++ b/features/steps/outages_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from linnetladder.coordination.ledger_reading import read_bills
-from linnetladder.coordination.publishing import Change
+from linnetladder.coordination.billing.ledger_reading import read_bills
+from linnetladder.coordination.configuration.publishing import Change
 from linnetladder.state import VersionRef
 from linnetladder.state.versions import Withdrawal
 from tests.support.site import DOMAINS
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from linnetladder.coordination.ledger_reading import read_bills
+from linnetladder.coordination.billing.ledger_reading import read_bills
 from standins.engine import answer_text
 
 
--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -29,22 +29,22 @@
     RetryBudget,
     Router,
 )
-from linnetladder.coordination.bill_copies import PeerBillCopier
-from linnetladder.coordination.discovery import LoadSource
-from linnetladder.coordination.endpoint_choice import CHOICES
-from linnetladder.coordination.endpoint_client import EndpointClient
-from linnetladder.coordination.escalation import Escalation
-from linnetladder.coordination.health_watch import HealthWatch
-from linnetladder.coordination.held_blocks import HeldBlocks
-from linnetladder.coordination.peer_configuration import PeerConfiguration
-from linnetladder.coordination.peer_messages import Hello, Neighbour
-from linnetladder.coordination.peers import Peers
+from linnetladder.coordination.attempts.endpoint_client import EndpointClient
+from linnetladder.coordination.billing.copies import PeerBillCopier
+from linnetladder.coordination.billing.held_blocks import HeldBlocks
+from linnetladder.coordination.cascades.escalation import Escalation
+from linnetladder.coordination.cascades.health_watch import HealthWatch
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.cascades.rating import AnswerRater, RatingFeed
+from linnetladder.coordination.claims.tickets import TicketClaims
+from linnetladder.coordination.configuration.publishing import Publisher
+from linnetladder.coordination.membership.discovery import LoadSource
+from linnetladder.coordination.membership.registration import DaemonRecord
+from linnetladder.coordination.peers.configuration import PeerConfiguration
+from linnetladder.coordination.peers.links import Peers
+from linnetladder.coordination.peers.messages import Hello, Neighbour
 from linnetladder.coordination.platform import InstanceList, KeyValueService
-from linnetladder.coordination.publishing import Publisher
-from linnetladder.coordination.quality import QualityLearner
-from linnetladder.coordination.rating import AnswerRater, RatingFeed
-from linnetladder.coordination.registration import DaemonRecord
-from linnetladder.coordination.tickets import TicketClaims
+from linnetladder.coordination.routing.endpoint_choice import CHOICES
 from linnetladder.state import Clock, EndpointTable, KeyRing, SigningKey, SystemClock
 from linnetladder.telemetry import Metrics, Tracer, build_tracer
 from linnetladder.transport import (
--- a/linnetladder/coordination/admission.py
+++ b/linnetladder/coordination/admission/slots.py
@@ -11,8 +11,11 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.endpoint_choice import ChoiceInputs, EndpointChoice
-from linnetladder.coordination.fair_queue import FairQueue, Waiter
+from linnetladder.coordination.admission.fair_queue import FairQueue, Waiter
+from linnetladder.coordination.routing.endpoint_choice import (
+    ChoiceInputs,
+    EndpointChoice,
+)
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.state import Clock, Endpoint, EndpointTable, Target
 
--- /dev/null
+++ b/linnetladder/coordination/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at endpoints: faults, silence, retries, ejection, poison, streams."""
--- a/linnetladder/coordination/attempt_faults.py
+++ b/linnetladder/coordination/attempts/faults.py
@@ -1,6 +1,9 @@
 """What an attempt's failure means: for the caller, for the endpoint, for a retry."""
 
-from linnetladder.coordination.endpoint_client import EndpointFault, EndpointFaultKind
+from linnetladder.coordination.attempts.endpoint_client import (
+    EndpointFault,
+    EndpointFaultKind,
+)
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Endpoint
 
--- a/linnetladder/coordination/poison.py
+++ b/linnetladder/coordination/attempts/poison.py
@@ -13,8 +13,8 @@
 
 from returns.result import Failure, Result, Success
 
+from linnetladder.coordination.claims.settling import Creation, create_if_absent
 from linnetladder.coordination.platform import KeyValueService, Put
-from linnetladder.coordination.settling import Creation, create_if_absent
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock
 
--- a/linnetladder/coordination/attempts.py
+++ b/linnetladder/coordination/attempts/runner.py
@@ -11,8 +11,17 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.admission import Admission, PlaceRequest
-from linnetladder.coordination.attempt_faults import (
+from linnetladder.coordination.admission.slots import Admission, PlaceRequest
+from linnetladder.coordination.attempts.ejection import Ejector
+from linnetladder.coordination.attempts.endpoint_client import (
+    EndpointCall,
+    EndpointClient,
+    EndpointFault,
+    EndpointFaultKind,
+    StreamAnswer,
+    WholeAnswer,
+)
+from linnetladder.coordination.attempts.faults import (
     EJECTING_FAULTS,
     NEUTRAL_OUTCOMES,
     deadline_fault,
@@ -20,23 +29,14 @@
     silent_fault,
     worse,
 )
+from linnetladder.coordination.attempts.poison import Crash, PoisonBook
+from linnetladder.coordination.attempts.retries import RetryBudget
+from linnetladder.coordination.attempts.silence import SilenceCheck, Verdict
 from linnetladder.coordination.background import Background
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.ejection import Ejector
-from linnetladder.coordination.endpoint_client import (
-    EndpointCall,
-    EndpointClient,
-    EndpointFault,
-    EndpointFaultKind,
-    StreamAnswer,
-    WholeAnswer,
-)
-from linnetladder.coordination.health_watch import HealthWatch
-from linnetladder.coordination.passage import Passage
-from linnetladder.coordination.poison import Crash, PoisonBook
-from linnetladder.coordination.requests import ChatWork
-from linnetladder.coordination.retries import RetryBudget
-from linnetladder.coordination.silence import SilenceCheck, Verdict
+from linnetladder.coordination.cascades.health_watch import HealthWatch
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.requests import ChatWork
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock, Endpoint, EndpointTable, Target, Trial, VersionRef
 from linnetladder.telemetry import Metrics
--- a/linnetladder/coordination/silence.py
+++ b/linnetladder/coordination/attempts/silence.py
@@ -10,12 +10,12 @@
 import asyncio
 import enum
 
-from linnetladder.coordination.background import Background
-from linnetladder.coordination.endpoint_client import (
+from linnetladder.coordination.attempts.endpoint_client import (
     EndpointCall,
     EndpointClient,
     RequestStatus,
 )
+from linnetladder.coordination.background import Background
 from linnetladder.state import Clock, Endpoint
 
 __all__ = ["SilenceCheck", "Verdict"]
--- a/linnetladder/coordination/streams.py
+++ b/linnetladder/coordination/attempts/streams.py
@@ -11,19 +11,23 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.attempt_faults import fault_refusal
-from linnetladder.coordination.attempts import AttemptRunner, Reached
-from linnetladder.coordination.completion import Completion
-from linnetladder.coordination.endpoint_client import (
+from linnetladder.coordination.attempts.endpoint_client import (
     EndpointFault,
     EndpointFaultKind,
     StreamAnswer,
     StreamEvent,
     Usage,
 )
-from linnetladder.coordination.entry import EntryChecks
-from linnetladder.coordination.exchanges import AnswerHead, Refused, StreamExchange
-from linnetladder.coordination.passage import Passage
+from linnetladder.coordination.attempts.faults import fault_refusal
+from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.billing.completion import Completion
+from linnetladder.coordination.routing.entry import EntryChecks
+from linnetladder.coordination.routing.exchanges import (
+    AnswerHead,
+    Refused,
+    StreamExchange,
+)
+from linnetladder.coordination.routing.passage import Passage
 from linnetladder.errors import Ran, Refusal
 from linnetladder.telemetry import Metrics, Tracer
 
--- a/linnetladder/coordination/completion.py
+++ b/linnetladder/coordination/billing/completion.py
@@ -3,12 +3,12 @@
 import asyncio
 import dataclasses
 
-from linnetladder.coordination.billing import BillWriter, Safety
-from linnetladder.coordination.claims import ClaimStrategy
-from linnetladder.coordination.endpoint_client import Usage
-from linnetladder.coordination.exchanges import AnswerHead, Refused
-from linnetladder.coordination.passage import Passage
-from linnetladder.coordination.tickets import TicketClaims
+from linnetladder.coordination.attempts.endpoint_client import Usage
+from linnetladder.coordination.billing.writer import BillWriter, Safety
+from linnetladder.coordination.claims.strategies import ClaimStrategy
+from linnetladder.coordination.claims.tickets import TicketClaims
+from linnetladder.coordination.routing.exchanges import AnswerHead, Refused
+from linnetladder.coordination.routing.passage import Passage
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Bill, Clock, KeyRing, Receipt, Session, VersionRef
 from linnetladder.state.ledger import bill_id
--- a/linnetladder/coordination/bill_copies.py
+++ b/linnetladder/coordination/billing/copies.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from linnetladder.coordination.billing import BillBlock, BillCopier
-from linnetladder.coordination.peer_messages import BillCopy, BillStands
-from linnetladder.coordination.peers import Link, Peers
+from linnetladder.coordination.billing.writer import BillBlock, BillCopier
+from linnetladder.coordination.peers.links import Link, Peers
+from linnetladder.coordination.peers.messages import BillCopy, BillStands
 
 __all__ = ["PeerBillCopier"]
 
--- a/linnetladder/coordination/held_blocks.py
+++ b/linnetladder/coordination/billing/held_blocks.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from linnetladder.coordination.billing import BillBlock, write_block
+from linnetladder.coordination.billing.writer import BillBlock, write_block
 from linnetladder.coordination.platform import KeyValueService
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics
--- a/linnetladder/coordination/billing.py
+++ b/linnetladder/coordination/billing/writer.py
@@ -14,8 +14,8 @@
 
 from returns.result import Success
 
+from linnetladder.coordination.claims.settling import create_if_absent
 from linnetladder.coordination.platform import FaultKind, KeyValueService, Put
-from linnetladder.coordination.settling import create_if_absent
 from linnetladder.state import Bill
 from linnetladder.state.ledger import block_key, encode_block
 from linnetladder.telemetry import Metrics
--- /dev/null
+++ b/linnetladder/coordination/cascades/__init__.py
@@ -0,0 +1,1 @@
+"""Which version answers first, what is learnt of quality, and when to climb."""
--- a/linnetladder/coordination/escalation.py
+++ b/linnetladder/coordination/cascades/escalation.py
@@ -7,11 +7,11 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.attempts import AttemptRunner, Reached
-from linnetladder.coordination.endpoint_client import StreamAnswer, Usage
-from linnetladder.coordination.passage import Passage
-from linnetladder.coordination.quality import QualityLearner
-from linnetladder.coordination.rating import AnswerRater, RatingQuestion
+from linnetladder.coordination.attempts.endpoint_client import StreamAnswer, Usage
+from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.cascades.rating import AnswerRater, RatingQuestion
+from linnetladder.coordination.routing.passage import Passage
 from linnetladder.errors import Refusal
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics
--- a/linnetladder/coordination/health_watch.py
+++ b/linnetladder/coordination/cascades/health_watch.py
@@ -9,8 +9,8 @@
 from returns.result import Failure
 
 from linnetladder.coordination.background import Background
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.publishing import Change, Publisher
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.configuration.publishing import Change, Publisher
 from linnetladder.state import VersionRef
 from linnetladder.state.estimates import Rating
 from linnetladder.state.sequential import ChangeTest
--- a/linnetladder/coordination/quality_inputs.py
+++ b/linnetladder/coordination/cascades/inputs.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from linnetladder.coordination.quality import QualityLearner
+from linnetladder.coordination.cascades.learner import QualityLearner
 from linnetladder.state import AccountView, Snapshot, VersionRef
 from linnetladder.state.receipts import PlanEstimate, QualityInputs
 
--- a/linnetladder/coordination/rating.py
+++ b/linnetladder/coordination/cascades/rating.py
@@ -6,10 +6,10 @@
 
 from returns.result import Failure, Result
 
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.health_watch import HealthWatch
+from linnetladder.coordination.cascades.health_watch import HealthWatch
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
 from linnetladder.coordination.platform import PlatformFault
-from linnetladder.coordination.quality import QualityLearner
 from linnetladder.state.estimates import Rating
 
 __all__ = ["AnswerRater", "RatingFeed", "RatingPage", "RatingQuestion"]
--- /dev/null
+++ b/linnetladder/coordination/claims/__init__.py
@@ -0,0 +1,1 @@
+"""The right to run a request that may run once."""
--- a/linnetladder/coordination/claims.py
+++ b/linnetladder/coordination/claims/strategies.py
@@ -17,6 +17,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
+from linnetladder.coordination.claims.settling import Creation, create_if_absent
 from linnetladder.coordination.platform import (
     Condition,
     FaultKind,
@@ -24,7 +25,6 @@
     PlatformFault,
     Put,
 )
-from linnetladder.coordination.settling import Creation, create_if_absent
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock
 from linnetladder.state.ledger import bill_id
--- a/linnetladder/coordination/tickets.py
+++ b/linnetladder/coordination/claims/tickets.py
@@ -13,7 +13,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.claims import (
+from linnetladder.coordination.claims.strategies import (
     Claim,
     ClaimState,
     ClaimStrategy,
--- a/linnetladder/coordination/live_state.py
+++ b/linnetladder/coordination/configuration/live_state.py
@@ -9,10 +9,13 @@
 
 from returns.result import Failure, Success
 
-from linnetladder.coordination.configuration import HEAD_KEY, ConfigurationInForce
+from linnetladder.coordination.attempts.poison import POISON_PREFIX, Crash, PoisonBook
+from linnetladder.coordination.claims.settling import create_if_absent
+from linnetladder.coordination.configuration.in_force import (
+    HEAD_KEY,
+    ConfigurationInForce,
+)
 from linnetladder.coordination.platform import KeyValueService, Put, Record
-from linnetladder.coordination.poison import POISON_PREFIX, Crash, PoisonBook
-from linnetladder.coordination.settling import create_if_absent
 from linnetladder.state import Clock, KeyRing, SigningKey
 from linnetladder.state.signing import signing_key_from_json, signing_key_to_json
 from linnetladder.telemetry import log_change
--- a/linnetladder/coordination/publishing.py
+++ b/linnetladder/coordination/configuration/publishing.py
@@ -13,7 +13,8 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.configuration import (
+from linnetladder.coordination.claims.settling import read_until, swap
+from linnetladder.coordination.configuration.in_force import (
     HEAD_KEY,
     HISTORY_PREFIX,
     fetch_manifest,
@@ -21,6 +22,7 @@
     history_key,
     part_key,
 )
+from linnetladder.coordination.membership.registration import DaemonRecord, list_daemons
 from linnetladder.coordination.platform import (
     FaultKind,
     KeyValueService,
@@ -28,8 +30,6 @@
     Put,
     Record,
 )
-from linnetladder.coordination.registration import DaemonRecord, list_daemons
-from linnetladder.coordination.settling import read_until, swap
 from linnetladder.state import Clock, Manifest, Snapshot, VersionRef
 from linnetladder.state.snapshot import (
     Part,
--- /dev/null
+++ b/linnetladder/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons and endpoints there are."""
--- a/linnetladder/coordination/discovery.py
+++ b/linnetladder/coordination/membership/discovery.py
@@ -10,8 +10,8 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.admission import Admission
-from linnetladder.coordination.endpoint_client import EndpointFault
+from linnetladder.coordination.admission.slots import Admission
+from linnetladder.coordination.attempts.endpoint_client import EndpointFault
 from linnetladder.coordination.platform import InstanceList
 from linnetladder.state import Endpoint, EndpointReport, EndpointTable
 from linnetladder.telemetry import log_change
--- a/linnetladder/coordination/registration.py
+++ b/linnetladder/coordination/membership/registration.py
@@ -11,7 +11,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.configuration import ConfigurationInForce
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
 from linnetladder.coordination.platform import KeyValueService, PlatformFault, Put
 
 __all__ = [
--- /dev/null
+++ b/linnetladder/coordination/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to other daemons and what is said over them."""
--- a/linnetladder/coordination/peer_configuration.py
+++ b/linnetladder/coordination/peers/configuration.py
@@ -7,8 +7,8 @@
 
 import pydantic
 
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.peer_messages import (
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.peers.messages import (
     ManifestReply,
     PartsReply,
     PartsRequest,
--- a/linnetladder/coordination/peers.py
+++ b/linnetladder/coordination/peers/links.py
@@ -13,10 +13,11 @@
 
 import xxhash
 
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.held_blocks import HeldBlocks
-from linnetladder.coordination.peer_configuration import PeerConfiguration
-from linnetladder.coordination.peer_messages import (
+from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.billing.held_blocks import HeldBlocks
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.peers.configuration import PeerConfiguration
+from linnetladder.coordination.peers.messages import (
     PROTOCOL,
     BillCopy,
     BillHeld,
@@ -32,7 +33,6 @@
     PartsRequest,
     PeerMessage,
 )
-from linnetladder.coordination.poison import PoisonBook
 from linnetladder.state import Clock, EndpointTable
 from linnetladder.telemetry import Metrics, log_change
 
--- a/linnetladder/coordination/peer_messages.py
+++ b/linnetladder/coordination/peers/messages.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from linnetladder.coordination.billing import BillBlock
-from linnetladder.coordination.poison import Crash
+from linnetladder.coordination.attempts.poison import Crash
+from linnetladder.coordination.billing.writer import BillBlock
 from linnetladder.state import EndpointReport
 
 __all__ = [
--- /dev/null
+++ b/linnetladder/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: entry checks, decision, choice of an endpoint, answer."""
--- a/linnetladder/coordination/decision.py
+++ b/linnetladder/coordination/routing/decision.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from linnetladder.coordination.cascade import (
+from linnetladder.coordination.cascades.policies import (
     POLICIES,
     Option,
     Plan,
@@ -14,7 +14,7 @@
     frontier,
     implied_price,
 )
-from linnetladder.coordination.requests import AUTOMATIC_MODEL
+from linnetladder.coordination.routing.requests import AUTOMATIC_MODEL
 from linnetladder.errors import ErrorKind, Explanation, PassedOver, Refusal
 from linnetladder.state import (
     AccountView,
--- a/linnetladder/coordination/entry.py
+++ b/linnetladder/coordination/routing/entry.py
@@ -6,11 +6,15 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.limits import AccountLimits
-from linnetladder.coordination.passage import Passage
-from linnetladder.coordination.poison import PoisonBook
-from linnetladder.coordination.requests import CallerRequest, ChatWork, ServiceWork
+from linnetladder.coordination.admission.limits import AccountLimits
+from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.requests import (
+    CallerRequest,
+    ChatWork,
+    ServiceWork,
+)
 from linnetladder.errors import ErrorKind, Explanation, Refusal
 from linnetladder.state import Clock, KeyRing, VersionRef
 from linnetladder.state.sessions import read_token
--- a/linnetladder/coordination/explaining.py
+++ b/linnetladder/coordination/routing/explaining.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure
 
-from linnetladder.coordination.decision import Decision, decide
-from linnetladder.coordination.publishing import Publisher
+from linnetladder.coordination.configuration.publishing import Publisher
+from linnetladder.coordination.routing.decision import Decision, decide
 from linnetladder.state import KeyRing, Receipt
 from linnetladder.state.receipts import read_receipt
 
--- a/linnetladder/coordination/passage.py
+++ b/linnetladder/coordination/routing/passage.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from linnetladder.coordination.cascade import Plan
-from linnetladder.coordination.claims import Claim, ClaimStrategy, ClaimWish
-from linnetladder.coordination.endpoint_client import Usage
-from linnetladder.coordination.requests import CallerRequest
+from linnetladder.coordination.attempts.endpoint_client import Usage
+from linnetladder.coordination.cascades.policies import Plan
+from linnetladder.coordination.claims.strategies import Claim, ClaimStrategy, ClaimWish
+from linnetladder.coordination.routing.requests import CallerRequest
 from linnetladder.errors import PassedOver, Ran
 from linnetladder.state import (
     AccountView,
--- a/linnetladder/coordination/router.py
+++ b/linnetladder/coordination/routing/router.py
@@ -10,26 +10,30 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.attempts import AttemptRunner, Reached
-from linnetladder.coordination.claims import ClaimStrategy
-from linnetladder.coordination.completion import Completion
-from linnetladder.coordination.decision import decide
-from linnetladder.coordination.endpoint_client import StreamAnswer, WholeAnswer
-from linnetladder.coordination.entry import EntryChecks
-from linnetladder.coordination.escalation import Escalation
-from linnetladder.coordination.exchanges import Refused, StreamExchange, WholeExchange
-from linnetladder.coordination.health_watch import HealthWatch
-from linnetladder.coordination.passage import Passage
-from linnetladder.coordination.quality import QualityLearner
-from linnetladder.coordination.quality_inputs import build_quality_inputs
-from linnetladder.coordination.rating import RatingFeed
-from linnetladder.coordination.requests import (
+from linnetladder.coordination.attempts.endpoint_client import StreamAnswer, WholeAnswer
+from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.attempts.streams import RoutedStream
+from linnetladder.coordination.billing.completion import Completion
+from linnetladder.coordination.cascades.escalation import Escalation
+from linnetladder.coordination.cascades.health_watch import HealthWatch
+from linnetladder.coordination.cascades.inputs import build_quality_inputs
+from linnetladder.coordination.cascades.learner import QualityLearner
+from linnetladder.coordination.cascades.rating import RatingFeed
+from linnetladder.coordination.claims.strategies import ClaimStrategy
+from linnetladder.coordination.claims.tickets import Ticket, TicketClaims
+from linnetladder.coordination.routing.decision import decide
+from linnetladder.coordination.routing.entry import EntryChecks
+from linnetladder.coordination.routing.exchanges import (
+    Refused,
+    StreamExchange,
+    WholeExchange,
+)
+from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.requests import (
     AUTOMATIC_MODEL,
     CallerRequest,
     ChatWork,
 )
-from linnetladder.coordination.streams import RoutedStream
-from linnetladder.coordination.tickets import Ticket, TicketClaims
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import (
     AccountView,
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -22,15 +22,15 @@
     load_settings,
     read_setting_flags,
 )
-from linnetladder.coordination.live_state import FIRST_KEY_ID
-from linnetladder.coordination.peer_messages import Neighbour
-from linnetladder.coordination.peers import describe
-from linnetladder.coordination.registration import (
+from linnetladder.coordination.configuration.live_state import FIRST_KEY_ID
+from linnetladder.coordination.membership.registration import (
     DaemonRecord,
     DaemonState,
     Registration,
     list_daemons,
 )
+from linnetladder.coordination.peers.links import describe
+from linnetladder.coordination.peers.messages import Neighbour
 from linnetladder.telemetry import configure_logs, log_change, log_failure
 from linnetladder.transport import OperationsServer, StatusSource
 
--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -18,7 +18,7 @@
 
 import aiomisc  # noqa: E402
 
-from linnetladder.coordination.ejection import Ejector  # noqa: E402
+from linnetladder.coordination.attempts.ejection import Ejector  # noqa: E402
 from linnetladder.forwarding.coordination import (  # noqa: E402
     Follower,
     Forwarder,
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.ejection import Ejector
+from linnetladder.coordination.attempts.ejection import Ejector
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.calls import (
--- a/linnetladder/management/base.py
+++ b/linnetladder/management/base.py
@@ -15,8 +15,8 @@
 from rich.table import Table
 
 from linnetladder.conf import ENVIRONMENT_PREFIX
-from linnetladder.coordination.live_state import KEY_PREFIX
-from linnetladder.coordination.publishing import (
+from linnetladder.coordination.configuration.live_state import KEY_PREFIX
+from linnetladder.coordination.configuration.publishing import (
     Publisher,
     PublishFault,
     PublishFaultKind,
--- a/linnetladder/management/commands/apply.py
+++ b/linnetladder/management/commands/apply.py
@@ -3,7 +3,7 @@
 from absl import flags
 from returns.result import Failure
 
-from linnetladder.coordination.publishing import Change
+from linnetladder.coordination.configuration.publishing import Change
 from linnetladder.management.base import (
     Command,
     Context,
--- a/linnetladder/management/commands/bill.py
+++ b/linnetladder/management/commands/bill.py
@@ -6,7 +6,7 @@
 from absl import flags
 from returns.result import Failure
 
-from linnetladder.coordination.ledger_reading import read_bills
+from linnetladder.coordination.billing.ledger_reading import read_bills
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.state import Bill
 
--- a/linnetladder/management/commands/explain.py
+++ b/linnetladder/management/commands/explain.py
@@ -2,7 +2,10 @@
 
 from absl import flags
 
-from linnetladder.coordination.explaining import ExplainedReceipt, explain_receipt
+from linnetladder.coordination.routing.explaining import (
+    ExplainedReceipt,
+    explain_receipt,
+)
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.management.commands.history import format_time
 
--- a/linnetladder/management/commands/plan.py
+++ b/linnetladder/management/commands/plan.py
@@ -3,7 +3,7 @@
 from absl import flags
 from returns.result import Failure
 
-from linnetladder.coordination.publishing import Plan
+from linnetladder.coordination.configuration.publishing import Plan
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.management.commands.check import load_or_report
 
--- a/linnetladder/management/commands/rotate_key.py
+++ b/linnetladder/management/commands/rotate_key.py
@@ -6,7 +6,7 @@
 from absl import flags
 from returns.result import Failure
 
-from linnetladder.coordination.live_state import KEY_PREFIX
+from linnetladder.coordination.configuration.live_state import KEY_PREFIX
 from linnetladder.coordination.platform import Condition, Put
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.state import SigningKey
--- a/linnetladder/management/commands/status.py
+++ b/linnetladder/management/commands/status.py
@@ -6,7 +6,7 @@
 from absl import flags
 from returns.result import Failure
 
-from linnetladder.coordination.registration import DaemonRecord, list_daemons
+from linnetladder.coordination.membership.registration import DaemonRecord, list_daemons
 from linnetladder.management.base import Command, Context, ExitCode
 
 __all__ = ["COMMAND"]
--- a/linnetladder/protocol/callers.py
+++ b/linnetladder/protocol/callers.py
@@ -14,7 +14,7 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.requests import (
+from linnetladder.coordination.routing.requests import (
     AUTOMATIC_MODEL,
     CallerRequest,
     ChatWork,
--- a/linnetladder/protocol/declarations.py
+++ b/linnetladder/protocol/declarations.py
@@ -13,7 +13,7 @@
 import yaml
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.cascade import POLICIES
+from linnetladder.coordination.cascades.policies import POLICIES
 from linnetladder.state.settings import NARROWING, NodeSettings
 from linnetladder.state.snapshot import Part
 from linnetladder.state.tree import Node, find_tree_problems
--- a/linnetladder/protocol/engines.py
+++ b/linnetladder/protocol/engines.py
@@ -11,7 +11,7 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.endpoint_client import (
+from linnetladder.coordination.attempts.endpoint_client import (
     EndpointFault,
     EndpointFaultKind,
     StreamEvent,
--- a/linnetladder/protocol/peers.py
+++ b/linnetladder/protocol/peers.py
@@ -1,7 +1,8 @@
 """The frames of the peer protocol, to and from the data classes of coordination."""
 
-from linnetladder.coordination.billing import BillBlock
-from linnetladder.coordination.peer_messages import (
+from linnetladder.coordination.attempts.poison import Crash
+from linnetladder.coordination.billing.writer import BillBlock
+from linnetladder.coordination.peers.messages import (
     BillCopy,
     BillHeld,
     BillStands,
@@ -17,7 +18,6 @@
     PeerMessage,
 )
 from linnetladder.coordination.platform import Put
-from linnetladder.coordination.poison import Crash
 from linnetladder.protocol.generated import peer_pb2 as pb
 from linnetladder.state import EndpointReport, VersionRef
 
--- a/linnetladder/protocol/problems.py
+++ b/linnetladder/protocol/problems.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from linnetladder.coordination.exchanges import Refused
+from linnetladder.coordination.routing.exchanges import Refused
 from linnetladder.errors import Refusal
 
 __all__ = ["PROBLEM_TYPE", "encode_problem", "problem_event", "retry_after"]
--- a/linnetladder/transport/caller_server.py
+++ b/linnetladder/transport/caller_server.py
@@ -8,12 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination import AddressLimits, Refused, Router
-from linnetladder.coordination.exchanges import (
+from linnetladder.coordination.routing.exchanges import (
     AnswerHead,
     StreamExchange,
     WholeExchange,
 )
-from linnetladder.coordination.requests import CallerRequest
+from linnetladder.coordination.routing.requests import CallerRequest
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.protocol import (
     Submission,
--- a/linnetladder/transport/endpoint_client.py
+++ b/linnetladder/transport/endpoint_client.py
@@ -10,8 +10,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
-from linnetladder.coordination.discovery import LoadSource
-from linnetladder.coordination.endpoint_client import (
+from linnetladder.coordination.attempts.endpoint_client import (
     EndpointCall,
     EndpointClient,
     EndpointFault,
@@ -22,6 +21,7 @@
     Usage,
     WholeAnswer,
 )
+from linnetladder.coordination.membership.discovery import LoadSource
 from linnetladder.errors import Ran
 from linnetladder.protocol import AnswerCheck, LoadBody, load_report
 from linnetladder.protocol import headers as names
--- a/linnetladder/transport/peer_links.py
+++ b/linnetladder/transport/peer_links.py
@@ -12,9 +12,9 @@
 
 import grpc
 
-from linnetladder.coordination.limits import TokenBucket
-from linnetladder.coordination.peer_messages import Hello, Neighbour, PeerMessage
-from linnetladder.coordination.peers import Link, Peers
+from linnetladder.coordination.admission.limits import TokenBucket
+from linnetladder.coordination.peers.links import Link, Peers
+from linnetladder.coordination.peers.messages import Hello, Neighbour, PeerMessage
 from linnetladder.protocol.generated import peer_pb2 as pb
 from linnetladder.protocol.generated import peer_pb2_grpc
 from linnetladder.protocol.peers import decode_frame, encode_frame
--- a/linnetladder/transport/rating_service.py
+++ b/linnetladder/transport/rating_service.py
@@ -6,8 +6,12 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
+from linnetladder.coordination.cascades.rating import (
+    AnswerRater,
+    RatingPage,
+    RatingQuestion,
+)
 from linnetladder.coordination.platform import FaultKind, PlatformFault
-from linnetladder.coordination.rating import AnswerRater, RatingPage, RatingQuestion
 from linnetladder.state.estimates import Rating
 from linnetladder.telemetry import Metrics
 
--- a/tests/support/endpoints.py
+++ b/tests/support/endpoints.py
@@ -7,8 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.discovery import LoadSource
-from linnetladder.coordination.endpoint_client import (
+from linnetladder.coordination.attempts.endpoint_client import (
     EndpointCall,
     EndpointClient,
     EndpointFault,
@@ -19,6 +18,7 @@
     Usage,
     WholeAnswer,
 )
+from linnetladder.coordination.membership.discovery import LoadSource
 from linnetladder.coordination.platform import (
     FaultKind,
     InstanceList,
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Success
 
-from linnetladder.coordination.ejection import Ejector
+from linnetladder.coordination.attempts.ejection import Ejector
 from linnetladder.coordination.platform import FaultKind, PlatformFault
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import WindowBudget
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from linnetladder.conf import Settings
-from linnetladder.coordination.publishing import Change, Publisher
+from linnetladder.coordination.configuration.publishing import Change, Publisher
 from linnetladder.daemon import Daemon
 from linnetladder.protocol.declarations import parse_declarations
 from linnetladder.state import SystemClock, VersionRef
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -150,7 +150,7 @@
             response.close()
         parts = site.daemons[0].parts
         await site.wait_for(lambda: parts.metrics.value("bills") == 1)
-        from linnetladder.coordination.ledger_reading import read_bills
+        from linnetladder.coordination.billing.ledger_reading import read_bills
 
         (bill,) = (await read_bills(site.store)).unwrap().values()
         assert not bill.complete
@@ -178,7 +178,7 @@
         await site.wait_for(lambda: parts.metrics.value("caller_left") > 0)
         site.platform.set_mode("up")
         await site.wait_for(lambda: parts.bills.unrecorded == 0)
-        from linnetladder.coordination.ledger_reading import read_bills
+        from linnetladder.coordination.billing.ledger_reading import read_bills
 
         assert len((await read_bills(site.store)).unwrap()) == 1
 
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -9,15 +9,15 @@
 import pytest
 from returns.result import Success
 
-from linnetladder.coordination import completion
-from linnetladder.coordination.attempts import AttemptRunner
-from linnetladder.coordination.bill_copies import PeerBillCopier
-from linnetladder.coordination.cascade import POLICIES, AlwaysBest
-from linnetladder.coordination.completion import Completion
-from linnetladder.coordination.configuration import ConfigurationInForce
-from linnetladder.coordination.entry import EntryChecks
-from linnetladder.coordination.poison import PoisonBook
-from linnetladder.coordination.router import Router
+from linnetladder.coordination.billing import completion
+from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.attempts.runner import AttemptRunner
+from linnetladder.coordination.billing.completion import Completion
+from linnetladder.coordination.billing.copies import PeerBillCopier
+from linnetladder.coordination.cascades.policies import POLICIES, AlwaysBest
+from linnetladder.coordination.configuration.in_force import ConfigurationInForce
+from linnetladder.coordination.routing.entry import EntryChecks
+from linnetladder.coordination.routing.router import Router
 from linnetladder.errors import Ran
 from linnetladder.protocol.engines import AnswerCheck
 from linnetladder.state import Endpoint, Snapshot
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from linnetladder.coordination.poison import Crash
+from linnetladder.coordination.attempts.poison import Crash
 from proof import Rules, check_history
 from tests.support.memory import run_virtual
 from tests.support.world import ALLOWED, World
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,8 +4,8 @@
 import tempfile
 from pathlib import Path
 
-from linnetladder.coordination.peer_messages import Hello, Neighbour
-from linnetladder.coordination.peers import choose_neighbours
+from linnetladder.coordination.peers.links import choose_neighbours
+from linnetladder.coordination.peers.messages import Hello, Neighbour
 from standins.certificates import Authority
 from tests.support.site import DOMAINS, LocalSite
 
--- a/tests/test_settling.py
+++ b/tests/test_settling.py
@@ -3,8 +3,8 @@
 import pytest
 from returns.result import Failure, Success
 
+from linnetladder.coordination.claims.settling import Creation, create_if_absent, swap
 from linnetladder.coordination.platform import FaultKind, Put
-from linnetladder.coordination.settling import Creation, create_if_absent, swap
 from tests.support.memory import MemoryKeyValue, run_virtual
 
 
