--- a/linnetladder/assembly.py
+++ b/linnetladder/assembly.py
@@ -24,7 +24,7 @@
     Ejector,
     EntryChecks,
     LiveState,
-    PoisonBook,
+    PoisonRegistry,
     Registration,
     RetryBudget,
     Router,
@@ -104,7 +104,7 @@
     discovery: Discovery
     background: Background
     bills: BillWriter
-    poison: PoisonBook
+    poison: PoisonRegistry
     held: HeldBlocks
     peers: Peers
     learner: QualityLearner
@@ -140,7 +140,7 @@
     table = EndpointTable()
     background = Background()
     configuration = ConfigurationInForce(store=store, clock=clock, metrics=metrics)
-    poison = PoisonBook(store=store, clock=clock, incarnation=incarnation)
+    poison = PoisonRegistry(store=store, clock=clock, incarnation=incarnation)
     live_state = LiveState(
         store=store,
         clock=clock,
@@ -266,7 +266,7 @@
     configuration: ConfigurationInForce,
     keys: KeyRing,
     table: EndpointTable,
-    poison: PoisonBook,
+    poison: PoisonRegistry,
     held: HeldBlocks,
 ) -> Peers:
     """Return the daemon's side of its links."""
--- a/linnetladder/coordination/__init__.py
+++ b/linnetladder/coordination/__init__.py
@@ -7,7 +7,7 @@
 from linnetladder.coordination.admission.limits import AccountLimits, AddressLimits
 from linnetladder.coordination.admission.slots import Admission
 from linnetladder.coordination.attempts.ejection import Ejector
-from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.attempts.poison import PoisonRegistry
 from linnetladder.coordination.attempts.retries import RetryBudget
 from linnetladder.coordination.attempts.runner import AttemptRunner
 from linnetladder.coordination.background import Background
@@ -47,7 +47,7 @@
     "Ejector",
     "EntryChecks",
     "LiveState",
-    "PoisonBook",
+    "PoisonRegistry",
     "Refused",
     "Registration",
     "RetryBudget",
--- a/linnetladder/coordination/admission/slots.py
+++ b/linnetladder/coordination/admission/slots.py
@@ -1,6 +1,6 @@
 """Places at endpoints: who gets one, who waits for one, who is refused at once.
 
-A request takes a place straight away when nobody waits and an endpoint has room.
+A request takes a slot straight away when nobody waits and an endpoint has room.
 Otherwise it waits in the fair queue of its target, unless the queue is full or the
 expected wait passes the deadline; then it is refused at once with the time after
 which it is worth coming back.
@@ -19,7 +19,7 @@
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.state import Clock, Endpoint, EndpointTable, Target
 
-__all__ = ["Admission", "PlaceRequest"]
+__all__ = ["Admission", "SlotRequest"]
 
 FIRST_SERVICE_SECONDS = 0.5
 SERVICE_TIME_WEIGHT = 0.1
@@ -28,8 +28,8 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class PlaceRequest:
-    """A wish for a place; ``deadline`` is monotonic seconds."""
+class SlotRequest:
+    """A wish for a slot; ``deadline`` is monotonic seconds."""
 
     target: Target
     account: str
@@ -41,7 +41,7 @@
 
 
 class Admission:
-    """Hand out places at endpoints and keep the queues of those who wait."""
+    """Hand out slots at endpoints and keep the queues of those who wait."""
 
     def __init__(
         self,
@@ -60,21 +60,23 @@
         self.queues: dict[Target, FairQueue] = {}
         self.service_seconds: dict[Target, float] = {}
 
-    async def acquire(self, wish: PlaceRequest) -> Result[Endpoint, Refusal]:
-        """Return an endpoint with a place taken at it, or a refusal."""
-        queue = self.queues.get(wish.target)
+    async def acquire(self, slot_request: SlotRequest) -> Result[Endpoint, Refusal]:
+        """Return an endpoint with a slot taken at it, or a refusal."""
+        queue = self.queues.get(slot_request.target)
         if queue is None or queue.waiting == 0:
-            endpoint = self._choose(wish.target, wish.prefix, wish.tried)
+            endpoint = self._choose(
+                slot_request.target, slot_request.prefix, slot_request.tried
+            )
             if endpoint is not None:
                 endpoint.in_flight += 1
                 return Success(endpoint)
-        refusal = self._refuse_hopeless(wish)
+        refusal = self._refuse_hopeless(slot_request)
         if refusal is not None:
             return Failure(refusal)
-        return await self._wait(wish)
+        return await self._wait(slot_request)
 
     def release(self, target: Target, endpoint: Endpoint, *, seconds: float) -> None:
-        """Give a place back after it was held for some seconds."""
+        """Give a slot back after it was held for some seconds."""
         endpoint.in_flight -= 1
         known = self.service_seconds.get(target, FIRST_SERVICE_SECONDS)
         change = (seconds - known) * SERVICE_TIME_WEIGHT
@@ -82,7 +84,7 @@
         self.dispatch()
 
     def dispatch(self) -> None:
-        """Give free places to waiters, in the order of each queue."""
+        """Give free slots to waiters, in the order of each queue."""
         for target in list(self.queues):
             queue = self.queues[target]
             self._serve(target, queue)
@@ -90,24 +92,26 @@
                 del self.queues[target]
 
     def queued(self) -> int:
-        """Return how many requests wait for a place."""
+        """Return how many requests wait for a slot."""
         return sum(queue.waiting for queue in self.queues.values())
 
-    def expected_wait(self, wish: PlaceRequest) -> float:
-        """Return the seconds a new waiter is expected to wait for a place."""
-        pool = self.table.pool(wish.target)
-        places = pool.capacity() if pool else 0
-        if places == 0:
+    def expected_wait(self, slot_request: SlotRequest) -> float:
+        """Return the seconds a new waiter is expected to wait for a slot."""
+        pool = self.table.pool(slot_request.target)
+        slots = pool.capacity() if pool else 0
+        if slots == 0:
             return float("inf")
-        service = self.service_seconds.get(wish.target, FIRST_SERVICE_SECONDS)
-        queue = self.queues.get(wish.target)
+        service = self.service_seconds.get(slot_request.target, FIRST_SERVICE_SECONDS)
+        queue = self.queues.get(slot_request.target)
         ahead = 0
         if queue is not None:
             finish = queue.finish_tag(
-                account=wish.account, weight=wish.weight, priority=wish.priority
+                account=slot_request.account,
+                weight=slot_request.weight,
+                priority=slot_request.priority,
             )
             ahead = queue.count_ahead(finish)
-        return (ahead + 1) * service / places
+        return (ahead + 1) * service / slots
 
     def _choose(
         self, target: Target, prefix: bytes, tried: frozenset[str]
@@ -123,59 +127,63 @@
         )
         return self.choice.choose(pool, inputs)
 
-    def _refuse_hopeless(self, wish: PlaceRequest) -> Refusal | None:
+    def _refuse_hopeless(self, slot_request: SlotRequest) -> Refusal | None:
         now = self.clock.monotonic()
-        if not self._has_untried(wish, now):
-            detail = f"no untried endpoint accepts work for {str(wish.target)!r}"
+        if not self._has_untried(slot_request, now):
+            detail = (
+                f"no untried endpoint accepts work for {str(slot_request.target)!r}"
+            )
             return Refusal(
                 ErrorKind.NO_ENDPOINT,
                 detail,
                 retry_after_seconds=MINIMUM_RETRY_AFTER_SECONDS,
             )
-        expected = self.expected_wait(wish)
+        expected = self.expected_wait(slot_request)
         retry_after = max(expected, MINIMUM_RETRY_AFTER_SECONDS)
-        queue = self.queues.get(wish.target)
+        queue = self.queues.get(slot_request.target)
         if queue is not None and queue.is_full():
-            detail = f"{queue.waiting} requests wait for {str(wish.target)!r}"
+            detail = f"{queue.waiting} requests wait for {str(slot_request.target)!r}"
             return Refusal(
                 ErrorKind.OVERLOADED, detail, retry_after_seconds=retry_after
             )
-        if now + expected > wish.deadline:
+        if now + expected > slot_request.deadline:
+            remaining = slot_request.deadline - now
             detail = (
-                f"the expected wait of {expected:.1f} s for {str(wish.target)!r} "
-                f"passes the deadline in {wish.deadline - now:.1f} s"
+                f"the expected wait of {expected:.1f} s for "
+                f"{str(slot_request.target)!r} passes the deadline in {remaining:.1f} s"
             )
             return Refusal(
                 ErrorKind.DEADLINE_UNREACHABLE, detail, retry_after_seconds=retry_after
             )
         return None
 
-    def _has_untried(self, wish: PlaceRequest, now: float) -> bool:
-        pool = self.table.pool(wish.target)
+    def _has_untried(self, slot_request: SlotRequest, now: float) -> bool:
+        pool = self.table.pool(slot_request.target)
         if pool is None:
             return False
         return any(
-            e.accepts_work(now) and e.name not in wish.tried for e in pool.endpoints
+            e.accepts_work(now) and e.name not in slot_request.tried
+            for e in pool.endpoints
         )
 
-    async def _wait(self, wish: PlaceRequest) -> Result[Endpoint, Refusal]:
-        queue = self.queues.get(wish.target)
+    async def _wait(self, slot_request: SlotRequest) -> Result[Endpoint, Refusal]:
+        queue = self.queues.get(slot_request.target)
         if queue is None:
             queue = FairQueue(maximum_length=self.maximum_queue)
-            self.queues[wish.target] = queue
+            self.queues[slot_request.target] = queue
         turn = asyncio.get_running_loop().create_future()
         waiter = Waiter(
-            account=wish.account,
-            weight=wish.weight,
-            priority=wish.priority,
-            deadline=wish.deadline,
-            tried=wish.tried,
-            prefix=wish.prefix,
+            account=slot_request.account,
+            weight=slot_request.weight,
+            priority=slot_request.priority,
+            deadline=slot_request.deadline,
+            tried=slot_request.tried,
+            prefix=slot_request.prefix,
             turn=turn,
         )
         queue.push(waiter)
-        self._serve(wish.target, queue)
-        remaining = max(wish.deadline - self.clock.monotonic(), 0.0)
+        self._serve(slot_request.target, queue)
+        remaining = max(slot_request.deadline - self.clock.monotonic(), 0.0)
         try:
             await asyncio.wait((turn,), timeout=remaining)
         except asyncio.CancelledError:
@@ -184,8 +192,10 @@
         if turn.done():
             return Success(turn.result())
         self._give_up(queue, waiter)
-        detail = f"no place for {str(wish.target)!r} became free before the deadline"
-        retry_after = max(self.expected_wait(wish), MINIMUM_RETRY_AFTER_SECONDS)
+        detail = (
+            f"no slot for {str(slot_request.target)!r} became free before the deadline"
+        )
+        retry_after = max(self.expected_wait(slot_request), MINIMUM_RETRY_AFTER_SECONDS)
         return Failure(
             Refusal(
                 ErrorKind.DEADLINE_EXCEEDED, detail, retry_after_seconds=retry_after
@@ -193,7 +203,7 @@
         )
 
     def _give_up(self, queue: FairQueue, waiter: Waiter) -> None:
-        """Leave the queue, or return a place handed over at the same moment."""
+        """Leave the queue, or return a slot handed over at the same moment."""
         if waiter.turn.done():
             waiter.turn.result().in_flight -= 1
             self.dispatch()
--- a/linnetladder/coordination/attempts/poison.py
+++ b/linnetladder/coordination/attempts/poison.py
@@ -18,7 +18,7 @@
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock
 
-__all__ = ["Crash", "POISON_PREFIX", "PoisonBook"]
+__all__ = ["Crash", "POISON_PREFIX", "PoisonRegistry"]
 
 POISON_PREFIX = "linnetladder/live/poison/"
 TRIAL_PREFIX = "linnetladder/poison-trial/"
@@ -57,7 +57,7 @@
     expires: float
 
 
-class PoisonBook:
+class PoisonRegistry:
     """What this daemon knows of requests that crash endpoints."""
 
     def __init__(self, *, store: KeyValueService, clock: Clock, incarnation: str):
@@ -181,7 +181,9 @@
 
 
 def _trial_refusal(fingerprint: str, reason: str) -> Refusal:
-    detail = f"request {fingerprint!r} crashed an endpoint and is held back: {reason}"
+    detail = (
+        f"request {fingerprint!r} crashed an endpoint and may not run now: {reason}"
+    )
     return Refusal(
         ErrorKind.POISON_REQUEST, detail, ran=Ran.NO, retry_after_seconds=5.0
     )
--- a/linnetladder/coordination/attempts/runner.py
+++ b/linnetladder/coordination/attempts/runner.py
@@ -1,4 +1,4 @@
-"""Attempts at endpoints: places, silence, retries, and what each failure means.
+"""Attempts at endpoints: slots, silence, retries, and what each failure means.
 
 A request that is not idempotent is sent once, unless the endpoint proves that it did
 not start. An idempotent one is tried again at another endpoint, within the retry
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.admission.slots import Admission, PlaceRequest
+from linnetladder.coordination.admission.slots import Admission, SlotRequest
 from linnetladder.coordination.attempts.ejection import Ejector
 from linnetladder.coordination.attempts.endpoint_client import (
     EndpointCall,
@@ -29,19 +29,19 @@
     silent_fault,
     worse,
 )
-from linnetladder.coordination.attempts.poison import Crash, PoisonBook
+from linnetladder.coordination.attempts.poison import Crash, PoisonRegistry
 from linnetladder.coordination.attempts.retries import RetryBudget
 from linnetladder.coordination.attempts.silence import SilenceCheck, Verdict
 from linnetladder.coordination.background import Background
 from linnetladder.coordination.cascades.health_watch import HealthWatch
 from linnetladder.coordination.configuration.in_force import ConfigurationInForce
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.coordination.routing.requests import ChatWork
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Clock, Endpoint, EndpointTable, Target, Trial, VersionRef
 from linnetladder.telemetry import Metrics
 
-__all__ = ["AttemptRunner", "Place", "Reached"]
+__all__ = ["AttemptRunner", "Slot", "BegunAnswer"]
 
 MAXIMUM_ATTEMPTS = 4
 RETRY_PAUSE_SECONDS = 0.02
@@ -49,11 +49,11 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Place:
-    """A place at an endpoint that is held until `release`."""
+class Slot:
+    """A slot at an endpoint that is held until `release`."""
 
     admission: Admission
-    poison: PoisonBook
+    poison: PoisonRegistry
     fingerprint: str
     target: Target
     endpoint: Endpoint
@@ -61,7 +61,7 @@
     held: bool = True
 
     def release(self, now: float) -> None:
-        """Give the place back once."""
+        """Give the slot back once."""
         if self.held:
             self.held = False
             self.poison.leave(self.fingerprint)
@@ -70,11 +70,11 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Reached:
-    """An endpoint's answer, whole or begun, and the place that is still held."""
+class BegunAnswer:
+    """An endpoint's answer, whole or begun, and the slot that is still held."""
 
     answer: WholeAnswer | StreamAnswer
-    place: Place
+    slot: Slot
     call: EndpointCall
 
 
@@ -90,7 +90,7 @@
         client: EndpointClient,
         budget: RetryBudget,
         ejector: Ejector,
-        poison: PoisonBook,
+        poison: PoisonRegistry,
         watch: HealthWatch,
         background: Background,
         clock: Clock,
@@ -112,57 +112,63 @@
         self.silence_seconds = silence_seconds
         self.random = random.Random(seed)
 
-    async def run(self, passage: Passage, target: Target) -> Result[Reached, Refusal]:
+    async def run(
+        self, context: RequestContext, target: Target
+    ) -> Result[BegunAnswer, Refusal]:
         """Return the first answer that passes its checks, or the refusal."""
         self.budget.earn()
-        held_back = await self._begin_trial(passage)
-        if held_back is not None:
-            return Failure(held_back)
-        return await self.run_again(passage, target, tried=frozenset())
+        refusal = await self._begin_trial(context)
+        if refusal is not None:
+            return Failure(refusal)
+        return await self.run_again(context, target, tried=frozenset())
 
     async def run_again(
         self,
-        passage: Passage,
+        context: RequestContext,
         target: Target,
         *,
         tried: frozenset[str],
         resume_after: int = 0,
-    ) -> Result[Reached, Refusal]:
+    ) -> Result[BegunAnswer, Refusal]:
         """Make attempts at endpoints that were not tried, from a stream's position."""
         last: EndpointFault | None = None
         for attempt in range(MAXIMUM_ATTEMPTS):
-            placed = await self._take_place(passage, target, tried)
-            if isinstance(placed, Failure):
-                return Failure(self._place_refusal(placed.failure(), last, passage))
-            place = placed.unwrap()
-            refusal = self._forbidden_meanwhile(passage, target)
+            taken = await self._take_slot(context, target, tried)
+            if isinstance(taken, Failure):
+                return Failure(self._slot_refusal(taken.failure(), last, context))
+            slot = taken.unwrap()
+            refusal = self._forbidden_meanwhile(context, target)
             if refusal is not None:
-                place.release(self.clock.monotonic())
+                slot.release(self.clock.monotonic())
                 return Failure(refusal)
-            reached = await self._attempt(passage, place, resume_after)
-            if isinstance(reached, Success):
-                return reached
-            last = reached.failure()
-            tried |= {place.endpoint.name}
-            if not await self._may_retry(passage, last, attempt):
+            begun = await self._attempt(context, slot, resume_after)
+            if isinstance(begun, Success):
+                return begun
+            last = begun.failure()
+            tried |= {slot.endpoint.name}
+            if not await self._may_retry(context, last, attempt):
                 break
-        return Failure(fault_refusal(last, passage.ran))
+        return Failure(fault_refusal(last, context.ran))
 
-    def _forbidden_meanwhile(self, passage: Passage, target: Target) -> Refusal | None:
+    def _forbidden_meanwhile(
+        self, context: RequestContext, target: Target
+    ) -> Refusal | None:
         """Refuse what may no longer be sent, at the last moment before it is.
 
-        A request may have waited long for its place, so nothing that was checked
+        A request may have waited long for its slot, so nothing that was checked
         before the wait can be relied on.
         """
-        withdrawn = self._withdrawn_meanwhile(passage, target)
+        withdrawn = self._withdrawn_meanwhile(context, target)
         if withdrawn is not None:
             return withdrawn
-        poison = self.poison.refuse_poison(passage.request.fingerprint)
+        poison = self.poison.refuse_poison(context.request.fingerprint)
         if poison is None:
             return None
-        return dataclasses.replace(poison, ran=passage.ran)
+        return dataclasses.replace(poison, ran=context.ran)
 
-    def _withdrawn_meanwhile(self, passage: Passage, target: Target) -> Refusal | None:
+    def _withdrawn_meanwhile(
+        self, context: RequestContext, target: Target
+    ) -> Refusal | None:
         """Refuse a version that was withdrawn since it was chosen."""
         if not isinstance(target, VersionRef):
             return None
@@ -170,70 +176,70 @@
             return None
         detail = f"version {str(target)!r} was withdrawn before the request was sent"
         kind = ErrorKind.VERSION_WITHDRAWN
-        if passage.session is not None:
+        if context.session is not None:
             kind = ErrorKind.SESSION_VERSION_WITHDRAWN
-        return Refusal(kind, detail, passage.ran)
+        return Refusal(kind, detail, context.ran)
 
-    async def _take_place(
-        self, passage: Passage, target: Target, tried: frozenset[str]
-    ) -> Result[Place, Refusal]:
-        work = passage.request.work
-        wish = PlaceRequest(
+    async def _take_slot(
+        self, context: RequestContext, target: Target, tried: frozenset[str]
+    ) -> Result[Slot, Refusal]:
+        work = context.request.work
+        slot_request = SlotRequest(
             target=target,
-            account=passage.account,
-            weight=passage.view.settings.values.share_weight,
-            priority=passage.priority,
-            deadline=passage.deadline,
+            account=context.account,
+            weight=context.view.settings.values.share_weight,
+            priority=context.priority,
+            deadline=context.deadline,
             prefix=work.prefix if isinstance(work, ChatWork) else b"",
             tried=tried,
         )
         before = self.clock.monotonic()
-        acquired = await self.admission.acquire(wish)
+        acquired = await self.admission.acquire(slot_request)
         now = self.clock.monotonic()
-        self.metrics.record("place_seconds", now - before)
+        self.metrics.record("slot_seconds", now - before)
         if isinstance(acquired, Failure):
             return acquired
-        fingerprint = passage.request.fingerprint
+        fingerprint = context.request.fingerprint
         self.poison.enter(fingerprint)
         endpoint = acquired.unwrap()
         return Success(
-            Place(self.admission, self.poison, fingerprint, target, endpoint, now)
+            Slot(self.admission, self.poison, fingerprint, target, endpoint, now)
         )
 
     async def _attempt(
-        self, passage: Passage, place: Place, resume_after: int
-    ) -> Result[Reached, EndpointFault]:
+        self, context: RequestContext, slot: Slot, resume_after: int
+    ) -> Result[BegunAnswer, EndpointFault]:
         """Send the request once and note how that went."""
-        call = _build_call(passage, place.target, resume_after)
-        attempt = passage.trace.begin("attempt") if passage.trace else None
-        hop = passage.trace.begin("endpoint") if passage.trace else None
+        call = _build_call(context, slot.target, resume_after)
+        attempt = context.trace.begin("attempt") if context.trace else None
+        hop = context.trace.begin("endpoint") if context.trace else None
         if hop is not None:
-            call.headers["traceparent"] = passage.trace.parent_header(hop)
-        known_before = passage.ran
-        passage.ran = worse(known_before, Ran.UNKNOWN)
+            call.headers["traceparent"] = context.trace.parent_header(hop)
+        known_before = context.ran
+        context.ran = worse(known_before, Ran.UNKNOWN)
         try:
-            outcome = await self._call(place.endpoint, call)
+            outcome = await self._call(slot.endpoint, call)
         except BaseException:
-            place.release(self.clock.monotonic())
-            self.cancel_at_endpoint(place.endpoint, call)
+            slot.release(self.clock.monotonic())
+            self.cancel_at_endpoint(slot.endpoint, call)
             raise
         if isinstance(outcome, Success):
-            self._note(passage, place, ANSWERED)
+            self._note(context, slot, ANSWERED)
             if hop is not None:
-                hop.end(detail=place.endpoint.name)
+                hop.end(detail=slot.endpoint.name)
                 attempt.end()
-            return Success(Reached(outcome.unwrap(), place, call))
+            return Success(BegunAnswer(outcome.unwrap(), slot, call))
         fault = outcome.failure()
-        self._note(passage, place, fault.kind)
+        self._note(context, slot, fault.kind)
         if hop is not None:
-            hop.end(detail=f"{place.endpoint.name}: {fault.detail}", failed=True)
-        passage.ran = worse(known_before, fault.ran)
+            hop.end(detail=f"{slot.endpoint.name}: {fault.detail}", failed=True)
+        context.ran = worse(known_before, fault.ran)
         if fault.kind in (EndpointFaultKind.DEADLINE, EndpointFaultKind.SILENT):
-            self.cancel_at_endpoint(place.endpoint, call)
+            self.cancel_at_endpoint(slot.endpoint, call)
         try:
-            await self.learn_from(passage, place, fault)
+            await self.learn_from(context, slot, fault)
         finally:
-            place.release(self.clock.monotonic())
+            slot.release(self.clock.monotonic())
             if attempt is not None:
                 attempt.end(detail=str(fault.kind), failed=True)
         return outcome
@@ -275,19 +281,19 @@
             return await self.client.resume(endpoint, call)
         return Failure(silent_fault(endpoint))
 
-    def _note(self, passage: Passage, place: Place, outcome: str) -> None:
-        trial = Trial(place.endpoint.name, str(place.target), str(outcome))
-        passage.trials.append(trial)
+    def _note(self, context: RequestContext, slot: Slot, outcome: str) -> None:
+        trial = Trial(slot.endpoint.name, str(slot.target), str(outcome))
+        context.trials.append(trial)
         self.metrics.count("attempts", label=str(outcome))
-        if isinstance(place.target, VersionRef) and outcome not in NEUTRAL_OUTCOMES:
+        if isinstance(slot.target, VersionRef) and outcome not in NEUTRAL_OUTCOMES:
             right = outcome == ANSWERED
-            self.watch.answered(passage.account, place.target, right=right)
+            self.watch.answered(context.account, slot.target, right=right)
 
     async def learn_from(
-        self, passage: Passage, place: Place, fault: EndpointFault
+        self, context: RequestContext, slot: Slot, fault: EndpointFault
     ) -> None:
         """Update what is known of the endpoint and of the request."""
-        endpoint = place.endpoint
+        endpoint = slot.endpoint
         if fault.kind is EndpointFaultKind.LEAVING:
             self.table.mark_leaving(endpoint.name, endpoint.incarnation)
         if fault.kind is EndpointFaultKind.SILENT:
@@ -297,67 +303,69 @@
             dead = True
             self.metrics.count("poison_crashes")
             name = f"{endpoint.name}:{endpoint.incarnation}"
-            crash = Crash(passage.request.fingerprint, name)
+            crash = Crash(context.request.fingerprint, name)
             await self.poison.record(crash)
         if fault.kind in EJECTING_FAULTS:
-            pool = self.table.pool(place.target)
+            pool = self.table.pool(slot.target)
             if self.ejector.failed(endpoint, pool, dead=dead):
                 self.metrics.count("ejections")
 
     async def _may_retry(
-        self, passage: Passage, fault: EndpointFault, attempt: int
+        self, context: RequestContext, fault: EndpointFault, attempt: int
     ) -> bool:
         """Tell whether another attempt may follow, and take what it needs."""
         if fault.kind in (EndpointFaultKind.REJECTED, EndpointFaultKind.DEADLINE):
             return False
-        if not passage.idempotent and fault.ran is not Ran.NO:
+        if not context.idempotent and fault.ran is not Ran.NO:
             return False
         pause = RETRY_PAUSE_SECONDS * 2**attempt * self.random.random()
-        if self.clock.monotonic() + pause >= passage.deadline:
+        if self.clock.monotonic() + pause >= context.deadline:
             return False
         if attempt + 1 >= MAXIMUM_ATTEMPTS or not self.budget.spend():
             return False
-        if await self._begin_trial(passage) is not None:
+        if await self._begin_trial(context) is not None:
             return False
         self.metrics.count("retries")
         await asyncio.sleep(pause)
         return True
 
-    async def _begin_trial(self, passage: Passage) -> Refusal | None:
+    async def _begin_trial(self, context: RequestContext) -> Refusal | None:
         """Take the right to a trial when the request has crashed an endpoint."""
-        fingerprint = passage.request.fingerprint
-        if passage.trial_lease or not self.poison.is_suspect(fingerprint):
+        fingerprint = context.request.fingerprint
+        if context.trial_lease or not self.poison.is_suspect(fingerprint):
             return self.poison.refuse_poison(fingerprint)
         begun = await self.poison.begin_trial(fingerprint)
         if isinstance(begun, Failure):
             return begun.failure()
-        passage.trial_lease = begun.unwrap()
+        context.trial_lease = begun.unwrap()
         return None
 
-    def end_trial(self, passage: Passage, *, clean: bool) -> None:
+    def end_trial(self, context: RequestContext, *, clean: bool) -> None:
         """Give back, in the background, the right to a trial that was taken."""
-        if not passage.trial_lease:
+        if not context.trial_lease:
             return
-        lease_id, passage.trial_lease = passage.trial_lease, 0
-        fingerprint = passage.request.fingerprint
+        lease_id, context.trial_lease = context.trial_lease, 0
+        fingerprint = context.request.fingerprint
         ending = self.poison.end_trial(lease_id, fingerprint=fingerprint, clean=clean)
         self.background.start(ending)
 
-    def _place_refusal(
-        self, refusal: Refusal, last: EndpointFault | None, passage: Passage
+    def _slot_refusal(
+        self, refusal: Refusal, last: EndpointFault | None, context: RequestContext
     ) -> Refusal:
-        """Refuse for want of a place, or for the fault that led to the retry."""
+        """Refuse for want of a slot, or for the fault that led to the retry."""
         if last is not None and refusal.kind is ErrorKind.NO_ENDPOINT:
-            return fault_refusal(last, passage.ran)
-        return dataclasses.replace(refusal, ran=passage.ran)
+            return fault_refusal(last, context.ran)
+        return dataclasses.replace(refusal, ran=context.ran)
 
 
-def _build_call(passage: Passage, target: Target, resume_after: int) -> EndpointCall:
-    request = passage.request
+def _build_call(
+    context: RequestContext, target: Target, resume_after: int
+) -> EndpointCall:
+    request = context.request
     work = request.work
     is_chat = isinstance(work, ChatWork)
     if is_chat:
-        body = work.body_for(target, output_tokens=passage.inputs.output_tokens)
+        body = work.body_for(target, output_tokens=context.inputs.output_tokens)
     else:
         body = work.body
     return EndpointCall(
@@ -368,8 +376,8 @@
         headers=dict(work.target_headers()),
         target=target if is_chat else None,
         stream=is_chat and work.stream,
-        deadline=passage.deadline,
-        priority=passage.priority,
-        fresh_connection=not passage.idempotent,
+        deadline=context.deadline,
+        priority=context.priority,
+        fresh_connection=not context.idempotent,
         resume_after=resume_after,
     )
--- a/linnetladder/coordination/attempts/streams.py
+++ b/linnetladder/coordination/attempts/streams.py
@@ -19,7 +19,7 @@
     Usage,
 )
 from linnetladder.coordination.attempts.faults import fault_refusal
-from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.attempts.runner import AttemptRunner, BegunAnswer
 from linnetladder.coordination.billing.completion import Completion
 from linnetladder.coordination.routing.entry import EntryChecks
 from linnetladder.coordination.routing.exchanges import (
@@ -27,7 +27,7 @@
     Refused,
     StreamExchange,
 )
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.errors import Ran, Refusal
 from linnetladder.telemetry import Metrics, Tracer
 
@@ -45,8 +45,8 @@
     def __init__(
         self,
         *,
-        passage: Passage,
-        reached: Reached,
+        context: RequestContext,
+        begun: BegunAnswer,
         head: AnswerHead,
         runner: AttemptRunner,
         completion: Completion,
@@ -54,8 +54,8 @@
         metrics: Metrics,
         tracer: Tracer,
     ):
-        self.passage = passage
-        self.reached = reached
+        self.context = context
+        self.begun = begun
         self.head = head
         self.runner = runner
         self.completion = completion
@@ -72,7 +72,7 @@
         """Yield the events' bytes, resuming as needed, then the end or a refusal."""
         while True:
             fault: EndpointFault | None = None
-            async for outcome in self.reached.answer.events():
+            async for outcome in self.begun.answer.events():
                 if isinstance(outcome, Failure):
                     fault = outcome.failure()
                     break
@@ -83,7 +83,7 @@
                     yield await self._end(end)
                     return
             if fault is None:
-                fault = _cut_fault(self.reached)
+                fault = _cut_fault(self.begun)
             refusal = await self._recover(fault)
             if refusal is not None:
                 yield await self._refuse(refusal)
@@ -94,11 +94,11 @@
         if self.finished:
             return
         self.metrics.count("caller_left")
-        await self.reached.answer.close()
-        self.runner.cancel_at_endpoint(self.reached.place.endpoint, self.reached.call)
+        await self.begun.answer.close()
+        self.runner.cancel_at_endpoint(self.begun.slot.endpoint, self.begun.call)
         if self.passed_on and not self.billed:
             usage = self._usage_so_far()
-            self.completion.bill_without_waiting(self.passage, usage, complete=False)
+            self.completion.bill_without_waiting(self.context, usage, complete=False)
         self._finish("")
 
     def _take(self, events: list[StreamEvent]) -> tuple[bytes, StreamEvent | None]:
@@ -117,73 +117,73 @@
     async def _end(self, end: StreamEvent) -> bytes | Refused:
         self.billed = True
         refusal = await self.completion.bill(
-            self.passage, self._usage_so_far(), passed_on=True
+            self.context, self._usage_so_far(), passed_on=True
         )
         if refusal is not None:
             return await self._refuse(refusal)
-        endpoint = self.reached.place.endpoint
+        endpoint = self.begun.slot.endpoint
         self.runner.ejector.succeeded(endpoint)
-        self.metrics.count("answered", label=str(self.passage.target))
+        self.metrics.count("answered", label=str(self.context.target))
         self._finish("")
         return end.data
 
     async def _recover(self, fault: EndpointFault) -> Refusal | None:
         """Go on with the stream after a fault, or return the refusal."""
-        place = self.reached.place
-        self.passage.ran = Ran.YES
-        await self.reached.answer.close()
-        resumable = fault.kind in RESUMABLE_FAULTS and self.passage.idempotent
+        slot = self.begun.slot
+        self.context.ran = Ran.YES
+        await self.begun.answer.close()
+        resumable = fault.kind in RESUMABLE_FAULTS and self.context.idempotent
         if not resumable or self.resumes >= MAXIMUM_RESUMES:
-            await self.runner.learn_from(self.passage, place, fault)
+            await self.runner.learn_from(self.context, slot, fault)
             return fault_refusal(fault, Ran.YES)
         self.resumes += 1
-        self.runner.client.suspect(place.endpoint)
-        call = dataclasses.replace(self.reached.call, resume_after=self.passed_on)
-        resumed = await self.runner.client.resume(place.endpoint, call)
+        self.runner.client.suspect(slot.endpoint)
+        call = dataclasses.replace(self.begun.call, resume_after=self.passed_on)
+        resumed = await self.runner.client.resume(slot.endpoint, call)
         if isinstance(resumed, Failure):
-            await self.runner.learn_from(self.passage, place, fault)
+            await self.runner.learn_from(self.context, slot, fault)
             resumed = await self._resume_elsewhere()
         if isinstance(resumed, Failure):
             return resumed.failure()
         self.metrics.count("stream_resumes")
-        self.reached.answer = resumed.unwrap()
+        self.begun.answer = resumed.unwrap()
         return None
 
     async def _resume_elsewhere(self) -> Result[StreamAnswer, Refusal]:
         """Run the request again at another endpoint and skip what was passed on."""
-        place = self.reached.place
-        place.release(self.runner.clock.monotonic())
-        reached = await self.runner.run_again(
-            self.passage,
-            self.passage.target,
-            tried=frozenset({place.endpoint.name}),
+        slot = self.begun.slot
+        slot.release(self.runner.clock.monotonic())
+        begun = await self.runner.run_again(
+            self.context,
+            self.context.target,
+            tried=frozenset({slot.endpoint.name}),
             resume_after=self.passed_on,
         )
-        if isinstance(reached, Failure):
-            return Failure(dataclasses.replace(reached.failure(), ran=Ran.YES))
-        self.reached = reached.unwrap()
-        return Success(self.reached.answer)
+        if isinstance(begun, Failure):
+            return Failure(dataclasses.replace(begun.failure(), ran=Ran.YES))
+        self.begun = begun.unwrap()
+        return Success(self.begun.answer)
 
     async def _refuse(self, refusal: Refusal) -> Refused:
-        refused = await self.completion.refuse(self.passage, refusal)
+        refused = await self.completion.refuse(self.context, refusal)
         self._finish(refusal.kind)
         return refused
 
     def _usage_so_far(self) -> Usage:
         if self.usage is not None:
             return self.usage
-        return Usage(self.passage.inputs.input_tokens, self.passed_on)
+        return Usage(self.context.inputs.input_tokens, self.passed_on)
 
     def _finish(self, refused: str) -> None:
         self.finished = True
         now = self.runner.clock.monotonic()
-        self.reached.place.release(now)
-        self.runner.end_trial(self.passage, clean=not refused)
-        self.checks.leave(self.passage)
-        self.metrics.record("total_seconds", now - self.passage.request.received)
-        self.tracer.finish(self.passage.trace, refused=refused)
+        self.begun.slot.release(now)
+        self.runner.end_trial(self.context, clean=not refused)
+        self.checks.leave(self.context)
+        self.metrics.record("total_seconds", now - self.context.request.received)
+        self.tracer.finish(self.context.trace, refused=refused)
 
 
-def _cut_fault(reached: Reached) -> EndpointFault:
-    detail = f"endpoint {reached.place.endpoint.name!r} ended the stream before its end"
+def _cut_fault(begun: BegunAnswer) -> EndpointFault:
+    detail = f"endpoint {begun.slot.endpoint.name!r} ended the stream before its end"
     return EndpointFault(kind=EndpointFaultKind.CUT, ran=Ran.YES, detail=detail)
--- a/linnetladder/coordination/billing/completion.py
+++ b/linnetladder/coordination/billing/completion.py
@@ -8,7 +8,7 @@
 from linnetladder.coordination.claims.strategies import ClaimStrategy
 from linnetladder.coordination.claims.tickets import TicketClaims
 from linnetladder.coordination.routing.exchanges import AnswerHead, Refused
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.state import Bill, Clock, KeyRing, Receipt, Session, VersionRef
 from linnetladder.state.ledger import bill_id
@@ -18,7 +18,7 @@
 
 __all__ = ["Completion"]
 
-MAXIMUM_PASSED_OVER = 12
+MAXIMUM_REJECTED_CANDIDATES = 12
 MINIMUM_BILL_WAIT_SECONDS = 5.0
 BILL_ALL_STEPS = "all"
 SESSION_OPENED = "opened"
@@ -49,7 +49,7 @@
         self.incarnation = incarnation
 
     async def bill(
-        self, passage: Passage, usage: Usage, *, passed_on: bool = False
+        self, context: RequestContext, usage: Usage, *, passed_on: bool = False
     ) -> Refusal | None:
         """Bill an answer and return once the bill is safe, or the refusal.
 
@@ -60,16 +60,16 @@
         does its bill.
         """
         before = self.clock.monotonic()
-        bill = self._build_bill(passage, usage, complete=True)
-        puts = passage.claims.answered(passage.claim) if passage.claim else ()
+        bill = self._build_bill(context, usage, complete=True)
+        puts = context.claims.answered(context.claim) if context.claim else ()
         safe = self.bills.add(bill, puts)
-        hop = passage.trace.begin(Safety.STANDS.value) if passage.trace else None
-        wait = max(passage.deadline - before, MINIMUM_BILL_WAIT_SECONDS)
+        hop = context.trace.begin(Safety.STANDS.value) if context.trace else None
+        wait = max(context.deadline - before, MINIMUM_BILL_WAIT_SECONDS)
         try:
             async with asyncio.timeout(wait):
                 await asyncio.shield(safe)
         except asyncio.CancelledError:
-            if passage.idempotent and not passed_on:
+            if context.idempotent and not passed_on:
                 self._void(bill, safe)
             raise
         except TimeoutError:
@@ -89,127 +89,131 @@
         self.metrics.count("bills_voided")
 
     def bill_without_waiting(
-        self, passage: Passage, usage: Usage, *, complete: bool
+        self, context: RequestContext, usage: Usage, *, complete: bool
     ) -> None:
         """Bill what a caller received before it left."""
-        self.bills.add(self._build_bill(passage, usage, complete=complete))
+        self.bills.add(self._build_bill(context, usage, complete=complete))
 
-    def answer_head(self, passage: Passage) -> AnswerHead:
+    def answer_head(self, context: RequestContext) -> AnswerHead:
         """Return what is told beside an answer, with a receipt signed now."""
-        token, state = self._session_token(passage)
+        token, state = self._session_token(context)
         return AnswerHead(
-            request_id=passage.request.request_id,
-            target=str(passage.target),
-            receipt=self._receipt(passage, None),
+            request_id=context.request.request_id,
+            target=str(context.target),
+            receipt=self._receipt(context, None),
             session_token=token,
             session_state=state,
         )
 
-    async def refuse(self, passage: Passage, refusal: Refusal) -> Refused:
+    async def refuse(self, context: RequestContext, refusal: Refusal) -> Refused:
         """Return a refusal whose ``ran`` is true of the request as the caller names it.
 
         A request that the caller has named may have been sent before, to any daemon,
         so only its claim can show that it did not run.
         """
-        ran = await self._true_ran(passage, refusal)
+        ran = await self._true_ran(context, refusal)
         explanation = refusal.explanation
-        if passage.snapshot is not None and not explanation.revision:
+        if context.snapshot is not None and not explanation.revision:
             explanation = dataclasses.replace(
                 explanation,
-                revision=passage.snapshot.revision,
-                account=passage.account,
-                passed_over=passage.passed_over,
+                revision=context.snapshot.revision,
+                account=context.account,
+                rejected_candidates=context.rejected_candidates,
             )
         refusal = dataclasses.replace(refusal, ran=ran, explanation=explanation)
         self.metrics.count("refused", label=refusal.kind)
         self.metrics.count("refused_ran", label=ran)
         return Refused(
-            request_id=passage.request.request_id,
+            request_id=context.request.request_id,
             refusal=refusal,
-            receipt=self._receipt(passage, refusal),
+            receipt=self._receipt(context, refusal),
         )
 
-    async def _true_ran(self, passage: Passage, refusal: Refusal) -> Ran:
-        request = passage.request
+    async def _true_ran(self, context: RequestContext, refusal: Refusal) -> Ran:
+        request = context.request
         if refusal.ran is not Ran.NO or not request.key_given:
             return refusal.ran
-        if passage.idempotent or passage.view is None:
+        if context.idempotent or context.view is None:
             return Ran.UNKNOWN
-        if passage.claim is not None:
-            await passage.claims.release(passage.claim)
+        if context.claim is not None:
+            await context.claims.release(context.claim)
             return Ran.NO
         claims = self.tickets if request.ticket else self.claims
-        return await claims.ran(passage.claim_wish())
+        return await claims.ran(context.build_claim_request())
 
-    def _build_bill(self, passage: Passage, usage: Usage, *, complete: bool) -> Bill:
-        request = passage.request
+    def _build_bill(
+        self, context: RequestContext, usage: Usage, *, complete: bool
+    ) -> Bill:
+        request = context.request
         return Bill(
-            bill_id=bill_id(account=passage.account, request_key=request.request_key),
+            bill_id=bill_id(account=context.account, request_key=request.request_key),
             record_id=request.request_id,
-            account=passage.account,
+            account=context.account,
             request_key=request.request_key,
-            target=str(passage.target),
+            target=str(context.target),
             input_tokens=usage.input_tokens,
             output_tokens=usage.output_tokens,
-            price=self._price(passage, usage),
+            price=self._price(context, usage),
             time_seconds=self.clock.unix(),
             complete=complete,
         )
 
-    def _price(self, passage: Passage, usage: Usage) -> float:
+    def _price(self, context: RequestContext, usage: Usage) -> float:
         """Return the price of the answer that is given.
 
         Accounts whose settings say so also pay for answers that it replaced.
         """
-        target = passage.target
+        target = context.target
         if not isinstance(target, VersionRef):
-            return passage.snapshot.services[target].price
+            return context.snapshot.services[target].price
         charged = [(target, usage)]
-        if passage.view.settings.values.escalation_billing == BILL_ALL_STEPS:
-            charged.extend(passage.superseded)
+        if context.view.settings.values.escalation_billing == BILL_ALL_STEPS:
+            charged.extend(context.superseded)
         return sum(
-            passage.snapshot.versions[ref].price(
+            context.snapshot.versions[ref].price(
                 input_tokens=used.input_tokens, output_tokens=used.output_tokens
             )
             for ref, used in charged
         )
 
-    def _session_token(self, passage: Passage) -> tuple[str, str]:
+    def _session_token(self, context: RequestContext) -> tuple[str, str]:
         """Return the token for the caller to keep, and what became of the session."""
-        request = passage.request
-        if passage.session is not None:
+        request = context.request
+        if context.session is not None:
             return request.session.token, SESSION_KEPT
         restarted = bool(request.session.token)
         if not (request.session.open or restarted):
             return "", ""
-        if not isinstance(passage.target, VersionRef):
+        if not isinstance(context.target, VersionRef):
             return "", ""
-        lifetime = passage.view.settings.values.session_lifetime_seconds
+        lifetime = context.view.settings.values.session_lifetime_seconds
         session = Session(
             session_id=request.request_id,
-            account=passage.account,
-            pin=passage.target,
-            revision=passage.snapshot.revision,
+            account=context.account,
+            pin=context.target,
+            revision=context.snapshot.revision,
             expires_seconds=self.clock.unix() + lifetime,
         )
         state = SESSION_RESTARTED if restarted else SESSION_OPENED
         return open_token(session, keys=self.keys), state
 
-    def _receipt(self, passage: Passage, refusal: Refusal | None) -> str:
+    def _receipt(self, context: RequestContext, refusal: Refusal | None) -> str:
         if self.keys.current is None:
             return ""
-        passed_over = passage.passed_over[:MAXIMUM_PASSED_OVER]
+        rejected_candidates = context.rejected_candidates[:MAXIMUM_REJECTED_CANDIDATES]
         receipt = Receipt(
-            request_id=passage.request.request_id,
+            request_id=context.request.request_id,
             incarnation=self.incarnation,
-            revision=passage.snapshot.revision if passage.snapshot else 0,
+            revision=context.snapshot.revision if context.snapshot else 0,
             time_seconds=self.clock.unix(),
-            inputs=passage.inputs,
-            chosen=str(passage.target),
+            inputs=context.inputs,
+            chosen=str(context.target),
             refused=refusal.kind if refusal else "",
             node=refusal.explanation.node if refusal else "",
             detail=refusal.detail if refusal else "",
-            passed_over=tuple((p.candidate, p.reason) for p in passed_over),
-            trials=tuple(passage.trials),
+            rejected_candidates=tuple(
+                (p.candidate, p.reason) for p in rejected_candidates
+            ),
+            trials=tuple(context.trials),
         )
         return sign_receipt(receipt, keys=self.keys)
--- a/linnetladder/coordination/cascades/escalation.py
+++ b/linnetladder/coordination/cascades/escalation.py
@@ -8,10 +8,10 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.attempts.endpoint_client import StreamAnswer, Usage
-from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.attempts.runner import AttemptRunner, BegunAnswer
 from linnetladder.coordination.cascades.learner import QualityLearner
 from linnetladder.coordination.cascades.rating import AnswerRater, RatingQuestion
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.errors import Refusal
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics
@@ -42,58 +42,60 @@
         self.metrics = metrics
 
     async def finish(
-        self, passage: Passage, reached: Reached
-    ) -> Result[Reached, Refusal]:
+        self, context: RequestContext, begun: BegunAnswer
+    ) -> Result[BegunAnswer, Refusal]:
         """Return the answer to give: the first that is not poor, or the last."""
-        steps = passage.plan.steps
+        steps = context.plan.steps
         for position, following in enumerate(steps[1:], start=1):
-            if isinstance(reached.answer, StreamAnswer):
-                return Success(reached)
-            reached.place.release(self.clock.monotonic())
-            if not self._has_time(passage, reached):
-                return Success(reached)
+            if isinstance(begun.answer, StreamAnswer):
+                return Success(begun)
+            begun.slot.release(self.clock.monotonic())
+            if not self._has_time(context, begun):
+                return Success(begun)
             prefix = ">".join(str(step.ref) for step in steps[:position])
-            if not await self._is_poor(passage, reached, prefix):
-                return Success(reached)
-            better = await self.runner.run(passage, following.ref)
+            if not await self._is_poor(context, begun, prefix):
+                return Success(begun)
+            better = await self.runner.run(context, following.ref)
             if isinstance(better, Failure):
-                return Success(reached)
+                return Success(begun)
             self.metrics.count("escalations")
-            passage.superseded = self._with_superseded(passage, reached)
-            passage.target = following.ref
-            reached = better.unwrap()
-        return Success(reached)
+            context.superseded = self._with_superseded(context, begun)
+            context.target = following.ref
+            begun = better.unwrap()
+        return Success(begun)
 
-    def _has_time(self, passage: Passage, reached: Reached) -> bool:
+    def _has_time(self, context: RequestContext, begun: BegunAnswer) -> bool:
         """Tell whether another step, twice as long as this one, fits the deadline."""
         now = self.clock.monotonic()
-        taken = now - reached.place.taken
+        taken = now - begun.slot.taken
         needed = max(taken * STEP_TIME_FACTOR, MINIMUM_SECONDS_LEFT) + RATING_SECONDS
-        return now + needed <= passage.deadline
+        return now + needed <= context.deadline
 
-    async def _is_poor(self, passage: Passage, reached: Reached, prefix: str) -> bool:
+    async def _is_poor(
+        self, context: RequestContext, begun: BegunAnswer, prefix: str
+    ) -> bool:
         question = RatingQuestion(
-            request_id=passage.request.request_id,
-            account=passage.account,
-            request_kind=passage.request.request_kind,
-            target=str(passage.target),
-            answer=reached.answer.body,
+            request_id=context.request.request_id,
+            account=context.account,
+            request_kind=context.request.request_kind,
+            target=str(context.target),
+            answer=begun.answer.body,
         )
         rated = await self.rater.is_poor(question, seconds=RATING_SECONDS)
         if isinstance(rated, Failure):
             return False
         poor = rated.unwrap()
         self.learner.learn_poor(
-            account=passage.account,
-            kind=passage.request.request_kind,
+            account=context.account,
+            kind=context.request.request_kind,
             target=prefix,
             poor=poor,
             now=self.clock.unix(),
-            snapshot=passage.snapshot,
+            snapshot=context.snapshot,
         )
         return poor
 
-    def _with_superseded(self, passage: Passage, reached: Reached) -> tuple:
+    def _with_superseded(self, context: RequestContext, begun: BegunAnswer) -> tuple:
         """Return the answers that were replaced, for accounts that pay for them."""
-        usage: Usage = reached.answer.usage
-        return (*passage.superseded, (passage.target, usage))
+        usage: Usage = begun.answer.usage
+        return (*context.superseded, (context.target, usage))
--- a/linnetladder/coordination/claims/strategies.py
+++ b/linnetladder/coordination/claims/strategies.py
@@ -33,7 +33,7 @@
     "Claim",
     "ClaimState",
     "ClaimStrategy",
-    "ClaimWish",
+    "ClaimRequest",
     "CompareAndSwapClaims",
     "claim_key",
     "refuse_standing",
@@ -75,7 +75,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ClaimWish:
+class ClaimRequest:
     """A submission's wish to run; ``seconds`` bounds the time to settle it.
 
     ``ticket`` is empty unless the caller sent one.
@@ -98,11 +98,11 @@
     """Decide whether a submission may run a non-idempotent request."""
 
     @abc.abstractmethod
-    async def claim(self, wish: ClaimWish) -> Result[Claim, Refusal]:
+    async def claim(self, claim_request: ClaimRequest) -> Result[Claim, Refusal]:
         """Take the right to run, or return a refusal whose ``ran`` is true."""
 
     @abc.abstractmethod
-    async def ran(self, wish: ClaimWish) -> Ran:
+    async def ran(self, claim_request: ClaimRequest) -> Ran:
         """Return whether any submission of the request is known to have run."""
 
     @abc.abstractmethod
@@ -123,31 +123,37 @@
         self.lease_id = 0
         self.lease_granted = 0.0
 
-    async def claim(self, wish: ClaimWish) -> Result[Claim, Refusal]:
+    async def claim(self, claim_request: ClaimRequest) -> Result[Claim, Refusal]:
         """Create the claim, settling a lost reply by reading back."""
         lease = await self._lease()
         if isinstance(lease, Failure):
             return Failure(_out_of_reach(lease.failure()))
         claim = Claim(
-            key=claim_key(account=wish.account, request_key=wish.request_key),
-            token=wish.token,
-            fingerprint=wish.fingerprint,
+            key=claim_key(
+                account=claim_request.account, request_key=claim_request.request_key
+            ),
+            token=claim_request.token,
+            fingerprint=claim_request.fingerprint,
             state=ClaimState.STARTED,
             lease_id=lease.unwrap(),
         )
         put = Put(claim.key, claim.encode(), claim.lease_id)
-        created = await create_if_absent(self.store, put, settle_seconds=wish.seconds)
+        created = await create_if_absent(
+            self.store, put, settle_seconds=claim_request.seconds
+        )
         if isinstance(created, Failure):
             return Failure(_out_of_reach(created.failure()))
         creation, value = created.unwrap()
         if creation is Creation.CREATED:
             return Success(claim)
         standing = Claim.decode(claim.key, value)
-        return Failure(refuse_standing(standing, wish.fingerprint))
+        return Failure(refuse_standing(standing, claim_request.fingerprint))
 
-    async def ran(self, wish: ClaimWish) -> Ran:
+    async def ran(self, claim_request: ClaimRequest) -> Ran:
         """Return ``NO`` only if the platform shows that no claim stands."""
-        key = claim_key(account=wish.account, request_key=wish.request_key)
+        key = claim_key(
+            account=claim_request.account, request_key=claim_request.request_key
+        )
         found = await self.store.get(key)
         if isinstance(found, Failure):
             return Ran.UNKNOWN
--- a/linnetladder/coordination/claims/tickets.py
+++ b/linnetladder/coordination/claims/tickets.py
@@ -15,9 +15,9 @@
 
 from linnetladder.coordination.claims.strategies import (
     Claim,
+    ClaimRequest,
     ClaimState,
     ClaimStrategy,
-    ClaimWish,
     refuse_standing,
 )
 from linnetladder.coordination.platform import Put
@@ -63,15 +63,15 @@
         payload = orjson.dumps(dataclasses.astuple(ticket))
         return self.keys.sign(payload, salt=TICKET_SALT), ticket
 
-    async def claim(self, wish: ClaimWish) -> Result[Claim, Refusal]:
+    async def claim(self, claim_request: ClaimRequest) -> Result[Claim, Refusal]:
         """Spend a ticket."""
-        read = self._read(wish)
+        read = self._read(claim_request)
         if isinstance(read, Failure):
             return read
         ticket = read.unwrap()
         standing = self.spent.get(ticket.nonce)
         if standing is not None:
-            return Failure(refuse_standing(standing, wish.fingerprint))
+            return Failure(refuse_standing(standing, claim_request.fingerprint))
         self._forget_expired()
         if len(self.spent) >= MAXIMUM_SPENT:
             detail = "the daemon holds too many spent tickets"
@@ -80,17 +80,17 @@
             )
         claim = Claim(
             key=ticket.nonce,
-            token=wish.token,
-            fingerprint=wish.fingerprint,
+            token=claim_request.token,
+            fingerprint=claim_request.fingerprint,
             state=ClaimState.STARTED,
         )
         self.spent[ticket.nonce] = claim
         self.expiry[ticket.nonce] = ticket.expires_seconds
         return Success(claim)
 
-    async def ran(self, wish: ClaimWish) -> Ran:
+    async def ran(self, claim_request: ClaimRequest) -> Ran:
         """Return what this daemon knows of its own ticket, else ``UNKNOWN``."""
-        read = self._read(wish)
+        read = self._read(claim_request)
         if isinstance(read, Failure):
             return Ran.UNKNOWN
         standing = self.spent.get(read.unwrap().nonce)
@@ -110,8 +110,8 @@
             del self.spent[claim.key]
             self.expiry.pop(claim.key, None)
 
-    def _read(self, wish: ClaimWish) -> Result[Ticket, Refusal]:
-        payload = self.keys.verify(wish.ticket, salt=TICKET_SALT)
+    def _read(self, claim_request: ClaimRequest) -> Result[Ticket, Refusal]:
+        payload = self.keys.verify(claim_request.ticket, salt=TICKET_SALT)
         if payload is None:
             detail = "the ticket was not issued by this system"
             return Failure(Refusal(ErrorKind.TICKET_INVALID, detail))
@@ -122,8 +122,10 @@
             nonce=nonce,
             expires_seconds=expires_seconds,
         )
-        if account != wish.account:
-            detail = f"the ticket was not issued to client account {wish.account!r}"
+        if account != claim_request.account:
+            detail = (
+                f"the ticket was not issued to client account {claim_request.account!r}"
+            )
             return Failure(Refusal(ErrorKind.TICKET_INVALID, detail))
         if incarnation != self.incarnation:
             detail = "the ticket can only be spent at the daemon that issued it"
--- a/linnetladder/coordination/configuration/live_state.py
+++ b/linnetladder/coordination/configuration/live_state.py
@@ -9,7 +9,11 @@
 
 from returns.result import Failure, Success
 
-from linnetladder.coordination.attempts.poison import POISON_PREFIX, Crash, PoisonBook
+from linnetladder.coordination.attempts.poison import (
+    POISON_PREFIX,
+    Crash,
+    PoisonRegistry,
+)
 from linnetladder.coordination.claims.settling import create_if_absent
 from linnetladder.coordination.configuration.in_force import (
     HEAD_KEY,
@@ -39,7 +43,7 @@
         clock: Clock,
         configuration: ConfigurationInForce,
         keys: KeyRing,
-        poison: PoisonBook,
+        poison: PoisonRegistry,
         poll_seconds: float,
     ):
         self.store = store
--- a/linnetladder/coordination/peers/links.py
+++ b/linnetladder/coordination/peers/links.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.attempts.poison import PoisonRegistry
 from linnetladder.coordination.billing.held_blocks import HeldBlocks
 from linnetladder.coordination.configuration.in_force import ConfigurationInForce
 from linnetladder.coordination.peers.configuration import PeerConfiguration
@@ -102,7 +102,7 @@
         own: Hello,
         configuration: ConfigurationInForce,
         exchange: PeerConfiguration,
-        poison: PoisonBook,
+        poison: PoisonRegistry,
         table: EndpointTable,
         held: HeldBlocks,
         clock: Clock,
--- a/linnetladder/coordination/routing/decision.py
+++ b/linnetladder/coordination/routing/decision.py
@@ -15,7 +15,7 @@
     implied_price,
 )
 from linnetladder.coordination.routing.requests import AUTOMATIC_MODEL
-from linnetladder.errors import ErrorKind, Explanation, PassedOver, Refusal
+from linnetladder.errors import ErrorKind, Explanation, Refusal, RejectedCandidate
 from linnetladder.state import (
     AccountView,
     DecisionInputs,
@@ -43,30 +43,34 @@
     implied_price: float = 0.0
     ladder: tuple[ModelVersion, ...] = ()
     refusal: Refusal | None = None
-    passed_over: tuple[PassedOver, ...] = ()
+    rejected_candidates: tuple[RejectedCandidate, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
 class _Search:
-    """The state of one decision while candidates are passed over."""
+    """The state of one decision while candidates are rejected."""
 
     snapshot: Snapshot
     view: AccountView
     inputs: DecisionInputs
-    passed_over: list[PassedOver] = dataclasses.field(default_factory=list)
+    rejected_candidates: list[RejectedCandidate] = dataclasses.field(
+        default_factory=list
+    )
 
-    def pass_over(self, ref: VersionRef, reason: str) -> None:
-        self.passed_over.append(PassedOver(str(ref), reason))
+    def reject(self, ref: VersionRef, reason: str) -> None:
+        self.rejected_candidates.append(RejectedCandidate(str(ref), reason))
 
     def refuse(self, kind: ErrorKind, detail: str, node: str = "") -> Decision:
         explanation = Explanation(
             revision=self.snapshot.revision,
             account=self.view.account,
             node=node,
-            passed_over=tuple(self.passed_over),
+            rejected_candidates=tuple(self.rejected_candidates),
         )
         refusal = Refusal(kind, detail, explanation=explanation)
-        return Decision(refusal=refusal, passed_over=tuple(self.passed_over))
+        return Decision(
+            refusal=refusal, rejected_candidates=tuple(self.rejected_candidates)
+        )
 
 
 def decide(snapshot: Snapshot, inputs: DecisionInputs) -> Decision:
@@ -107,11 +111,11 @@
     for version in search.view.allowed:
         ref = version.ref
         if pin and str(ref) != pin:
-            search.pass_over(ref, f"the session is pinned to {pin}")
+            search.reject(ref, f"the session is pinned to {pin}")
         elif wanted.model not in (AUTOMATIC_MODEL, ref.model):
-            search.pass_over(ref, f"the request asks for {search.inputs.wanted}")
+            search.reject(ref, f"the request asks for {search.inputs.wanted}")
         elif wanted.version not in ("", ref.version):
-            search.pass_over(ref, f"the request asks for {search.inputs.wanted}")
+            search.reject(ref, f"the request asks for {search.inputs.wanted}")
         else:
             found.append(version)
     return found
@@ -171,7 +175,7 @@
     kept = []
     for version in versions:
         if version.ref.version == rollout.candidate:
-            search.pass_over(version.ref, "under roll-out, configuration not confirmed")
+            search.reject(version.ref, "under roll-out, configuration not confirmed")
         else:
             kept.append(version)
     return kept
@@ -189,7 +193,7 @@
     for version in versions:
         if version is not chosen:
             reason = f"this request falls to version {chosen.ref.version}"
-            search.pass_over(version.ref, reason)
+            search.reject(version.ref, reason)
     return chosen
 
 
@@ -198,11 +202,11 @@
     serving = []
     for version in current:
         if str(version.ref) in search.inputs.pulled:
-            search.pass_over(version.ref, PULLED_REASON)
+            search.reject(version.ref, PULLED_REASON)
         elif str(version.ref) in available:
             serving.append(version)
         else:
-            search.pass_over(version.ref, "no endpoint accepts work for it")
+            search.reject(version.ref, "no endpoint accepts work for it")
     return serving
 
 
@@ -238,12 +242,12 @@
     for other in others:
         if other.steps[0] not in plan.steps:
             reason = f"expected quality {other.quality:.2f}, cost {other.cost:.0f}"
-            search.pass_over(other.steps[0].ref, reason)
+            search.reject(other.steps[0].ref, reason)
     return Decision(
         plan=plan,
         implied_price=implied_price(plan, plans),
         ladder=(first, *(p.steps[0] for p in others)),
-        passed_over=tuple(search.passed_over),
+        rejected_candidates=tuple(search.rejected_candidates),
     )
 
 
--- a/linnetladder/coordination/routing/entry.py
+++ b/linnetladder/coordination/routing/entry.py
@@ -1,15 +1,15 @@
 """The checks a request passes before a version is chosen for it.
 
-Each check either fills in the passage or returns the refusal. They run from the
+Each check either fills in the context or returns the refusal. They run from the
 cheapest to the dearest, and none of them sends anything to an endpoint.
 """
 
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.admission.limits import AccountLimits
-from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.attempts.poison import PoisonRegistry
 from linnetladder.coordination.configuration.in_force import ConfigurationInForce
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.coordination.routing.requests import (
     CallerRequest,
     ChatWork,
@@ -32,7 +32,7 @@
         configuration: ConfigurationInForce,
         keys: KeyRing,
         limits: AccountLimits,
-        poison: PoisonBook,
+        poison: PoisonRegistry,
         clock: Clock,
     ):
         self.configuration = configuration
@@ -41,29 +41,29 @@
         self.poison = poison
         self.clock = clock
 
-    def identify(self, passage: Passage) -> Refusal | None:
+    def identify(self, context: RequestContext) -> Refusal | None:
         """Find the account and the terms that the request comes under."""
-        return self._find_account(passage) or self._set_terms(passage)
+        return self._find_account(context) or self._set_terms(context)
 
-    def enter(self, passage: Passage) -> Refusal | None:
+    def enter(self, context: RequestContext) -> Refusal | None:
         """Run the other checks and return the first refusal."""
         return (
-            self._check_body(passage)
-            or self._check_service(passage)
-            or self._check_session(passage)
-            or self.poison.refuse_poison(passage.request.fingerprint)
-            or self._check_limits(passage)
+            self._check_body(context)
+            or self._check_service(context)
+            or self._check_session(context)
+            or self.poison.refuse_poison(context.request.fingerprint)
+            or self._check_limits(context)
         )
 
-    def leave(self, passage: Passage) -> None:
+    def leave(self, context: RequestContext) -> None:
         """Count the request out of its account's limits."""
-        if passage.entered:
-            passage.entered = False
-            self.limits.leave(passage.account)
+        if context.entered:
+            context.entered = False
+            self.limits.leave(context.account)
 
-    def is_fresh(self, passage: Passage) -> bool:
+    def is_fresh(self, context: RequestContext) -> bool:
         """Tell whether the configuration was confirmed recently enough."""
-        limit = passage.view.settings.values.maximum_staleness_seconds
+        limit = context.view.settings.values.maximum_staleness_seconds
         return self.configuration.age() <= limit
 
     def account_of(self, credential_digest: str) -> Result[str, Refusal]:
@@ -82,127 +82,127 @@
             return Failure(Refusal(ErrorKind.UNKNOWN_CREDENTIAL, detail))
         return Success(account)
 
-    def _find_account(self, passage: Passage) -> Refusal | None:
-        found = self.account_of(passage.request.credential_digest)
+    def _find_account(self, context: RequestContext) -> Refusal | None:
+        found = self.account_of(context.request.credential_digest)
         if isinstance(found, Failure):
             return found.failure()
-        passage.snapshot = self.configuration.snapshot
-        passage.view = passage.snapshot.view(found.unwrap())
+        context.snapshot = self.configuration.snapshot
+        context.view = context.snapshot.view(found.unwrap())
         return None
 
-    def _check_body(self, passage: Passage) -> Refusal | None:
-        limit = passage.view.settings.values.maximum_body_bytes
-        if passage.request.body_bytes <= limit:
+    def _check_body(self, context: RequestContext) -> Refusal | None:
+        limit = context.view.settings.values.maximum_body_bytes
+        if context.request.body_bytes <= limit:
             return None
         detail = (
-            f"the body of {passage.request.body_bytes} bytes exceeds the {limit} "
-            f"bytes of client account {passage.account!r}"
+            f"the body of {context.request.body_bytes} bytes exceeds the {limit} "
+            f"bytes of client account {context.account!r}"
         )
         return self._refuse(
-            passage, ErrorKind.BODY_TOO_LARGE, detail, "maximum_body_bytes"
+            context, ErrorKind.BODY_TOO_LARGE, detail, "maximum_body_bytes"
         )
 
-    def _set_terms(self, passage: Passage) -> Refusal | None:
-        request = passage.request
-        values = passage.view.settings.values
+    def _set_terms(self, context: RequestContext) -> Refusal | None:
+        request = context.request
+        values = context.view.settings.values
         seconds = request.deadline_seconds
         if seconds is None:
             seconds = values.default_deadline_seconds
         seconds = min(seconds, values.maximum_deadline_seconds)
-        passage.deadline = request.received + seconds
-        passage.priority = min(request.priority, values.maximum_priority)
-        passage.idempotent = _is_idempotent(request, passage)
+        context.deadline = request.received + seconds
+        context.priority = min(request.priority, values.maximum_priority)
+        context.idempotent = _is_idempotent(request, context)
         return None
 
-    def _check_service(self, passage: Passage) -> Refusal | None:
-        work = passage.request.work
+    def _check_service(self, context: RequestContext) -> Refusal | None:
+        work = context.request.work
         if isinstance(work, ChatWork):
             return None
-        if work.service not in passage.snapshot.services:
+        if work.service not in context.snapshot.services:
             detail = f"service {work.service!r} is not declared"
-            return self._refuse(passage, ErrorKind.UNKNOWN_SERVICE, detail)
-        if work.service not in passage.view.settings.values.allowed_services:
+            return self._refuse(context, ErrorKind.UNKNOWN_SERVICE, detail)
+        if work.service not in context.view.settings.values.allowed_services:
             detail = (
                 f"service {work.service!r} is not allowed for client account "
-                f"{passage.account!r}"
+                f"{context.account!r}"
             )
             return self._refuse(
-                passage, ErrorKind.SERVICE_NOT_ALLOWED, detail, "allowed_services"
+                context, ErrorKind.SERVICE_NOT_ALLOWED, detail, "allowed_services"
             )
         return None
 
-    def _check_session(self, passage: Passage) -> Refusal | None:
-        token = passage.request.session.token
+    def _check_session(self, context: RequestContext) -> Refusal | None:
+        token = context.request.session.token
         if not token:
             return None
         session = read_token(token, keys=self.keys)
-        if session is None or session.account != passage.account:
+        if session is None or session.account != context.account:
             detail = (
                 f"the session token was not issued to client account "
-                f"{passage.account!r}"
+                f"{context.account!r}"
             )
-            return self._refuse(passage, ErrorKind.SESSION_INVALID, detail)
+            return self._refuse(context, ErrorKind.SESSION_INVALID, detail)
         if self.clock.unix() >= session.expires_seconds:
             detail = f"session {session.session_id!r} has expired"
             return self._refuse(
-                passage,
+                context,
                 ErrorKind.SESSION_EXPIRED,
                 detail,
                 "session_lifetime_seconds",
             )
-        if self._restarts(passage, session.pin):
+        if self._restarts(context, session.pin):
             return None
-        passage.session = session
+        context.session = session
         return None
 
-    def _restarts(self, passage: Passage, pin: VersionRef) -> bool:
+    def _restarts(self, context: RequestContext, pin: VersionRef) -> bool:
         """Tell whether a withdrawn pin starts a new session instead of ending it."""
-        values = passage.view.settings.values
+        values = context.view.settings.values
         if values.session_on_withdrawal != SESSION_RESTARTS:
             return False
-        return pin in passage.view.withdrawn
+        return pin in context.view.withdrawn
 
-    def _check_limits(self, passage: Passage) -> Refusal | None:
-        wait = self.limits.take(passage.view, self.clock.monotonic())
+    def _check_limits(self, context: RequestContext) -> Refusal | None:
+        wait = self.limits.take(context.view, self.clock.monotonic())
         if wait > 0:
-            rate = passage.view.settings.values.requests_per_second
-            detail = f"client account {passage.account!r} exceeds {rate:g} requests/s"
+            rate = context.view.settings.values.requests_per_second
+            detail = f"client account {context.account!r} exceeds {rate:g} requests/s"
             return self._refuse(
-                passage, ErrorKind.RATE_LIMITED, detail, "requests_per_second", wait
+                context, ErrorKind.RATE_LIMITED, detail, "requests_per_second", wait
             )
-        if not self.limits.enter(passage.view):
-            limit = passage.view.settings.values.maximum_in_flight
+        if not self.limits.enter(context.view):
+            limit = context.view.settings.values.maximum_in_flight
             detail = (
-                f"client account {passage.account!r} has its {limit} requests in flight"
+                f"client account {context.account!r} has its {limit} requests in flight"
             )
             return self._refuse(
-                passage, ErrorKind.RATE_LIMITED, detail, "maximum_in_flight", 1.0
+                context, ErrorKind.RATE_LIMITED, detail, "maximum_in_flight", 1.0
             )
-        passage.entered = True
+        context.entered = True
         return None
 
     def _refuse(
         self,
-        passage: Passage,
+        context: RequestContext,
         kind: ErrorKind,
         detail: str,
         setting: str = "",
         retry_after: float | None = None,
     ) -> Refusal:
-        node = passage.view.settings.origins[setting] if setting else ""
+        node = context.view.settings.origins[setting] if setting else ""
         explanation = Explanation(
-            revision=passage.snapshot.revision, account=passage.account, node=node
+            revision=context.snapshot.revision, account=context.account, node=node
         )
         return Refusal(
             kind, detail, retry_after_seconds=retry_after, explanation=explanation
         )
 
 
-def _is_idempotent(request: CallerRequest, passage: Passage) -> bool:
+def _is_idempotent(request: CallerRequest, context: RequestContext) -> bool:
     """Return the caller's word, else what the kind of work says."""
     if request.idempotent is not None:
         return request.idempotent
     if isinstance(request.work, ServiceWork):
-        service = passage.snapshot.services.get(request.work.service)
+        service = context.snapshot.services.get(request.work.service)
         return service is not None and request.work.method in service.idempotent_methods
     return True
--- a/linnetladder/coordination/routing/request_context.py
+++ b/linnetladder/coordination/routing/request_context.py
@@ -4,9 +4,13 @@
 
 from linnetladder.coordination.attempts.endpoint_client import Usage
 from linnetladder.coordination.cascades.policies import Plan
-from linnetladder.coordination.claims.strategies import Claim, ClaimStrategy, ClaimWish
+from linnetladder.coordination.claims.strategies import (
+    Claim,
+    ClaimRequest,
+    ClaimStrategy,
+)
 from linnetladder.coordination.routing.requests import CallerRequest
-from linnetladder.errors import PassedOver, Ran
+from linnetladder.errors import Ran, RejectedCandidate
 from linnetladder.state import (
     AccountView,
     DecisionInputs,
@@ -18,11 +22,11 @@
 )
 from linnetladder.telemetry import RequestTrace
 
-__all__ = ["Passage"]
+__all__ = ["RequestContext"]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Passage:
+class RequestContext:
     """What has been found out and done for one request so far.
 
     ``deadline`` is monotonic seconds. ``ran`` is what is known of this submission;
@@ -39,7 +43,7 @@
     deadline: float = 0.0
     priority: int = 0
     inputs: DecisionInputs | None = None
-    passed_over: tuple[PassedOver, ...] = ()
+    rejected_candidates: tuple[RejectedCandidate, ...] = ()
     plan: Plan | None = None
     ladder: tuple[ModelVersion, ...] = ()
     superseded: tuple[tuple[Target, Usage], ...] = ()
@@ -57,10 +61,10 @@
         """The client account, or an empty string before it is known."""
         return self.view.account if self.view else ""
 
-    def claim_wish(self, *, seconds: float = 0.0) -> ClaimWish:
+    def build_claim_request(self, *, seconds: float = 0.0) -> ClaimRequest:
         """Return the wish to run this submission."""
         request = self.request
-        return ClaimWish(
+        return ClaimRequest(
             account=self.account,
             request_key=request.request_key,
             token=request.request_id,
--- a/linnetladder/coordination/routing/router.py
+++ b/linnetladder/coordination/routing/router.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.attempts.endpoint_client import StreamAnswer, WholeAnswer
-from linnetladder.coordination.attempts.runner import AttemptRunner, Reached
+from linnetladder.coordination.attempts.runner import AttemptRunner, BegunAnswer
 from linnetladder.coordination.attempts.streams import RoutedStream
 from linnetladder.coordination.billing.completion import Completion
 from linnetladder.coordination.cascades.escalation import Escalation
@@ -28,7 +28,7 @@
     StreamExchange,
     WholeExchange,
 )
-from linnetladder.coordination.routing.passage import Passage
+from linnetladder.coordination.routing.request_context import RequestContext
 from linnetladder.coordination.routing.requests import (
     AUTOMATIC_MODEL,
     CallerRequest,
@@ -96,39 +96,41 @@
     ) -> WholeExchange | StreamExchange | Refused:
         """Return the whole answer, a stream that has begun, or the refusal."""
         self.metrics.count("requests")
-        passage = Passage(request=request)
-        passage.trace = self.tracer.begin(request.trace_parent)
+        context = RequestContext(request=request)
+        context.trace = self.tracer.begin(request.trace_parent)
         try:
-            return await self._answer(passage)
+            return await self._answer(context)
         except asyncio.CancelledError:
             self.metrics.count("caller_left")
-            self._close(passage, refused="caller_left")
+            self._close(context, refused="caller_left")
             raise
         except Exception:
-            self._close(passage, refused=ErrorKind.INTERNAL)
+            self._close(context, refused=ErrorKind.INTERNAL)
             raise
 
     async def _answer(
-        self, passage: Passage
+        self, context: RequestContext
     ) -> WholeExchange | StreamExchange | Refused:
-        outcome = await self._route(passage)
+        outcome = await self._route(context)
         if isinstance(outcome, Failure):
-            return await self._refuse(passage, outcome.failure())
-        reached = outcome.unwrap()
-        if isinstance(reached.answer, StreamAnswer):
-            return self._begin_stream(passage, reached)
-        reached = await self._escalate(passage, reached)
-        return await self._finish_whole(passage, reached)
+            return await self._refuse(context, outcome.failure())
+        begun = outcome.unwrap()
+        if isinstance(begun.answer, StreamAnswer):
+            return self._begin_stream(context, begun)
+        begun = await self._escalate(context, begun)
+        return await self._finish_whole(context, begun)
 
-    async def _escalate(self, passage: Passage, reached: Reached) -> Reached:
+    async def _escalate(
+        self, context: RequestContext, begun: BegunAnswer
+    ) -> BegunAnswer:
         """Go on with the plan if its first step answered and a rater is to be had."""
-        plan = passage.plan
-        if self.escalation is None or plan is None or passage.session is not None:
-            return reached
-        if passage.target != plan.steps[0].ref or not passage.idempotent:
-            return reached
-        passage.ran = Ran.YES
-        return (await self.escalation.finish(passage, reached)).unwrap()
+        plan = context.plan
+        if self.escalation is None or plan is None or context.session is not None:
+            return begun
+        if context.target != plan.steps[0].ref or not context.idempotent:
+            return begun
+        context.ran = Ran.YES
+        return (await self.escalation.finish(context, begun)).unwrap()
 
     def issue_ticket(
         self, credential_digest: str
@@ -142,22 +144,22 @@
             return Failure(Refusal(ErrorKind.DRAINING, detail, retry_after_seconds=0.5))
         return Success(self.tickets.issue(account.unwrap()))
 
-    async def _route(self, passage: Passage) -> Result[Reached, Refusal]:
+    async def _route(self, context: RequestContext) -> Result[BegunAnswer, Refusal]:
         """Do everything up to an endpoint's answer."""
         refusal = (
-            self.checks.identify(passage)
-            or self._refuse_at_the_door(passage)
-            or self.checks.enter(passage)
+            self.checks.identify(context)
+            or self._refuse_at_the_door(context)
+            or self.checks.enter(context)
         )
         if refusal is None:
-            refusal = self._decide(passage)
+            refusal = self._decide(context)
         if refusal is None:
-            refusal = await self._claim(passage)
+            refusal = await self._claim(context)
         if refusal is not None:
             return Failure(refusal)
-        return await self._run(passage)
+        return await self._run(context)
 
-    def _refuse_at_the_door(self, passage: Passage) -> Refusal | None:
+    def _refuse_at_the_door(self, context: RequestContext) -> Refusal | None:
         if self.draining:
             detail = "the daemon is shutting down; another one takes the request"
             return Refusal(ErrorKind.DRAINING, detail, retry_after_seconds=0.5)
@@ -170,55 +172,57 @@
             )
         return None
 
-    def _decide(self, passage: Passage) -> Refusal | None:
+    def _decide(self, context: RequestContext) -> Refusal | None:
         """Choose the versions that may answer, or the plain service."""
-        work = passage.request.work
+        work = context.request.work
         if not isinstance(work, ChatWork):
-            passage.target = work.service
+            context.target = work.service
             return None
         before = self.clock.monotonic()
-        hop = passage.trace.begin("decision") if passage.trace else None
-        passage.inputs = self._decision_inputs(passage, work)
-        decision = decide(passage.snapshot, passage.inputs)
-        passage.passed_over = decision.passed_over
+        hop = context.trace.begin("decision") if context.trace else None
+        context.inputs = self._decision_inputs(context, work)
+        decision = decide(context.snapshot, context.inputs)
+        context.rejected_candidates = decision.rejected_candidates
         self.metrics.record("decision_seconds", self.clock.monotonic() - before)
         if hop is not None:
             hop.end(failed=decision.refusal is not None)
         if decision.refusal is not None:
             return decision.refusal
-        passage.plan = decision.plan
-        passage.ladder = decision.ladder
+        context.plan = decision.plan
+        context.ladder = decision.ladder
         self.learner.chosen(
-            passage.account,
-            target=passage.view.settings.values.quality_target,
+            context.account,
+            target=context.view.settings.values.quality_target,
             quality=decision.plan.quality,
             price=decision.implied_price,
         )
-        passage.target = decision.ladder[0].ref
+        context.target = decision.ladder[0].ref
         return None
 
-    def _decision_inputs(self, passage: Passage, work: ChatWork) -> DecisionInputs:
-        request = passage.request
+    def _decision_inputs(
+        self, context: RequestContext, work: ChatWork
+    ) -> DecisionInputs:
+        request = context.request
         now = self.clock.monotonic()
-        key = f"{passage.account}\0{request.request_key}"
-        limit = passage.view.settings.values.maximum_output_tokens
-        available = self._available(passage.view, work.wanted, now)
+        key = f"{context.account}\0{request.request_key}"
+        limit = context.view.settings.values.maximum_output_tokens
+        available = self._available(context.view, work.wanted, now)
         return DecisionInputs(
-            account=passage.account,
+            account=context.account,
             wanted=work.wanted,
             request_kind=request.request_kind,
             input_tokens=work.input_tokens,
             output_tokens=min(work.output_tokens or limit, limit),
             draw=xxhash.xxh64_intdigest(key.encode()) / DRAW_SCALE,
             exploration_draw=self.random.random(),
-            pin=str(passage.session.pin) if passage.session else "",
-            fresh=self.checks.is_fresh(passage),
+            pin=str(context.session.pin) if context.session else "",
+            fresh=self.checks.is_fresh(context),
             available=available,
             pulled=self.watch.pulled_names(),
             quality=build_quality_inputs(
                 self.learner,
-                passage.snapshot,
-                passage.view,
+                context.snapshot,
+                context.view,
                 request.request_kind,
                 available,
                 rater=self.escalation is not None and not work.stream,
@@ -236,60 +240,62 @@
             and self.table.accepts_work(entry.ref, now)
         )
 
-    async def _claim(self, passage: Passage) -> Refusal | None:
+    async def _claim(self, context: RequestContext) -> Refusal | None:
         """Take the right to run a non-idempotent request that the caller named."""
-        request = passage.request
-        if passage.idempotent or not request.key_given:
+        request = context.request
+        if context.idempotent or not request.key_given:
             return None
-        hop = passage.trace.begin("platform claim") if passage.trace else None
-        remaining = passage.deadline - self.clock.monotonic()
-        passage.claims = self.tickets if request.ticket else self.claims
+        hop = context.trace.begin("platform claim") if context.trace else None
+        remaining = context.deadline - self.clock.monotonic()
+        context.claims = self.tickets if request.ticket else self.claims
         seconds = min(CLAIM_SETTLE_SECONDS, max(remaining, 0.0))
-        claimed = await passage.claims.claim(passage.claim_wish(seconds=seconds))
+        claimed = await context.claims.claim(
+            context.build_claim_request(seconds=seconds)
+        )
         refused = isinstance(claimed, Failure)
         if hop is not None:
             hop.end(failed=refused)
         self.metrics.count("claims", label="refused" if refused else "created")
         if refused:
             return claimed.failure()
-        passage.claim = claimed.unwrap()
+        context.claim = claimed.unwrap()
         return None
 
-    async def _run(self, passage: Passage) -> Result[Reached, Refusal]:
+    async def _run(self, context: RequestContext) -> Result[BegunAnswer, Refusal]:
         """Run the attempts at the first choice, then at the others if it has no room.
 
-        Nothing but want of a place leads on: a version that was tried and failed is
+        Nothing but want of a slot leads on: a version that was tried and failed is
         not silently replaced by another.
         """
-        targets: tuple[Target, ...] = tuple(v.ref for v in passage.ladder)
-        first: Result[Reached, Refusal] | None = None
-        for target in targets or (passage.target,):
-            passage.target = target
-            outcome = await self.runner.run(passage, target)
+        targets: tuple[Target, ...] = tuple(v.ref for v in context.ladder)
+        first: Result[BegunAnswer, Refusal] | None = None
+        for target in targets or (context.target,):
+            context.target = target
+            outcome = await self.runner.run(context, target)
             if isinstance(outcome, Success):
                 return outcome
             first = first or outcome
             refusal = outcome.failure()
-            if refusal.kind not in FALLBACK_KINDS or passage.ran is not Ran.NO:
+            if refusal.kind not in FALLBACK_KINDS or context.ran is not Ran.NO:
                 return outcome
         return first
 
     async def _finish_whole(
-        self, passage: Passage, reached: Reached
+        self, context: RequestContext, begun: BegunAnswer
     ) -> WholeExchange | Refused:
         """Bill a whole answer and hand it back."""
-        answer: WholeAnswer = reached.answer
-        passage.ran = Ran.YES
+        answer: WholeAnswer = begun.answer
+        context.ran = Ran.YES
         now = self.clock.monotonic()
-        reached.place.release(now)
-        self.runner.ejector.succeeded(reached.place.endpoint)
-        refusal = await self.completion.bill(passage, answer.usage)
+        begun.slot.release(now)
+        self.runner.ejector.succeeded(begun.slot.endpoint)
+        refusal = await self.completion.bill(context, answer.usage)
         if refusal is not None:
-            return await self._refuse(passage, refusal)
-        head = self.completion.answer_head(passage)
-        self._expect_rating(passage)
-        self.metrics.count("answered", label=str(passage.target))
-        self._close(passage, refused="")
+            return await self._refuse(context, refusal)
+        head = self.completion.answer_head(context)
+        self._expect_rating(context)
+        self.metrics.count("answered", label=str(context.target))
+        self._close(context, refused="")
         return WholeExchange(
             head=head,
             status=answer.status,
@@ -297,20 +303,22 @@
             body=answer.body,
         )
 
-    def _expect_rating(self, passage: Passage) -> None:
+    def _expect_rating(self, context: RequestContext) -> None:
         """Remember what was expected, for when the answer is rated."""
-        if self.feed is not None and passage.plan is not None:
-            self.feed.expect(passage.request.request_id, passage.plan.quality)
+        if self.feed is not None and context.plan is not None:
+            self.feed.expect(context.request.request_id, context.plan.quality)
 
-    def _begin_stream(self, passage: Passage, reached: Reached) -> RoutedStream:
-        passage.ran = Ran.YES
-        self._expect_rating(passage)
+    def _begin_stream(
+        self, context: RequestContext, begun: BegunAnswer
+    ) -> RoutedStream:
+        context.ran = Ran.YES
+        self._expect_rating(context)
         now = self.clock.monotonic()
-        self.metrics.record("first_byte_seconds", now - passage.request.received)
+        self.metrics.record("first_byte_seconds", now - context.request.received)
         return RoutedStream(
-            passage=passage,
-            reached=reached,
-            head=self.completion.answer_head(passage),
+            context=context,
+            begun=begun,
+            head=self.completion.answer_head(context),
             runner=self.runner,
             completion=self.completion,
             checks=self.checks,
@@ -318,14 +326,14 @@
             tracer=self.tracer,
         )
 
-    async def _refuse(self, passage: Passage, refusal: Refusal) -> Refused:
-        refused = await self.completion.refuse(passage, refusal)
-        self._close(passage, refused=refusal.kind)
+    async def _refuse(self, context: RequestContext, refusal: Refusal) -> Refused:
+        refused = await self.completion.refuse(context, refusal)
+        self._close(context, refused=refusal.kind)
         return refused
 
-    def _close(self, passage: Passage, *, refused: str) -> None:
-        self.runner.end_trial(passage, clean=not refused)
-        self.checks.leave(passage)
-        elapsed = self.clock.monotonic() - passage.request.received
+    def _close(self, context: RequestContext, *, refused: str) -> None:
+        self.runner.end_trial(context, clean=not refused)
+        self.checks.leave(context)
+        elapsed = self.clock.monotonic() - context.request.received
         self.metrics.record("total_seconds", elapsed)
-        self.tracer.finish(passage.trace, refused=refused)
+        self.tracer.finish(context.trace, refused=refused)
--- a/linnetladder/daemon.py
+++ b/linnetladder/daemon.py
@@ -248,7 +248,7 @@
     def _define_gauges(self, parts: Parts) -> None:
         gauge = parts.metrics.gauge
         gauge("in_flight", "Requests in flight", lambda: parts.callers.active)
-        gauge("queued", "Requests waiting for a place", parts.admission.queued)
+        gauge("queued", "Requests waiting for a slot", parts.admission.queued)
         gauge(
             "bills_unrecorded",
             "Bills that do not stand yet",
--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -13,7 +13,7 @@
     "Answer",
     "ErrorKind",
     "Explanation",
-    "PassedOver",
+    "RejectedCandidate",
     "Ran",
     "Refusal",
 ]
@@ -137,7 +137,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class PassedOver:
+class RejectedCandidate:
     """One candidate that a decision considered, and why it was not taken."""
 
     candidate: str
@@ -155,7 +155,7 @@
     revision: int = 0
     account: str = ""
     node: str = ""
-    passed_over: tuple[PassedOver, ...] = ()
+    rejected_candidates: tuple[RejectedCandidate, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/linnetladder/management/commands/explain.py
+++ b/linnetladder/management/commands/explain.py
@@ -64,7 +64,10 @@
         rows.append(("detail", receipt.detail))
     if receipt.node:
         rows.append(("node that decided", receipt.node))
-    rows.extend(("passed over", f"{c}: {reason}") for c, reason in receipt.passed_over)
+    rows.extend(
+        ("rejected", f"{candidate}: {reason}")
+        for candidate, reason in receipt.rejected_candidates
+    )
     rows.extend(
         ("attempt", f"{trial.endpoint}, {trial.target}: {trial.outcome}")
         for trial in receipt.trials
--- a/linnetladder/protocol/problems.py
+++ b/linnetladder/protocol/problems.py
@@ -31,9 +31,9 @@
                 "revision": explanation.revision,
                 "account": explanation.account,
                 "node": explanation.node,
-                "passed_over": [
+                "rejected_candidates": [
                     {"candidate": entry.candidate, "reason": entry.reason}
-                    for entry in explanation.passed_over
+                    for entry in explanation.rejected_candidates
                 ],
             },
             "receipt": refused.receipt,
--- a/linnetladder/state/receipts.py
+++ b/linnetladder/state/receipts.py
@@ -94,7 +94,7 @@
     refused: str = ""
     node: str = ""
     detail: str = ""
-    passed_over: tuple[tuple[str, str], ...] = ()
+    rejected_candidates: tuple[tuple[str, str], ...] = ()
     trials: tuple[Trial, ...] = ()
 
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -75,7 +75,7 @@
     "first_byte_seconds": "From a request's arrival to the first byte of its answer",
     "total_seconds": "From a request's arrival to the end of its answer",
     "decision_seconds": "Time spent on choosing a version",
-    "place_seconds": "Time spent waiting for a place at an endpoint",
+    "slot_seconds": "Time spent waiting for a slot at an endpoint",
     "bill_seconds": "Time an answer's end waited for its bill",
     "platform_seconds": "Time of calls to the platform",
 }
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -9,9 +9,9 @@
 import pytest
 from returns.result import Success
 
-from linnetladder.coordination.billing import completion
-from linnetladder.coordination.attempts.poison import PoisonBook
+from linnetladder.coordination.attempts.poison import PoisonRegistry
 from linnetladder.coordination.attempts.runner import AttemptRunner
+from linnetladder.coordination.billing import completion
 from linnetladder.coordination.billing.completion import Completion
 from linnetladder.coordination.billing.copies import PeerBillCopier
 from linnetladder.coordination.cascades.policies import POLICIES, AlwaysBest
@@ -145,7 +145,7 @@
     await asyncio.sleep(5)
 
 
-async def no_claim(self, passage):
+async def no_claim(self, context):
     return None
 
 
@@ -161,11 +161,11 @@
     return True
 
 
-async def always_not_run(self, passage, refusal):
+async def always_not_run(self, context, refusal):
     return Ran.NO
 
 
-async def always_retry(self, passage, fault, attempt):
+async def always_retry(self, context, fault, attempt):
     return attempt < 3
 
 
@@ -240,7 +240,7 @@
     ),
     (
         request_that_crashes,
-        PoisonBook,
+        PoisonRegistry,
         "learn",
         lambda self, crash: False,
         "two crashes at most",
@@ -273,7 +273,7 @@
         'small: {stable: "1"}', 'small: {stable: "1", candidate: "2", share: 0.5}'
     )
     assert promises_broken(session_at_all_daemons, text=text) == set()
-    monkeypatch.setattr(EntryChecks, "_check_session", lambda self, passage: None)
+    monkeypatch.setattr(EntryChecks, "_check_session", lambda self, context: None)
     broken = promises_broken(session_at_all_daemons, text=text)
     assert "session keeps version" in broken
 
