Ask a silent endpoint over a new connection whether it lives

Cause: an endpoint that went dark, or a connection that was lost track of, held a request until its deadline; nothing bounded the time to the first byte or between bytes. Change: repeatable calls ask after their objective, streams after half of it, and are given up after two and a half objectives; others wait, since silence is no reason to end them.

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -35,6 +35,12 @@
 # Sends that prove not to have run are not attempts, but there is an end to them.
 MAXIMUM_SENDS = 6
 RETRY_SECONDS = 0.25
+# A stream's first event takes up to its objective, and more while its engine is busy;
+# half of that without a byte is worth a question. A connection that stays silent for
+# several objectives has been lost track of, even if new ones work.
+STREAM_PATIENCE_SHARE = 0.5
+SILENCE_OBJECTIVES = 2.5
+LEAST_PATIENCE_SECONDS = 0.1
 # An attempt with less time than this left is not worth sending.
 LEAST_SECONDS = 0.01
 
@@ -207,6 +213,8 @@
             model=model,
             resume_after=resume_after,
             fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
+            patience_seconds=_patience(request),
+            silence_seconds=_silence_limit(request),
         )
 
     def _note_begun(
@@ -276,6 +284,23 @@
         return self.crashes.refuse(request.fingerprint) if last is not None else None
 
 
+def _patience(request: ForwardRequest) -> float | None:
+    """Return the seconds of silence after which an endpoint is asked if it lives."""
+    if not request.route.repeatable:
+        return None
+    share = 1.0
+    if request.route.kind is RequestKind.STREAMING:
+        share = STREAM_PATIENCE_SHARE
+    return max(request.route.objective_seconds * share, LEAST_PATIENCE_SECONDS)
+
+
+def _silence_limit(request: ForwardRequest) -> float | None:
+    """Return the seconds of silence after which a living endpoint is given up too."""
+    if not request.route.repeatable:
+        return None
+    return request.route.objective_seconds * SILENCE_OBJECTIVES
+
+
 def _affinity(request: ForwardRequest, model: str) -> str:
     prompt = request.head.prompt
     if prompt is None or not prompt.session:
--- a/linnetladder/forwarding/protocol/dialects.py
+++ b/linnetladder/forwarding/protocol/dialects.py
@@ -28,7 +28,10 @@
     """One attempt at an endpoint.
 
     ``remaining_seconds`` is what the endpoint may use. ``urgency`` is 0 for the most
-    urgent work. ``model`` is empty where the caller's own word is passed on.
+    urgent work. ``model`` is empty where the caller's own word is passed on. After
+    ``patience_seconds`` without a byte the endpoint is asked over a new connection
+    whether it lives, and after ``silence_seconds`` the call is given up; ``None`` where
+    the call must be waited for, since it can't be repeated.
     """
 
     request: ForwardRequest
@@ -39,6 +42,8 @@
     model: str = ""
     resume_after: str = ""
     fresh_connection: bool = False
+    patience_seconds: float | None = None
+    silence_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -29,7 +29,7 @@
 __all__ = ["HttpEndpointCalls"]
 
 CONNECT_SECONDS = 0.4
-PROBE_SECONDS = 0.3
+PROBE_SECONDS = 0.25
 # Below the shortest time for which endpoints were seen to keep an idle connection.
 KEPT_SECONDS = 4.0
 # A request that must not be sent twice goes out on a connection used this recently.
@@ -82,35 +82,79 @@
         super()._release(key, protocol, should_close=should_close)
 
 
+class Silence:
+    """What becomes of a call while its endpoint sends nothing."""
+
+    def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall):
+        self.calls = calls
+        self.address = call.address
+        self.patience = call.patience_seconds
+        self.limit = call.silence_seconds
+
+    async def wait(self, work: asyncio.Task) -> aiohttp.ClientResponse:
+        """Return the response that a task waits for; raise `CallFault` on silence."""
+        waited = 0.0
+        try:
+            while not work.done():
+                await asyncio.wait((work,), timeout=self.patience)
+                if not work.done():
+                    waited += self.patience
+                    await self.check(waited)
+            return work.result()
+        finally:
+            if not work.done():
+                work.cancel()
+
+    async def check(self, waited: float) -> None:
+        """Raise `CallFault` if the endpoint is gone or was silent for too long."""
+        silent = self.limit is not None and waited >= self.limit
+        if silent or not await self.calls.is_reachable(self.address):
+            detail = f"{self.address} was silent for {waited:.1f} s"
+            raise CallFault(CallFaultKind.SILENT, detail, may_have_run=True)
+
+
 class HttpExchange(Exchange):
     """A call over one aiohttp response."""
 
-    def __init__(self, *, head: AnswerHead, response: aiohttp.ClientResponse):
+    def __init__(
+        self,
+        *,
+        head: AnswerHead,
+        response: aiohttp.ClientResponse,
+        silence: Silence,
+    ):
         super().__init__(head=head)
         self.response = response
+        self.silence = silence
         self.protocol = response._protocol
         self.whole = False
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        try:
-            body = await self.response.read()
-        except (aiohttp.ClientError, OSError) as error:
-            raise _cut(error) from error
-        self._check_end()
-        self.whole = True
-        return body
+        return b"".join([data async for data in self.chunks()])
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes."""
+        content = self.response.content
         try:
-            async for data in self.response.content.iter_any():
+            while data := await self._next(content):
                 yield data
         except (aiohttp.ClientError, OSError) as error:
             raise _cut(error) from error
         self._check_end()
         self.whole = True
 
+    async def _next(self, content: aiohttp.StreamReader) -> bytes:
+        """Return the next bytes, none at the end."""
+        waited = 0.0
+        while True:
+            try:
+                async with asyncio.timeout(self.silence.patience):
+                    return await content.readany()
+            except TimeoutError:
+                waited += self.silence.patience
+                await self.silence.check(waited)
+
     def close(self) -> None:
         """Close the connection, unless the answer was read to its end."""
         if self.whole and not self.head.closes:
@@ -144,15 +188,20 @@
         """Send a call and return when its answer's head is in."""
         head = call.request.head
         session = self.fresh if call.fresh_connection else self.kept
+        silence = Silence(calls=self, call=call)
+        sending = session.request(
+            head.method,
+            URL(f"http://{call.address}{head.target}", encoded=True),
+            data=call.request.body or None,
+            headers=self.dialect.call_headers(call),
+            skip_auto_headers=SKIPPED_HEADERS,
+            allow_redirects=False,
+        )
         try:
-            response = await session.request(
-                head.method,
-                URL(f"http://{call.address}{head.target}", encoded=True),
-                data=call.request.body or None,
-                headers=self.dialect.call_headers(call),
-                skip_auto_headers=SKIPPED_HEADERS,
-                allow_redirects=False,
-            )
+            if silence.patience is None:
+                response = await sending
+            else:
+                response = await silence.wait(asyncio.ensure_future(sending))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             detail = f"can't connect to {call.address}: {error}"
             raise CallFault(
@@ -164,7 +213,7 @@
                 f"{call.address} broke off: {error!r}",
                 may_have_run=True,
             ) from error
-        return self._check_head(call, response)
+        return self._check_head(call, response, silence)
 
     async def is_reachable(self, address: str) -> bool:
         """Open a connection and close it."""
@@ -184,7 +233,7 @@
             _drop_idle(session.connector, host, int(port))
 
     def _check_head(
-        self, call: EndpointCall, response: aiohttp.ClientResponse
+        self, call: EndpointCall, response: aiohttp.ClientResponse, silence: Silence
     ) -> HttpExchange:
         """Hold an answer to the request that it should belong to."""
         head = self.dialect.read_answer(response.status, response.headers)
@@ -198,7 +247,7 @@
             response.close()
             detail = f"{call.address} sent a success without its seal"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
-        return HttpExchange(head=head, response=response)
+        return HttpExchange(head=head, response=response, silence=silence)
 
     def _session(self, *, keepalive_timeout: float) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -17,13 +17,15 @@
     b"HTTP/1.1 200 OK\r\nLinnetladder-Attempt-Id: %s\r\nLinnetladder-Server-Seal: s\r\n"
 )
 RESET = struct.pack("ii", 1, 0)
+WAIT = 60.0
 WHOLE = HEAD % b"a1" + b"Content-Length: 2\r\n\r\nok"
 
 
 class RawEndpoint:
     """An endpoint that answers each request with the next bytes of a list.
 
-    ``None`` in the list resets the connection instead of closing it in order.
+    ``None`` in the list resets the connection, an empty part closes it in order and a
+    number is a pause in seconds.
     """
 
     def __init__(self, *answers):
@@ -49,6 +51,9 @@
                 return
             self.requests.append(request)
             for part in self.answers.pop(0):
+                if isinstance(part, float):
+                    await asyncio.sleep(part)
+                    continue
                 if part is None:
                     await asyncio.sleep(0.05)
                     raw = writer.get_extra_info("socket")
@@ -62,7 +67,7 @@
                 await writer.drain()
 
 
-def build_call(endpoint, attempt_id="a1", *, fresh=False):
+def build_call(endpoint, attempt_id="a1", *, fresh=False, patience=None, limit=None):
     request = ForwardRequest(
         head=head("/fetch/1", attempt_id=attempt_id, method="GET"),
         body=b"",
@@ -82,6 +87,8 @@
         remaining_seconds=5.0,
         urgency=1,
         fresh_connection=fresh,
+        patience_seconds=patience,
+        silence_seconds=limit,
     )
 
 
@@ -195,6 +202,42 @@
     with_calls(work)
 
 
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [WAIT],
+        [HEAD % b"a1" + b"Content-Length: 9\r\n\r\nok", WAIT],
+    ],
+)
+def test_a_silent_connection_is_given_up_after_its_limit(parts):
+    async def work(calls, endpoint):
+        with pytest.raises(CallFault) as caught:
+            exchange = await calls.open(build_call(endpoint, patience=0.05, limit=0.2))
+            await exchange.read()
+        assert caught.value.kind is CallFaultKind.SILENT
+        assert caught.value.may_have_run
+
+    with_calls(work, parts)
+
+
+def test_a_silent_endpoint_that_takes_no_connection_is_given_up_at_once():
+    async def work(calls, endpoint):
+        asyncio.get_running_loop().call_later(0.02, endpoint.server.close)
+        with pytest.raises(CallFault) as caught:
+            await calls.open(build_call(endpoint, patience=0.1, limit=60.0))
+        assert caught.value.kind is CallFaultKind.SILENT
+
+    with_calls(work, [WAIT])
+
+
+def test_a_slow_answer_of_a_living_endpoint_is_waited_for():
+    async def work(calls, endpoint):
+        exchange = await calls.open(build_call(endpoint, patience=0.02, limit=2.0))
+        assert await exchange.read() == b"ok"
+
+    with_calls(work, [0.15, WHOLE])
+
+
 REQUEST = (
     b"POST /%s/1 HTTP/1.1\r\nHost: api.example\r\nLinnetladder-Attempt-Id: a1\r\n"
     b"Linnetladder-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\n"
