Hold bills at two peers before an answer ends; sum peers' news once for all requests

Cause: a daemon that was killed lost the bills of up to 5 s. Change: each bill goes to two peers in other failure domains by datagram before the answer's end leaves, also for callers that left; peers write the bills of a daemon that is gone for 12 s; a reader counts each request once. Shares and loads are summed at intervals, entries are decoded once per revision.

--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -24,7 +24,10 @@
     Forwarder,
     TableInForce,
 )
-from linnetladder.forwarding.coordination.bills import BillBuffer  # noqa: E402
+from linnetladder.forwarding.coordination.bills import (  # noqa: E402
+    BillBuffer,
+    HeldBills,
+)
 from linnetladder.forwarding.coordination.budget import WindowBudget  # noqa: E402
 from linnetladder.forwarding.coordination.directory import Directory  # noqa: E402
 from linnetladder.forwarding.coordination.endpoint_load import (  # noqa: E402
@@ -184,7 +187,15 @@
             metrics=metrics,
             seed=seed,
         )
-        peers = PeerNews(
+        ledger = {
+            "source": source,
+            "incarnation": incarnation,
+            "clock": clock,
+            "metrics": metrics,
+        }
+        self.bills = BillBuffer(**ledger)
+        self.held_bills = HeldBills(**ledger)
+        self.peers = peers = PeerNews(
             instance=settings.instance,
             incarnation=incarnation,
             table=table,
@@ -192,6 +203,9 @@
             outcomes=outcomes,
             crashes=crashes,
             rollouts=rollouts,
+            bills=self.bills,
+            held_bills=self.held_bills,
+            failure_domain=settings.failure_domain,
             metrics=metrics,
             seed=seed,
         )
@@ -215,9 +229,6 @@
             metrics=metrics,
             seed=seed,
         )
-        self.bills = BillBuffer(
-            source=source, incarnation=incarnation, clock=clock, metrics=metrics
-        )
         self.calls = HttpEndpointCalls(dialect=PlatformEndpoints())
         sender = Sender(
             calls=self.calls,
@@ -260,6 +271,7 @@
             ready_path=READY_PATH, reasons=self.unready_reasons, metrics=metrics
         )
         self.news_socket = NewsSocket(news=peers, metrics=metrics)
+        self.bills.on_bill = self.news_socket.send_bill
 
     def _run(self, work) -> None:
         task = asyncio.ensure_future(work)
@@ -277,6 +289,8 @@
         while True:
             await asyncio.sleep(BILL_SECONDS)
             await self.bills.flush()
+            if self.follower.reachable:
+                await self.held_bills.recover(self.peers.listed)
 
     async def _follow_settings(self) -> None:
         """Read the settings again on a signal and when the file has changed."""
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -1,23 +1,35 @@
-"""Bills of requests that ran, written to the store in blocks.
+"""Bills of requests that ran, written to the store in blocks, with copies at peers.
 
-The end of an answer does not wait for its bill. A block is written every few seconds
+The end of an answer does not wait for the store. A block is written every few seconds
 and at shutdown; one whose reply was lost is written again under the same key, where
-only the first write stands, so that no request is billed twice.
+only the first write stands. Each bill goes to two peers before the end of its answer
+goes to the caller; they hold it until its block stands, and write those of a daemon
+that is gone. Whoever reads the ledger counts each request once.
 """
 
 import dataclasses
+from collections.abc import Callable
 
 import orjson
 
-from linnetladder.forwarding.coordination.sources import OperatorSource
+from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
+from linnetladder.forwarding.protocol.news import CopiedBills
 from linnetladder.forwarding.state import ForwardRequest
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change
 
-__all__ = ["BillBuffer"]
+__all__ = ["BillBuffer", "HeldBills", "fold_blocks"]
 
 MAXIMUM_BLOCK_BILLS = 4_000
 MAXIMUM_WAITING_BLOCKS = 50
+# A datagram may be lost; each bill is in one of its own and in this many rounds.
+COPY_ROUNDS = 2
+# A daemon is registered again within seconds of a pause; one that is not listed for
+# this long is gone.
+ORPHAN_SECONDS = 12.0
+MAXIMUM_HELD_BILLS = 20_000
+
+BillRow = tuple[str, str, str, int, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,12 +37,11 @@
     """Bills that are written together."""
 
     sequence: int
-    content: bytes
-    count: int
+    bills: dict[str, BillRow]
 
 
 class BillBuffer:
-    """Collect bills and write them in blocks."""
+    """Collect this daemon's bills, write them in blocks, and offer them to peers."""
 
     def __init__(
         self,
@@ -44,24 +55,36 @@
         self.incarnation = incarnation
         self.clock = clock
         self.metrics = metrics
-        self.open: dict[str, tuple] = {}
+        self.open: dict[str, BillRow] = {}
         self.blocks: list[Block] = []
-        self.sequence = 0
+        self.sequence = 1
+        self.written = 0
+        self.rounds: list[dict[int, dict[str, BillRow]]] = [{}]
+        self.on_bill: Callable[[CopiedBills], None] = _ignore
 
     def add(self, request: ForwardRequest, *, model: str, events: int) -> None:
-        """Bill a request once, whatever became of its answer."""
+        """Bill a request once, before the end of its answer leaves."""
         prompt = request.head.prompt
         tokens = prompt.input_tokens if prompt is not None else 0
-        self.open[request.head.attempt_id] = (
-            request.account_name,
-            request.service,
-            model,
-            tokens,
-            events,
-        )
+        bill = (request.account_name, request.service, model, tokens, events)
+        self.open[request.head.attempt_id] = bill
+        added = self.rounds[-1].setdefault(self.sequence, {})
+        added[request.head.attempt_id] = bill
+        blocks = {self.sequence: {request.head.attempt_id: bill}}
+        self.on_bill(CopiedBills(written=self.written, blocks=blocks))
         if len(self.open) >= MAXIMUM_BLOCK_BILLS:
             self._seal()
 
+    def copies(self) -> CopiedBills:
+        """Return the bills of the latest rounds and begin a new one."""
+        blocks: dict[int, dict[str, BillRow]] = {}
+        for added in self.rounds:
+            for sequence, bills in added.items():
+                if sequence > self.written:
+                    blocks.setdefault(sequence, {}).update(bills)
+        self.rounds = [*self.rounds[-COPY_ROUNDS + 1 :], {}]
+        return CopiedBills(written=self.written, blocks=blocks)
+
     async def flush(self) -> bool:
         """Write what waits; return whether everything stands."""
         self._seal()
@@ -69,24 +92,111 @@
             block = self.blocks[0]
             written = await self.source.write_bills(
                 incarnation=self.incarnation,
-                sequence=block.sequence,
-                content=block.content,
+                name=f"{block.sequence:08d}",
+                content=orjson.dumps(block.bills),
             )
             if written.value_or(None) is None:
                 return False
             self.blocks.pop(0)
-            self.metrics.count("bills", block.count)
+            self.written = block.sequence
+            self.metrics.count("bills", len(block.bills))
             self.metrics.count("bill_blocks")
         return True
 
     def _seal(self) -> None:
         if not self.open:
             return
-        content = orjson.dumps(self.open)
+        self.blocks.append(Block(self.sequence, self.open))
         self.sequence += 1
-        self.blocks.append(Block(self.sequence, content, len(self.open)))
         self.open = {}
         if len(self.blocks) > MAXIMUM_WAITING_BLOCKS:
             lost = self.blocks.pop(0)
-            self.metrics.count("bills_lost", lost.count)
-            log_change("bills dropped, too many blocks wait", count=lost.count)
+            self.metrics.count("bills_lost", len(lost.bills))
+            log_change("bills dropped, too many blocks wait", count=len(lost.bills))
+
+
+@dataclasses.dataclass(slots=True)
+class HeldBlocks:
+    """One daemon's bills by the block they belong to, and when it was last listed."""
+
+    listed: float
+    blocks: dict[int, dict[str, BillRow]] = dataclasses.field(default_factory=dict)
+
+    def count(self) -> int:
+        """Return how many bills are held."""
+        return sum(len(bills) for bills in self.blocks.values())
+
+
+class HeldBills:
+    """Hold the bills of peers until their blocks stand, and write those of the gone."""
+
+    def __init__(
+        self,
+        *,
+        source: OperatorSource,
+        incarnation: str,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.source = source
+        self.incarnation = incarnation
+        self.clock = clock
+        self.metrics = metrics
+        self.held: dict[str, HeldBlocks] = {}
+
+    def take(self, incarnation: str, copied: CopiedBills) -> None:
+        """Hold a peer's bills and drop those that stand."""
+        now = self.clock.monotonic()
+        known = self.held.setdefault(incarnation, HeldBlocks(now))
+        known.listed = now
+        for sequence, bills in copied.blocks.items():
+            known.blocks.setdefault(sequence, {}).update(bills)
+        known.blocks = {
+            sequence: bills
+            for sequence, bills in known.blocks.items()
+            if sequence > copied.written
+        }
+        if known.count() > MAXIMUM_HELD_BILLS:
+            known.blocks.pop(min(known.blocks))
+
+    async def recover(self, daemons: tuple[DaemonAddress, ...]) -> None:
+        """Write the bills of daemons that are no longer listed or heard."""
+        now = self.clock.monotonic()
+        listed = {daemon.incarnation for daemon in daemons}
+        for incarnation, held in list(self.held.items()):
+            if incarnation in listed:
+                held.listed = now
+            if now - held.listed < ORPHAN_SECONDS:
+                continue
+            if await self._write(incarnation, held):
+                self.held.pop(incarnation, None)
+
+    async def _write(self, incarnation: str, held: HeldBlocks) -> bool:
+        bills: dict[str, BillRow] = {}
+        for block in held.blocks.values():
+            bills.update(block)
+        if not bills:
+            return True
+        written = await self.source.write_bills(
+            incarnation=incarnation,
+            name=f"copy-{self.incarnation}",
+            content=orjson.dumps(bills),
+        )
+        if written.value_or(None) is None:
+            return False
+        self.metrics.count("bill_blocks_recovered")
+        log_change("bills written for a peer that is gone", count=len(bills))
+        return True
+
+
+def _ignore(copied: CopiedBills) -> None:
+    """Keep bills to this daemon."""
+
+
+def fold_blocks(blocks: list[bytes]) -> dict[str, BillRow]:
+    """Return each request's bill once, from blocks that may hold it several times."""
+    bills: dict[str, BillRow] = {}
+    for content in blocks:
+        for attempt_id, bill in orjson.loads(content).items():
+            bills.setdefault(attempt_id, tuple(bill))
+    return bills
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -5,10 +5,11 @@
 """
 
 import dataclasses
+import math
 
 from linnetladder.state import Clock, Endpoint
 
-__all__ = ["EndpointLoads", "PeerLoad", "Work"]
+__all__ = ["EndpointLoads", "PeerLoads", "Work"]
 
 # One prompt token of the smallest model on an idle engine; learnt from the first
 # answers on.
@@ -20,6 +21,9 @@
 FIRST_TOKEN_SECONDS = 0.015
 LEAST_TOKENS = 1_000
 PEER_LOAD_SECONDS = 2.5
+# News come every 0.4 s from each peer; summing them up more often shows little more.
+TOTALS_SECONDS = 0.05
+NO_LOAD = (0, 0.0)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -34,12 +38,11 @@
 
 
 @dataclasses.dataclass(slots=True)
-class PeerLoad:
-    """What one peer has at one endpoint, and when it said so."""
+class PeerLoads:
+    """What one peer has at endpoints, by their names, and when it said so."""
 
-    in_flight: int
-    backlog: float
     heard: float
+    rows: dict[str, tuple[int, float]]
 
 
 class EndpointLoads:
@@ -48,7 +51,9 @@
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.backlog: dict[str, float] = {}
-        self.peers: dict[str, dict[str, PeerLoad]] = {}
+        self.peers: dict[str, PeerLoads] = {}
+        self.totals: dict[str, tuple[int, float]] = {}
+        self.totalled = -math.inf
         self.seconds_per_token: dict[str, float] = {}
 
     def begin(self, endpoint: Endpoint, *, model: str, tokens: int) -> Work:
@@ -82,33 +87,36 @@
     def backlog_of(self, endpoint: Endpoint) -> float:
         """Return the seconds of prompts that wait at an endpoint, from all daemons."""
         own = self.backlog.get(endpoint.name, 0.0)
-        return own + sum(load.backlog for load in self._peer_loads(endpoint))
+        return own + self._peer_totals().get(endpoint.name, NO_LOAD)[1]
 
     def in_flight_of(self, endpoint: Endpoint) -> int:
         """Return the requests at an endpoint, from all daemons."""
-        others = sum(load.in_flight for load in self._peer_loads(endpoint))
+        others = self._peer_totals().get(endpoint.name, NO_LOAD)[0]
         return endpoint.in_flight + others
 
     def learn(self, peer: str, rows: dict[str, tuple[int, float]]) -> None:
         """Take in all that a peer has at endpoints."""
-        now = self.clock.monotonic()
-        for loads in self.peers.values():
-            loads.pop(peer, None)
-        for endpoint, (in_flight, backlog) in rows.items():
-            loads = self.peers.setdefault(endpoint, {})
-            loads[peer] = PeerLoad(in_flight, backlog, now)
+        self.peers[peer] = PeerLoads(self.clock.monotonic(), rows)
 
     def forget(self, endpoint: str) -> None:
         """Drop what is known of an endpoint that was replaced."""
         self.backlog.pop(endpoint, None)
-        self.peers.pop(endpoint, None)
-
-    def _peer_loads(self, endpoint: Endpoint) -> list[PeerLoad]:
-        loads = self.peers.get(endpoint.name)
-        if not loads:
-            return []
-        oldest = self.clock.monotonic() - PEER_LOAD_SECONDS
-        return [load for load in loads.values() if load.heard >= oldest]
+
+    def _peer_totals(self) -> dict[str, tuple[int, float]]:
+        """Return the sums over all peers heard lately, made anew now and then."""
+        now = self.clock.monotonic()
+        if now - self.totalled < TOTALS_SECONDS:
+            return self.totals
+        self.totalled = now
+        self.totals = {}
+        for peer, loads in list(self.peers.items()):
+            if now - loads.heard > PEER_LOAD_SECONDS:
+                del self.peers[peer]
+                continue
+            for endpoint, (in_flight, backlog) in loads.rows.items():
+                known = self.totals.get(endpoint, NO_LOAD)
+                self.totals[endpoint] = (known[0] + in_flight, known[1] + backlog)
+        return self.totals
 
     def _take_backlog(self, work: Work) -> None:
         if work.backlog:
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -49,7 +49,6 @@
 
     position: int
     last_id: int | None = None
-    events: int = 0
     begun: bool = False
 
 
@@ -98,8 +97,15 @@
             self._log(request, "caller left", status=0)
             raise
         finally:
+            self._bill(request)
             self.active -= 1
 
+    def _bill(self, request: ForwardRequest) -> None:
+        """Bill a request that may have run, once."""
+        if request.ran and not request.billed:
+            request.billed = True
+            self.bills.add(request, model=request.model, events=request.events)
+
     def _admit(
         self, head: CallerHead, body: bytes, received: float
     ) -> Result[ForwardRequest, Refusal]:
@@ -212,8 +218,9 @@
             status = sent.exchange.head.status
             if status >= SERVER_ERROR and self._may_send_again(request):
                 continue
+            self._bill(request)
             await reply.send(status, sent.exchange.head.headers, body)
-            self._finish(request, sent, "answered", status=status, events=0)
+            self._finish(request, sent, "answered", status=status)
             return
 
     async def _read_whole(self, request: ForwardRequest, sent: Sent) -> bytes:
@@ -235,7 +242,7 @@
         """Climb the model sizes, then pass the events of one answer on."""
         state = StreamState(position=self.sizing.first(self._sizing(request)))
         while True:
-            model = self._model(request, state.position)
+            model = request.model = self._model(request, state.position)
             opened = await self.sender.open(
                 request, model=model, resume_after=_resume_point(request, state)
             )
@@ -270,7 +277,7 @@
             request.route.name, sent.model, sent.first_byte_seconds, learn=True
         )
         self.sender.close(request, sent, _verdict(200, slow=slow))
-        self._finish(request, sent, "answered", status=200, events=state.events)
+        self._finish(request, sent, "answered", status=200)
         return True
 
     def _climb(self, request: ForwardRequest, state: StreamState, sent: Sent) -> bool:
@@ -314,7 +321,7 @@
                 passed.append(event.content)
             if not passed:
                 continue
-            state.events += len(passed)
+            request.events += len(passed)
             if not state.begun:
                 state.begun = True
                 await reply.begin(200, sent.exchange.head.headers)
@@ -324,6 +331,7 @@
         if not state.begun:
             state.begun = True
             await reply.begin(200, sent.exchange.head.headers)
+        self._bill(request)
         await reply.finish()
 
     async def _pass_failure(
@@ -343,7 +351,7 @@
             reply.break_off()
         else:
             await reply.send(head.status, head.headers, body)
-        self._finish(request, sent, "failed", status=head.status, events=state.events)
+        self._finish(request, sent, "failed", status=head.status)
         return True
 
     async def _give_up_stream(
@@ -380,11 +388,10 @@
         )
 
     def _finish(
-        self, request: ForwardRequest, sent: Sent, outcome: str, *, status: int, events
+        self, request: ForwardRequest, sent: Sent, outcome: str, *, status: int
     ) -> None:
         self.metrics.count("answered", label=sent.model or request.service)
-        self.bills.add(request, model=sent.model, events=events)
-        self._log(request, outcome, status=status, events=events)
+        self._log(request, outcome, status=status, events=request.events)
 
     async def _refuse(
         self,
@@ -399,8 +406,6 @@
             self._log(
                 request, refusal.kind, status=refusal.status, detail=refusal.detail
             )
-            if request.ran:
-                self.bills.add(request, model="", events=0)
         else:
             log_request(
                 "refused",
--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -22,6 +22,10 @@
 SLOW_MINIMUM_SECONDS = 0.12
 LATENCY_WEIGHT = 0.08
 PEER_ROWS_SECONDS = 6.0
+# Shares are summed up over all peers' rows this often, not for each request.
+SHARES_SECONDS = 0.25
+# Good attempts that an endpoint is credited with.
+SHARE_PRIOR = 4.0
 # Falls of the share of good answers that are looked for.
 DROPS = (0.15, 0.3, 0.5, 0.7)
 
@@ -91,6 +95,8 @@
         self.rows: dict[tuple[str, str], Row] = {}
         self.peers: dict[str, tuple[float, dict[tuple[str, str], Row]]] = {}
         self.latency: dict[tuple[str, str], float] = {}
+        self.shares: dict[str, float] = {}
+        self.shared = -math.inf
 
     def add(self, endpoint: str, route: str, verdict: Verdict) -> None:
         """Count one attempt."""
@@ -161,8 +167,23 @@
 
     def bad_share(self, endpoint: str) -> float:
         """Return an endpoint's share of bad attempts, shrunk towards none."""
-        counts = self.tally(frozenset((endpoint,))).counts
-        return (counts.failed + counts.broken) / (counts.total + 4.0)
+        now = self.clock.monotonic()
+        if now - self.shared >= SHARES_SECONDS:
+            self.shared = now
+            self.shares = self._bad_shares(now)
+        return self.shares.get(endpoint, 0.0)
+
+    def _bad_shares(self, now: float) -> dict[str, float]:
+        sums: dict[str, list[float]] = {}
+        for (endpoint, _), row in self._all_rows(now):
+            row.fade(now)
+            counts = sums.setdefault(endpoint, [0.0, 0.0])
+            counts[0] += row.failed + row.broken
+            counts[1] += row.total
+        return {
+            endpoint: bad / (total + SHARE_PRIOR)
+            for endpoint, (bad, total) in sums.items()
+        }
 
     def routes(self) -> set[str]:
         """Return the routes that have rows."""
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -5,12 +5,15 @@
 import random
 from collections.abc import Callable
 
+import xxhash
+
+from linnetladder.forwarding.coordination.bills import BillBuffer, HeldBills
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.sources import DaemonAddress
-from linnetladder.forwarding.protocol.news import News
+from linnetladder.forwarding.protocol.news import CopiedBills, News, Report
 from linnetladder.state import EndpointTable
 from linnetladder.telemetry import Metrics
 
@@ -19,6 +22,8 @@
 # A round reaches this many peers at most; a large fleet takes several rounds.
 PEERS_PER_ROUND = 24
 LEAVING_TOLD = 64
+# Two holders in other failure domains outlive the loss of an instance or a domain.
+BILL_HOLDERS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +47,9 @@
         outcomes: Outcomes,
         crashes: CrashLog,
         rollouts: Rollouts,
+        bills: BillBuffer,
+        held_bills: HeldBills,
+        failure_domain: str,
         metrics: Metrics,
         seed: int,
     ):
@@ -52,16 +60,21 @@
         self.outcomes = outcomes
         self.crashes = crashes
         self.rollouts = rollouts
+        self.bills = bills
+        self.held_bills = held_bills
+        self.failure_domain = failure_domain
         self.metrics = metrics
         self.random = random.Random(seed)
         self.sequence = itertools.count(1)
         self.heard: dict[str, Heard] = {}
         self.peers: tuple[DaemonAddress, ...] = ()
+        self.listed: tuple[DaemonAddress, ...] = ()
         self.revision = 0
         self.on_revision: Callable[[int], None] = _ignore
 
     def know(self, daemons: tuple[DaemonAddress, ...]) -> None:
         """Take in who the daemons are; an empty list is not believed."""
+        self.listed = daemons
         others = tuple(d for d in daemons if d.instance != self.instance)
         if others:
             self.peers = others
@@ -72,47 +85,80 @@
             return list(self.peers)
         return self.random.sample(self.peers, PEERS_PER_ROUND)
 
+    def bill_holders(self) -> list[DaemonAddress]:
+        """Return the peers that hold this daemon's bills, other domains' first."""
+        ranked = sorted(
+            self.peers,
+            key=lambda peer: (
+                peer.failure_domain == self.failure_domain,
+                xxhash.xxh64_intdigest(f"{self.instance}\0{peer.instance}".encode()),
+            ),
+        )
+        return ranked[:BILL_HOLDERS]
+
     def build(self) -> News:
-        """Return all that this daemon has to say."""
+        """Return all that this daemon has to say, but for its bills."""
         loads = [
             (endpoint.name, endpoint.in_flight, round(backlog, 3))
             for endpoint in self.table.endpoints.values()
             if (backlog := self.loads.backlog.get(endpoint.name, 0.0)) > 0
             or endpoint.in_flight
         ]
-        leaving = [pair for pair in self.table.departed if pair[0]][-LEAVING_TOLD:]
-        return News(
-            instance=self.instance,
-            incarnation=self.incarnation,
-            sequence=next(self.sequence),
-            revision=self.revision,
+        report = Report(
             loads=loads,
             outcomes=self.outcomes.export(),
             crashes=self.crashes.export(),
             bad_targets=self.rollouts.export_bad(),
-            leaving=leaving,
+            leaving=list(self.table.departed)[-LEAVING_TOLD:],
         )
+        return self._message(report=report)
+
+    def build_bill_copy(self, copied: CopiedBills) -> News:
+        """Return a message that holds bills alone."""
+        return self._message(copied_bills=copied)
 
     def take(self, news: News) -> None:
         """Take in a peer's news, unless something newer was taken before."""
         if news.instance == self.instance:
             return
+        if news.copied_bills is not None:
+            self.held_bills.take(news.incarnation, news.copied_bills)
+        self.on_revision(news.revision)
+        if news.report is None or not self._is_newest(news):
+            return
+        self.metrics.count("peer_messages", label="received")
+        self._take_report(news.instance, news.report)
+
+    def _is_newest(self, news: News) -> bool:
         known = self.heard.get(news.instance)
         same = known is not None and known.incarnation == news.incarnation
         if same and news.sequence <= known.sequence:
-            return
+            return False
         self.heard[news.instance] = Heard(news.incarnation, news.sequence)
-        self.metrics.count("peer_messages", label="received")
-        rows = {name: (count, backlog) for name, count, backlog in news.loads}
-        self.loads.learn(news.instance, rows)
-        self.outcomes.learn(news.instance, news.outcomes)
-        for fingerprint, endpoint in news.crashes:
+        return True
+
+    def _take_report(self, peer: str, report: Report) -> None:
+        rows = {name: (count, backlog) for name, count, backlog in report.loads}
+        self.loads.learn(peer, rows)
+        self.outcomes.learn(peer, report.outcomes)
+        for fingerprint, endpoint in report.crashes:
             self.crashes.learn(fingerprint, endpoint)
-        self.rollouts.learn_bad(news.bad_targets)
-        self.on_revision(news.revision)
-        for name, incarnation in news.leaving:
+        self.rollouts.learn_bad(report.bad_targets)
+        for name, incarnation in report.leaving:
             self.table.mark_leaving(name, incarnation)
 
+    def _message(
+        self, *, report: Report | None = None, copied_bills: CopiedBills | None = None
+    ) -> News:
+        return News(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            sequence=next(self.sequence),
+            revision=self.revision,
+            report=report,
+            copied_bills=copied_bills,
+        )
+
 
 def _ignore(revision: int) -> None:
     """Take no notice of a revision that a peer has seen."""
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -63,9 +63,9 @@
 
     @abc.abstractmethod
     async def write_bills(
-        self, *, incarnation: str, sequence: int, content: bytes
+        self, *, incarnation: str, name: str, content: bytes
     ) -> Result[bool, PlatformFault]:
-        """Create one block of bills; false if it stood already."""
+        """Create one block of bills of a daemon; false if it stood already."""
 
     @abc.abstractmethod
     async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
--- a/linnetladder/forwarding/protocol/news.py
+++ b/linnetladder/forwarding/protocol/news.py
@@ -1,6 +1,6 @@
 """What daemons tell each other in one signed datagram.
 
-A message says all that its sender has to say, so a lost one is made good by the next.
+A report says all that its sender has to say, so a lost one is made good by the next.
 It is authenticated with a secret that the platform's store holds, and a receiver
 takes a sender's messages only in rising order.
 """
@@ -13,27 +13,34 @@
 import orjson
 import pydantic
 
-__all__ = ["News", "decode_news", "encode_news"]
+__all__ = ["CopiedBills", "News", "Report", "decode_news", "encode_news"]
 
 SIGNATURE_BYTES = 16
 MAXIMUM_BYTES = 60_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class News:
-    """One daemon's word on what it sees.
+class CopiedBills:
+    """Bills by attempt id for a peer to hold.
+
+    ``blocks`` names the block that they belong to; blocks up to ``written`` stand. A
+    bill is client account, service, model, prompt tokens and events.
+    """
+
+    written: int
+    blocks: dict[int, dict[str, tuple[str, str, str, int, int]]]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Report:
+    """What one daemon sees; it replaces what the daemon said before.
 
-    ``revision`` is the newest one of the store's that it knows and all must know.
     ``loads`` holds rows of endpoint, requests in flight and backlog in seconds;
     ``outcomes`` rows of endpoint, route and the counts of `Row`; ``crashes`` pairs
     of fingerprint and endpoint; ``bad_targets`` pairs of service and order;
     ``leaving`` pairs of endpoint and incarnation.
     """
 
-    instance: str
-    incarnation: str
-    sequence: int
-    revision: int
     loads: list[tuple[str, int, float]]
     outcomes: list[tuple[str, str, float, float, float, float, float]]
     crashes: list[tuple[str, str]]
@@ -41,12 +48,28 @@
     leaving: list[tuple[str, str]]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class News:
+    """One message of a daemon.
+
+    ``revision`` is the newest one of the store's that it knows and all must know.
+    ``copied_bills`` is only sent to the peers that hold them.
+    """
+
+    instance: str
+    incarnation: str
+    sequence: int
+    revision: int
+    report: Report | None = None
+    copied_bills: CopiedBills | None = None
+
+
 _ADAPTER = pydantic.TypeAdapter(News)
 
 
 def encode_news(news: News, *, secret: bytes) -> bytes:
     """Return a signed datagram."""
-    content = zlib.compress(orjson.dumps(news), 1)
+    content = zlib.compress(orjson.dumps(news, option=orjson.OPT_NON_STR_KEYS), 1)
     return _sign(content, secret) + content
 
 
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -65,7 +65,8 @@
 
     ``received`` and ``deadline`` are seconds of the daemon's clock. ``ran`` is set
     once an endpoint may have started on it. ``attempts`` counts the endpoints that may
-    have run it, ``arrivals`` all that it was sent to.
+    have run it, ``arrivals`` all that it was sent to. ``model`` is the latest that was
+    asked and ``events`` how many of a stream were passed on.
     """
 
     head: CallerHead
@@ -81,6 +82,9 @@
     attempts: int = 0
     arrivals: int = 0
     ran: bool = False
+    model: str = ""
+    events: int = 0
+    billed: bool = False
     endpoints_tried: list[str] = dataclasses.field(default_factory=list)
     history: list[str] = dataclasses.field(default_factory=list)
 
--- a/linnetladder/forwarding/transport/news_socket.py
+++ b/linnetladder/forwarding/transport/news_socket.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from linnetladder.forwarding.coordination.peer_news import PeerNews
+from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.news import (
     MAXIMUM_BYTES,
+    CopiedBills,
     decode_news,
     encode_news,
 )
@@ -67,12 +69,31 @@
         if self.transport is not None:
             self.transport.close()
 
-    def _send(self, receivers) -> None:
-        datagram = encode_news(self.news.build(), secret=self.secret)
+    def _send(self, receivers: list[DaemonAddress]) -> None:
+        news = self.news.build()
+        plain = encode_news(news, secret=self.secret)
+        holders = self.news.bill_holders()
+        news.copied_bills = self.news.bills.copies()
+        with_bills = encode_news(news, secret=self.secret)
+        for receiver in receivers:
+            if receiver not in holders:
+                self._send_to(receiver, plain)
+        for holder in holders:
+            self._send_to(holder, with_bills)
+
+    def send_bill(self, copied: CopiedBills) -> None:
+        """Send one bill to the peers that hold this daemon's."""
+        if self.transport is None or not self.secret:
+            return
+        news = self.news.build_bill_copy(copied)
+        datagram = encode_news(news, secret=self.secret)
+        for holder in self.news.bill_holders():
+            self._send_to(holder, datagram)
+
+    def _send_to(self, receiver: DaemonAddress, datagram: bytes) -> None:
         if len(datagram) > MAXIMUM_BYTES:
             self.metrics.count("peer_messages", label="too_large")
             return
-        for receiver in receivers:
-            self.transport.sendto(datagram, (receiver.host, receiver.port))
-            self.metrics.count("peer_messages", label="sent")
-            self.metrics.count("peer_bytes", len(datagram), label="sent")
+        self.transport.sendto(datagram, (receiver.host, receiver.port))
+        self.metrics.count("peer_messages", label="sent")
+        self.metrics.count("peer_bytes", len(datagram), label="sent")
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -53,6 +53,7 @@
         self.table: RoutingTable | None = None
         self.lease = 0
         self.unreadable: dict[str, int] = {}
+        self.decoded: dict[str, tuple[int, object]] = {}
 
     async def read(self) -> Result[StoreReading, PlatformFault]:
         """Read everything that is followed, in one call as a rule."""
@@ -63,8 +64,9 @@
             prefix: []
             for prefix in (ORDER_PREFIX, RECORD_PREFIX, DAEMON_PREFIX, SERVER_PREFIX)
         }
+        known, self.decoded = self.decoded, {}
         for record in listed.unwrap():
-            self._decode(record, found)
+            self._decode(record, found, known)
         return Success(
             StoreReading(
                 table=self.table,
@@ -107,10 +109,10 @@
         return written.map(lambda outcome: None)
 
     async def write_bills(
-        self, *, incarnation: str, sequence: int, content: bytes
+        self, *, incarnation: str, name: str, content: bytes
     ) -> Result[bool, PlatformFault]:
         """Create a block that nobody has written before."""
-        key = f"{LEDGER_PREFIX}{incarnation}/{sequence:08d}"
+        key = f"{LEDGER_PREFIX}{incarnation}/{name}"
         written = await self.store.transact(
             conditions=(Condition(key),), puts=(Put(key, content),)
         )
@@ -127,16 +129,29 @@
             read = await self.store.get(SECRET_KEY)
         return read.map(lambda record: record.value.decode() if record else "")
 
-    def _decode(self, record: Record, found: dict[str, list]) -> None:
-        """Decode one record into the list of its prefix, if it can be read."""
+    def _decode(
+        self,
+        record: Record,
+        found: dict[str, list],
+        known: dict[str, tuple[int, object]],
+    ) -> None:
+        """Decode one record into the list of its prefix, if it can be read.
+
+        ``known`` is what the reading before had decoded, by key and revision.
+        """
         try:
             if record.key == CONFIGURATION_KEY:
                 self._decode_table(record)
                 return
             for prefix, values in found.items():
-                if record.key.startswith(prefix):
-                    values.append(_DECODERS[prefix](record))
-                    return
+                if not record.key.startswith(prefix):
+                    continue
+                entry = known.get(record.key)
+                if entry is None or entry[0] != record.modify_revision:
+                    entry = (record.modify_revision, _DECODERS[prefix](record))
+                self.decoded[record.key] = entry
+                values.append(entry[1])
+                return
         except (ValueError, TypeError) as error:
             self._note_unreadable(record, error)
 
--- /dev/null
+++ b/standins/fleet_worker.py
@@ -0,0 +1,215 @@
+"""A worker of the users' platform as its published pages describe it, in one process.
+
+It registers in the store, runs requests with a limit of slots, streams events that can
+be resumed, and records everything it ran. ``faults`` holds what befalls the next
+requests: see `Fault`.
+"""
+
+import asyncio
+import collections
+import enum
+import hashlib
+import time
+
+from aiohttp import web
+
+from standins.fleet_store import FleetStore
+
+__all__ = ["Fault", "FleetWorker", "expected_body"]
+
+EVENT_SECONDS = 0.01
+WORK_SECONDS = 0.01
+EVENTS = 6
+
+
+class Fault(enum.StrEnum):
+    """What befalls a request."""
+
+    SHED = "shed"
+    FAIL = "fail"
+    RESET_BEFORE = "reset_before"
+    LOSE_ANSWER = "lose_answer"
+    CUT = "cut"
+    EXTRA = "extra"
+    CROSSED = "crossed"
+    SILENT = "silent"
+
+
+def expected_body(attempt_id: str, *, path: str, events: int = EVENTS) -> bytes:
+    """Return the whole body that answers a request."""
+    if "/stream/" not in path:
+        return f"{attempt_id} done".encode()
+    return b"".join(_event(attempt_id, number) for number in range(1, events + 1))
+
+
+def _event(attempt_id: str, number: int) -> bytes:
+    return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
+
+
+class FleetWorker:
+    """Serve requests at a loopback address; `advertised` is what the store names."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        store: FleetStore,
+        version: str = "v1",
+        zone: str = "a",
+        slots: int = 16,
+        host: str = "127.0.0.1",
+    ):
+        self.name = name
+        self.service = service
+        self.store = store
+        self.version = version
+        self.zone = zone
+        self.slots = slots
+        self.host = host
+        self.state = "ready"
+        self.failing = 0.0
+        self.running = 0
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.runs: list[dict] = []
+        self.advertised = ""
+        self.address = ""
+        self.runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen; registering is a step of its own."""
+        self.runner = web.ServerRunner(web.Server(self.handle))
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, 0).start()
+        self.address = f"{self.host}:{self.runner.addresses[0][1]}"
+        self.advertised = self.advertised or self.address
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        await self.runner.cleanup()
+
+    def register(self) -> None:
+        """Write this worker's entry."""
+        self.sequence += 1
+        self.store.put(
+            f"servers/{self.name}",
+            {
+                "Service": self.service,
+                "Address": self.advertised,
+                "Zone": self.zone,
+                "Version": self.version,
+                "Slots": self.slots,
+                "State": self.state,
+                "ColdMs": 0,
+                "Seq": self.sequence,
+                "born": self.born,
+            },
+        )
+
+    def drain(self) -> None:
+        """Say that this worker leaves."""
+        self.state = "draining"
+        self.register()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        body = await request.read()
+        attempt_id = request.headers.get("Linnetladder-Attempt-Id", "")
+        if request.headers.get("Linnetladder-Expect-Instance") != self.name:
+            return self._reply(421, attempt_id, b"")
+        fault = self.faults.popleft() if self.faults else None
+        if fault is Fault.SHED or self.running >= self.slots:
+            headers = {"Linnetladder-Not-Run": "1"}
+            return self._reply(503, attempt_id, b"", headers)
+        if fault is Fault.RESET_BEFORE:
+            request.transport.abort()
+            return web.Response()
+        self.running += 1
+        self._record(request, attempt_id, body)
+        try:
+            return await self._run(request, attempt_id, fault)
+        finally:
+            self.running -= 1
+
+    async def _run(
+        self, request: web.BaseRequest, attempt_id: str, fault: Fault | None
+    ) -> web.StreamResponse:
+        await asyncio.sleep(WORK_SECONDS)
+        if fault is Fault.SILENT:
+            await asyncio.sleep(30.0)
+        if fault is Fault.LOSE_ANSWER:
+            request.transport.abort()
+            return web.Response()
+        if fault is Fault.FAIL:
+            return self._reply(500, attempt_id, b"failed")
+        if fault is Fault.CROSSED:
+            return self._reply(200, "another", expected_body("another", path="/"))
+        if "/stream/" in request.path:
+            return await self._stream(request, attempt_id, fault)
+        answer = self._reply(200, attempt_id, expected_body(attempt_id, path="/"))
+        if fault is Fault.CUT:
+            answer.content_length = len(answer.body) + 10
+        if fault is Fault.EXTRA:
+            await answer.prepare(request)
+            await answer.write_eof()
+            request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+        return answer
+
+    async def _stream(
+        self, request: web.BaseRequest, attempt_id: str, fault: Fault | None
+    ) -> web.StreamResponse:
+        answer = web.StreamResponse(headers=self._headers(attempt_id))
+        answer.headers["Linnetladder-Confidence"] = str(_confidence(attempt_id))
+        await answer.prepare(request)
+        after = int(request.headers.get("Last-Event-Id") or 0)
+        for number in range(after + 1, EVENTS + 1):
+            content = _event(attempt_id, number)
+            if fault is Fault.CUT and number == EVENTS // 2:
+                await answer.write(content[: len(content) // 2])
+                request.transport.abort()
+                return answer
+            await answer.write(content)
+            await asyncio.sleep(EVENT_SECONDS)
+        return answer
+
+    def _record(self, request: web.BaseRequest, attempt_id: str, body: bytes) -> None:
+        self.runs.append(
+            {
+                "time": time.monotonic(),
+                "attempt": attempt_id,
+                "worker": self.name,
+                "version": self.version,
+                "method": request.method,
+                "path": request.path,
+                "body": body,
+                "tenant": request.headers.get("Linnetladder-Tenant", ""),
+                "key": request.headers.get("Authorization", ""),
+                "draining": self.state == "draining",
+            }
+        )
+
+    def _headers(self, attempt_id: str) -> dict[str, str]:
+        seal = hashlib.sha256(f"{self.name}{attempt_id}".encode()).hexdigest()[:16]
+        return {
+            "Linnetladder-Attempt-Id": attempt_id,
+            "Linnetladder-Server-Seal": seal,
+        }
+
+    def _reply(
+        self,
+        status: int,
+        attempt_id: str,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+    ) -> web.Response:
+        return web.Response(
+            status=status,
+            body=body,
+            headers={**self._headers(attempt_id), **(headers or {})},
+        )
+
+
+def _confidence(attempt_id: str) -> int:
+    return int(hashlib.sha256(attempt_id.encode()).hexdigest()[:4], 16) % 101
--- /dev/null
+++ b/tests/forwarding/test_bills.py
@@ -0,0 +1,174 @@
+"""Each request that ran is billed once, whoever dies and whatever reply is lost."""
+
+import asyncio
+
+from linnetladder.forwarding.coordination.bills import fold_blocks
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from tests.support.forwarding import (
+    ManualClock,
+    MemorySource,
+    RecordedReply,
+    Script,
+    head,
+    ready_daemon,
+    table,
+)
+
+
+def address(name, domain="east"):
+    return DaemonAddress(
+        instance=name,
+        incarnation=f"{name}-1",
+        failure_domain=domain,
+        host="10.0.0.1",
+        port=1,
+    )
+
+
+def fleet():
+    """Return a store and two daemons that know of each other."""
+    source, clock = MemorySource(table=table()), ManualClock()
+    daemons = [
+        ready_daemon(name=name, source=source, clock=clock) for name in ("d1", "d2")
+    ]
+    for daemon in daemons:
+        daemon.peers.know((address("d1"), address("d2")))
+    return source, clock, daemons
+
+
+def billed(source):
+    return fold_blocks(list(source.blocks.values()))
+
+
+def run_request(daemon, attempt_id):
+    assert daemon.answer(head("/fetch/1", attempt_id=attempt_id)).status == 200
+
+
+def tell(sender, receiver):
+    news = sender.peers.build()
+    news.copied_bills = sender.bills.copies()
+    receiver.peers.take(news)
+
+
+def test_a_block_whose_reply_was_lost_stands_once():
+    source, clock, (first, _) = fleet()
+    run_request(first, "a1")
+    source.lose_replies = 1
+    assert not asyncio.run(first.bills.flush())
+    run_request(first, "a2")
+    assert asyncio.run(first.bills.flush())
+    assert sorted(billed(source)) == ["a1", "a2"]
+    assert len(source.blocks) == 2
+
+
+def test_bills_wait_while_the_store_is_down_and_lose_their_order_to_nothing():
+    source, clock, (first, _) = fleet()
+    source.down = True
+    for serial in range(3):
+        run_request(first, f"a{serial}")
+        assert not asyncio.run(first.bills.flush())
+    source.down = False
+    assert asyncio.run(first.bills.flush())
+    assert sorted(billed(source)) == ["a0", "a1", "a2"]
+
+
+def test_a_daemon_that_is_killed_has_its_bills_written_by_a_peer():
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    tell(first, second)
+    asyncio.run(second.held_bills.recover((address("d2"),)))
+    assert billed(source) == {}
+    clock.now += 13
+    asyncio.run(second.held_bills.recover((address("d2"),)))
+    assert sorted(billed(source)) == ["a1"]
+    assert second.held_bills.held == {}
+
+
+def test_a_daemon_that_was_only_away_is_billed_once_all_the_same():
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    tell(first, second)
+    clock.now += 13
+    asyncio.run(second.held_bills.recover((address("d2"),)))
+    assert asyncio.run(first.bills.flush())
+    assert len(source.blocks) == 2
+    assert sorted(billed(source)) == ["a1"]
+
+
+def test_bills_that_stand_are_not_held_any_longer():
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    tell(first, second)
+    assert asyncio.run(first.bills.flush())
+    tell(first, second)
+    assert second.held_bills.held["d1-1"].count() == 0
+
+
+def test_a_lost_datagram_is_made_good_by_the_next():
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    first.bills.copies()
+    tell(first, second)
+    assert second.held_bills.held["d1-1"].count() == 1
+
+
+def test_a_bill_is_with_its_holders_before_the_answer_ends():
+    source, clock, (first, second) = fleet()
+
+    def copy(copied):
+        second.peers.take(first.peers.build_bill_copy(copied))
+
+    first.bills.on_bill = copy
+    seen = []
+    reply = RecordedReply()
+    send = reply.send
+
+    async def watched(*answer):
+        seen.append(second.held_bills.held["d1-1"].count())
+        await send(*answer)
+
+    reply.send = watched
+    work = first.forwarder.answer(
+        head("/fetch/1"), b"", received=clock.monotonic(), reply=reply
+    )
+    asyncio.run(work)
+    assert seen == [1]
+
+
+def test_a_request_whose_caller_left_is_billed_if_it_ran():
+    source, clock, (first, _) = fleet()
+
+    async def leave():
+        reply = RecordedReply()
+        first.calls.scripts = [Script(chunks=(b"x",))]
+
+        async def hang(*answer):
+            await asyncio.Event().wait()
+
+        reply.send = hang
+        work = asyncio.ensure_future(
+            first.forwarder.answer(
+                head("/fetch/1"), b"", received=clock.monotonic(), reply=reply
+            )
+        )
+        await asyncio.sleep(0.05)
+        work.cancel()
+        await asyncio.gather(work, return_exceptions=True)
+
+    asyncio.run(leave())
+    assert list(first.bills.open) == ["a1"]
+
+
+def test_holders_are_in_other_failure_domains_where_there_are_some():
+    source, clock, (first, _) = fleet()
+    first.peers.know(
+        (
+            address("d1"),
+            address("d2"),
+            address("d3", "west"),
+            address("d4", "north"),
+            address("d5"),
+        )
+    )
+    holders = {peer.instance for peer in first.peers.bill_holders()}
+    assert holders == {"d3", "d4"}
--- a/tests/forwarding/test_news.py
+++ b/tests/forwarding/test_news.py
@@ -1,7 +1,7 @@
 """News between daemons: authentic, in order, and complete in every message."""
 
 from linnetladder.forwarding.protocol.news import decode_news, encode_news
-from tests.support.forwarding import LocalDaemon, ManualClock, ready_daemon
+from tests.support.forwarding import LocalDaemon, ManualClock, head, ready_daemon
 
 SECRET = b"secret"
 
@@ -9,7 +9,10 @@
 def test_news_survive_the_way_and_nothing_else_is_taken():
     daemon = ready_daemon()
     daemon.crashes.learn("f", "engine-1:1")
+    daemon.answer(head("/fetch/1"))
     news = daemon.peers.build()
+    news.copied_bills = daemon.bills.copies()
+    assert news.copied_bills.blocks
     datagram = encode_news(news, secret=SECRET)
     assert decode_news(datagram, secret=SECRET) == news
     assert decode_news(datagram, secret=b"other") is None
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -240,10 +240,12 @@
     async def work(server, store, source):
         server.faults.append(fault)
         written = await source.write_bills(
-            incarnation="i", sequence=1, content=b"bills"
+            incarnation="i", name="00000001", content=b"bills"
         )
         assert written.failure().kind is kind
-        again = await source.write_bills(incarnation="i", sequence=1, content=b"bills")
+        again = await source.write_bills(
+            incarnation="i", name="00000001", content=b"bills"
+        )
         assert again.unwrap() is (fault == "unavailable")
 
     with_store(work)
@@ -405,7 +407,7 @@
 
 def test_values_are_encoded_as_padded_base64():
     async def work(server, store, source):
-        await source.write_bills(incarnation="i", sequence=1, content=b"ab")
+        await source.write_bills(incarnation="i", name="00000001", content=b"ab")
         key = "linnetladder/ledger/i/00000001"
         assert base64.b64decode(server.encoded(key), validate=True) == b"ab"
 
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -126,7 +126,7 @@
     busy = daemons[1].table.endpoints["old-2"]
     busy.in_flight += 1
     tell(daemons)
-    daemons[0].loads.peers["old-2"]["daemon-2"].heard = clock.now + 60
+    daemons[0].loads.peers["daemon-2"].heard = clock.now + 60
     pass_time(clock, daemons, 3.0, stepping=daemons[:1])
     assert source.records["engines"].phase is RolloutPhase.RAMP
     busy.in_flight -= 1
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -7,7 +7,7 @@
 
 from linnetladder.coordination.attempts.ejection import Ejector
 from linnetladder.coordination.platform import FaultKind, PlatformFault
-from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.bills import BillBuffer, HeldBills
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.calls import (
     CallFault,
@@ -341,11 +341,11 @@
         self.daemons[address.instance] = address
         return Success(None)
 
-    async def write_bills(self, *, incarnation, sequence, content):
+    async def write_bills(self, *, incarnation, name, content):
         if self.down:
             return self.fault()
-        created = (incarnation, sequence) not in self.blocks
-        self.blocks.setdefault((incarnation, sequence), content)
+        created = (incarnation, name) not in self.blocks
+        self.blocks.setdefault((incarnation, name), content)
         return self.reply(created)
 
     async def shared_secret(self, proposed):
@@ -386,6 +386,14 @@
             metrics=metrics,
             seed=1,
         )
+        ledger = {
+            "source": self.source,
+            "incarnation": f"{name}-1",
+            "clock": clock,
+            "metrics": metrics,
+        }
+        self.bills = BillBuffer(**ledger)
+        self.held_bills = HeldBills(**ledger)
         self.peers = PeerNews(
             instance=name,
             incarnation=f"{name}-1",
@@ -394,6 +402,9 @@
             outcomes=self.outcomes,
             crashes=self.crashes,
             rollouts=self.rollouts,
+            bills=self.bills,
+            held_bills=self.held_bills,
+            failure_domain="east",
             metrics=metrics,
             seed=1,
         )
@@ -418,9 +429,6 @@
             seed=1,
         )
         self.calls = ScriptedCalls(clock=clock)
-        self.bills = BillBuffer(
-            source=self.source, incarnation=f"{name}-1", clock=clock, metrics=metrics
-        )
         self.selection = Selection(
             directory=self.directory,
             loads=self.loads,
