Read the store as often as the bounds in force want; a canary of requests a second

Change: the interval follows the bounds, leases and blocks of bills are renewed less often; the canary's share makes 1.1 requests a second; news go to all near by and to six peers in other failure domains a round, and the loads heard stand for those that were not. Ruled out: an uneven view of the record, all daemons had it within 0.7 s. A test found that few registered peers scaled the loads heard to nothing, which would have called a busy version complete.

--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -75,7 +75,8 @@
 __all__ = ["FleetDaemon", "main"]
 
 EXIT_USAGE = 2
-BILL_SECONDS = 5.0
+# Peers hold what is not written yet, so blocks are few.
+BILL_SECONDS = 12.0
 SETTINGS_SECONDS = 1.0
 SECRET_RETRY_SECONDS = 1.0
 # What is kept of the grace period for the last writes and the exit.
@@ -178,11 +179,13 @@
         outcomes = Outcomes(clock=clock)
         crashes = CrashLog(clock=clock)
         self.directory = Directory(table=table, loads=loads, clock=clock)
+        budget = WindowBudget(settings=self.holder, clock=clock)
         rollouts = Rollouts(
             source=source,
             directory=self.directory,
             outcomes=outcomes,
             loads=loads,
+            budget=budget,
             clock=clock,
             metrics=metrics,
             seed=seed,
@@ -209,7 +212,6 @@
             metrics=metrics,
             seed=seed,
         )
-        budget = WindowBudget(settings=self.holder, clock=clock)
         self.in_force = TableInForce(settings=self.holder, clock=clock)
         self.follower = Follower(
             source=source,
--- a/linnetladder/forwarding/coordination/budget.py
+++ b/linnetladder/forwarding/coordination/budget.py
@@ -36,6 +36,12 @@
             self.total -= self.buckets.popleft()[1]
         return self.total
 
+    def rate(self, now: float, seconds: float) -> float:
+        """Return the events a second over the latest seconds."""
+        oldest = int((now - seconds) / BUCKET_SECONDS)
+        recent = sum(count for bucket, count in self.buckets if bucket >= oldest)
+        return recent / seconds
+
 
 class ServiceBudget:
     """The counts of one service."""
@@ -63,6 +69,10 @@
         """Count a caller's request."""
         self._budget(service).requests.add(self.clock.monotonic())
 
+    def request_rate(self, service: str, *, seconds: float) -> float:
+        """Return the callers' requests a second that this daemon has had lately."""
+        return self._budget(service).requests.rate(self.clock.monotonic(), seconds)
+
     def left(self, service: str) -> float:
         """Return how many repeats are left at this moment."""
         now = self.clock.monotonic()
--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -19,9 +19,9 @@
 # Entries that lapsed while the register was away are back within two seconds of its
 # return, by the platform's word.
 LAPSE_GRACE_SECONDS = 2.2
-# Readings further apart than this mean that at least one was lost to an outage of the
-# register; they come at intervals well below it.
-OUTAGE_SECONDS = 2.2
+# Readings further apart than their interval by this mean that at least one was lost to
+# an outage of the register.
+OUTAGE_EXCESS_SECONDS = 0.9
 
 
 class Directory:
@@ -36,10 +36,12 @@
         self.read_once = False
         self.by_service: dict[str, Pool] = {}
 
-    def take(self, reports: Iterable[EndpointReport]) -> None:
-        """Take in one complete reading."""
+    def take(
+        self, reports: Iterable[EndpointReport], *, interval: float = 1.25
+    ) -> None:
+        """Take in one complete reading; ``interval`` is the usual time between two."""
         now = self.clock.monotonic()
-        after_outage = now - self.last_read > OUTAGE_SECONDS
+        after_outage = now - self.last_read > interval + OUTAGE_EXCESS_SECONDS
         self.last_read = now
         self.read_once = True
         names = set()
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -54,6 +54,7 @@
         self.peers: dict[str, PeerLoads] = {}
         self.totals: dict[str, tuple[int, float]] = {}
         self.totalled = -math.inf
+        self.daemons = 1
         self.seconds_per_token: dict[str, float] = {}
 
     def begin(self, endpoint: Endpoint, *, model: str, tokens: int) -> Work:
@@ -103,19 +104,27 @@
         self.backlog.pop(endpoint, None)
 
     def _peer_totals(self) -> dict[str, tuple[int, float]]:
-        """Return the sums over all peers heard lately, made anew now and then."""
+        """Return the sums over all peers, made anew now and then.
+
+        In a large fleet only some peers were heard lately; they stand for the others.
+        """
         now = self.clock.monotonic()
         if now - self.totalled < TOTALS_SECONDS:
             return self.totals
         self.totalled = now
-        self.totals = {}
+        sums: dict[str, tuple[int, float]] = {}
         for peer, loads in list(self.peers.items()):
             if now - loads.heard > PEER_LOAD_SECONDS:
                 del self.peers[peer]
                 continue
             for endpoint, (in_flight, backlog) in loads.rows.items():
-                known = self.totals.get(endpoint, NO_LOAD)
-                self.totals[endpoint] = (known[0] + in_flight, known[1] + backlog)
+                known = sums.get(endpoint, NO_LOAD)
+                sums[endpoint] = (known[0] + in_flight, known[1] + backlog)
+        scale = max((self.daemons - 1) / max(len(self.peers), 1), 1.0)
+        self.totals = {
+            endpoint: (round(in_flight * scale), backlog * scale)
+            for endpoint, (in_flight, backlog) in sums.items()
+        }
         return self.totals
 
     def _take_backlog(self, work: Work) -> None:
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -21,16 +21,17 @@
 
 __all__ = ["Follower"]
 
-# Leaves time for a slow read within the two seconds in which a changed configuration or
-# a leaving endpoint must be known; news of peers make most reads earlier.
-READ_SECONDS = 1.25
+# A read begins this long before a changed configuration or a leaving endpoint must be
+# known at the latest, which leaves time for a slow one.
+READ_AHEAD_SECONDS = 0.75
+LEAST_READ_SECONDS = 0.5
 JITTER_SECONDS = 0.1
 RETRY_SECONDS = 0.2
 # While entries may come back after an outage, or have to be given up.
 UNSETTLED_SECONDS = 0.4
 STEP_SECONDS = 0.5
-REGISTRATION_PAUSE_SECONDS = 2.5
-REGISTRATION_SECONDS = 8.0
+REGISTRATION_PAUSE_SECONDS = 4.0
+REGISTRATION_SECONDS = 12.0
 
 
 class Follower:
@@ -70,7 +71,7 @@
         while True:
             self.wanted.clear()
             succeeded = await self.read_once()
-            pause = READ_SECONDS if succeeded else RETRY_SECONDS
+            pause = self.read_seconds() if succeeded else RETRY_SECONDS
             if not self.directory.is_settled:
                 pause = min(pause, UNSETTLED_SECONDS)
             pause += self.random.uniform(0, JITTER_SECONDS)
@@ -80,6 +81,12 @@
             except TimeoutError:
                 continue
 
+    def read_seconds(self) -> float:
+        """Return the interval at which the bounds in force want the store read."""
+        bounds = self.in_force.settings.bounds
+        tightest = min(bounds.configuration, bounds.drain, bounds.revoke / 2)
+        return max(tightest - READ_AHEAD_SECONDS, LEAST_READ_SECONDS)
+
     async def read_once(self) -> bool:
         """Read the store once and return whether that succeeded."""
         began = self.clock.monotonic()
@@ -91,10 +98,11 @@
         self.rollouts.take_orders(reading.orders)
         self.rollouts.take_records(reading.records)
         self.in_force.confirm(reading.table, read_began=began)
-        self.directory.take(reading.endpoints)
+        self.directory.take(reading.endpoints, interval=self.read_seconds())
         self.peers.know(reading.daemons)
         self.peers.revision = self.newest_revision()
-        self.budget.daemons = len(self.peers.peers) + 1
+        self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
+        self.peers.loads.daemons = self.budget.daemons
         self._note_success()
         return True
 
--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -12,9 +12,9 @@
 
 # A request may wait this long between the check of its credential and its start.
 REVOKE_MARGIN_SECONDS = 0.9
-# Without word for this long, the absence of a route or a credential proves nothing: a
-# configuration that adds it may have to be in force already.
-ABSENCE_SECONDS = 1.8
+# The absence of a route or a credential proves nothing once a configuration that adds
+# it may have to be in force; it is doubted this long before.
+ABSENCE_MARGIN_SECONDS = 0.2
 STALE_RETRY_SECONDS = 0.3
 
 
@@ -75,7 +75,7 @@
 
     def refuse_absent(self, kind: ErrorKind, detail: str) -> Refusal:
         """Refuse for want of a route or credential, if its absence is certain."""
-        if self.age() <= ABSENCE_SECONDS:
+        if self.age() <= self.settings.bounds.configuration - ABSENCE_MARGIN_SECONDS:
             return Refusal(kind, detail)
         return Refusal(
             ErrorKind.CONFIGURATION_STALE,
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -19,8 +19,10 @@
 
 __all__ = ["PeerNews"]
 
-# A round reaches this many peers at most; a large fleet takes several rounds.
+# A round reaches this many peers at most, and of those in other failure domains, whose
+# links cost more, a few.
 PEERS_PER_ROUND = 24
+REMOTE_PEERS_PER_ROUND = 6
 LEAVING_TOLD = 64
 # Two holders in other failure domains outlive the loss of an instance or a domain.
 BILL_HOLDERS = 2
@@ -80,10 +82,15 @@
             self.peers = others
 
     def receivers(self) -> list[DaemonAddress]:
-        """Return whom the next message goes to."""
-        if len(self.peers) <= PEERS_PER_ROUND:
-            return list(self.peers)
-        return self.random.sample(self.peers, PEERS_PER_ROUND)
+        """Return whom the next message goes to: those near by, and some of the rest."""
+        near = [p for p in self.peers if p.failure_domain == self.failure_domain]
+        far = [p for p in self.peers if p.failure_domain != self.failure_domain]
+        if len(far) > REMOTE_PEERS_PER_ROUND:
+            far = self.random.sample(far, REMOTE_PEERS_PER_ROUND)
+        room = PEERS_PER_ROUND - len(far)
+        if len(near) > room:
+            near = self.random.sample(near, room)
+        return near + far
 
     def bill_holders(self) -> list[DaemonAddress]:
         """Return the peers that hold this daemon's bills, other domains' first."""
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.directory import Directory, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import (
@@ -36,8 +37,15 @@
 # Every daemon reads a step within this time of its writing, so that all act on it at
 # the same moment.
 AHEAD_SECONDS = 2.0
-# Sessions on the candidate while it has shown nothing yet.
-CANARY_SHARE = 0.09
+# Requests a second on the candidate while it has shown nothing yet. The sessions that
+# move to it at the start are as many as these requests have repeats within a session's
+# time, so the figure does not grow with the traffic.
+CANARY_REQUESTS_PER_SECOND = 1.1
+MAXIMUM_CANARY_SHARE = 0.08
+MINIMUM_CANARY_SHARE = 0.002
+# What a daemon is taken to get at least when an order comes before its traffic.
+LEAST_REQUESTS_PER_DAEMON = 2.5
+RATE_SECONDS = 2.0
 # A log likelihood ratio at which a version counts as bad: one false alarm in e^8.
 BAD_EVIDENCE = 8.0
 # Above this one a version gets no larger share until more answers have come in.
@@ -97,6 +105,7 @@
         directory: Directory,
         outcomes: Outcomes,
         loads: EndpointLoads,
+        budget: WindowBudget,
         clock: Clock,
         metrics: Metrics,
         seed: int,
@@ -105,6 +114,8 @@
         self.directory = directory
         self.outcomes = outcomes
         self.loads = loads
+        self.budget = budget
+        self.daemons = 1
         self.clock = clock
         self.metrics = metrics
         self.random = random.Random(seed)
@@ -291,10 +302,11 @@
             ramping = self._since(order, record.ramp_unix)
             if ramping >= 0:
                 progress = ramping / (order.duration_seconds * RAMP_SPAN)
-                return min(CANARY_SHARE + (1 - CANARY_SHARE) * progress, 1.0)
+                canary = record.canary_share
+                return min(canary + (1 - canary) * progress, 1.0)
         if self._since(order, record.canary_unix) < 0:
             return 0.0
-        return CANARY_SHARE
+        return record.canary_share
 
     def _draw(self, order: RolloutOrder, session: str) -> float:
         text = f"{order.service}\0{order.revision}\0{session}"
@@ -339,9 +351,17 @@
             phase=RolloutPhase.CANARY,
             ordered_unix=round(now, 3),
             canary_unix=round(now + AHEAD_SECONDS, 3),
+            canary_share=self._canary_share(order.service),
             revision=known.revision if known is not None else 0,
         )
 
+    def _canary_share(self, service: str) -> float:
+        """Return the share of sessions that makes the canary's requests a second."""
+        own = self.budget.request_rate(service, seconds=RATE_SECONDS)
+        rate = max(own, LEAST_REQUESTS_PER_DAEMON) * self.daemons
+        share = CANARY_REQUESTS_PER_SECOND / rate
+        return round(min(max(share, MINIMUM_CANARY_SHARE), MAXIMUM_CANARY_SHARE), 4)
+
     def _may_complete(self, order: RolloutOrder, elapsed: float) -> bool:
         """Tell whether the old version's endpoints may be stopped."""
         if elapsed < order.duration_seconds * COMPLETE_FROM:
--- a/linnetladder/forwarding/state/rollouts.py
+++ b/linnetladder/forwarding/state/rollouts.py
@@ -37,7 +37,8 @@
     ``canary_unix`` and ``ramp_unix`` are the moments, in seconds of Unix time, from
     which the canary gets new sessions and from which its share rises. They are set a
     little ahead, so that all daemons know of them before they come. ``ramp_unix`` is
-    0 until the canary has proved itself. ``revision`` is the store's, 0 before the
+    0 until the canary has proved itself. ``canary_share`` is the part of sessions that
+    the canary gets, 0 to 1. ``revision`` is the store's, 0 before the
     record was first written.
     """
 
@@ -47,5 +48,6 @@
     phase: RolloutPhase
     ordered_unix: float
     canary_unix: float
+    canary_share: float
     ramp_unix: float = 0.0
     revision: int = 0
--- a/tests/forwarding/test_news.py
+++ b/tests/forwarding/test_news.py
@@ -1,5 +1,6 @@
 """News between daemons: authentic, in order, and complete in every message."""
 
+from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.news import decode_news, encode_news
 from tests.support.forwarding import LocalDaemon, ManualClock, head, ready_daemon
 
@@ -78,3 +79,32 @@
 
 def test_an_unknown_fleet_gets_no_news():
     assert LocalDaemon().peers.receivers() == []
+
+
+def test_in_a_large_fleet_few_messages_leave_the_failure_domain():
+    daemon = ready_daemon()
+    daemon.peers.know(
+        tuple(
+            DaemonAddress(
+                instance=f"d{number}",
+                incarnation="i",
+                failure_domain="east" if number < 14 else "west",
+                host="10.0.0.1",
+                port=1,
+            )
+            for number in range(90)
+        )
+    )
+    receivers = daemon.peers.receivers()
+    assert sum(peer.failure_domain == "east" for peer in receivers) == 14
+    assert sum(peer.failure_domain == "west" for peer in receivers) == 6
+
+
+def test_peers_that_were_heard_stand_for_those_that_were_not():
+    clock = ManualClock()
+    sender = ready_daemon(name="daemon-1", clock=clock)
+    receiver = ready_daemon(name="daemon-2", clock=clock)
+    sender.table.endpoints["engine-1"].in_flight = 2
+    receiver.peers.take(sender.peers.build())
+    receiver.loads.daemons = 11
+    assert receiver.loads.in_flight_of(receiver.table.endpoints["engine-1"]) == 20
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -218,6 +218,7 @@
             phase=RolloutPhase.CANARY,
             ordered_unix=1.0,
             canary_unix=2.0,
+            canary_share=0.05,
         )
         assert (await source.write_rollout(record)).unwrap()
         assert not (await source.write_rollout(record)).unwrap()
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -299,3 +299,17 @@
             daemons[0].outcomes.add(name, "draft", Verdict.BROKEN)
     daemons[0].rollouts._judge(source.orders["engines"])
     assert not daemons[0].rollouts.bad_targets
+
+
+def test_a_larger_fleet_moves_a_smaller_share_to_the_canary(fleet):
+    """The sessions that move at the start must not grow with the traffic."""
+    source, clock, daemons = fleet
+    daemons[0].read()
+    for _ in range(8):
+        daemons[0].budget.earn("engines")
+    daemons[0].rollouts.daemons = 6
+    small = daemons[0].rollouts._canary_share("engines")
+    daemons[0].rollouts.daemons = 66
+    large = daemons[0].rollouts._canary_share("engines")
+    assert small * 24 == pytest.approx(1.1, rel=0.05)
+    assert large * 264 == pytest.approx(1.1, rel=0.05)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -377,11 +377,13 @@
         self.outcomes = Outcomes(clock=clock)
         self.crashes = CrashLog(clock=clock)
         self.directory = Directory(table=self.table, loads=self.loads, clock=clock)
+        self.budget = WindowBudget(settings=self.holder, clock=clock)
         self.rollouts = Rollouts(
             source=self.source,
             directory=self.directory,
             outcomes=self.outcomes,
             loads=self.loads,
+            budget=self.budget,
             clock=clock,
             metrics=metrics,
             seed=1,
@@ -408,7 +410,6 @@
             metrics=metrics,
             seed=1,
         )
-        self.budget = WindowBudget(settings=self.holder, clock=clock)
         self.in_force = TableInForce(settings=self.holder, clock=clock)
         self.follower = Follower(
             source=self.source,
