A fault soak of our own; hand bills over when a holder leaves

Change: bench/fleet_soak runs three daemons as processes against stand-ins behind relays; connections are silenced and cut, daemons paused, killed, stopped and reloaded, the store goes down and loses replies, keys are revoked, workers drain and misbehave. Promises are checked from what callers and workers saw, and the ledger. A daemon is ready once it has a holder, bills are written when holders change and handed over at shutdown, and the last write is repeated.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 EXAMPLE ?= daugava
 SECONDS ?= 60
+SEEDS ?= 5
 
-.PHONY: install demo test bench fuzz faults slopes policy clean
+.PHONY: install demo test bench fuzz faults soak slopes policy clean
 
 install: $(VENV)/.installed
 
@@ -33,6 +34,9 @@
 faults: install
 	$(BIN)/python -m bench.faults
 
+soak: install
+	$(BIN)/python -m bench.fleet_soak --seeds=$(SEEDS)
+
 slopes: install
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/bench/fleet_checks.py
@@ -0,0 +1,143 @@
+"""The promises that a soak checks, from what callers and workers saw.
+
+Nothing here uses the daemons' own records but the ledger, which is what is promised.
+"""
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+import orjson
+
+from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS
+from standins.fleet_worker import expected_body
+
+if TYPE_CHECKING:
+    from bench.fleet_soak import Soak
+
+__all__ = ["Sent", "check"]
+
+NOT_RUN = frozenset((408, 421, 429, 503))
+CONTACT_SECONDS = 3.0
+SLACK_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sent:
+    """One request of a client; ``status`` is 0 without a whole answer."""
+
+    attempt: str
+    route: str
+    daemon: str
+    account: str
+    time: float
+    ended: float = 0.0
+    status: int = 0
+    body: bytes = b""
+    error: str = ""
+
+
+def check(soak: "Soak", *, timed: bool = True) -> list[str]:
+    """Return a line for each promise that was broken.
+
+    ``timed`` includes the promises with a bound on elapsed time, which a busy machine
+    may break by itself.
+    """
+    runs = collections.defaultdict(list)
+    for run in soak.site.runs():
+        runs[run["attempt"]].append(run)
+    found = [
+        *_check_answers(soak, runs),
+        *_check_runs(soak, runs),
+        *_check_bills(soak, runs),
+    ]
+    if timed:
+        found += _check_credentials(soak, runs)
+        found += _check_leaving(soak)
+    return found
+
+
+def _check_answers(soak: "Soak", runs: dict) -> list[str]:
+    found = []
+    for sent in soak.sent:
+        path = f"/{sent.route}/"
+        right = sent.body == expected_body(sent.attempt, path=path)
+        if sent.status == 200 and not right:
+            found.append(f"{sent.attempt}: an answer that is not its own: {sent.body}")
+        ran = runs.get(sent.attempt, [])
+        if sent.route == "save" and len(ran) > 1:
+            found.append(f"{sent.attempt}: ran {len(ran)} times")
+        if sent.route == "save" and sent.status in NOT_RUN and ran:
+            found.append(f"{sent.attempt}: answered {sent.status} and ran")
+        if sent.status in (401, 403, 404) and sent.account != "guest":
+            found.append(f"{sent.attempt}: denied with {sent.status}")
+    return found
+
+
+def _check_runs(soak: "Soak", runs: dict) -> list[str]:
+    found = []
+    known = {sent.attempt: sent for sent in soak.sent}
+    for attempt, each in runs.items():
+        sent = known.get(attempt)
+        if sent is None:
+            found.append(f"{attempt}: ran and was never sent")
+            continue
+        for run in each:
+            path = f"/{sent.route}/{sent.attempt}"
+            if (run["path"], run["body"]) != (path, b"x"):
+                found.append(f"{attempt}: ran with another path or body")
+            if run["tenant"] != sent.account or run["key"]:
+                found.append(f"{attempt}: ran for {run['tenant']!r} or with its key")
+    return found
+
+
+def _check_credentials(soak: "Soak", runs: dict) -> list[str]:
+    if not soak.revoked:
+        return []
+    latest = soak.revoked + REVOKE_MILLISECONDS / 1000
+    return [
+        f"{sent.attempt}: ran, sent {sent.time - soak.revoked:.1f} s after revocation"
+        for sent in soak.sent
+        if sent.account == "guest" and sent.time > latest and runs.get(sent.attempt)
+    ]
+
+
+def _check_leaving(soak: "Soak") -> list[str]:
+    found = []
+    for run in soak.site.runs():
+        drained = soak.drained.get(run["worker"])
+        if drained is None:
+            continue
+        late = run["time"] - drained - DRAIN_MILLISECONDS / 1000
+        calm = not _disturbed(soak, drained - CONTACT_SECONDS, run["time"])
+        if late > SLACK_SECONDS and calm:
+            found.append(f"{run['attempt']}: {run['worker']} got it {late:.1f} s late")
+    return found
+
+
+def _disturbed(soak: "Soak", first: float, last: float) -> bool:
+    return any(began <= last and ended >= first for began, ended in soak.disturbed)
+
+
+def _check_bills(soak: "Soak", runs: dict) -> list[str]:
+    """Hold the ledger to the answers: each once, and nothing that did not run."""
+    billed = set()
+    for key in soak.site.store.items:
+        if key.startswith("linnetladder/ledger/"):
+            billed.update(orjson.loads(soak.site.store.value(key)))
+    found = [
+        f"{sent.attempt}: answered and not billed"
+        for sent in soak.sent
+        if sent.status == 200 and sent.attempt not in billed
+    ]
+    found += [
+        f"{attempt}: billed and never ran"
+        for attempt in billed
+        if not runs.get(attempt) and not _may_have_run(soak, attempt)
+    ]
+    return found
+
+
+def _may_have_run(soak: "Soak", attempt: str) -> bool:
+    """Tell whether a request got an answer that leaves open whether it ran."""
+    return any(s.attempt == attempt and s.status not in NOT_RUN for s in soak.sent)
--- /dev/null
+++ b/bench/fleet_site.py
@@ -0,0 +1,185 @@
+"""A small installation of the users' platform on loopback, with real daemons.
+
+The store and the workers are stand-ins in this process, each behind a relay of its own
+that can cut or silence connections; the daemons are processes of their own.
+"""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from bench.processes import Fleet, free_port
+from standins.fleet_store import FleetStore
+from standins.fleet_worker import FleetWorker
+from standins.relay import Relay
+
+__all__ = ["ACCOUNTS", "FleetSite", "ROUTES"]
+
+ACCOUNTS = {"studio": "key-studio", "printer": "key-printer"}
+REVOKED_KEY = "key-revoked"
+REVOKE_MILLISECONDS = 4000
+DRAIN_MILLISECONDS = 2000
+GRACE_SECONDS = 8
+HOST = "api.example"
+MODELS = ("small", "middle", "large")
+BEAT_SECONDS = 0.6
+
+ROUTES = {
+    "stream": {"Kind": "streaming", "Sizes": list(MODELS), "CanResume": True},
+    "fetch": {"Kind": "idempotent"},
+    "save": {"Kind": "non_idempotent"},
+}
+
+
+class FleetSite:
+    """The store, the workers and the daemons of one run."""
+
+    def __init__(self, *, folder: Path, daemons: int = 3):
+        self.folder = folder
+        self.store = FleetStore()
+        self.fleet = Fleet(folder=folder)
+        self.workers: list[FleetWorker] = []
+        self.relays: dict[str, Relay] = {}
+        self.servers: list[asyncio.Server] = []
+        self.names = [f"daemon-{number}" for number in range(1, daemons + 1)]
+        self.ports = {
+            name: {part: free_port() for part in ("front", "ready", "peer")}
+            for name in self.names
+        }
+        self.keys = {**ACCOUNTS, "guest": REVOKED_KEY}
+        self.version = 0
+        self.beats: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start everything; daemons are ready a moment later."""
+        address = await self.store.start()
+        for name, service in (
+            ("engine-1", "engines"),
+            ("engine-2", "engines"),
+            ("desk-1", "desk"),
+            ("desk-2", "desk"),
+        ):
+            await self._start_worker(name, service)
+        self.configure()
+        for name in self.names:
+            port = await self._relay(f"store-{name}", int(address.rpartition(":")[2]))
+            self._write_settings(name, store_port=port)
+            self.start_daemon(name)
+        self.beats = asyncio.ensure_future(self._beat())
+
+    async def stop(self) -> None:
+        """End all processes that were started, and the stand-ins."""
+        await asyncio.to_thread(self.fleet.stop)
+        self.beats.cancel()
+        for server in self.servers:
+            server.close()
+        for worker in self.workers:
+            await worker.stop()
+        await self.store.stop()
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon's process."""
+        self.fleet.start(
+            name,
+            "linnetladder.fleet",
+            environment={"LINNETLADDER_BOOT": str(self.folder / f"{name}.conf")},
+        )
+
+    async def restart(self, name: str, number: signal.Signals) -> None:
+        """End one daemon by a signal and start it again when it is gone."""
+        self.fleet.send(name, number)
+        await asyncio.to_thread(self.fleet.wait, name)
+        self.start_daemon(name)
+
+    def configure(self) -> int:
+        """Write the next version of the configuration and return its number."""
+        self.version += 1
+        self.store.put("op/config", self._configuration())
+        return self.version
+
+    def front(self, name: str) -> str:
+        """Return the URL at which a daemon takes callers' requests."""
+        return f"http://127.0.0.1:{self.ports[name]['front']}"
+
+    def ready(self, name: str) -> str:
+        """Return the URL of a daemon's readiness."""
+        return f"http://127.0.0.1:{self.ports[name]['ready']}/-/readyz"
+
+    def plant_worker(self) -> FleetWorker:
+        """Return a worker that is known here and never started."""
+        worker = FleetWorker(name="planted", service="desk", store=self.store)
+        self.workers.append(worker)
+        return worker
+
+    def runs(self) -> list[dict]:
+        """Return everything that workers ran."""
+        return [run for worker in self.workers for run in worker.runs]
+
+    async def _start_worker(self, name: str, service: str) -> None:
+        worker = FleetWorker(name=name, service=service, store=self.store)
+        await worker.start()
+        port = await self._relay(name, int(worker.address.rpartition(":")[2]))
+        worker.advertised = f"127.0.0.1:{port}"
+        worker.register()
+        self.workers.append(worker)
+
+    async def _relay(self, name: str, to_port: int) -> int:
+        port = free_port()
+        relay = Relay(host="127.0.0.1", port=to_port)
+        server = await asyncio.start_server(relay.handle, "127.0.0.1", port)
+        self.relays[name] = relay
+        self.servers.append(server)
+        return port
+
+    async def _beat(self) -> None:
+        while True:
+            for worker in self.workers:
+                worker.register()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def _configuration(self) -> dict:
+        routes = [
+            {
+                "Name": name,
+                "Host": HOST,
+                "PathPrefix": f"/{name}/",
+                "TimeoutMs": 6000,
+                "GoalMs": 1000,
+                "Attempts": 1 if name == "save" else 3,
+                "Service": "engines" if name == "stream" else "desk",
+                **fields,
+            }
+            for name, fields in ROUTES.items()
+        ]
+        models = [
+            {"Name": model, "Cost": cost}
+            for model, cost in zip(MODELS, (0.02, 0.16, 0.31), strict=True)
+        ]
+        return {
+            "Version": self.version,
+            "Routes": routes,
+            "Services": [
+                {"Name": "engines", "Engine": {"Slots": 16, "Models": models}},
+                {"Name": "desk"},
+            ],
+            "Tenants": [
+                {"Name": name, "ApiKeys": [key]} for name, key in self.keys.items()
+            ],
+        }
+
+    def _write_settings(self, name: str, *, store_port: int) -> None:
+        ports = self.ports[name]
+        lines = [
+            f"Node={name}",
+            f"Zone=zone-{name[-1]}",
+            "Ip=127.0.0.1",
+            *(f"Zones.zone-{other[-1]}=here" for other in self.names),
+            f"Listen.Front=127.0.0.1:{ports['front']}",
+            f"Listen.Ready=127.0.0.1:{ports['ready']}",
+            f"PortRange={ports['peer']},{ports['peer']}",
+            f"Provider.Address=127.0.0.1:{store_port}",
+            f"Bounds.RevokeMs={REVOKE_MILLISECONDS}",
+            f"Bounds.DrainMs={DRAIN_MILLISECONDS}",
+            f"Bounds.GraceS={GRACE_SECONDS}",
+        ]
+        (self.folder / f"{name}.conf").write_text("\n".join(lines) + "\n")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -48,15 +48,21 @@
         self.processes: dict[str, subprocess.Popen] = {}
         folder.mkdir(parents=True, exist_ok=True)
 
-    def start(self, name: str, module: str, *flags: str) -> subprocess.Popen:
-        """Start ``python -m module`` with flags."""
+    def start(
+        self,
+        name: str,
+        module: str,
+        *flags: str,
+        environment: dict[str, str] | None = None,
+    ) -> subprocess.Popen:
+        """Start ``python -m module`` with flags and more variables."""
         with (self.folder / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *flags],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env=_environment(),
+                env={**_environment(), **(environment or {})},
             )
         self.processes[name] = process
         return process
--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -15,6 +15,7 @@
 import secrets  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 
 import aiomisc  # noqa: E402
 
@@ -75,12 +76,19 @@
 __all__ = ["FleetDaemon", "main"]
 
 EXIT_USAGE = 2
-# Peers hold what is not written yet, so blocks are few.
-BILL_SECONDS = 12.0
+# Peers hold what is not written yet, so blocks are few; if all of them are killed with
+# the daemon, the bills since its last block are lost.
+LEAST_BILL_SECONDS = 4.0
+BILL_SECONDS_PER_DAEMON = 0.15
+HOLDERS_SECONDS = 0.5
+RECOVER_SECONDS = 3.0
 SETTINGS_SECONDS = 1.0
 SECRET_RETRY_SECONDS = 1.0
 # What is kept of the grace period for the last writes and the exit.
 GRACE_MARGIN_SECONDS = 0.9
+LAST_BILLS_SECONDS = 0.7
+# A daemon that has no peers by then is the only one.
+ALONE_SECONDS = 3.0
 # The balancer takes an instance out after two questions, a second apart.
 NOTICE_SECONDS = 2.3
 IDLE_POLL_SECONDS = 0.05
@@ -96,6 +104,7 @@
         self.holder = SettingsHolder(settings=settings)
         self.tasks: list[asyncio.Task] = []
         self.leaving = False
+        self.started = time.monotonic()
         self.changed = asyncio.Event()
 
     async def start(self) -> None:
@@ -110,6 +119,8 @@
         self._run(self.follower.run_registration())
         self._run(self.follower.run_rollouts())
         self._run(self._write_bills())
+        self._run(self._recover_bills())
+        self._run(self._watch_holders())
         self._run(self._follow_settings())
         self._run(self._agree_on_secret())
         self._run(self.news_socket.run())
@@ -136,12 +147,7 @@
                     break
             await asyncio.sleep(IDLE_POLL_SECONDS)
         unfinished = self.callers.active
-        flushed = False
-        try:
-            async with asyncio.timeout(GRACE_MARGIN_SECONDS / 2):
-                flushed = await self.bills.flush()
-        except TimeoutError:
-            log_change("the last bills were not written in time")
+        flushed = await self._write_last_bills()
         for task in self.tasks:
             task.cancel()
         await self.callers.stop()
@@ -151,6 +157,21 @@
         await self.store.close()
         log_change("stopped", unfinished=unfinished, bills_written=flushed)
 
+    async def _write_last_bills(self) -> bool:
+        """Write what waits, again if a reply is lost, and let its holders know."""
+        flushed = False
+        try:
+            async with asyncio.timeout(LAST_BILLS_SECONDS):
+                while not flushed:
+                    own = await self.bills.flush()
+                    flushed = await self.held_bills.hand_over() and own
+                    if not flushed:
+                        await asyncio.sleep(IDLE_POLL_SECONDS)
+        except TimeoutError:
+            log_change("the last bills were not written in time")
+        self.news_socket.send_bill(self.bills.copies())
+        return flushed
+
     def unready_reasons(self) -> list[str]:
         """Return what keeps the daemon from serving callers."""
         reasons = []
@@ -161,6 +182,9 @@
             reasons.append(refusal.detail)
         if not self.directory.read_once:
             reasons.append("the endpoints have not been read")
+        alone = time.monotonic() - self.started >= ALONE_SECONDS
+        if not alone and not (self.peers.peers and self.news_socket.secret):
+            reasons.append("no peer is known that could hold bills")
         return reasons
 
     def _build(self) -> None:
@@ -289,8 +313,27 @@
 
     async def _write_bills(self) -> None:
         while True:
-            await asyncio.sleep(BILL_SECONDS)
+            await asyncio.sleep(self._bill_seconds())
             await self.bills.flush()
+
+    async def _watch_holders(self) -> None:
+        """Write bills at once when a peer that holds them has gone or started anew."""
+        known: list[str] = []
+        while True:
+            await asyncio.sleep(HOLDERS_SECONDS)
+            holders = [peer.incarnation for peer in self.peers.bill_holders()]
+            if known and holders != known:
+                await self.bills.flush()
+            known = holders
+
+    def _bill_seconds(self) -> float:
+        """Return the time between blocks; a large fleet writes fewer of them."""
+        daemons = len(self.peers.peers) + 1
+        return max(LEAST_BILL_SECONDS, daemons * BILL_SECONDS_PER_DAEMON)
+
+    async def _recover_bills(self) -> None:
+        while True:
+            await asyncio.sleep(RECOVER_SECONDS)
             if self.follower.reachable:
                 await self.held_bills.recover(self.peers.listed)
 
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -24,9 +24,9 @@
 MAXIMUM_WAITING_BLOCKS = 50
 # A datagram may be lost; each bill is in one of its own and in this many rounds.
 COPY_ROUNDS = 2
-# A daemon is registered again within seconds of a pause; one that is not listed for
-# this long is gone.
-ORPHAN_SECONDS = 12.0
+# A daemon whose incarnation is not listed and not heard for this long is gone. One that
+# was only away writes its bills as well, which counts them once all the same.
+ORPHAN_SECONDS = 5.0
 MAXIMUM_HELD_BILLS = 20_000
 
 BillRow = tuple[str, str, str, int, int]
@@ -159,6 +159,14 @@
         if known.count() > MAXIMUM_HELD_BILLS:
             known.blocks.pop(min(known.blocks))
 
+    async def hand_over(self) -> bool:
+        """Write all bills held, before this daemon leaves; true if all stand."""
+        for incarnation, held in list(self.held.items()):
+            if not await self._write(incarnation, held):
+                return False
+            self.held.pop(incarnation, None)
+        return True
+
     async def recover(self, daemons: tuple[DaemonAddress, ...]) -> None:
         """Write the bills of daemons that are no longer listed or heard."""
         now = self.clock.monotonic()
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -27,7 +27,8 @@
 LEAST_READ_SECONDS = 0.5
 JITTER_SECONDS = 0.1
 RETRY_SECONDS = 0.2
-# While entries may come back after an outage, or have to be given up.
+# While entries may come back after an outage, or have to be given up, or no other
+# daemon is known yet.
 UNSETTLED_SECONDS = 0.4
 STEP_SECONDS = 0.5
 REGISTRATION_PAUSE_SECONDS = 4.0
@@ -72,7 +73,7 @@
             self.wanted.clear()
             succeeded = await self.read_once()
             pause = self.read_seconds() if succeeded else RETRY_SECONDS
-            if not self.directory.is_settled:
+            if not self.directory.is_settled or not self.peers.peers:
                 pause = min(pause, UNSETTLED_SECONDS)
             pause += self.random.uniform(0, JITTER_SECONDS)
             try:
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -3,7 +3,7 @@
 It speaks HTTP on loopback: items with revisions, ranges, waiting watches, transactions
 with conditions, and leases. ``faults`` holds what befalls the next calls:
 ``unavailable`` answers 503 and does nothing, ``lost_reply`` carries a write out and
-closes the connection.
+closes the connection. While ``down`` is set, every call is answered 503.
 """
 
 import asyncio
@@ -41,11 +41,12 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.returned_keys: list[list[str]] = []
         self.changed = asyncio.Event()
+        self.down = False
         self.runner: web.ServerRunner | None = None
 
     async def start(self, *, port: int = 0) -> str:
         """Listen on loopback and return ``IP:port``."""
-        self.runner = web.ServerRunner(web.Server(self.handle))
+        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", port)
         await site.start()
@@ -95,7 +96,7 @@
         name, _, argument = request.path.removeprefix("/-/").partition("/")
         self.calls[name] += 1
         fault = self.faults.popleft() if self.faults else ""
-        if fault == "unavailable":
+        if fault == "unavailable" or self.down:
             return web.Response(status=503)
         content = await request.read()
         body = orjson.loads(content) if content else {}
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -80,7 +80,7 @@
 
     async def start(self) -> None:
         """Listen; registering is a step of its own."""
-        self.runner = web.ServerRunner(web.Server(self.handle))
+        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
         await self.runner.setup()
         await web.TCPSite(self.runner, self.host, 0).start()
         self.address = f"{self.host}:{self.runner.addresses[0][1]}"
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -78,17 +78,25 @@
     tell(first, second)
     asyncio.run(second.held_bills.recover((address("d2"),)))
     assert billed(source) == {}
-    clock.now += 13
+    clock.now += 6
     asyncio.run(second.held_bills.recover((address("d2"),)))
     assert sorted(billed(source)) == ["a1"]
     assert second.held_bills.held == {}
 
 
+def test_a_holder_that_leaves_writes_what_it_holds():
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    tell(first, second)
+    assert asyncio.run(second.held_bills.hand_over())
+    assert sorted(billed(source)) == ["a1"]
+
+
 def test_a_daemon_that_was_only_away_is_billed_once_all_the_same():
     source, clock, (first, second) = fleet()
     run_request(first, "a1")
     tell(first, second)
-    clock.now += 13
+    clock.now += 6
     asyncio.run(second.held_bills.recover((address("d2"),)))
     assert asyncio.run(first.bills.flush())
     assert len(source.blocks) == 2
--- /dev/null
+++ b/tests/forwarding/test_soak.py
@@ -0,0 +1,63 @@
+"""A short seeded run of the soak: real daemons, without the checks of elapsed time."""
+
+import asyncio
+
+from bench.fleet_checks import Sent, check
+from bench.fleet_soak import Soak
+from standins.fleet_worker import expected_body
+
+
+def test_no_promise_is_broken_while_daemons_and_stores_fail(tmp_path):
+    soak = Soak(seed=3, seconds=4.0, folder=tmp_path)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
+def test_the_checks_see_what_they_are_for(tmp_path):
+    """Planted violations of each promise that does not rest on elapsed time."""
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    worker = soak.site.plant_worker()
+    plant(soak, worker, "twice", route="save", runs=2, status=200)
+    plant(soak, worker, "untrue", route="save", runs=1, status=503)
+    plant(soak, worker, "mixed", route="fetch", runs=1, status=200, body=b"other")
+    plant(soak, worker, "denied", route="fetch", runs=0, status=401)
+    plant(soak, worker, "unbilled", route="fetch", runs=1, status=200)
+    soak.site.store.put("linnetladder/ledger/x/1", {"phantom": []})
+    found = "\n".join(check(soak, timed=False))
+    for words in (
+        "twice: ran 2 times",
+        "untrue: answered 503 and ran",
+        "mixed: an answer that is not its own",
+        "denied: denied with 401",
+        "unbilled: answered and not billed",
+        "phantom: billed and never ran",
+    ):
+        assert words in found
+
+
+def plant(soak, worker, attempt, *, route, runs, status, body=None):
+    """Add a request with its runs and its answer."""
+    path = f"/{route}/{attempt}"
+    soak.sent.append(
+        Sent(
+            attempt=attempt,
+            route=route,
+            daemon="daemon-1",
+            account="studio",
+            time=0.0,
+            status=status,
+            body=expected_body(attempt, path=path) if body is None else body,
+        )
+    )
+    for _ in range(runs):
+        worker.runs.append(
+            {
+                "time": 0.0,
+                "attempt": attempt,
+                "worker": worker.name,
+                "path": path,
+                "body": b"x",
+                "tenant": "studio",
+                "key": "",
+            }
+        )
