Keep unreachable endpoints out until they take a connection; start faster

Ruled out: the readiness rule on peers; requests are served before it holds. Change: an endpoint that refuses or does not answer a connection is asked in the background until it does; questions to silent endpoints come after a fifth of a stream's objective unless something was heard from them; packages load what they export when it is used, the first read comes before callers are let in; ports are drawn apart by process.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -20,16 +20,25 @@
 POLL_SECONDS = 0.05
 FIRST_PORT = 20_000
 LAST_PORT = 30_000
+# More than a run takes, so that runs beside each other keep apart.
+PORTS_PER_PROCESS = 61
 
 
-def free_port(_state: list[int] = [FIRST_PORT]) -> int:  # noqa: B006
+def _first_port() -> int:
+    """Return where this process begins to look, apart from other processes."""
+    return FIRST_PORT + os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)
+
+
+def free_port(_state: list[int] = []) -> int:  # noqa: B006
     """Return a loopback port that nobody listens on, each only once a process.
 
     The ports lie below those that the system gives to outgoing connections, so none
     of them can be taken between this check and its use.
     """
-    while _state[0] < LAST_PORT:
-        _state[0] += 1
+    if not _state:
+        _state.append(_first_port())
+    for _ in range(LAST_PORT - FIRST_PORT):
+        _state[0] = _state[0] + 1 if _state[0] < LAST_PORT else FIRST_PORT
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/linnetladder/coordination/__init__.py
+++ b/linnetladder/coordination/__init__.py
@@ -4,32 +4,7 @@
 with the platform and the endpoints. Nothing here knows a wire format.
 """
 
-from linnetladder.coordination.admission.limits import AccountLimits, AddressLimits
-from linnetladder.coordination.admission.slots import Admission
-from linnetladder.coordination.attempts.ejection import Ejector
-from linnetladder.coordination.attempts.poison import PoisonRegistry
-from linnetladder.coordination.attempts.retries import RetryBudget
-from linnetladder.coordination.attempts.runner import AttemptRunner
-from linnetladder.coordination.background import Background
-from linnetladder.coordination.billing.completion import Completion
-from linnetladder.coordination.billing.writer import BillWriter
-from linnetladder.coordination.claims.strategies import CompareAndSwapClaims
-from linnetladder.coordination.configuration.in_force import ConfigurationInForce
-from linnetladder.coordination.configuration.live_state import LiveState
-from linnetladder.coordination.membership.discovery import Discovery
-from linnetladder.coordination.membership.registration import Registration
-from linnetladder.coordination.routing.entry import EntryChecks
-from linnetladder.coordination.routing.exchanges import (
-    Refused,
-    StreamExchange,
-    WholeExchange,
-)
-from linnetladder.coordination.routing.requests import (
-    CallerRequest,
-    ChatWork,
-    ServiceWork,
-)
-from linnetladder.coordination.routing.router import Router
+from linnetladder.lazy_exports import lazy_exports
 
 __all__ = [
     "AccountLimits",
@@ -56,3 +31,32 @@
     "StreamExchange",
     "WholeExchange",
 ]
+
+__getattr__, __dir__ = lazy_exports(
+    __name__,
+    {
+        "AccountLimits": "admission.limits",
+        "AddressLimits": "admission.limits",
+        "Admission": "admission.slots",
+        "AttemptRunner": "attempts.runner",
+        "Background": "background",
+        "BillWriter": "billing.writer",
+        "CallerRequest": "routing.requests",
+        "ChatWork": "routing.requests",
+        "Completion": "billing.completion",
+        "CompareAndSwapClaims": "claims.strategies",
+        "ConfigurationInForce": "configuration.in_force",
+        "Discovery": "membership.discovery",
+        "Ejector": "attempts.ejection",
+        "EntryChecks": "routing.entry",
+        "LiveState": "configuration.live_state",
+        "PoisonRegistry": "attempts.poison",
+        "Refused": "routing.exchanges",
+        "Registration": "membership.registration",
+        "RetryBudget": "attempts.retries",
+        "Router": "routing.router",
+        "ServiceWork": "routing.requests",
+        "StreamExchange": "routing.exchanges",
+        "WholeExchange": "routing.exchanges",
+    },
+)
--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -4,14 +4,17 @@
 puts the platform's adapter and the forwarding package together.
 """
 
+import gc
 import os
 
+# What is imported stays for good, so collecting garbage meanwhile only takes time.
+gc.disable()
+
 # uvloop reads this when it is loaded; instances do not offer io_uring.
 os.environ.setdefault("UV_USE_IO_URING", "0")
 
 import asyncio  # noqa: E402
 import dataclasses  # noqa: E402
-import gc  # noqa: E402
 import secrets  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
@@ -20,6 +23,7 @@
 import aiomisc  # noqa: E402
 
 from linnetladder.coordination.attempts.ejection import Ejector  # noqa: E402
+from linnetladder.coordination.background import Background  # noqa: E402
 from linnetladder.forwarding.coordination import (  # noqa: E402
     Follower,
     Forwarder,
@@ -37,6 +41,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes  # noqa: E402
 from linnetladder.forwarding.coordination.peer_news import PeerNews  # noqa: E402
 from linnetladder.forwarding.coordination.poison import CrashLog  # noqa: E402
+from linnetladder.forwarding.coordination.quarantine import Quarantine  # noqa: E402
 from linnetladder.forwarding.coordination.rollouts import Rollouts  # noqa: E402
 from linnetladder.forwarding.coordination.selection import Selection  # noqa: E402
 from linnetladder.forwarding.coordination.sender import Sender  # noqa: E402
@@ -115,6 +120,7 @@
         await self.news_socket.start(
             address=settings.address, port=settings.peer_ports[0]
         )
+        await self.follower.read_once()
         self._run(self.follower.run())
         self._run(self.follower.run_registration())
         self._run(self.follower.run_rollouts())
@@ -127,8 +133,8 @@
         await self.callers.start(address=settings.address, port=settings.caller_port)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.changed.set)
-        gc.collect()
         gc.freeze()
+        gc.enable()
         gc.set_threshold(*COLLECTION_THRESHOLDS)
         log_change("started", settings=dataclasses.asdict(settings))
 
@@ -153,6 +159,7 @@
         await self.callers.stop()
         await self.ready.stop()
         self.news_socket.stop()
+        await self.background.drain(seconds=0.0)
         await self.calls.close()
         await self.store.close()
         log_change("stopped", unfinished=unfinished, bills_written=flushed)
@@ -255,6 +262,7 @@
             metrics=metrics,
             seed=seed,
         )
+        self.background = Background()
         self.calls = HttpEndpointCalls(dialect=PlatformEndpoints())
         sender = Sender(
             calls=self.calls,
@@ -272,6 +280,12 @@
             budget=budget,
             crashes=crashes,
             ejector=Ejector(clock=clock),
+            quarantine=Quarantine(
+                calls=self.calls,
+                background=self.background,
+                clock=clock,
+                metrics=metrics,
+            ),
             clock=clock,
             metrics=metrics,
         )
--- /dev/null
+++ b/linnetladder/forwarding/coordination/quarantine.py
@@ -0,0 +1,61 @@
+"""Endpoints that take no connection get no work until one is opened to them again.
+
+Without it, requests themselves would find out every few seconds whether an endpoint is
+back, and each of those that find that it is not comes late.
+"""
+
+import asyncio
+import math
+
+from linnetladder.coordination.background import Background
+from linnetladder.forwarding.coordination.calls import EndpointCalls
+from linnetladder.state import Clock, Endpoint
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["Quarantine"]
+
+FIRST_PAUSE_SECONDS = 0.3
+LONGEST_PAUSE_SECONDS = 1.0
+PAUSE_GROWTH = 1.5
+
+
+class Quarantine:
+    """Ask endpoints that were found dead whether they are back."""
+
+    def __init__(
+        self,
+        *,
+        calls: EndpointCalls,
+        background: Background,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.calls = calls
+        self.background = background
+        self.clock = clock
+        self.metrics = metrics
+        self.inside: set[tuple[str, str]] = set()
+
+    def enter(self, endpoint: Endpoint) -> None:
+        """Leave an endpoint out until it takes a connection."""
+        key = (endpoint.name, endpoint.incarnation)
+        if key in self.inside:
+            return
+        self.inside.add(key)
+        endpoint.ejected_until = math.inf
+        self.metrics.count("ejections")
+        log_change("endpoint left out", endpoint=endpoint.name, reason="unreachable")
+        self.background.start(self._watch(endpoint, key))
+
+    async def _watch(self, endpoint: Endpoint, key: tuple[str, str]) -> None:
+        pause = FIRST_PAUSE_SECONDS
+        try:
+            while endpoint.listed and not endpoint.leaving:
+                await asyncio.sleep(pause)
+                if await self.calls.is_reachable(endpoint.address):
+                    log_change("endpoint is back", endpoint=endpoint.name)
+                    return
+                pause = min(pause * PAUSE_GROWTH, LONGEST_PAUSE_SECONDS)
+        finally:
+            endpoint.ejected_until = self.clock.monotonic()
+            self.inside.discard(key)
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -22,6 +22,7 @@
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads, Work
 from linnetladder.forwarding.coordination.outcomes import Outcomes, Verdict
 from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.quarantine import Quarantine
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
 from linnetladder.forwarding.coordination.urgency import urgency
@@ -35,10 +36,10 @@
 # Sends that prove not to have run are not attempts, but there is an end to them.
 MAXIMUM_SENDS = 6
 RETRY_SECONDS = 0.25
-# A stream's first event takes up to its objective, and more while its engine is busy;
-# half of that without a byte is worth a question. A connection that stays silent for
-# several objectives has been lost track of, even if new ones work.
-STREAM_PATIENCE_SHARE = 0.5
+# A stream's first event takes up to its objective, and more while its engine is busy; a
+# fifth of that without a byte from its endpoint is worth a question. A connection that
+# stays silent for several objectives has been lost track of, even if new ones work.
+STREAM_PATIENCE_SHARE = 0.2
 SILENCE_OBJECTIVES = 2.5
 LEAST_PATIENCE_SECONDS = 0.1
 # An attempt with less time than this left is not worth sending.
@@ -72,6 +73,7 @@
         budget: WindowBudget,
         crashes: CrashLog,
         ejector: Ejector,
+        quarantine: Quarantine,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -84,6 +86,7 @@
         self.budget = budget
         self.crashes = crashes
         self.ejector = ejector
+        self.quarantine = quarantine
         self.clock = clock
         self.metrics = metrics
 
@@ -260,8 +263,11 @@
             if dead and fault.kind is CallFaultKind.BROKEN:
                 name = f"{endpoint.name}:{endpoint.incarnation}"
                 self.crashes.learn(request.fingerprint, name)
+        if dead:
+            self.quarantine.enter(endpoint)
+            return
         pool = self.directory.pool(request.service)
-        if self.ejector.failed(endpoint, pool, dead=dead):
+        if self.ejector.failed(endpoint, pool, dead=False):
             self.metrics.count("ejections")
             log_change(
                 "endpoint left out",
--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
-from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from aiohttp.web_server import Server
 
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.forwarding.coordination.calls import Reply
@@ -30,10 +33,10 @@
 class HttpReply(Reply):
     """An answer over one aiohttp request."""
 
-    def __init__(self, *, request: web.BaseRequest, closing: bool):
+    def __init__(self, *, request: BaseRequest, closing: bool):
         self.request = request
         self.closing = closing
-        self.response: web.StreamResponse | None = None
+        self.response: StreamResponse | None = None
         self.begun = False
 
     async def send(
@@ -41,7 +44,7 @@
     ) -> None:
         """Send a whole answer."""
         self.begun = True
-        self.response = web.Response(status=status, headers=headers, body=body)
+        self.response = Response(status=status, headers=headers, body=body)
         await self._send()
 
     async def refuse(self, refusal: Refusal) -> None:
@@ -51,7 +54,7 @@
         if refusal.retry_after_seconds is not None and refusal.ran is Ran.NO:
             headers["Retry-After"] = f"{refusal.retry_after_seconds:.2f}"
         text = f"{refusal.kind}: {refusal.title}; ran: {refusal.ran}; {refusal.detail}"
-        self.response = web.Response(
+        self.response = Response(
             status=refusal.status, headers=headers, body=text.encode()
         )
         await self._send()
@@ -59,7 +62,7 @@
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Send the head of a stream."""
         self.begun = True
-        self.response = web.StreamResponse(status=status, headers=headers)
+        self.response = StreamResponse(status=status, headers=headers)
         self._close_if_leaving()
         await self.response.prepare(self.request)
 
@@ -88,7 +91,7 @@
             self.response.headers["Connection"] = "close"
 
 
-class ForwardingHandler(web.RequestHandler):
+class ForwardingHandler(RequestHandler):
     """One connection; requests whose head can't be read are answered here."""
 
     def is_idle(self) -> bool:
@@ -98,11 +101,11 @@
 
     def handle_error(
         self,
-        request: web.BaseRequest,
+        request: BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:
+    ) -> StreamResponse:
         """Return the answer of the closed list and close the connection after it."""
         if request.writer.output_size > 0:
             raise ConnectionError("part of an answer was sent already")
@@ -115,17 +118,17 @@
             log_failure("request failed", exc)
         refusal = Refusal(kind, str(message or exc), Ran.UNKNOWN)
         log_request("unreadable", kind=kind, detail=refusal.detail[:200])
-        response = web.Response(
+        response = Response(
             status=refusal.status, text=f"{kind}: {refusal.title}; ran: unknown"
         )
         response.force_close()
         return response
 
 
-class HandlerServer(web.Server):
+class HandlerServer(Server):
     """Serve connections with `ForwardingHandler`."""
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> RequestHandler:
         """Return the handler of one new connection."""
         return ForwardingHandler(self, loop=self._loop, **self._kwargs)
 
@@ -191,7 +194,7 @@
             if handler.is_idle():
                 handler.force_close()
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request."""
         self.active += 1
         reply = HttpReply(request=request, closing=self.leaving)
@@ -208,7 +211,7 @@
         return reply.response
 
     async def _answer(
-        self, request: web.BaseRequest, reply: HttpReply, received: float
+        self, request: BaseRequest, reply: HttpReply, received: float
     ) -> None:
         try:
             head = self.dialect.read_head(
@@ -227,9 +230,7 @@
         reply.closing = reply.closing or self.leaving
         await self.forwarder.answer(head, body, received=received, reply=reply)
 
-    async def _read_body(
-        self, request: web.BaseRequest
-    ) -> tuple[bytes, Refusal | None]:
+    async def _read_body(self, request: BaseRequest) -> tuple[bytes, Refusal | None]:
         """Return the whole body, or why it was not taken."""
         if not request.body_exists:
             return b"", None
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import math
 import socket
 from collections.abc import AsyncIterator
 
@@ -28,8 +29,10 @@
 
 __all__ = ["HttpEndpointCalls"]
 
-CONNECT_SECONDS = 0.4
-PROBE_SECONDS = 0.25
+# A connection within a region takes a few milliseconds; a lost opening packet is sent
+# again after a second, which is too late for most requests.
+CONNECT_SECONDS = 0.2
+PROBE_SECONDS = 0.2
 # Below the shortest time for which endpoints were seen to keep an idle connection.
 KEPT_SECONDS = 4.0
 # A request that must not be sent twice goes out on a connection used this recently.
@@ -88,9 +91,14 @@
     def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall):
         self.calls = calls
         self.address = call.address
+        self.loop = asyncio.get_running_loop()
         self.patience = call.patience_seconds
         self.limit = call.silence_seconds
 
+    def hear(self) -> None:
+        """Note that the endpoint has sent something."""
+        self.calls.heard[self.address] = self.loop.time()
+
     async def wait(self, work: asyncio.Task) -> aiohttp.ClientResponse:
         """Return the response that a task waits for; raise `CallFault` on silence."""
         waited = 0.0
@@ -108,6 +116,9 @@
     async def check(self, waited: float) -> None:
         """Raise `CallFault` if the endpoint is gone or was silent for too long."""
         silent = self.limit is not None and waited >= self.limit
+        heard = self.loop.time() - self.calls.heard.get(self.address, -math.inf)
+        if not silent and heard < self.patience:
+            return
         if silent or not await self.calls.is_reachable(self.address):
             detail = f"{self.address} was silent for {waited:.1f} s"
             raise CallFault(CallFaultKind.SILENT, detail, may_have_run=True)
@@ -150,7 +161,9 @@
         while True:
             try:
                 async with asyncio.timeout(self.silence.patience):
-                    return await content.readany()
+                    data = await content.readany()
+                self.silence.hear()
+                return data
             except TimeoutError:
                 waited += self.silence.patience
                 await self.silence.check(waited)
@@ -176,6 +189,7 @@
 
     def __init__(self, *, dialect: EndpointDialect):
         self.dialect = dialect
+        self.heard: dict[str, float] = {}
         self.kept = self._session(keepalive_timeout=KEPT_SECONDS)
         self.fresh = self._session(keepalive_timeout=FRESH_SECONDS)
 
@@ -213,6 +227,7 @@
                 f"{call.address} broke off: {error!r}",
                 may_have_run=True,
             ) from error
+        silence.hear()
         return self._check_head(call, response, silence)
 
     async def is_reachable(self, address: str) -> bool:
@@ -224,6 +239,7 @@
         except (OSError, TimeoutError):
             return False
         writer.close()
+        self.heard[address] = asyncio.get_running_loop().time()
         return True
 
     def suspect(self, address: str) -> None:
--- a/linnetladder/forwarding/transport/ready_server.py
+++ b/linnetladder/forwarding/transport/ready_server.py
@@ -1,9 +1,12 @@
 """Readiness for the balancer, and metrics and status for operators."""
 
+import asyncio
 from collections.abc import Callable
 
 import orjson
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from aiohttp.web_server import Server
 
 from linnetladder.telemetry import Metrics
 
@@ -23,27 +26,29 @@
         self.ready_path = ready_path
         self.reasons = reasons
         self.metrics = metrics
-        self.runner: web.ServerRunner | None = None
+        self.server: asyncio.Server | None = None
+        self.handlers: Server | None = None
 
     async def start(self, *, address: str, port: int) -> None:
         """Listen; raise `OSError` if that is not possible."""
-        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
-        await self.runner.setup()
-        await web.TCPSite(self.runner, address, port).start()
+        self.handlers = Server(self.handle, access_log=None)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.handlers, host=address, port=port)
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
-        if self.runner is not None:
-            await self.runner.cleanup()
+        if self.server is not None:
+            self.server.close()
+            await self.handlers.shutdown(0.1)
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer a question of the balancer or of an operator."""
         if request.path == self.ready_path:
             reasons = self.reasons()
-            return web.Response(status=503 if reasons else 200, text="\n".join(reasons))
+            return Response(status=503 if reasons else 200, text="\n".join(reasons))
         if request.path == "/metrics":
-            return web.Response(body=self.metrics.text(), content_type="text/plain")
+            return Response(body=self.metrics.text(), content_type="text/plain")
         if request.path == "/status":
             content = orjson.dumps({"ready": not self.reasons()})
-            return web.Response(body=content, content_type="application/json")
-        return web.Response(status=404, text="there is only readiness and /metrics")
+            return Response(body=content, content_type="application/json")
+        return Response(status=404, text="there is only readiness and /metrics")
--- /dev/null
+++ b/linnetladder/lazy_exports.py
@@ -0,0 +1,30 @@
+"""Re-exports that load their module when they are first used.
+
+A daemon that is started anew after a power failure serves nobody while it imports, so
+packages do not load what a program may never use.
+"""
+
+import importlib
+from collections.abc import Callable, Mapping
+
+__all__ = ["lazy_exports"]
+
+
+def lazy_exports(
+    package: str, exports: Mapping[str, str]
+) -> tuple[Callable[[str], object], Callable[[], list[str]]]:
+    """Return a package's ``__getattr__`` and ``__dir__``.
+
+    ``exports`` maps each exported name to the package's module that defines it.
+    """
+
+    def load(name: str) -> object:
+        module = exports.get(name)
+        if module is None:
+            raise AttributeError(f"module {package!r} has no attribute {name!r}")
+        return getattr(importlib.import_module(f"{package}.{module}"), name)
+
+    def names() -> list[str]:
+        return sorted(exports)
+
+    return load, names
--- a/linnetladder/state/__init__.py
+++ b/linnetladder/state/__init__.py
@@ -4,17 +4,7 @@
 is encoded for the platform's key-value service.
 """
 
-from linnetladder.state.clock import BootClock, Clock, SystemClock
-from linnetladder.state.endpoint_table import EndpointTable, Target
-from linnetladder.state.endpoints import Endpoint, EndpointReport
-from linnetladder.state.ledger import Bill
-from linnetladder.state.pools import Pool
-from linnetladder.state.receipts import DecisionInputs, Receipt, Trial
-from linnetladder.state.sessions import Session
-from linnetladder.state.signing import KeyRing, SigningKey
-from linnetladder.state.snapshot import AccountView, Manifest, Snapshot
-from linnetladder.state.tree import Node, SettingsTree
-from linnetladder.state.versions import ModelVersion, Rollout, VersionRef
+from linnetladder.lazy_exports import lazy_exports
 
 __all__ = [
     "AccountView",
@@ -41,3 +31,32 @@
     "Trial",
     "VersionRef",
 ]
+
+__getattr__, __dir__ = lazy_exports(
+    __name__,
+    {
+        "AccountView": "snapshot",
+        "Bill": "ledger",
+        "BootClock": "clock",
+        "Clock": "clock",
+        "DecisionInputs": "receipts",
+        "Endpoint": "endpoints",
+        "EndpointReport": "endpoints",
+        "EndpointTable": "endpoint_table",
+        "KeyRing": "signing",
+        "Manifest": "snapshot",
+        "ModelVersion": "versions",
+        "Node": "tree",
+        "Pool": "pools",
+        "Receipt": "receipts",
+        "Rollout": "versions",
+        "Session": "sessions",
+        "SettingsTree": "tree",
+        "SigningKey": "signing",
+        "Snapshot": "snapshot",
+        "SystemClock": "clock",
+        "Target": "endpoint_table",
+        "Trial": "receipts",
+        "VersionRef": "versions",
+    },
+)
--- a/linnetladder/telemetry/__init__.py
+++ b/linnetladder/telemetry/__init__.py
@@ -1,9 +1,6 @@
 """Telemetry: counters and histograms, traces by hop, logs of changes of state."""
 
-from linnetladder.telemetry.logs import configure_logs, log_change, log_failure
-from linnetladder.telemetry.metrics import Metrics
-from linnetladder.telemetry.request_log import log_request, start_request_log
-from linnetladder.telemetry.traces import Hop, RequestTrace, Tracer, build_tracer
+from linnetladder.lazy_exports import lazy_exports
 
 __all__ = [
     "Hop",
@@ -17,3 +14,19 @@
     "log_request",
     "start_request_log",
 ]
+
+__getattr__, __dir__ = lazy_exports(
+    __name__,
+    {
+        "Hop": "traces",
+        "Metrics": "metrics",
+        "RequestTrace": "traces",
+        "Tracer": "traces",
+        "build_tracer": "traces",
+        "configure_logs": "logs",
+        "log_change": "logs",
+        "log_failure": "logs",
+        "log_request": "request_log",
+        "start_request_log": "request_log",
+    },
+)
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -7,15 +7,12 @@
 import collections
 import dataclasses
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    Metric,
-    SummaryMetricFamily,
-)
+
+if TYPE_CHECKING:
+    from prometheus_client.core import Metric
 
 __all__ = ["COUNTERS", "LATENCIES", "Metrics"]
 
@@ -94,8 +91,6 @@
             for name in LATENCIES
         }
         self.sums: collections.Counter[str] = collections.Counter()
-        self.registry = CollectorRegistry(auto_describe=False)
-        self.registry.register(self)
 
     def count(self, name: str, amount: int = 1, *, label: str = "") -> None:
         """Add to a counter of the closed list."""
@@ -120,8 +115,10 @@
         microseconds = self.histograms[name].get_value_at_percentile(percent)
         return microseconds / MICROSECONDS_PER_SECOND
 
-    def collect(self) -> Iterable[Metric]:
+    def collect(self) -> "Iterable[Metric]":
         """Yield every family, for the Prometheus client library."""
+        from prometheus_client.core import GaugeMetricFamily
+
         yield from self._collect_counters()
         for name, (help, read) in self.gauges.items():
             yield GaugeMetricFamily(PREFIX + name, help, value=read())
@@ -129,10 +126,20 @@
             yield self._summary(name, help)
 
     def text(self) -> bytes:
-        """Return all families in the Prometheus text format."""
-        return generate_latest(self.registry)
+        """Return all families in the Prometheus text format.
+
+        The client library is loaded with the first question, since a daemon that
+        starts anew serves nobody while it imports.
+        """
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def _collect_counters(self) -> "Iterable[Metric]":
+        from prometheus_client.core import CounterMetricFamily
 
-    def _collect_counters(self) -> Iterable[Metric]:
         by_name: dict[str, list[tuple[str, int]]] = {}
         for (name, label), value in self.counters.items():
             by_name.setdefault(name, []).append((label, value))
@@ -143,7 +150,9 @@
                 metric.add_metric([label] if labels else [], value)
             yield metric
 
-    def _summary(self, name: str, help: str) -> Metric:
+    def _summary(self, name: str, help: str) -> "Metric":
+        from prometheus_client.core import SummaryMetricFamily
+
         histogram = self.histograms[name]
         summary = SummaryMetricFamily(PREFIX + name, help)
         summary.add_metric([], histogram.get_total_count(), self.sums[name])
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from linnetladder.coordination.attempts.ejection import Ejector
+from linnetladder.coordination.background import Background
 from linnetladder.coordination.platform import FaultKind, PlatformFault
 from linnetladder.forwarding.coordination.bills import BillBuffer, HeldBills
 from linnetladder.forwarding.coordination.budget import WindowBudget
@@ -24,6 +25,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_news import PeerNews
 from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.quarantine import Quarantine
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
@@ -437,6 +439,12 @@
             clock=clock,
             own_domain="east",
         )
+        self.quarantine = Quarantine(
+            calls=self.calls,
+            background=Background(),
+            clock=clock,
+            metrics=metrics,
+        )
         self.sender = Sender(
             calls=self.calls,
             selection=self.selection,
@@ -447,6 +455,7 @@
             budget=self.budget,
             crashes=self.crashes,
             ejector=Ejector(clock=clock),
+            quarantine=self.quarantine,
             clock=clock,
             metrics=metrics,
         )
