Find versions that are only slow; judge a version again under a part of the load

Waits for a first event vary tenfold with the load, 38 in 100 of the old version's counted as slow, what is usual was learnt from the new version too, and its streams ended after the verdict. Ruled out: the lengths of whole answers, and a higher factor; the mean of the logarithms alone, which a version slow on half of its answers hides. Change: the pace of a stream's first events against what is usual for settled versions, by the share of slow ones and by the mean; answers dropped for a larger model's count neither way; the share rises to 0.3 first, and to all only after a second verdict.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -226,10 +226,7 @@
     async def _read_whole(self, request: ForwardRequest, sent: Sent) -> bytes:
         body = await sent.exchange.read()
         status = sent.exchange.head.status
-        slow = self.outcomes.is_slow(
-            request.route.name, "", sent.first_byte_seconds, learn=status < SERVER_ERROR
-        )
-        self.sender.close(request, sent, _verdict(status, slow=slow))
+        self.sender.close(request, sent, _verdict(status))
         return body
 
     def _may_send_again(self, request: ForwardRequest) -> bool:
@@ -253,7 +250,7 @@
             try:
                 done = await self._pass_on(request, reply, state, sent)
             finally:
-                self.sender.close(request, sent, Verdict.GOOD)
+                self.sender.close(request, sent, None)
             if done:
                 return
 
@@ -273,10 +270,7 @@
         except CallFault as fault:
             await self.sender.learn_broken(request, sent, fault)
             return False
-        slow = self.outcomes.is_slow(
-            request.route.name, sent.model, sent.first_byte_seconds, learn=True
-        )
-        self.sender.close(request, sent, _verdict(200, slow=slow))
+        self.sender.close(request, sent, Verdict.GOOD)
         self._finish(request, sent, "answered", status=200)
         return True
 
@@ -301,7 +295,7 @@
             return False
         self.metrics.count("escalations")
         state.position = step.position
-        self.sender.close(request, sent, Verdict.GOOD)
+        self.sender.close(request, sent, None)
         request.endpoints_tried.remove(sent.endpoint.name)
         return True
 
@@ -310,6 +304,7 @@
     ) -> None:
         """Pass whole events on as they come, each once and in order."""
         splitter = EventSplitter()
+        received = 0
         async for data in sent.exchange.chunks():
             passed = []
             for event in splitter.feed(data):
@@ -322,6 +317,8 @@
             if not passed:
                 continue
             request.events += len(passed)
+            received += len(passed)
+            self.sender.note_events(request, sent, received)
             if not state.begun:
                 state.begun = True
                 await reply.begin(200, sent.exchange.head.headers)
@@ -344,7 +341,7 @@
         except CallFault as fault:
             await self.sender.learn_broken(request, sent, fault)
             return False
-        self.sender.close(request, sent, _verdict(head.status, slow=False))
+        self.sender.close(request, sent, _verdict(head.status))
         if head.status >= SERVER_ERROR and self._may_send_again(request):
             return False
         if state.begun:
@@ -457,9 +454,8 @@
     return request.head.resume_after
 
 
-def _verdict(status: int, *, slow: bool) -> Verdict:
-    failed = slow or status >= SERVER_ERROR
-    return Verdict.FAILED if failed else Verdict.GOOD
+def _verdict(status: int) -> Verdict:
+    return Verdict.FAILED if status >= SERVER_ERROR else Verdict.GOOD
 
 
 def _cut_within_event() -> CallFault:
--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -10,17 +10,32 @@
 
 from linnetladder.state import Clock
 
-__all__ = ["Outcomes", "Row", "Tally", "Verdict", "evidence_of_badness"]
+__all__ = [
+    "Outcomes",
+    "Row",
+    "Tally",
+    "Verdict",
+    "evidence_of_badness",
+    "evidence_of_slowness",
+]
 
 # Recent answers show a change soon; a longer memory adds up the few answers of a
 # version that gets little traffic yet.
 RECENT_HALF_LIFE_SECONDS = 6.0
 LONG_HALF_LIFE_SECONDS = 25.0
 NEGLIGIBLE = 0.05
-# An answer counts as slow at this many times of what the route's answers take.
-SLOW_FACTOR = 3.5
-SLOW_MINIMUM_SECONDS = 0.12
-LATENCY_WEIGHT = 0.08
+LEARNING_WEIGHT = 0.08
+LEAST_SECONDS = 1e-4
+# Ten times longer than usual; what is later still says no more.
+LARGEST_LATENESS = 2.3
+# An answer of 2.5 times the usual length counts as slow.
+SLOW_LATENESS = 0.92
+# Times of 1.5 and more than the old version's are a fault of a new one.
+SMALLEST_SLOWNESS = 0.4
+LEAST_TIMED = 4.0
+LEAST_VARIANCE = 0.1
+SLOWNESS_PENALTY = 1.5
+LEAST_SLOW = 2.5
 PEER_ROWS_SECONDS = 6.0
 # Shares are summed up over all peers' rows this often, not for each request.
 SHARES_SECONDS = 0.25
@@ -33,8 +48,8 @@
 class Verdict(enum.IntEnum):
     """How one attempt went.
 
-    ``FAILED`` is an answer that says so or came far too late; ``BROKEN`` a call that
-    gave no answer, which may be the network's fault.
+    ``FAILED`` is an answer that says so; ``BROKEN`` a call that gave no answer, which
+    may be the network's fault.
     """
 
     GOOD = 0
@@ -44,13 +59,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Row:
-    """Faded counts: all answers, failed ones, and calls that broke."""
+    """Faded counts: all answers, failed ones, and calls that broke.
+
+    ``timed`` counts the answers whose pace is known; ``lateness`` is the sum of the
+    logarithms of how much longer than usual they took, ``lateness_squared`` that of
+    their squares, ``slow`` how many were far too long.
+    """
 
     broken: float = 0.0
     failed: float = 0.0
     total: float = 0.0
     long_failed: float = 0.0
     long_total: float = 0.0
+    timed: float = 0.0
+    lateness: float = 0.0
+    lateness_squared: float = 0.0
+    slow: float = 0.0
     updated: float = 0.0
 
     def fade(self, now: float) -> None:
@@ -65,17 +89,18 @@
         longer = 0.5 ** (elapsed / LONG_HALF_LIFE_SECONDS)
         self.long_failed *= longer
         self.long_total *= longer
+        self.timed *= longer
+        self.lateness *= longer
+        self.lateness_squared *= longer
+        self.slow *= longer
         self.updated = now
 
-    def counts(self) -> tuple[float, float, float, float, float]:
+    def counts(self) -> tuple[float, ...]:
         """Return the counts in the order of the fields."""
-        return (
-            self.broken,
-            self.failed,
-            self.total,
-            self.long_failed,
-            self.long_total,
-        )
+        return tuple(getattr(self, name) for name in COUNTS)
+
+
+COUNTS = tuple(f.name for f in dataclasses.fields(Row) if f.name != "updated")
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,17 +119,13 @@
         self.clock = clock
         self.rows: dict[tuple[str, str], Row] = {}
         self.peers: dict[str, tuple[float, dict[tuple[str, str], Row]]] = {}
-        self.latency: dict[tuple[str, str], float] = {}
+        self.usual: dict[tuple[str, str], float] = {}
         self.shares: dict[str, float] = {}
         self.shared = -math.inf
 
     def add(self, endpoint: str, route: str, verdict: Verdict) -> None:
         """Count one attempt."""
-        now = self.clock.monotonic()
-        row = self.rows.get((endpoint, route))
-        if row is None:
-            row = self.rows[(endpoint, route)] = Row(updated=now)
-        row.fade(now)
+        row = self._row(endpoint, route)
         row.total += 1
         row.broken += verdict is Verdict.BROKEN
         if verdict is not Verdict.BROKEN:
@@ -112,20 +133,49 @@
             row.long_failed += verdict is Verdict.FAILED
             row.long_total += 1
 
-    def is_slow(self, route: str, model: str, seconds: float, *, learn: bool) -> bool:
-        """Tell whether a first byte came far later than is usual for its route."""
-        usual = self.latency.get((route, model))
+    def add_time(
+        self, endpoint: str, route: str, model: str, seconds: float, *, learn: bool
+    ) -> None:
+        """Count how long something took, against what is usual for route and model.
+
+        ``learn`` takes it into what is usual, which a version on trial must not set.
+        """
+        lateness = self.lateness(route, model, seconds, learn=learn)
+        if lateness is None:
+            return
+        row = self._row(endpoint, route)
+        row.timed += 1
+        row.lateness += lateness
+        row.lateness_squared += lateness * lateness
+        row.slow += lateness >= SLOW_LATENESS
+
+    def _row(self, endpoint: str, route: str) -> Row:
+        """Return a row of this daemon, faded up to now."""
+        now = self.clock.monotonic()
+        row = self.rows.get((endpoint, route))
+        if row is None:
+            row = self.rows[(endpoint, route)] = Row(updated=now)
+        row.fade(now)
+        return row
+
+    def lateness(
+        self, route: str, model: str, seconds: float, *, learn: bool
+    ) -> float | None:
+        """Return the logarithm of how much longer than usual something took.
+
+        It is ``None`` while nothing is known to be usual.
+        """
+        taken = math.log(max(seconds, LEAST_SECONDS))
+        usual = self.usual.get((route, model))
         if usual is None:
             if learn:
-                self.latency[(route, model)] = seconds
-            return False
-        slow = seconds > max(usual * SLOW_FACTOR, SLOW_MINIMUM_SECONDS)
+                self.usual[(route, model)] = taken
+            return None
         if learn:
-            capped = min(seconds, usual * SLOW_FACTOR)
-            self.latency[(route, model)] = usual + (capped - usual) * LATENCY_WEIGHT
-        return slow
+            self.usual[(route, model)] = usual + (taken - usual) * LEARNING_WEIGHT
+        return min(max(taken - usual, -LARGEST_LATENESS), LARGEST_LATENESS)
 
-    def export(self) -> list[tuple[str, str, float, float, float, float, float]]:
+    def export(self) -> list[tuple[str, str, tuple[float, ...]]]:
         """Return this daemon's rows that still matter."""
         now = self.clock.monotonic()
         found = []
@@ -134,18 +184,21 @@
             if row.total < NEGLIGIBLE and row.long_total < NEGLIGIBLE:
                 del self.rows[key]
                 continue
-            found.append((*key, *(round(count, 2) for count in row.counts())))
+            counts = tuple(round(count, 2) for count in row.counts())
+            found.append((*key, counts))
         return found
 
     def learn(
         self,
         peer: str,
-        rows: list[tuple[str, str, float, float, float, float, float]],
+        rows: list[tuple[str, str, tuple[float, ...]]],
     ) -> None:
         """Replace what a peer said."""
         now = self.clock.monotonic()
         table = {
-            (endpoint, route): Row(*counts, now) for endpoint, route, *counts in rows
+            (endpoint, route): Row(*counts, updated=now)
+            for endpoint, route, counts in rows
+            if len(counts) == len(COUNTS)
         }
         self.peers[peer] = (now, table)
 
@@ -199,11 +252,44 @@
 
 
 def _add(total: Row, row: Row) -> None:
-    total.broken += row.broken
-    total.failed += row.failed
-    total.total += row.total
-    total.long_failed += row.long_failed
-    total.long_total += row.long_total
+    for name in COUNTS:
+        setattr(total, name, getattr(total, name) + getattr(row, name))
+
+
+def evidence_of_slowness(candidate: Row, baseline: Row) -> float:
+    """Return the evidence that a candidate's answers take longer than usual.
+
+    Either all of them do by some factor, which their mean shows, or a part of them far
+    longer, which the share of slow ones shows.
+    """
+    if min(candidate.timed, baseline.timed) < LEAST_TIMED:
+        return -math.inf
+    by_share = -math.inf
+    if candidate.slow >= LEAST_SLOW:
+        usual = (baseline.slow + 0.3) / (baseline.timed + 10.0)
+        by_share = _best_drop(candidate.slow, candidate.timed, usual)
+        by_share -= math.log(len(DROPS))
+    return max(by_share, _evidence_of_mean(candidate, baseline))
+
+
+def _evidence_of_mean(candidate: Row, baseline: Row) -> float:
+    """Return half the square of how many standard errors slower a candidate is.
+
+    That is the log likelihood ratio of its own mean against the baseline's, less what
+    looking at several routes costs. A small difference is no fault, however sure.
+    """
+    difference = candidate.lateness / candidate.timed
+    difference -= baseline.lateness / baseline.timed
+    if difference < SMALLEST_SLOWNESS:
+        return -math.inf
+    variance = _variance(candidate) / candidate.timed
+    variance += _variance(baseline) / baseline.timed
+    return difference * difference / variance / 2 - SLOWNESS_PENALTY
+
+
+def _variance(row: Row) -> float:
+    mean = row.lateness / row.timed
+    return max(row.lateness_squared / row.timed - mean * mean, LEAST_VARIANCE)
 
 
 def evidence_of_badness(candidate: Row, baseline: Row) -> float:
@@ -218,13 +304,18 @@
         (candidate.long_failed, candidate.long_total),
     )
     usual = (baseline.long_failed + 0.3) / (baseline.long_total + 10.0)
+    best = max(_best_drop(failed, total, usual) for failed, total in pairs)
+    return best - math.log(len(DROPS) * len(pairs))
+
+
+def _best_drop(bad: float, total: float, usual: float) -> float:
+    """Return the log likelihood ratio of the likeliest fall against a usual share."""
     usual = min(max(usual, 0.01), 0.6)
+    good = max(total - bad, 0.0)
     best = -math.inf
-    for failed, total in pairs:
-        good = max(total - failed, 0.0)
-        for drop in DROPS:
-            worse = usual + (1 - usual) * drop
-            ratio = failed * math.log(worse / usual)
-            ratio += good * math.log((1 - worse) / (1 - usual))
-            best = max(best, ratio)
-    return best - math.log(len(DROPS) * len(pairs))
+    for drop in DROPS:
+        worse = usual + (1 - usual) * drop
+        ratio = bad * math.log(worse / usual)
+        ratio += good * math.log((1 - worse) / (1 - usual))
+        best = max(best, ratio)
+    return best
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 import xxhash
@@ -18,7 +19,9 @@
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import (
     Outcomes,
+    Tally,
     evidence_of_badness,
+    evidence_of_slowness,
 )
 from linnetladder.forwarding.coordination.sources import OperatorSource
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase, RolloutRecord
@@ -28,12 +31,17 @@
 __all__ = ["Rollouts", "VersionRule"]
 
 # Shares of an order's duration: when the canary is judged, how long its share takes to
-# rise to all sessions, and when the old version may be stopped. Sessions may move in
-# the second half only; the last tenth is left for reads and writes that are slow.
-RAMP_FROM = 0.53
-RAMP_SPAN = 0.15
+# rise to a part of all sessions, when that part is judged after its start, how long it
+# takes to rise to all, and when the old version may be stopped. Sessions may move in
+# the second half only; the last part is left for reads and writes that are slow.
+RAMP_FROM = 0.52
+RAMP_SPAN = 0.04
+FULL_AFTER = 0.13
+FULL_SPAN = 0.08
 COMPLETE_FROM = 0.76
-COMPLETE_LATEST = 0.92
+COMPLETE_LATEST = 0.93
+# A part that shows a fault under real load and still keeps within the exposure.
+RAMP_SHARE = 0.3
 # Every daemon reads a step within this time of its writing, so that all act on it at
 # the same moment.
 AHEAD_SECONDS = 2.0
@@ -50,7 +58,7 @@
 BAD_EVIDENCE = 8.0
 # Above this one a version gets no larger share until more answers have come in.
 SUSPECT_EVIDENCE = 1.5
-DOUBT_LATEST = 0.66
+DOUBT_LATEST = 0.74
 MINIMUM_FAILURES = 2.5
 DRAW_SCALE = 1 << 64
 # Daemons that see the same step to take wait differently long, so that the first one's
@@ -84,15 +92,25 @@
 class Finding:
     """How a target's answers on a route compare with the old version's.
 
-    ``evidence`` is a log likelihood ratio; the counts fade with time.
+    ``failing`` and ``slowness`` are log likelihood ratios; the counts fade with time.
     """
 
     route: str
-    evidence: float
+    failing: float
+    slowness: float
     failed: float
     total: float
     usual_failed: float
     usual_total: float
+    slow: float
+    timed: float
+    usual_slow: float
+    usual_timed: float
+
+    @property
+    def evidence(self) -> float:
+        """The stronger of the two."""
+        return max(self.failing, self.slowness)
 
 
 class Rollouts:
@@ -174,6 +192,14 @@
             return VersionRule(order.target, only_target=True)
         return VersionRule(order.target, avoid_target=True)
 
+    def is_on_trial(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint runs a version that is being brought in."""
+        order = self.orders.get(endpoint.service)
+        if order is None or version_of(endpoint) != order.target:
+            return False
+        record = self._record(endpoint.service)
+        return record is None or record.phase is not RolloutPhase.COMPLETE
+
     def newest_revision(self) -> int:
         """Return the newest revision of any order or record known here."""
         revisions = [order.revision for order in self.orders.values()]
@@ -227,23 +253,31 @@
         found = []
         for route in (None, *sorted(self.outcomes.routes())):
             candidate = self.outcomes.tally(new, route)
-            if candidate.counts.long_failed < MINIMUM_FAILURES:
-                continue
-            if candidate.endpoints > 1 and candidate.endpoints_failed < 2:
-                continue
             baseline = self.outcomes.tally(old, route)
-            found.append(
-                Finding(
-                    route=route or "all",
-                    evidence=evidence_of_badness(candidate.counts, baseline.counts),
-                    failed=round(candidate.counts.long_failed, 1),
-                    total=round(candidate.counts.long_total, 1),
-                    usual_failed=round(baseline.counts.long_failed, 1),
-                    usual_total=round(baseline.counts.long_total, 1),
-                )
+            finding = Finding(
+                route=route or "all",
+                failing=self._failing(candidate, baseline),
+                slowness=evidence_of_slowness(candidate.counts, baseline.counts),
+                failed=round(candidate.counts.long_failed, 1),
+                total=round(candidate.counts.long_total, 1),
+                usual_failed=round(baseline.counts.long_failed, 1),
+                usual_total=round(baseline.counts.long_total, 1),
+                slow=round(candidate.counts.slow, 1),
+                timed=round(candidate.counts.timed, 1),
+                usual_slow=round(baseline.counts.slow, 1),
+                usual_timed=round(baseline.counts.timed, 1),
             )
+            found.append(finding)
         return found
 
+    def _failing(self, candidate: Tally, baseline: Tally) -> float:
+        """Return the evidence of failures that are the version's, not an endpoint's."""
+        if candidate.counts.long_failed < MINIMUM_FAILURES:
+            return -math.inf
+        if candidate.endpoints > 1 and candidate.endpoints_failed < 2:
+            return -math.inf
+        return evidence_of_badness(candidate.counts, baseline.counts)
+
     def _is_suspect(self, order: RolloutOrder) -> bool:
         """Tell whether a target's answers speak against it, if not yet clearly."""
         return any(f.evidence >= SUSPECT_EVIDENCE for f in self._findings(order))
@@ -298,16 +332,22 @@
         """Return the share of sessions that belong on the target by now."""
         if record.phase is RolloutPhase.COMPLETE:
             return 1.0
-        if record.ramp_unix:
-            ramping = self._since(order, record.ramp_unix)
-            if ramping >= 0:
-                progress = ramping / (order.duration_seconds * RAMP_SPAN)
-                canary = record.canary_share
-                return min(canary + (1 - canary) * progress, 1.0)
+        if record.full_unix and self._since(order, record.full_unix) >= 0:
+            return self._rising(order, record.full_unix, RAMP_SHARE, 1.0, FULL_SPAN)
+        if record.ramp_unix and self._since(order, record.ramp_unix) >= 0:
+            first = min(record.canary_share, RAMP_SHARE)
+            return self._rising(order, record.ramp_unix, first, RAMP_SHARE, RAMP_SPAN)
         if self._since(order, record.canary_unix) < 0:
             return 0.0
         return record.canary_share
 
+    def _rising(
+        self, order: RolloutOrder, unix: float, first: float, last: float, span: float
+    ) -> float:
+        """Return a share that rises from a moment on, over a part of the duration."""
+        progress = self._since(order, unix) / (order.duration_seconds * span)
+        return first + (last - first) * min(progress, 1.0)
+
     def _draw(self, order: RolloutOrder, session: str) -> float:
         text = f"{order.service}\0{order.revision}\0{session}"
         return xxhash.xxh64_intdigest(text.encode()) / DRAW_SCALE
@@ -319,19 +359,43 @@
             return self._first(order)
         if self._is_bad(order):
             return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
-        elapsed = self._since(order, record.ordered_unix)
-        judged = order.duration_seconds * RAMP_FROM - AHEAD_SECONDS
-        if record.phase is RolloutPhase.CANARY and elapsed >= judged:
-            if self._is_suspect(order):
-                return self._after_doubt(order, record, elapsed)
-            ramp = self.clock.unix() + AHEAD_SECONDS
-            return dataclasses.replace(
-                record, phase=RolloutPhase.RAMP, ramp_unix=round(ramp, 3)
-            )
-        if self._share(order, record) >= 1.0 and self._may_complete(order, elapsed):
+        if record.phase is RolloutPhase.CANARY:
+            return self._judge_canary(order, record)
+        if record.phase is RolloutPhase.RAMP:
+            return self._judge_ramp(order, record)
+        if self._share(order, record) >= 1.0 and self._may_complete(order, record):
             return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
         return None
 
+    def _judge_canary(
+        self, order: RolloutOrder, record: RolloutRecord
+    ) -> RolloutRecord | None:
+        elapsed = self._since(order, record.ordered_unix)
+        if elapsed < order.duration_seconds * RAMP_FROM - AHEAD_SECONDS:
+            return None
+        if self._is_suspect(order):
+            return self._after_doubt(order, record, elapsed)
+        return dataclasses.replace(
+            record, phase=RolloutPhase.RAMP, ramp_unix=self._ahead()
+        )
+
+    def _judge_ramp(
+        self, order: RolloutOrder, record: RolloutRecord
+    ) -> RolloutRecord | None:
+        ramping = self._since(order, record.ramp_unix)
+        if ramping < order.duration_seconds * FULL_AFTER:
+            return None
+        if self._is_suspect(order):
+            elapsed = self._since(order, record.ordered_unix)
+            return self._after_doubt(order, record, elapsed)
+        return dataclasses.replace(
+            record, phase=RolloutPhase.FULL, full_unix=self._ahead()
+        )
+
+    def _ahead(self) -> float:
+        """Return a moment by which all daemons have read a step written now."""
+        return round(self.clock.unix() + AHEAD_SECONDS, 3)
+
     def _after_doubt(
         self, order: RolloutOrder, record: RolloutRecord, elapsed: float
     ) -> RolloutRecord | None:
@@ -350,7 +414,7 @@
             order_revision=order.revision,
             phase=RolloutPhase.CANARY,
             ordered_unix=round(now, 3),
-            canary_unix=round(now + AHEAD_SECONDS, 3),
+            canary_unix=self._ahead(),
             canary_share=self._canary_share(order.service),
             revision=known.revision if known is not None else 0,
         )
@@ -362,8 +426,9 @@
         share = CANARY_REQUESTS_PER_SECOND / rate
         return round(min(max(share, MINIMUM_CANARY_SHARE), MAXIMUM_CANARY_SHARE), 4)
 
-    def _may_complete(self, order: RolloutOrder, elapsed: float) -> bool:
+    def _may_complete(self, order: RolloutOrder, record: RolloutRecord) -> bool:
         """Tell whether the old version's endpoints may be stopped."""
+        elapsed = self._since(order, record.ordered_unix)
         if elapsed < order.duration_seconds * COMPLETE_FROM:
             return False
         if elapsed >= order.duration_seconds * COMPLETE_LATEST:
@@ -384,4 +449,9 @@
             phase=record.phase,
             over_revision=record.revision,
             outcome=str(written),
+            findings=[
+                dataclasses.asdict(f)
+                for f in self._findings(order)
+                if f.total > 0 or f.timed > 0
+            ],
         )
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -42,19 +42,26 @@
 STREAM_PATIENCE_SHARE = 0.2
 SILENCE_OBJECTIVES = 2.5
 LEAST_PATIENCE_SECONDS = 0.1
+# Events by which a stream's pace is judged; a slow one may take long to its end.
+PACE_EVENTS = 4
 # An attempt with less time than this left is not worth sending.
 LEAST_SECONDS = 0.01
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Sent:
-    """An attempt whose answer has begun; `Sender.close` ends it."""
+    """An attempt whose answer has begun; `Sender.close` ends it.
+
+    ``began`` is the clock's reading at its first byte; ``paced`` is set once the pace
+    of its events was judged.
+    """
 
     endpoint: Endpoint
     work: Work
     exchange: Exchange
     model: str
-    first_byte_seconds: float
+    began: float
+    paced: bool = False
     closed: bool = False
 
 
@@ -132,13 +139,17 @@
             return False
         return request.attempts < request.route.maximum_attempts
 
-    def close(self, request: ForwardRequest, sent: Sent, verdict: Verdict) -> None:
-        """End an attempt and count how it went."""
+    def close(
+        self, request: ForwardRequest, sent: Sent, verdict: Verdict | None
+    ) -> None:
+        """End an attempt and count how it went; ``None`` if that is not known."""
         if sent.closed:
             return
         sent.closed = True
         sent.exchange.close()
         self.loads.end(sent.endpoint, sent.work)
+        if verdict is None:
+            return
         self.outcomes.add(sent.endpoint.name, request.route.name, verdict)
         if verdict is not Verdict.BROKEN:
             self.ejector.succeeded(sent.endpoint)
@@ -188,13 +199,36 @@
             self.loads.end(endpoint, work)
             return None
         seconds = self.loads.first_token(work)
+        # A stream's first event waits for other prompts at its engine, ten times longer
+        # at one moment than at another, so it says little about a version.
+        if request.route.kind is not RequestKind.STREAMING:
+            self._note_time(request, endpoint, model, seconds)
         self._note_begun(request, endpoint, model, seconds, exchange)
         return Sent(
             endpoint=endpoint,
             work=work,
             exchange=exchange,
             model=model,
-            first_byte_seconds=seconds,
+            began=self.clock.monotonic(),
+        )
+
+    def note_events(self, request: ForwardRequest, sent: Sent, events: int) -> None:
+        """Judge a stream's pace by its first events, once."""
+        if sent.paced or events < PACE_EVENTS:
+            return
+        sent.paced = True
+        pace = (self.clock.monotonic() - sent.began) / (events - 1)
+        self._note_time(request, sent.endpoint, sent.model, pace)
+
+    def _note_time(
+        self, request: ForwardRequest, endpoint: Endpoint, model: str, seconds: float
+    ) -> None:
+        self.outcomes.add_time(
+            endpoint.name,
+            request.route.name,
+            model,
+            seconds,
+            learn=not self.rollouts.is_on_trial(endpoint),
         )
 
     def _call(
--- a/linnetladder/forwarding/policy_settings.py
+++ b/linnetladder/forwarding/policy_settings.py
@@ -24,7 +24,7 @@
     model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
 
     confidence: float = pydantic.Field(
-        55.0,
+        50.0,
         ge=0,
         le=100,
         description="Confidence from which an answer of a smaller model is kept.",
--- a/linnetladder/forwarding/protocol/news.py
+++ b/linnetladder/forwarding/protocol/news.py
@@ -42,7 +42,7 @@
     """
 
     loads: list[tuple[str, int, float]]
-    outcomes: list[tuple[str, str, float, float, float, float, float]]
+    outcomes: list[tuple[str, str, tuple[float, ...]]]
     crashes: list[tuple[str, str]]
     bad_targets: list[tuple[str, int]]
     leaving: list[tuple[str, str]]
--- a/linnetladder/forwarding/state/rollouts.py
+++ b/linnetladder/forwarding/state/rollouts.py
@@ -11,6 +11,7 @@
 
     CANARY = "canary"
     RAMP = "ramp"
+    FULL = "full"
     COMPLETE = "complete"
     ROLLED_BACK = "rolled_back"
 
@@ -34,10 +35,11 @@
 class RolloutRecord:
     """The state of an order as the store holds it.
 
-    ``canary_unix`` and ``ramp_unix`` are the moments, in seconds of Unix time, from
-    which the canary gets new sessions and from which its share rises. They are set a
-    little ahead, so that all daemons know of them before they come. ``ramp_unix`` is
-    0 until the canary has proved itself. ``canary_share`` is the part of sessions that
+    ``canary_unix``, ``ramp_unix`` and ``full_unix`` are the moments, in seconds of Unix
+    time, from which the canary gets sessions, from which its share rises to a part of
+    all, and from which it rises to all. They are set a little ahead, so that all
+    daemons know of them before they come; the later ones are 0 until the version has
+    proved itself before. ``canary_share`` is the part of sessions that
     the canary gets, 0 to 1. ``revision`` is the store's, 0 before the
     record was first written.
     """
@@ -50,4 +52,5 @@
     canary_unix: float
     canary_share: float
     ramp_unix: float = 0.0
+    full_unix: float = 0.0
     revision: int = 0
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -201,6 +201,7 @@
 _STATES = {
     RolloutPhase.CANARY: "in_progress",
     RolloutPhase.RAMP: "in_progress",
+    RolloutPhase.FULL: "in_progress",
     RolloutPhase.COMPLETE: "complete",
     RolloutPhase.ROLLED_BACK: "rolled_back",
 }
