--- /dev/null
+++ b/linnetladder/fleet_daemon.py
@@ -0,0 +1,259 @@
+"""The daemon on a platform that hands out settings files and keeps a store.
+
+It forwards the requests of an operator's routes. This module is the one place that
+puts the platform's adapter and the forwarding package together.
+"""
+
+import asyncio
+import dataclasses
+import gc
+import secrets
+import signal
+import sys
+import time
+
+import aiomisc
+
+from linnetladder.fleet_assembly import FleetParts, assemble_fleet
+from linnetladder.forwarding.policy_settings import (
+    PolicyProblem,
+    PolicySettings,
+    read_policy_settings,
+)
+from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
+from linnetladder.forwarding.transport import (
+    ReadyServer,
+)
+from linnetladder.platform import (
+    READY_PATH,
+    SettingsProblem,
+    read_settings,
+    settings_path,
+)
+from linnetladder.telemetry import (
+    configure_logs,
+    log_change,
+    log_failure,
+    start_request_log,
+)
+
+__all__ = ["FleetDaemon", "run"]
+
+EXIT_USAGE = 2
+# Peers hold what is not written yet, so blocks are few; if all of them are killed with
+# the daemon, the bills since its last block are lost.
+LEAST_BILL_SECONDS = 4.0
+BILL_SECONDS_PER_DAEMON = 0.15
+HOLDERS_SECONDS = 0.5
+RECOVER_SECONDS = 3.0
+SETTINGS_SECONDS = 1.0
+SECRET_RETRY_SECONDS = 1.0
+# What is kept of the grace period for the last writes and the exit.
+GRACE_MARGIN_SECONDS = 0.9
+LAST_BILLS_SECONDS = 0.7
+# A daemon that has no peers by then is the only one.
+ALONE_SECONDS = 3.0
+# The balancer takes an instance out after two questions, a second apart.
+NOTICE_SECONDS = 2.3
+IDLE_POLL_SECONDS = 0.05
+COLLECTION_THRESHOLDS = (20_000, 20, 50)
+
+
+class FleetDaemon(aiomisc.Service):
+    """One instance of the router on the platform."""
+
+    def __init__(self, *, settings: FleetSettings, policy: PolicySettings):
+        super().__init__()
+        self.policy = policy
+        self.holder = SettingsHolder(settings=settings)
+        self.parts: FleetParts | None = None
+        self.ready: ReadyServer | None = None
+        self.tasks: list[asyncio.Task] = []
+        self.leaving = False
+        self.started = time.monotonic()
+        self.changed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, then follow the store; readiness comes with the first reads."""
+        settings = self.holder.current
+        self.parts = parts = assemble_fleet(self.holder, self.policy)
+        self.ready = ReadyServer(
+            ready_path=READY_PATH, reasons=self.unready_reasons, metrics=parts.metrics
+        )
+        await self.ready.start(address=settings.address, port=settings.ready_port)
+        await self.parts.news_socket.start(
+            address=settings.address, port=settings.peer_ports[0]
+        )
+        await self.parts.follower.read_once()
+        self._run(self.parts.follower.run())
+        self._run(self.parts.follower.run_registration())
+        self._run(self.parts.follower.run_rollouts())
+        self._run(self._write_bills())
+        self._run(self._recover_bills())
+        self._run(self._watch_holders())
+        self._run(self._follow_settings())
+        self._run(self._agree_on_secret())
+        self._run(self.parts.news_socket.run())
+        await self.parts.callers.start(
+            address=settings.address, port=settings.caller_port
+        )
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.changed.set)
+        gc.freeze()
+        gc.enable()
+        gc.set_threshold(*COLLECTION_THRESHOLDS)
+        log_change("started", settings=dataclasses.asdict(settings))
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Say so, finish what is under way, write the bills, leave."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + self.holder.bounds.grace - GRACE_MARGIN_SECONDS
+        self.leaving = True
+        self.parts.follower.leaving = self.parts.callers.leaving = True
+        log_change("draining", in_flight=self.parts.callers.active)
+        notice = loop.time() + NOTICE_SECONDS
+        while loop.time() < ends:
+            if loop.time() >= notice:
+                if not self.parts.callers.refusing:
+                    self.parts.callers.refuse_new()
+                if self.parts.callers.active == 0:
+                    break
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+        unfinished = self.parts.callers.active
+        flushed = await self._write_last_bills()
+        for task in self.tasks:
+            task.cancel()
+        await self.parts.callers.stop()
+        await self.ready.stop()
+        self.parts.news_socket.stop()
+        await self.parts.background.drain(seconds=0.0)
+        await self.parts.calls.close()
+        await self.parts.store.close()
+        log_change("stopped", unfinished=unfinished, bills_written=flushed)
+
+    async def _write_last_bills(self) -> bool:
+        """Write what waits, again if a reply is lost, and let its holders know."""
+        flushed = False
+        try:
+            async with asyncio.timeout(LAST_BILLS_SECONDS):
+                while not flushed:
+                    own = await self.parts.bills.flush()
+                    flushed = await self.parts.held_bills.hand_over() and own
+                    if not flushed:
+                        await asyncio.sleep(IDLE_POLL_SECONDS)
+        except TimeoutError:
+            log_change("the last bills were not written in time")
+        self.parts.news_socket.send_bill(self.parts.bills.copies())
+        return flushed
+
+    def unready_reasons(self) -> list[str]:
+        """Return what keeps the daemon from serving callers."""
+        reasons = []
+        if self.leaving:
+            reasons.append("the daemon is draining")
+        refusal = self.parts.in_force.refuse_stale()
+        if refusal is not None:
+            reasons.append(refusal.detail)
+        if not self.parts.directory.read_once:
+            reasons.append("the endpoints have not been read")
+        alone = time.monotonic() - self.started >= ALONE_SECONDS
+        if not alone and not (self.parts.peers.peers and self.parts.news_socket.secret):
+            reasons.append("no peer is known that could hold bills")
+        return reasons
+
+    def _run(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(_log_end)
+        self.tasks.append(task)
+
+    async def _agree_on_secret(self) -> None:
+        """Fetch the secret that signs news between daemons."""
+        while not self.parts.news_socket.secret:
+            read = await self.parts.source.shared_secret(secrets.token_hex(16))
+            self.parts.news_socket.secret = read.value_or("").encode()
+            await asyncio.sleep(SECRET_RETRY_SECONDS)
+
+    async def _write_bills(self) -> None:
+        while True:
+            await asyncio.sleep(self._bill_seconds())
+            await self.parts.bills.flush()
+
+    async def _watch_holders(self) -> None:
+        """Write bills at once when a peer that holds them has gone or started anew."""
+        known: list[str] = []
+        while True:
+            await asyncio.sleep(HOLDERS_SECONDS)
+            holders = [peer.incarnation for peer in self.parts.peers.bill_holders()]
+            if known and holders != known:
+                await self.parts.bills.flush()
+            known = holders
+
+    def _bill_seconds(self) -> float:
+        """Return the time between blocks; a large fleet writes fewer of them."""
+        daemons = len(self.parts.peers.peers) + 1
+        return max(LEAST_BILL_SECONDS, daemons * BILL_SECONDS_PER_DAEMON)
+
+    async def _recover_bills(self) -> None:
+        while True:
+            await asyncio.sleep(RECOVER_SECONDS)
+            if self.parts.follower.reachable:
+                await self.parts.held_bills.recover(self.parts.peers.listed)
+
+    async def _follow_settings(self) -> None:
+        """Read the settings again on a signal and when the file has changed."""
+        path = settings_path()
+        last = path.stat().st_mtime_ns
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_SECONDS):
+                    await self.changed.wait()
+            except TimeoutError:
+                if _modified(path, last) == last:
+                    continue
+            self.changed.clear()
+            last = _modified(path, last)
+            self._reload(path)
+
+    def _reload(self, path) -> None:
+        try:
+            settings = read_settings(path)
+        except SettingsProblem as problem:
+            log_change("settings not reloaded", problem=str(problem))
+            return
+        if settings == self.holder.current:
+            return
+        self.holder.current = settings
+        self.parts.store.address = settings.store_address
+        log_change("settings reloaded", settings=dataclasses.asdict(settings))
+
+
+def _modified(path, otherwise: int) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log_change("settings file can't be seen", error=str(error))
+        return otherwise
+
+
+def _log_end(task: asyncio.Task) -> None:
+    """Log a long-lived task that failed, since nobody else looks at it."""
+    if not task.cancelled() and task.exception() is not None:
+        log_failure("task failed", task.exception())
+
+
+def run() -> None:
+    """Run until a signal."""
+    try:
+        settings = read_settings(settings_path())
+        policy = read_policy_settings()
+    except (SettingsProblem, PolicyProblem) as problem:
+        print(f"linnetladder: {problem}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from problem
+    configure_logs(instance=settings.instance, level="info")
+    start_request_log(instance=settings.instance)
+    with aiomisc.entrypoint(
+        FleetDaemon(settings=settings, policy=policy),
+        log_config=False,
+        shutdown_timeout=settings.bounds.grace,
+    ) as loop:
+        loop.run_forever()
--- /dev/null
+++ b/linnetladder/forwarding/coordination/entry.py
@@ -0,0 +1,107 @@
+"""What is checked first: route, credential, freshness and poison."""
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from linnetladder.errors import ErrorKind, Refusal
+from linnetladder.forwarding.coordination.budget import WindowBudget
+from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.state import (
+    CallerHead,
+    ClientAccount,
+    ForwardRequest,
+    Route,
+    RoutingTable,
+    credential_digest,
+)
+
+__all__ = ["Entry"]
+
+# The answer leaves this long before the caller stops waiting for it.
+ANSWER_SECONDS = 0.02
+DEFAULT_DEADLINE_SECONDS = 30.0
+
+
+class Entry:
+    """Let requests in, with the terms that they run on."""
+
+    def __init__(
+        self, *, in_force: TableInForce, budget: WindowBudget, crashes: CrashLog
+    ):
+        self.in_force = in_force
+        self.budget = budget
+        self.crashes = crashes
+
+    def admit(
+        self, head: CallerHead, body: bytes, *, received: float
+    ) -> Result[ForwardRequest, Refusal]:
+        """Return the request with its terms, or why it is not let in."""
+        stale = self.in_force.refuse_stale()
+        table = self.in_force.table
+        if table is None:
+            return Failure(stale)
+        route = table.find(head.host, head.path)
+        if route is None:
+            detail = f"no route for host {head.host!r} and path {head.path!r}"
+            return Failure(self.in_force.refuse_absent(ErrorKind.UNKNOWN_PATH, detail))
+        account = None
+        if table.accounts and not route.public:
+            if stale is not None:
+                return Failure(stale)
+            found = self._find_account(table, head)
+            if isinstance(found, Failure):
+                return found
+            account = found.unwrap()
+        request = self._build(head, body, received, route, account, table.version)
+        poison = self.crashes.refuse(request.fingerprint)
+        if poison is not None:
+            return Failure(poison)
+        self.budget.earn(request.service)
+        return Success(request)
+
+    def _find_account(
+        self, table: RoutingTable, head: CallerHead
+    ) -> Result[ClientAccount, Refusal]:
+        if head.credential is None:
+            detail = "the request carries no credential"
+            kind = ErrorKind.MISSING_CREDENTIAL
+            return Failure(self.in_force.refuse_absent(kind, detail))
+        account = table.account_of(credential_digest(head.credential))
+        if account is None:
+            detail = "no client account has the request's credential"
+            kind = ErrorKind.UNKNOWN_CREDENTIAL
+            return Failure(self.in_force.refuse_absent(kind, detail))
+        return Success(account)
+
+    def _build(
+        self,
+        head: CallerHead,
+        body: bytes,
+        received: float,
+        route: Route,
+        account: ClientAccount | None,
+        version: int,
+    ) -> ForwardRequest:
+        seconds = head.deadline_seconds or DEFAULT_DEADLINE_SECONDS
+        seconds = min(seconds, route.timeout_seconds)
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        prompt = head.prompt
+        key = prompt.session if prompt is not None else head.attempt_id
+        name = account.name if account is not None else ""
+        digest = xxhash.xxh3_128(f"{head.method} {head.target}\0{name}\0".encode())
+        digest.update(body)
+        return ForwardRequest(
+            head=head,
+            body=body,
+            route=route,
+            service=route.choose_service(key),
+            account=account,
+            received=received,
+            deadline=received + seconds - ANSWER_SECONDS,
+            priority=priority,
+            fingerprint=digest.hexdigest(),
+            configuration_version=version,
+        )
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -3,8 +3,7 @@
 import asyncio
 import dataclasses
 
-import xxhash
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.forwarding.coordination.bills import BillBuffer
@@ -14,20 +13,16 @@
     CallFaultKind,
     Reply,
 )
+from linnetladder.forwarding.coordination.entry import Entry
 from linnetladder.forwarding.coordination.in_force import TableInForce
-from linnetladder.forwarding.coordination.outcomes import Outcomes, Verdict
-from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.outcomes import Verdict
 from linnetladder.forwarding.coordination.sender import Sender, Sent
 from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
 from linnetladder.forwarding.protocol.events import EventSplitter
 from linnetladder.forwarding.state import (
     CallerHead,
-    ClientAccount,
     ForwardRequest,
     RequestKind,
-    Route,
-    RoutingTable,
-    credential_digest,
 )
 from linnetladder.forwarding.state.requests import ANY_MODEL
 from linnetladder.state import Clock
@@ -35,19 +30,26 @@
 
 __all__ = ["Forwarder"]
 
-# The answer leaves this long before the caller stops waiting for it.
-ANSWER_SECONDS = 0.02
 # Repeats that escalations leave for attempts that failed.
 ESCALATION_RESERVE = 3.0
-DEFAULT_DEADLINE_SECONDS = 30.0
 SERVER_ERROR = 500
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """An endpoint's whole answer that says that it failed."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class StreamState:
     """How far a stream has been passed on; ``last_id`` is its last whole event."""
 
     position: int
+    failed: FailedAnswer | None = None
     last_id: int | None = None
     begun: bool = False
 
@@ -58,22 +60,20 @@
     def __init__(
         self,
         *,
+        entry: Entry,
         in_force: TableInForce,
         sender: Sender,
         sizing: SizingPolicy,
         budget: WindowBudget,
-        outcomes: Outcomes,
-        crashes: CrashLog,
         bills: BillBuffer,
         clock: Clock,
         metrics: Metrics,
     ):
+        self.entry = entry
         self.in_force = in_force
         self.sender = sender
         self.sizing = sizing
         self.budget = budget
-        self.outcomes = outcomes
-        self.crashes = crashes
         self.bills = bills
         self.clock = clock
         self.metrics = metrics
@@ -84,7 +84,7 @@
     ) -> None:
         """Answer one request; the reply is whole, or visibly broken off, after it."""
         self.metrics.count("requests")
-        admitted = self._admit(head, body, received)
+        admitted = self.entry.admit(head, body, received=received)
         if isinstance(admitted, Failure):
             await self._refuse(head, None, admitted.failure(), reply)
             return
@@ -106,79 +106,6 @@
             request.billed = True
             self.bills.add(request, model=request.model, events=request.events)
 
-    def _admit(
-        self, head: CallerHead, body: bytes, received: float
-    ) -> Result[ForwardRequest, Refusal]:
-        """Check what can be checked before any endpoint is asked."""
-        stale = self.in_force.refuse_stale()
-        table = self.in_force.table
-        if table is None:
-            return Failure(stale)
-        route = table.find(head.host, head.path)
-        if route is None:
-            detail = f"no route for host {head.host!r} and path {head.path!r}"
-            return Failure(self.in_force.refuse_absent(ErrorKind.UNKNOWN_PATH, detail))
-        account = None
-        if table.accounts and not route.public:
-            if stale is not None:
-                return Failure(stale)
-            found = self._find_account(table, head)
-            if isinstance(found, Failure):
-                return found
-            account = found.unwrap()
-        request = self._build(head, body, received, route, account, table.version)
-        poison = self.crashes.refuse(request.fingerprint)
-        if poison is not None:
-            return Failure(poison)
-        self.budget.earn(request.service)
-        return Success(request)
-
-    def _find_account(
-        self, table: RoutingTable, head: CallerHead
-    ) -> Result[ClientAccount, Refusal]:
-        if head.credential is None:
-            detail = "the request carries no credential"
-            kind = ErrorKind.MISSING_CREDENTIAL
-            return Failure(self.in_force.refuse_absent(kind, detail))
-        account = table.account_of(credential_digest(head.credential))
-        if account is None:
-            detail = "no client account has the request's credential"
-            kind = ErrorKind.UNKNOWN_CREDENTIAL
-            return Failure(self.in_force.refuse_absent(kind, detail))
-        return Success(account)
-
-    def _build(
-        self,
-        head: CallerHead,
-        body: bytes,
-        received: float,
-        route: Route,
-        account: ClientAccount | None,
-        version: int,
-    ) -> ForwardRequest:
-        seconds = head.deadline_seconds or DEFAULT_DEADLINE_SECONDS
-        seconds = min(seconds, route.timeout_seconds)
-        priority = route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
-        prompt = head.prompt
-        key = prompt.session if prompt is not None else head.attempt_id
-        name = account.name if account is not None else ""
-        digest = xxhash.xxh3_128(f"{head.method} {head.target}\0{name}\0".encode())
-        digest.update(body)
-        return ForwardRequest(
-            head=head,
-            body=body,
-            route=route,
-            service=route.choose_service(key),
-            account=account,
-            received=received,
-            deadline=received + seconds - ANSWER_SECONDS,
-            priority=priority,
-            fingerprint=digest.hexdigest(),
-            configuration_version=version,
-        )
-
     async def _serve_in_time(self, request: ForwardRequest, reply: Reply) -> None:
         remaining = request.deadline - self.clock.monotonic()
         try:
@@ -202,10 +129,11 @@
 
     async def _serve_plain(self, request: ForwardRequest, reply: Reply) -> None:
         """Pass a whole answer back; a failed idempotent request is sent again."""
+        failed: FailedAnswer | None = None
         while True:
             opened = await self.sender.open(request, model="", resume_after="")
             if isinstance(opened, Failure):
-                await self._refuse(request.head, request, opened.failure(), reply)
+                await self._give_up(request, reply, failed, opened.failure())
                 return
             sent = opened.unwrap()
             try:
@@ -217,6 +145,7 @@
                 self.sender.close(request, sent, Verdict.BROKEN)
             status = sent.exchange.head.status
             if status >= SERVER_ERROR and self._may_send_again(request):
+                failed = FailedAnswer(status, sent.exchange.head.headers, body)
                 continue
             self._bill(request)
             await reply.send(status, sent.exchange.head.headers, body)
@@ -343,6 +272,7 @@
             return False
         self.sender.close(request, sent, _verdict(head.status))
         if head.status >= SERVER_ERROR and self._may_send_again(request):
+            state.failed = FailedAnswer(head.status, head.headers, body)
             return False
         if state.begun:
             reply.break_off()
@@ -359,11 +289,25 @@
         refusal: Refusal,
     ) -> None:
         if not state.begun:
-            await self._refuse(request.head, request, refusal, reply)
+            await self._give_up(request, reply, state.failed, refusal)
             return
         reply.break_off()
         self._log(request, "broken off", status=0, detail=refusal.detail)
 
+    async def _give_up(
+        self,
+        request: ForwardRequest,
+        reply: Reply,
+        failed: FailedAnswer | None,
+        refusal: Refusal,
+    ) -> None:
+        """Pass on the failure that an endpoint gave, or else refuse."""
+        if failed is None:
+            await self._refuse(request.head, request, refusal, reply)
+            return
+        await reply.send(failed.status, failed.headers, failed.body)
+        self._log(request, "failed", status=failed.status, detail=refusal.detail)
+
     def _model(self, request: ForwardRequest, position: int) -> str:
         if request.head.model != ANY_MODEL or not request.route.models:
             return ""
--- /dev/null
+++ b/linnetladder/forwarding/coordination/judgement.py
@@ -0,0 +1,86 @@
+"""How a version that is being brought in compares with the one in use."""
+
+import dataclasses
+import math
+
+from linnetladder.forwarding.coordination.directory import Directory, version_of
+from linnetladder.forwarding.coordination.outcomes import (
+    Outcomes,
+    Tally,
+    evidence_of_badness,
+    evidence_of_slowness,
+)
+from linnetladder.forwarding.state import RolloutOrder
+
+__all__ = ["Finding", "Judge"]
+
+# Fewer failures than these may be anybody's.
+MINIMUM_FAILURES = 2.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """How a target's answers on a route compare with the old version's.
+
+    ``failing`` and ``slowness`` are log likelihood ratios; the counts fade with time.
+    """
+
+    route: str
+    failing: float
+    slowness: float
+    failed: float
+    total: float
+    usual_failed: float
+    usual_total: float
+    slow: float
+    timed: float
+    usual_slow: float
+    usual_timed: float
+
+    @property
+    def evidence(self) -> float:
+        """The stronger of the two."""
+        return max(self.failing, self.slowness)
+
+
+class Judge:
+    """Compare the answers of an order's target with those of the old version."""
+
+    def __init__(self, *, directory: Directory, outcomes: Outcomes):
+        self.directory = directory
+        self.outcomes = outcomes
+
+    def findings(self, order: RolloutOrder) -> list[Finding]:
+        """Compare the target's answers with the old version's, by route and on all."""
+        pool = self.directory.pool(order.service)
+        if pool is None:
+            return []
+        new = frozenset(e.name for e in pool.endpoints if version_of(e) == order.target)
+        old = frozenset(e.name for e in pool.endpoints) - new
+        found = []
+        for route in (None, *sorted(self.outcomes.routes())):
+            candidate = self.outcomes.tally(new, route)
+            baseline = self.outcomes.tally(old, route)
+            finding = Finding(
+                route=route or "all",
+                failing=self._failing(candidate, baseline),
+                slowness=evidence_of_slowness(candidate.counts, baseline.counts),
+                failed=round(candidate.counts.long_failed, 1),
+                total=round(candidate.counts.long_total, 1),
+                usual_failed=round(baseline.counts.long_failed, 1),
+                usual_total=round(baseline.counts.long_total, 1),
+                slow=round(candidate.counts.slow, 1),
+                timed=round(candidate.counts.timed, 1),
+                usual_slow=round(baseline.counts.slow, 1),
+                usual_timed=round(baseline.counts.timed, 1),
+            )
+            found.append(finding)
+        return found
+
+    def _failing(self, candidate: Tally, baseline: Tally) -> float:
+        """Return the evidence of failures that are the version's, not an endpoint's."""
+        if candidate.counts.long_failed < MINIMUM_FAILURES:
+            return -math.inf
+        if candidate.endpoints > 1 and candidate.endpoints_failed < 2:
+            return -math.inf
+        return evidence_of_badness(candidate.counts, baseline.counts)
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import dataclasses
-import math
 import random
 
 import xxhash
@@ -17,12 +16,7 @@
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.directory import Directory, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.outcomes import (
-    Outcomes,
-    Tally,
-    evidence_of_badness,
-    evidence_of_slowness,
-)
+from linnetladder.forwarding.coordination.judgement import Judge
 from linnetladder.forwarding.coordination.sources import OperatorSource
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase, RolloutRecord
 from linnetladder.state import Clock, Endpoint
@@ -59,7 +53,6 @@
 # Above this one a version gets no larger share until more answers have come in.
 SUSPECT_EVIDENCE = 1.5
 DOUBT_LATEST = 0.74
-MINIMUM_FAILURES = 2.5
 DRAW_SCALE = 1 << 64
 # Daemons that see the same step to take wait differently long, so that the first one's
 # news spares the others their writes.
@@ -88,31 +81,6 @@
         return not (self.avoid_target and is_target)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finding:
-    """How a target's answers on a route compare with the old version's.
-
-    ``failing`` and ``slowness`` are log likelihood ratios; the counts fade with time.
-    """
-
-    route: str
-    failing: float
-    slowness: float
-    failed: float
-    total: float
-    usual_failed: float
-    usual_total: float
-    slow: float
-    timed: float
-    usual_slow: float
-    usual_timed: float
-
-    @property
-    def evidence(self) -> float:
-        """The stronger of the two."""
-        return max(self.failing, self.slowness)
-
-
 class Rollouts:
     """Follow orders, choose versions, and move the records forward."""
 
@@ -121,7 +89,7 @@
         *,
         source: OperatorSource,
         directory: Directory,
-        outcomes: Outcomes,
+        judge: Judge,
         loads: EndpointLoads,
         budget: WindowBudget,
         clock: Clock,
@@ -130,7 +98,7 @@
     ):
         self.source = source
         self.directory = directory
-        self.outcomes = outcomes
+        self.judge = judge
         self.loads = loads
         self.budget = budget
         self.daemons = 1
@@ -233,7 +201,7 @@
         """Mark a target as bad when its answers show it."""
         if self._is_bad(order):
             return
-        for finding in self._findings(order):
+        for finding in self.judge.findings(order):
             if finding.evidence >= BAD_EVIDENCE:
                 self._mark_bad(
                     order.service,
@@ -243,44 +211,9 @@
                 )
                 return
 
-    def _findings(self, order: RolloutOrder) -> list[Finding]:
-        """Compare the target's answers with the old version's, by route and on all."""
-        pool = self.directory.pool(order.service)
-        if pool is None:
-            return []
-        new = frozenset(e.name for e in pool.endpoints if version_of(e) == order.target)
-        old = frozenset(e.name for e in pool.endpoints) - new
-        found = []
-        for route in (None, *sorted(self.outcomes.routes())):
-            candidate = self.outcomes.tally(new, route)
-            baseline = self.outcomes.tally(old, route)
-            finding = Finding(
-                route=route or "all",
-                failing=self._failing(candidate, baseline),
-                slowness=evidence_of_slowness(candidate.counts, baseline.counts),
-                failed=round(candidate.counts.long_failed, 1),
-                total=round(candidate.counts.long_total, 1),
-                usual_failed=round(baseline.counts.long_failed, 1),
-                usual_total=round(baseline.counts.long_total, 1),
-                slow=round(candidate.counts.slow, 1),
-                timed=round(candidate.counts.timed, 1),
-                usual_slow=round(baseline.counts.slow, 1),
-                usual_timed=round(baseline.counts.timed, 1),
-            )
-            found.append(finding)
-        return found
-
-    def _failing(self, candidate: Tally, baseline: Tally) -> float:
-        """Return the evidence of failures that are the version's, not an endpoint's."""
-        if candidate.counts.long_failed < MINIMUM_FAILURES:
-            return -math.inf
-        if candidate.endpoints > 1 and candidate.endpoints_failed < 2:
-            return -math.inf
-        return evidence_of_badness(candidate.counts, baseline.counts)
-
     def _is_suspect(self, order: RolloutOrder) -> bool:
         """Tell whether a target's answers speak against it, if not yet clearly."""
-        return any(f.evidence >= SUSPECT_EVIDENCE for f in self._findings(order))
+        return any(f.evidence >= SUSPECT_EVIDENCE for f in self.judge.findings(order))
 
     def _mark_bad(
         self, service: str, revision: int, *, reason: str, **evidence: object
@@ -451,7 +384,7 @@
             outcome=str(written),
             findings=[
                 dataclasses.asdict(f)
-                for f in self._findings(order)
+                for f in self.judge.findings(order)
                 if f.total > 0 or f.timed > 0
             ],
         )
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -24,6 +24,14 @@
     assert len(daemon.calls.calls) == 2
 
 
+def test_an_endpoints_failure_is_passed_on_when_no_other_attempt_succeeds():
+    daemon = ready_daemon()
+    daemon.calls.reachable = False
+    refused = Script(fault=broken(kind=CallFaultKind.CONNECT, ran=False))
+    reply = daemon.answer(head("/fetch/1"), FAILED, refused, refused, refused)
+    assert (reply.status, reply.body) == (500, b"failed")
+
+
 @pytest.mark.parametrize("kind", [CallFaultKind.BROKEN, CallFaultKind.INVALID])
 def test_a_request_that_may_have_run_is_never_sent_twice(kind):
     daemon = ready_daemon()
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -19,9 +19,11 @@
 )
 from linnetladder.forwarding.coordination.directory import Directory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.entry import Entry
 from linnetladder.forwarding.coordination.following import Follower
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.judgement import Judge
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_news import PeerNews
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -383,7 +385,7 @@
         self.rollouts = Rollouts(
             source=self.source,
             directory=self.directory,
-            outcomes=self.outcomes,
+            judge=Judge(directory=self.directory, outcomes=self.outcomes),
             loads=self.loads,
             budget=self.budget,
             clock=clock,
@@ -460,14 +462,15 @@
             metrics=metrics,
         )
         self.forwarder = Forwarder(
+            entry=Entry(
+                in_force=self.in_force, budget=self.budget, crashes=self.crashes
+            ),
             in_force=self.in_force,
             sender=self.sender,
             sizing=ConfidenceLadder(
                 loads=self.loads, policy=policy or PolicySettings()
             ),
             budget=self.budget,
-            outcomes=self.outcomes,
-            crashes=self.crashes,
             bills=self.bills,
             clock=clock,
             metrics=metrics,
