Compare paces at like load, so that a slow version is not excused by the others'

Under a burst the old version's events came every 0.07 s, as slow as the new one's without load: 114 of 240 of the old version's counted as slow. Change: what is usual is learnt by classes of requests in flight at the endpoint; a version on trial is compared with its own class or the next one known. The log shows each pace. One new test, failing before.

--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -26,6 +26,8 @@
 NEGLIGIBLE = 0.05
 LEARNING_WEIGHT = 0.08
 LEAST_SECONDS = 1e-4
+# Loads are parted by powers of two of the requests in flight, up to 31 and more.
+LARGEST_LOAD_CLASS = 5
 # Ten times longer than usual; what is later still says no more.
 LARGEST_LATENESS = 2.3
 # An answer of 2.5 times the usual length counts as slow.
@@ -119,7 +121,7 @@
         self.clock = clock
         self.rows: dict[tuple[str, str], Row] = {}
         self.peers: dict[str, tuple[float, dict[tuple[str, str], Row]]] = {}
-        self.usual: dict[tuple[str, str], float] = {}
+        self.usual: dict[tuple[str, str, int], float] = {}
         self.shares: dict[str, float] = {}
         self.shared = -math.inf
 
@@ -134,13 +136,24 @@
             row.long_total += 1
 
     def add_time(
-        self, endpoint: str, route: str, model: str, seconds: float, *, learn: bool
+        self,
+        endpoint: str,
+        route: str,
+        model: str,
+        seconds: float,
+        *,
+        learn: bool,
+        in_flight: int = 0,
     ) -> None:
         """Count how long something took, against what is usual for route and model.
 
         ``learn`` takes it into what is usual, which a version on trial must not set.
+        ``in_flight`` is how many requests the endpoint had: a version on trial has
+        few, and must not be excused by how slow the others are under their load.
         """
-        lateness = self.lateness(route, model, seconds, learn=learn)
+        lateness = self.lateness(
+            route, model, seconds, learn=learn, in_flight=in_flight
+        )
         if lateness is None:
             return
         row = self._row(endpoint, route)
@@ -159,22 +172,30 @@
         return row
 
     def lateness(
-        self, route: str, model: str, seconds: float, *, learn: bool
+        self, route: str, model: str, seconds: float, *, learn: bool, in_flight: int = 0
     ) -> float | None:
         """Return the logarithm of how much longer than usual something took.
 
-        It is ``None`` while nothing is known to be usual.
+        It is ``None`` while nothing is known of such a load or a higher one.
         """
         taken = math.log(max(seconds, LEAST_SECONDS))
-        usual = self.usual.get((route, model))
+        load_class = min((1 + in_flight).bit_length() - 1, LARGEST_LOAD_CLASS)
+        usual = self._usual(route, model, load_class)
+        if learn:
+            own = self.usual.get((route, model, load_class), taken)
+            own += (taken - own) * LEARNING_WEIGHT
+            self.usual[(route, model, load_class)] = own
         if usual is None:
-            if learn:
-                self.usual[(route, model)] = taken
             return None
-        if learn:
-            self.usual[(route, model)] = usual + (taken - usual) * LEARNING_WEIGHT
         return min(max(taken - usual, -LARGEST_LATENESS), LARGEST_LATENESS)
 
+    def _usual(self, route: str, model: str, load_class: int) -> float | None:
+        for at_load in range(load_class, LARGEST_LOAD_CLASS + 1):
+            usual = self.usual.get((route, model, at_load))
+            if usual is not None:
+                return usual
+        return None
+
     def export(self) -> list[tuple[str, str, tuple[float, ...]]]:
         """Return this daemon's rows that still matter."""
         now = self.clock.monotonic()
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -218,6 +218,7 @@
             return
         sent.paced = True
         pace = (self.clock.monotonic() - sent.began) / (events - 1)
+        request.history.append(f"pace={pace:.3f}")
         self._note_time(request, sent.endpoint, sent.model, pace)
 
     def _note_time(
@@ -229,6 +230,7 @@
             model,
             seconds,
             learn=not self.rollouts.is_on_trial(endpoint),
+            in_flight=self.loads.in_flight_of(endpoint),
         )
 
     def _call(
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -372,3 +372,21 @@
     spoil(daemons[0], bad=2, good=7)
     pass_time(clock, daemons, 3.0, stepping=daemons[:1])
     assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
+
+
+def test_a_slow_version_is_not_excused_by_the_load_of_the_others(fleet):
+    """Under a burst the old version is as slow as the new one without any load."""
+    source, clock, daemons = fleet
+    daemon = daemons[0]
+    pass_time(clock, daemons, 3.0)
+    draw = random.Random(7)
+    for serial in range(300):
+        new = serial % 15 == 0
+        in_flight = 1 if new or serial < 60 else 12
+        pace = 0.02 * (1 + in_flight / 4) * draw.uniform(0.7, 1.4) * (4 if new else 1)
+        name = f"{'new' if new else 'old'}-{1 + serial % 3}"
+        daemon.outcomes.add_time(
+            name, "draft", "small", pace, learn=not new, in_flight=in_flight
+        )
+    daemon.rollouts._judge(source.orders["engines"])
+    assert daemon.rollouts.bad_targets
