Never say that a request did not run when it crashed its endpoints

Cause: found by reading the diff: a request that may be repeated and had crashed two endpoints was refused 503 with ran: no, from the check that refuses known poison at the door. Ruled out: requests that may run once; they are never offered a second attempt. Change: if it may have run, the refusal is endpoint_failed, ran unknown. Figures: the new test fails before (ran no) and passes now; the rest of forwarding passes.

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -323,7 +323,10 @@
         if not self.may_repeat(request):
             detail = last.detail if last is not None else "all attempts are used"
             return _refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
-        return self.crashes.refuse(request.fingerprint) if last is not None else None
+        poison = self.crashes.refuse(request.fingerprint) if last is not None else None
+        if poison is not None and request.ran:
+            return _refusal(request, ErrorKind.ENDPOINT_FAILED, poison.detail)
+        return poison
 
 
 def _patience(request: ForwardRequest) -> float | None:
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -117,3 +117,12 @@
     daemon.answer(head("/save/1", attempt_id="lost"), Script(fault=broken()))
     daemon.answer(head("/fetch/1", attempt_id="refused", key="other"))
     assert sorted(daemon.bills.open) == ["lost", "ran"]
+
+
+def test_a_request_that_crashed_its_endpoints_is_not_said_not_to_have_run():
+    daemon = ready_daemon()
+    daemon.calls.reachable = False
+    crash = Script(fault=broken())
+    reply = daemon.answer(head("/draft/1"), crash, crash, crash)
+    assert reply.refusal.ran is Ran.UNKNOWN
+    assert reply.status not in (408, 421, 429, 503)
