Log to standard output, tell a request's story, serve metrics on a port

`policy_settings` is `daemon_variables` now, as it holds both.

A 500 that an endpoint gave was logged as `answered`; it is `failed`.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -30,7 +30,7 @@
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.sizing import ConfidenceLadder
 from linnetladder.forwarding.coordination.sources import DaemonAddress
-from linnetladder.forwarding.policy_settings import (
+from linnetladder.forwarding.daemon_variables import (
     PolicySettings,
 )
 from linnetladder.forwarding.settings import SettingsHolder
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -11,13 +11,16 @@
 import signal
 import sys
 import time
+from functools import partial
 
 import aiomisc
 
 from linnetladder.fleet_assembly import FleetParts, assemble_fleet
-from linnetladder.forwarding.policy_settings import (
-    PolicyProblem,
+from linnetladder.forwarding.daemon_variables import (
+    OperationsSettings,
     PolicySettings,
+    VariableProblem,
+    read_operations_settings,
     read_policy_settings,
 )
 from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
@@ -31,6 +34,7 @@
     settings_path,
 )
 from linnetladder.telemetry import (
+    LineWriter,
     configure_logs,
     log_change,
     log_failure,
@@ -62,9 +66,18 @@
 class FleetDaemon(aiomisc.Service):
     """One instance of the router on the platform."""
 
-    def __init__(self, *, settings: FleetSettings, policy: PolicySettings):
+    def __init__(
+        self,
+        *,
+        settings: FleetSettings,
+        policy: PolicySettings,
+        operations: OperationsSettings,
+        log_writer: LineWriter,
+    ):
         super().__init__()
+        self.log_writer = log_writer
         self.policy = policy
+        self.operations = operations
         self.holder = SettingsHolder(settings=settings)
         self.parts: FleetParts | None = None
         self.ready: ReadyServer | None = None
@@ -77,10 +90,11 @@
         """Listen, then follow the store; readiness comes with the first reads."""
         settings = self.holder.current
         self.parts = parts = assemble_fleet(self.holder, self.policy)
+        self.log_writer.on_dropped = partial(parts.metrics.count, "log_lines_dropped")
         self.ready = ReadyServer(
             ready_path=READY_PATH, reasons=self.unready_reasons, metrics=parts.metrics
         )
-        await self.ready.start(address=settings.address, port=settings.ready_port)
+        await self._listen_for_operators(settings)
         await self.parts.news_socket.start(
             address=settings.address, port=settings.peer_ports[0]
         )
@@ -104,6 +118,12 @@
         gc.set_threshold(*COLLECTION_THRESHOLDS)
         log_change("started", settings=dataclasses.asdict(settings))
 
+    async def _listen_for_operators(self, settings: FleetSettings) -> None:
+        await self.ready.listen(address=settings.address, port=settings.ready_port)
+        metrics_port = self.operations.metrics_port
+        if metrics_port:
+            await self.ready.listen(address=settings.address, port=metrics_port)
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Say so, finish what is under way, write the bills, leave."""
         loop = asyncio.get_running_loop()
@@ -246,13 +266,19 @@
     try:
         settings = read_settings(settings_path())
         policy = read_policy_settings()
-    except (SettingsProblem, PolicyProblem) as problem:
+        operations = read_operations_settings()
+    except (SettingsProblem, VariableProblem) as problem:
         print(f"linnetladder: {problem}", file=sys.stderr)
         raise SystemExit(EXIT_USAGE) from problem
-    configure_logs(instance=settings.instance, level="info")
-    start_request_log(instance=settings.instance)
+    writer = configure_logs(instance=settings.instance, level="info")
+    start_request_log(instance=settings.instance, writer=writer)
     with aiomisc.entrypoint(
-        FleetDaemon(settings=settings, policy=policy),
+        FleetDaemon(
+            settings=settings,
+            policy=policy,
+            operations=operations,
+            log_writer=writer,
+        ),
         log_config=False,
         shutdown_timeout=settings.bounds.grace,
     ) as loop:
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -16,6 +16,7 @@
 from linnetladder.forwarding.coordination.entry import Entry
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Verdict
+from linnetladder.forwarding.coordination.reporting import RequestReporter
 from linnetladder.forwarding.coordination.sender import Sender, Sent
 from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
 from linnetladder.forwarding.protocol.events import EventSplitter
@@ -26,7 +27,7 @@
 )
 from linnetladder.forwarding.state.requests import ANY_MODEL
 from linnetladder.state import Clock
-from linnetladder.telemetry import Metrics, log_request
+from linnetladder.telemetry import Metrics
 
 __all__ = ["Forwarder"]
 
@@ -77,6 +78,7 @@
         self.bills = bills
         self.clock = clock
         self.metrics = metrics
+        self.reporter = RequestReporter(in_force=in_force, clock=clock, metrics=metrics)
         self.active = 0
 
     async def answer(
@@ -93,8 +95,7 @@
         try:
             await self._serve_in_time(request, reply)
         except asyncio.CancelledError:
-            self.metrics.count("caller_left")
-            self._log(request, "caller left", status=0)
+            self.reporter.caller_left(request)
             raise
         finally:
             self._bill(request)
@@ -120,7 +121,7 @@
     async def _end_at_deadline(self, request: ForwardRequest, reply: Reply) -> None:
         if reply.begun:
             reply.break_off()
-            self._log(request, "broken off at the deadline", status=0)
+            self.reporter.broken_off(request, "the deadline passed")
             return
         ran = Ran.UNKNOWN if request.ran else Ran.NO
         kind = ErrorKind.DEADLINE_EXCEEDED if request.ran else ErrorKind.OVERLOADED
@@ -149,7 +150,7 @@
                 continue
             self._bill(request)
             await reply.send(status, sent.exchange.head.headers, body)
-            self._finish(request, sent, "answered", status=status)
+            self._finish(request, sent, status)
             return
 
     async def _read_whole(self, request: ForwardRequest, sent: Sent) -> bytes:
@@ -200,7 +201,7 @@
             await self.sender.learn_broken(request, sent, fault)
             return False
         self.sender.close(request, sent, Verdict.GOOD)
-        self._finish(request, sent, "answered", status=200)
+        self.reporter.answered(request, sent.model, 200)
         return True
 
     def _climb(self, request: ForwardRequest, state: StreamState, sent: Sent) -> bool:
@@ -277,7 +278,7 @@
             reply.break_off()
         else:
             await reply.send(head.status, head.headers, body)
-        self._finish(request, sent, "failed", status=head.status)
+        self.reporter.failed(request, head.status)
         return True
 
     async def _give_up_stream(
@@ -291,7 +292,7 @@
             await self._give_up(request, reply, state.failed, refusal)
             return
         reply.break_off()
-        self._log(request, "broken off", status=0, detail=refusal.detail)
+        self.reporter.broken_off(request, refusal.detail)
 
     async def _give_up(
         self,
@@ -305,7 +306,7 @@
             await self._refuse(request.head, request, refusal, reply)
             return
         await reply.send(failed.status, failed.headers, failed.body)
-        self._log(request, "failed", status=failed.status, detail=refusal.detail)
+        self.reporter.failed(request, failed.status, refusal.detail)
 
     def _model(self, request: ForwardRequest, position: int) -> str:
         if request.head.model != ANY_MODEL or not request.route.models:
@@ -327,11 +328,11 @@
             ),
         )
 
-    def _finish(
-        self, request: ForwardRequest, sent: Sent, outcome: str, *, status: int
-    ) -> None:
-        self.metrics.count("answered", label=sent.model or request.service)
-        self._log(request, outcome, status=status, events=request.events)
+    def _finish(self, request: ForwardRequest, sent: Sent, status: int) -> None:
+        if status >= SERVER_ERROR:
+            self.reporter.failed(request, status)
+        else:
+            self.reporter.answered(request, sent.model, status)
 
     async def _refuse(
         self,
@@ -340,55 +341,9 @@
         refusal: Refusal,
         reply: Reply,
     ) -> None:
-        self.metrics.count("refused", label=refusal.kind)
-        self.metrics.count("refused_ran", label=refusal.ran)
-        if request is not None:
-            self._log(
-                request, refusal.kind, status=refusal.status, detail=refusal.detail
-            )
-        else:
-            log_request(
-                "refused",
-                request=head.attempt_id,
-                kind=refusal.kind,
-                status=refusal.status,
-                detail=refusal.detail,
-                configuration_age=round(self.in_force.age(), 3),
-            )
+        self.reporter.refused(head, request, refusal)
         await reply.refuse(refusal)
 
-    def _log(
-        self, request: ForwardRequest, outcome: str, *, status: int, **more: object
-    ) -> None:
-        elapsed = self.clock.monotonic() - request.received
-        self.metrics.record("total_seconds", elapsed)
-        log_request(
-            outcome,
-            request=request.head.attempt_id,
-            route=request.route.name,
-            service=request.service,
-            account=request.account_name,
-            configuration=request.configuration_version,
-            configuration_age=round(self.in_force.age(), 3),
-            status=status,
-            ran=request.ran,
-            **_describe_prompt(request),
-            seconds=round(elapsed, 4),
-            attempts=request.history,
-            **more,
-        )
-
-
-def _describe_prompt(request: ForwardRequest) -> dict[str, object]:
-    """Return what the log says of a generation."""
-    prompt = request.head.prompt
-    if prompt is None:
-        return {}
-    return {
-        "session": prompt.session,
-        "tokens": [prompt.input_tokens, prompt.output_tokens],
-    }
-
 
 def _resume_point(request: ForwardRequest, state: StreamState) -> str:
     """Return the id of the event after which an attempt should go on."""
--- a/linnetladder/forwarding/coordination/sizing.py
+++ b/linnetladder/forwarding/coordination/sizing.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.policy_settings import PolicySettings
+from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.state import EngineSpec, Prompt, Route
 
 __all__ = ["ConfidenceLadder", "SizingInputs", "SizingPolicy", "SizingStep"]
--- /dev/null
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -0,0 +1,84 @@
+"""What an operator may tune of a daemon, in environment variables.
+
+Each field is read from the variable of its name in capitals after its model's prefix.
+"""
+
+import os
+from collections.abc import Mapping
+
+import pydantic
+
+__all__ = [
+    "OperationsSettings",
+    "PolicySettings",
+    "VariableProblem",
+    "read_operations_settings",
+    "read_policy_settings",
+]
+
+POLICY_PREFIX = "LINNETLADDER_POLICY_"
+OPERATIONS_PREFIX = "LINNETLADDER_OPERATIONS_"
+
+
+class VariableProblem(Exception):
+    """A variable whose value is not valid."""
+
+
+class OperationsSettings(pydantic.BaseModel):
+    """What operators reach a daemon by."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+    metrics_port: int = pydantic.Field(
+        0,
+        ge=0,
+        le=65535,
+        description="Port that serves /metrics besides the one for readiness; 0: none.",
+    )
+
+
+class PolicySettings(pydantic.BaseModel):
+    """The tunable parts of the decisions."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+    confidence: float = pydantic.Field(
+        50.0,
+        ge=0,
+        le=100,
+        description="Confidence from which an answer of a smaller model is kept.",
+    )
+    step_prior: float = pydantic.Field(
+        0.3,
+        ge=0,
+        le=1,
+        description="Expected share of doubtful answers that the next size settles.",
+    )
+    first_size: int = pydantic.Field(
+        0, ge=0, description="Position of the model that answers first."
+    )
+
+
+def read_policy_settings(environment: Mapping[str, str] = os.environ) -> PolicySettings:
+    """Return the settings; raise `VariableProblem` with the variable that is wrong."""
+    return _read(PolicySettings, POLICY_PREFIX, environment)
+
+
+def read_operations_settings(
+    environment: Mapping[str, str] = os.environ,
+) -> OperationsSettings:
+    """Return the settings; raise `VariableProblem` with the variable that is wrong."""
+    return _read(OperationsSettings, OPERATIONS_PREFIX, environment)
+
+
+def _read(model, prefix: str, environment: Mapping[str, str]):
+    given = {
+        name: environment[prefix + name.upper()]
+        for name in model.model_fields
+        if prefix + name.upper() in environment
+    }
+    try:
+        return model.model_validate(given)
+    except pydantic.ValidationError as error:
+        names = [prefix + str(part["loc"][0]).upper() for part in error.errors()]
+        raise VariableProblem(f"{', '.join(names)}: {error}") from error
--- a/linnetladder/forwarding/transport/ready_server.py
+++ b/linnetladder/forwarding/transport/ready_server.py
@@ -26,20 +26,20 @@
         self.ready_path = ready_path
         self.reasons = reasons
         self.metrics = metrics
-        self.server: asyncio.Server | None = None
-        self.handlers: Server | None = None
-
-    async def start(self, *, address: str, port: int) -> None:
-        """Listen; raise `OSError` if that is not possible."""
         self.handlers = Server(self.handle, access_log=None)
+        self.servers: list[asyncio.Server] = []
+
+    async def listen(self, *, address: str, port: int) -> None:
+        """Listen on one more port; raise `OSError` if that is not possible."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self.handlers, host=address, port=port)
+        server = await loop.create_server(self.handlers, host=address, port=port)
+        self.servers.append(server)
 
     async def stop(self) -> None:
-        """Close the listening socket and all connections."""
-        if self.server is not None:
-            self.server.close()
-            await self.handlers.shutdown(0.1)
+        """Close the listening sockets and all connections."""
+        for server in self.servers:
+            server.close()
+        await self.handlers.shutdown(0.1)
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer a question of the balancer or of an operator."""
--- a/linnetladder/management/commands/explain.py
+++ b/linnetladder/management/commands/explain.py
@@ -1,4 +1,6 @@
-"""Explain a decision receipt."""
+"""Explain a decision receipt, or a request from the logs."""
+
+from pathlib import Path
 
 from absl import flags
 
@@ -8,40 +10,97 @@
 )
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.management.commands.history import format_time
+from linnetladder.telemetry.stories import Chapter, read_log_lines, tell_story
 
 __all__ = ["COMMAND"]
 
+# Fields that each line of a story shows in columns of their own, or not at all.
+SHOWN_APART = frozenset(("time", "instance", "event", "level", "request", "attempts"))
+
 
 class ExplainCommand(Command):
-    """Verify a receipt and run its decision again."""
+    """Verify a receipt and run its decision again, or tell a request's story."""
 
     name = "explain"
-    summary = "Verify a receipt and run its decision again at its revision."
-    usage = "explain RECEIPT"
+    summary = (
+        "Verify a receipt and run its decision again, or tell from log files what"
+        " happened to a request."
+    )
+    usage = "explain RECEIPT | explain --logs=FILE[,FILE...] REQUEST"
+    needs_platform = False
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define where to look for a request."""
+        flags.DEFINE_list(
+            "logs",
+            [],
+            "Log files of the daemons, in which to look for a request's id.",
+            flag_values=values,
+        )
 
     async def run(
         self, context: Context, values: flags.FlagValues, arguments: list[str]
     ) -> ExitCode:
         """Print what was decided and on what grounds."""
+        if values.logs:
+            return _explain_from_logs(context, values.logs, arguments)
         if len(arguments) != 1:
             return context.fail("give one receipt", ExitCode.USAGE)
-        keys = await context.read_keys()
-        if not keys.keys:
-            detail = "the signing keys can't be read from the platform"
-            return context.fail(detail, ExitCode.UNREACHABLE)
-        explained = await explain_receipt(
-            arguments[0], keys=keys, publisher=context.publisher
-        )
-        if explained is None:
-            detail = "the receipt was not signed by this system"
-            return context.fail(detail, ExitCode.NOT_VERIFIED)
-        if context.format == "json":
-            context.print_json(
-                {"receipt": explained.receipt, "replay": explained.replay}
-            )
-        else:
-            _print(context, explained)
+        if not values.platform_urls:
+            detail = "set --platform_urls or LINNETLADDER_PLATFORM_URLS"
+            return context.fail(detail, ExitCode.USAGE)
+        return await _explain_receipt(context, arguments[0])
+
+
+async def _explain_receipt(context: Context, receipt: str) -> ExitCode:
+    keys = await context.read_keys()
+    if not keys.keys:
+        detail = "the signing keys can't be read from the platform"
+        return context.fail(detail, ExitCode.UNREACHABLE)
+    explained = await explain_receipt(receipt, keys=keys, publisher=context.publisher)
+    if explained is None:
+        detail = "the receipt was not signed by this system"
+        return context.fail(detail, ExitCode.NOT_VERIFIED)
+    if context.format == "json":
+        context.print_json({"receipt": explained.receipt, "replay": explained.replay})
+    else:
+        _print(context, explained)
+    return ExitCode.OK
+
+
+def _explain_from_logs(
+    context: Context, files: list[str], arguments: list[str]
+) -> ExitCode:
+    if len(arguments) != 1:
+        return context.fail("give the id of one request", ExitCode.USAGE)
+    try:
+        lines = read_log_lines(Path(name) for name in files)
+    except OSError as error:
+        return context.fail(f"can't read the logs: {error}", ExitCode.NOT_FOUND)
+    story = tell_story(lines, arguments[0])
+    if story is None:
+        detail = f"none of {len(lines)} log lines is about request {arguments[0]!r}"
+        return context.fail(detail, ExitCode.NOT_FOUND)
+    if context.format == "json":
+        context.print_json(story)
         return ExitCode.OK
+    for chapter in story.chapters:
+        _print_chapter(context, chapter)
+    return ExitCode.OK
+
+
+def _print_chapter(context: Context, chapter: Chapter) -> None:
+    line = chapter.line
+    mark = "=>" if chapter.deciding else "  "
+    fields = ", ".join(
+        f"{name}={value}" for name, value in line.items() if name not in SHOWN_APART
+    )
+    context.print(
+        f"{mark} {format_time(line['time'])} ({chapter.age:.3f} s before the end)"
+        f" {line.get('instance')}: {line.get('event')}: {fields}"
+    )
+    for attempt in line.get("attempts", ()):
+        context.print(f"       {attempt}")
 
 
 def _print(context: Context, explained: ExplainedReceipt) -> None:
--- a/linnetladder/telemetry/__init__.py
+++ b/linnetladder/telemetry/__init__.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Hop",
+    "LineWriter",
     "Metrics",
     "RequestTrace",
     "Tracer",
@@ -19,6 +20,7 @@
     __name__,
     {
         "Hop": "traces",
+        "LineWriter": "line_writer",
         "Metrics": "metrics",
         "RequestTrace": "traces",
         "Tracer": "traces",
--- a/linnetladder/telemetry/logs.py
+++ b/linnetladder/telemetry/logs.py
@@ -1,21 +1,46 @@
-"""JSON logs, one line for each change of state; everything else is a counter."""
+"""JSON lines on standard output, one for each change of state or fault.
+
+A line has ``time`` in seconds of Unix time, ``instance``, ``level`` and ``event``; the
+event names are a closed list in the reference pages. Lines about requests are written
+by `linnetladder.telemetry.request_log`.
+"""
 
 import logging
 import sys
 
 from pythonjsonlogger.json import JsonFormatter
 
+from linnetladder.telemetry.line_writer import LineWriter
+
 __all__ = ["configure_logs", "log_change", "log_failure"]
 
 LOGGER_NAME = "linnetladder"
 
 
-def configure_logs(*, instance: str, level: str) -> None:
-    """Write the project's log lines to standard error as JSON."""
-    handler = logging.StreamHandler(sys.stderr)
+class LineHandler(logging.Handler):
+    """Pass records to a writer that never blocks."""
+
+    def __init__(self, *, writer: LineWriter):
+        super().__init__()
+        self.writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, with how many lines were left out before it."""
+        dropped = self.writer.take_dropped()
+        if dropped:
+            record.dropped_before = dropped
+        line = self.format(record).encode("utf-8", "replace") + b"\n"
+        if not self.writer.write(line):
+            self.writer.dropped += dropped
+
+
+def configure_logs(*, instance: str, level: str) -> LineWriter:
+    """Write the project's log lines to standard output; return the writer."""
+    writer = LineWriter(descriptor=sys.stdout.fileno())
+    handler = LineHandler(writer=writer)
     formatter = JsonFormatter(
-        "%(asctime)s %(levelname)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level"},
+        "%(created)f %(levelname)s %(message)s",
+        rename_fields={"created": "time", "levelname": "level", "message": "event"},
         static_fields={"instance": instance},
     )
     handler.setFormatter(formatter)
@@ -23,18 +48,19 @@
     root.handlers = [handler]
     root.setLevel(logging.WARNING)
     logging.getLogger(LOGGER_NAME).setLevel(level.upper())
+    return writer
 
 
-def log_change(message: str, **fields: object) -> None:
+def log_change(event: str, **fields: object) -> None:
     """Log that the state of something changed.
 
     Examples
     --------
     >>> log_change("configuration in force", revision=7)
     """
-    logging.getLogger(LOGGER_NAME).info(message, extra=fields)
+    logging.getLogger(LOGGER_NAME).info(event, extra=fields)
 
 
-def log_failure(message: str, error: BaseException) -> None:
+def log_failure(event: str, error: BaseException) -> None:
     """Log a fault of the program itself, with where it happened."""
-    logging.getLogger(LOGGER_NAME).error(message, exc_info=error)
+    logging.getLogger(LOGGER_NAME).error(event, exc_info=error)
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -53,7 +53,7 @@
     "connections_closed": Family("Answers after which an endpoint closes"),
     "escalations_skipped": Family("Escalations that the budget did not allow"),
     "rollout_writes": Family("Steps of roll-outs that were written or tried"),
-    "request_lines_dropped": Family("Log lines of requests left out for their rate"),
+    "log_lines_dropped": Family("Log lines left out for their rate or their reader"),
     "claims": Family("Claims of non-idempotent requests", "outcome"),
     "poison_crashes": Family("Endpoint crashes put down to a request"),
     "ejections": Family("Endpoints left out after failures"),
--- /dev/null
+++ b/linnetladder/telemetry/stories.py
@@ -0,0 +1,174 @@
+"""What happened to one request, from the log lines of several processes.
+
+A request's own line names its inputs. The lines about changes that those inputs rest
+on, the endpoints that it was sent to, the configuration, the store and the roll-out of
+its service, are taken from the same instance, since another one's beliefs decided
+nothing here.
+"""
+
+import dataclasses
+import json
+import re
+from collections.abc import Iterable
+from pathlib import Path
+
+__all__ = ["Chapter", "Story", "read_log_lines", "tell_story"]
+
+# Beliefs older than this are left out, but for the last word on each subject.
+RECENT_SECONDS = 10.0
+ENDPOINT_EVENTS = frozenset(
+    (
+        "endpoint registered",
+        "endpoint leaves",
+        "endpoint left out",
+        "endpoint is back",
+        "entry may have lapsed",
+    )
+)
+STORE_EVENTS = frozenset(("store lost", "store regained"))
+PROCESS_EVENTS = frozenset(("started", "draining", "stopped", "settings reloaded"))
+ROLLOUT_EVENTS = frozenset(
+    ("roll-out ordered", "roll-out step", "roll-out phase", "version found bad")
+)
+CONFIGURATION_KINDS = frozenset(
+    ("unknown_path", "unknown_credential", "missing_credential")
+)
+ATTEMPT = re.compile(r"(?P<endpoint>[^/=\s]+)(?:/[^=]*)?=(?P<outcome>\S+)")
+ENTRY = re.compile(r"^(confidence|pace)=")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chapter:
+    """A line that bears on the request.
+
+    ``age`` is in seconds, from the line to the request's end; ``own`` marks the
+    request's own lines, ``deciding`` the one that explains the outcome best.
+    """
+
+    age: float
+    line: dict
+    own: bool
+    deciding: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """All that the logs say of a request, in order of time."""
+
+    request: str
+    chapters: tuple[Chapter, ...]
+
+
+def read_log_lines(paths: Iterable[Path]) -> list[dict]:
+    """Return the JSON lines of some files in order of time, whatever stands before.
+
+    Lines that are no log lines are passed over, since other programs may write to the
+    same files. Raise `OSError` if a file can't be read.
+    """
+    lines = []
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            lines.extend(filter(None, map(_parse, file)))
+    return sorted(lines, key=lambda line: line["time"])
+
+
+def tell_story(lines: list[dict], request: str) -> Story | None:
+    """Return a request's story, or ``None`` if no line is about it."""
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        return None
+    last = own[-1]
+    beliefs = [line for line in lines if _bears_on(line, last)]
+    chosen = _recent_or_last(beliefs, last["time"])
+    deciding = _deciding(own, chosen)
+    chapters = [
+        Chapter(
+            age=last["time"] - line["time"],
+            line=line,
+            own=any(line is mine for mine in own),
+            deciding=line is deciding,
+        )
+        for line in sorted(own + chosen, key=lambda line: line["time"])
+    ]
+    return Story(request=request, chapters=tuple(chapters))
+
+
+def endpoints_of(line: dict) -> list[str]:
+    """Return the endpoints that a request's line names, in order."""
+    names = []
+    for entry in line.get("attempts", ()):
+        found = ATTEMPT.match(entry)
+        if found is not None and not ENTRY.match(entry):
+            names.append(found["endpoint"])
+    return names
+
+
+def _parse(text: str) -> dict | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        line = json.loads(text[start:])
+    except ValueError:
+        return None
+    if not isinstance(line, dict) or not isinstance(line.get("time"), int | float):
+        return None
+    return line
+
+
+def _bears_on(line: dict, request_line: dict) -> bool:
+    """Tell whether a change was part of what decided a request."""
+    if line.get("instance") != request_line.get("instance"):
+        return False
+    if line["time"] > request_line["time"] or "request" in line:
+        return False
+    event = line.get("event")
+    if event in STORE_EVENTS or event in PROCESS_EVENTS:
+        return True
+    if event == "configuration in force":
+        return True
+    if event in ROLLOUT_EVENTS:
+        return line.get("service") == request_line.get("service")
+    if event == "request crashed an endpoint":
+        return line.get("fingerprint") == request_line.get("fingerprint")
+    return event in ENDPOINT_EVENTS and _names_an_endpoint(line, request_line)
+
+
+def _names_an_endpoint(line: dict, request_line: dict) -> bool:
+    """Tell whether a line is about an endpoint that the request may have had."""
+    names = endpoints_of(request_line)
+    if names:
+        return line.get("endpoint") in names
+    return line.get("service", request_line.get("service")) == request_line.get(
+        "service"
+    )
+
+
+def _recent_or_last(beliefs: list[dict], end: float) -> list[dict]:
+    """Return recent lines, and of older ones the last on each subject."""
+    latest: dict[tuple, dict] = {}
+    for line in beliefs:
+        latest[(line.get("event"), line.get("endpoint"))] = line
+    kept = latest.values()
+    return [
+        line
+        for line in beliefs
+        if end - line["time"] <= RECENT_SECONDS or any(line is one for one in kept)
+    ]
+
+
+def _deciding(own: list[dict], beliefs: list[dict]) -> dict:
+    """Return the line that explains the outcome best, the request's own by default."""
+    last = own[-1]
+    kind = last.get("kind")
+    wanted: frozenset[str] = frozenset()
+    if kind == "configuration_stale":
+        wanted = STORE_EVENTS
+    elif kind in CONFIGURATION_KINDS:
+        wanted = frozenset(("configuration in force",))
+    elif kind == "suspected_poison":
+        wanted = frozenset(("request crashed an endpoint",))
+    elif kind == "no_endpoint":
+        wanted = ENDPOINT_EVENTS - {"endpoint registered"}
+    matching = [line for line in beliefs if line.get("event") in wanted]
+    return matching[-1] if matching else last
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -9,6 +9,11 @@
 import pytest
 
 from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.daemon_variables import (
+    VariableProblem,
+    read_operations_settings,
+    read_policy_settings,
+)
 from linnetladder.forwarding.protocol import EndpointCall, HeadProblem
 from linnetladder.forwarding.state import (
     ForwardRequest,
@@ -118,6 +123,19 @@
         read_settings(tmp_path / "missing")
 
 
+def test_variables_are_read_and_a_bad_one_is_named():
+    variables = {
+        "LINNETLADDER_POLICY_CONFIDENCE": "60",
+        "LINNETLADDER_OPERATIONS_METRICS_PORT": "9464",
+    }
+    assert read_policy_settings(variables).confidence == 60.0
+    assert read_operations_settings(variables).metrics_port == 9464
+    assert read_operations_settings({}).metrics_port == 0
+    variables["LINNETLADDER_OPERATIONS_METRICS_PORT"] = "all"
+    with pytest.raises(VariableProblem, match="OPERATIONS_METRICS_PORT"):
+        read_operations_settings(variables)
+
+
 def test_the_configuration_becomes_routes_accounts_and_limits():
     decoded = ConfigurationModel.model_validate(CONFIGURATION).decode(revision=40)
     assert (decoded.version, decoded.revision) == (7, 40)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -1,6 +1,6 @@
 """Streams: sizes, events in order, resumption, and ends that can be told apart."""
 
-from linnetladder.forwarding.policy_settings import PolicySettings
+from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.state import Prompt
 from tests.support.forwarding import Script, cut, head, ready_daemon
 
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -9,8 +9,13 @@
 from linnetladder.forwarding.coordination.calls import CallFault, CallFaultKind
 from linnetladder.forwarding.protocol import EndpointCall
 from linnetladder.forwarding.state import ForwardRequest
-from linnetladder.forwarding.transport import ForwardingServer, HttpEndpointCalls
+from linnetladder.forwarding.transport import (
+    ForwardingServer,
+    HttpEndpointCalls,
+    ReadyServer,
+)
 from linnetladder.platform import PlatformCallers, PlatformEndpoints
+from linnetladder.telemetry import Metrics
 from tests.support.forwarding import Script, head, ready_daemon, route
 
 HEAD = (
@@ -371,3 +376,27 @@
         assert (await read_head(reader))[0] == status
 
     with_server(work)
+
+
+def test_metrics_are_served_on_the_port_of_their_own_too():
+    async def ask(port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        answer = await asyncio.wait_for(reader.read(), WAIT)
+        writer.close()
+        return answer
+
+    async def play():
+        metrics = Metrics()
+        metrics.count("requests")
+        server = ReadyServer(ready_path="/ready", reasons=list, metrics=metrics)
+        for _ in range(2):
+            await server.listen(address="127.0.0.1", port=0)
+        ports = [one.sockets[0].getsockname()[1] for one in server.servers]
+        answers = [await ask(port) for port in ports]
+        await server.stop()
+        return ports, answers
+
+    ports, answers = asyncio.run(play())
+    assert len(set(ports)) == 2
+    assert all(b"linnetladder_requests_total 1" in answer for answer in answers)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -37,7 +37,7 @@
     OperatorSource,
     StoreReading,
 )
-from linnetladder.forwarding.policy_settings import PolicySettings
+from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.protocol import AnswerHead
 from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
 from linnetladder.forwarding.state import (
