--- /dev/null
+++ b/linnetladder/forwarding/core.py
@@ -0,0 +1,207 @@
+"""How the coordination of a forwarding daemon is put together.
+
+`build_forwarding_core` joins the parts to whatever stands behind the abstract base
+classes of the operator's store and of the calls to endpoints; tests use fakes there.
+"""
+
+import dataclasses
+
+from linnetladder.coordination.attempts.ejection import Ejector
+from linnetladder.coordination.background import Background
+from linnetladder.forwarding.coordination import (
+    Follower,
+    Forwarder,
+    TableInForce,
+)
+from linnetladder.forwarding.coordination.bills import (
+    BillBuffer,
+    HeldBills,
+)
+from linnetladder.forwarding.coordination.budget import WindowBudget
+from linnetladder.forwarding.coordination.calls import EndpointCalls
+from linnetladder.forwarding.coordination.directory import Directory
+from linnetladder.forwarding.coordination.endpoint_load import (
+    EndpointLoads,
+)
+from linnetladder.forwarding.coordination.entry import Entry
+from linnetladder.forwarding.coordination.judgement import Judge
+from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.peer_news import PeerNews
+from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.quarantine import Quarantine
+from linnetladder.forwarding.coordination.rollouts import Rollouts
+from linnetladder.forwarding.coordination.selection import Selection
+from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.sizing import ConfidenceLadder
+from linnetladder.forwarding.coordination.sources import (
+    DaemonAddress,
+    OperatorSource,
+)
+from linnetladder.forwarding.daemon_variables import (
+    PolicySettings,
+)
+from linnetladder.forwarding.settings import SettingsHolder
+from linnetladder.state import Clock, EndpointTable
+from linnetladder.telemetry import Metrics
+
+__all__ = ["ForwardingCore", "ForwardingPorts", "build_forwarding_core"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardingPorts:
+    """What stands behind coordination's abstract base classes."""
+
+    source: OperatorSource
+    calls: EndpointCalls
+    clock: Clock
+    metrics: Metrics
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ForwardingCore:
+    """The parts of coordination and state of one daemon."""
+
+    ports: ForwardingPorts
+    table: EndpointTable
+    loads: EndpointLoads
+    outcomes: Outcomes
+    crashes: CrashLog
+    directory: Directory
+    budget: WindowBudget
+    rollouts: Rollouts
+    bills: BillBuffer
+    held_bills: HeldBills
+    peers: PeerNews
+    in_force: TableInForce
+    follower: Follower
+    background: Background
+    quarantine: Quarantine
+    selection: Selection
+    sender: Sender
+    forwarder: Forwarder
+
+
+def build_forwarding_core(
+    holder: SettingsHolder,
+    policy: PolicySettings,
+    ports: ForwardingPorts,
+    *,
+    incarnation: str,
+    seed: int,
+) -> ForwardingCore:
+    """Join the parts; nothing is started and nothing is sent yet."""
+    settings = holder.current
+    source, calls = ports.source, ports.calls
+    clock, metrics = ports.clock, ports.metrics
+    table = EndpointTable()
+    loads = EndpointLoads(clock=clock)
+    outcomes = Outcomes(clock=clock)
+    crashes = CrashLog(clock=clock)
+    directory = Directory(table=table, loads=loads, clock=clock)
+    budget = WindowBudget(settings=holder, clock=clock)
+    rollouts = Rollouts(
+        source=source,
+        directory=directory,
+        judge=Judge(directory=directory, outcomes=outcomes),
+        loads=loads,
+        budget=budget,
+        clock=clock,
+        metrics=metrics,
+        seed=seed,
+    )
+    ledger = {
+        "source": source,
+        "incarnation": incarnation,
+        "clock": clock,
+        "metrics": metrics,
+    }
+    bills = BillBuffer(**ledger)
+    held_bills = HeldBills(**ledger)
+    peers = PeerNews(
+        instance=settings.instance,
+        incarnation=incarnation,
+        table=table,
+        loads=loads,
+        outcomes=outcomes,
+        crashes=crashes,
+        rollouts=rollouts,
+        bills=bills,
+        held_bills=held_bills,
+        failure_domain=settings.failure_domain,
+        metrics=metrics,
+        seed=seed,
+    )
+    in_force = TableInForce(settings=holder, clock=clock)
+    follower = Follower(
+        source=source,
+        in_force=in_force,
+        directory=directory,
+        rollouts=rollouts,
+        peers=peers,
+        budget=budget,
+        address=DaemonAddress(
+            instance=settings.instance,
+            incarnation=incarnation,
+            failure_domain=settings.failure_domain,
+            host=settings.address,
+            port=settings.peer_ports[0],
+        ),
+        clock=clock,
+        metrics=metrics,
+        seed=seed,
+    )
+    background = Background()
+    selection = Selection(
+        directory=directory,
+        loads=loads,
+        outcomes=outcomes,
+        clock=clock,
+        own_domain=settings.failure_domain,
+    )
+    quarantine = Quarantine(
+        calls=calls, background=background, clock=clock, metrics=metrics
+    )
+    sender = Sender(
+        calls=calls,
+        selection=selection,
+        directory=directory,
+        loads=loads,
+        outcomes=outcomes,
+        rollouts=rollouts,
+        budget=budget,
+        crashes=crashes,
+        ejector=Ejector(clock=clock),
+        quarantine=quarantine,
+        clock=clock,
+        metrics=metrics,
+    )
+    forwarder = Forwarder(
+        entry=Entry(in_force=in_force, budget=budget, crashes=crashes),
+        in_force=in_force,
+        sender=sender,
+        sizing=ConfidenceLadder(loads=loads, policy=policy),
+        budget=budget,
+        bills=bills,
+        clock=clock,
+        metrics=metrics,
+    )
+    return ForwardingCore(
+        ports=ports,
+        table=table,
+        loads=loads,
+        outcomes=outcomes,
+        crashes=crashes,
+        directory=directory,
+        budget=budget,
+        rollouts=rollouts,
+        bills=bills,
+        held_bills=held_bills,
+        peers=peers,
+        in_force=in_force,
+        follower=follower,
+        background=background,
+        quarantine=quarantine,
+        selection=selection,
+        sender=sender,
+        forwarder=forwarder,
+    )
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -5,11 +5,7 @@
 
 from returns.result import Failure, Success
 
-from linnetladder.coordination.attempts.ejection import Ejector
-from linnetladder.coordination.background import Background
 from linnetladder.coordination.platform import FaultKind, PlatformFault
-from linnetladder.forwarding.coordination.bills import BillBuffer, HeldBills
-from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.calls import (
     CallFault,
     CallFaultKind,
@@ -17,26 +13,11 @@
     Exchange,
     Reply,
 )
-from linnetladder.forwarding.coordination.directory import Directory
-from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.entry import Entry
-from linnetladder.forwarding.coordination.following import Follower
-from linnetladder.forwarding.coordination.forwarder import Forwarder
-from linnetladder.forwarding.coordination.in_force import TableInForce
-from linnetladder.forwarding.coordination.judgement import Judge
-from linnetladder.forwarding.coordination.outcomes import Outcomes
-from linnetladder.forwarding.coordination.peer_news import PeerNews
-from linnetladder.forwarding.coordination.poison import CrashLog
-from linnetladder.forwarding.coordination.quarantine import Quarantine
-from linnetladder.forwarding.coordination.rollouts import Rollouts
-from linnetladder.forwarding.coordination.selection import Selection
-from linnetladder.forwarding.coordination.sender import Sender
-from linnetladder.forwarding.coordination.sizing import ConfidenceLadder
 from linnetladder.forwarding.coordination.sources import (
-    DaemonAddress,
     OperatorSource,
     StoreReading,
 )
+from linnetladder.forwarding.core import ForwardingPorts, build_forwarding_core
 from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.protocol import AnswerHead
 from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
@@ -55,7 +36,7 @@
     ServiceSpec,
     credential_digest,
 )
-from linnetladder.state import Clock, EndpointReport, EndpointTable, VersionRef
+from linnetladder.state import Clock, EndpointReport, VersionRef
 from linnetladder.telemetry import Metrics
 
 MODELS = ("small", "middle", "large")
@@ -375,106 +356,21 @@
                 store_address="10.9.0.1:80",
             )
         )
-        clock, metrics = self.clock, self.metrics
-        self.table = EndpointTable()
-        self.loads = EndpointLoads(clock=clock)
-        self.outcomes = Outcomes(clock=clock)
-        self.crashes = CrashLog(clock=clock)
-        self.directory = Directory(table=self.table, loads=self.loads, clock=clock)
-        self.budget = WindowBudget(settings=self.holder, clock=clock)
-        self.rollouts = Rollouts(
-            source=self.source,
-            directory=self.directory,
-            judge=Judge(directory=self.directory, outcomes=self.outcomes),
-            loads=self.loads,
-            budget=self.budget,
-            clock=clock,
-            metrics=metrics,
-            seed=1,
-        )
-        ledger = {
-            "source": self.source,
-            "incarnation": f"{name}-1",
-            "clock": clock,
-            "metrics": metrics,
-        }
-        self.bills = BillBuffer(**ledger)
-        self.held_bills = HeldBills(**ledger)
-        self.peers = PeerNews(
-            instance=name,
-            incarnation=f"{name}-1",
-            table=self.table,
-            loads=self.loads,
-            outcomes=self.outcomes,
-            crashes=self.crashes,
-            rollouts=self.rollouts,
-            bills=self.bills,
-            held_bills=self.held_bills,
-            failure_domain="east",
-            metrics=metrics,
-            seed=1,
-        )
-        self.in_force = TableInForce(settings=self.holder, clock=clock)
-        self.follower = Follower(
-            source=self.source,
-            in_force=self.in_force,
-            directory=self.directory,
-            rollouts=self.rollouts,
-            peers=self.peers,
-            budget=self.budget,
-            address=DaemonAddress(
-                instance=name,
-                incarnation=f"{name}-1",
-                failure_domain="east",
-                host="10.1.0.1",
-                port=90,
+        self.calls = ScriptedCalls(clock=self.clock)
+        core = build_forwarding_core(
+            self.holder,
+            policy or PolicySettings(),
+            ForwardingPorts(
+                source=self.source,
+                calls=self.calls,
+                clock=self.clock,
+                metrics=self.metrics,
             ),
-            clock=clock,
-            metrics=metrics,
+            incarnation=f"{name}-1",
             seed=1,
         )
-        self.calls = ScriptedCalls(clock=clock)
-        self.selection = Selection(
-            directory=self.directory,
-            loads=self.loads,
-            outcomes=self.outcomes,
-            clock=clock,
-            own_domain="east",
-        )
-        self.quarantine = Quarantine(
-            calls=self.calls,
-            background=Background(),
-            clock=clock,
-            metrics=metrics,
-        )
-        self.sender = Sender(
-            calls=self.calls,
-            selection=self.selection,
-            directory=self.directory,
-            loads=self.loads,
-            outcomes=self.outcomes,
-            rollouts=self.rollouts,
-            budget=self.budget,
-            crashes=self.crashes,
-            ejector=Ejector(clock=clock),
-            quarantine=self.quarantine,
-            clock=clock,
-            metrics=metrics,
-        )
-        self.forwarder = Forwarder(
-            entry=Entry(
-                in_force=self.in_force, budget=self.budget, crashes=self.crashes
-            ),
-            in_force=self.in_force,
-            sender=self.sender,
-            sizing=ConfidenceLadder(
-                loads=self.loads, policy=policy or PolicySettings()
-            ),
-            budget=self.budget,
-            bills=self.bills,
-            clock=clock,
-            metrics=metrics,
-        )
+        for field in dataclasses.fields(core):
+            setattr(self, field.name, getattr(core, field.name))
 
     def read(self) -> bool:
         """Read the store once."""
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -5,7 +5,6 @@
 import itertools
 import json
 
-from linnetladder.assembly import Core, Ports, build_core
 from linnetladder.conf import Settings
 from linnetladder.coordination import Refused as RefusedExchange
 from linnetladder.coordination import StreamExchange
@@ -13,6 +12,7 @@
 from linnetladder.coordination.configuration.publishing import Change, Publisher
 from linnetladder.coordination.peers.links import Link
 from linnetladder.coordination.peers.messages import PeerMessage
+from linnetladder.core_assembly import Core, Ports, build_core
 from linnetladder.protocol import Submission, parse_chat, parse_service_call
 from linnetladder.protocol.declarations import parse_declarations
 from linnetladder.state import SigningKey, VersionRef
