Let one daemon's reading of the store serve its peers

Ruled out: longer intervals (the bounds on configuration and draining leave 0.75 s for a slow read, which outages of the store use up); watches (every status report of every endpoint ends one); fixed readers (an instance set aside for control, and dead readers have to be noticed first).

Change: a report to peers names the digest of what its sender last read and, for each receiver, the last report of that receiver which it had when that reading began. The receiver, if it holds the same content, counts it as confirmed since it sent that report, by its own clock. Daemons draw the age at which they read from the last part of the interval, and a reader reports at once. Other content, an earlier start, an unsettled directory or silent peers lead to an own read as before.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -65,6 +65,7 @@
     )
     news_socket = NewsSocket(news=core.peers, metrics=metrics)
     core.bills.on_bill = news_socket.send_bill
+    core.follower.on_read = news_socket.send_soon
     fields = {
         field.name: getattr(core, field.name)
         for field in dataclasses.fields(ForwardingCore)
--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -58,6 +58,10 @@
         self.table.keep_listed(names | self.lapsed.keys())
         self._index()
 
+    def confirm(self, since: float) -> None:
+        """Take in that the last reading still held at a moment."""
+        self.last_read = max(self.last_read, since)
+
     @property
     def is_settled(self) -> bool:
         """Whether no entry may still come back after an outage."""
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -1,11 +1,13 @@
 """Following the platform's store: configuration, endpoints, roll-outs, daemons.
 
-Freshness rests on linearizable reads alone. What peers have seen only makes the next
-read come earlier.
+Freshness rests on linearizable reads, a daemon's own or a peer's that found the same
+content. Daemons draw when they read next, so that as a rule one of them does and the
+others hear of it. A newer revision at a peer makes the next read come at once.
 """
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from returns.result import Failure
 
@@ -15,6 +17,7 @@
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.peer_news import PeerNews
 from linnetladder.forwarding.coordination.rollouts import Rollouts
+from linnetladder.forwarding.coordination.shared_readings import SharedReadings
 from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change, log_failure
@@ -25,7 +28,8 @@
 # known at the latest, which leaves time for a slow one.
 READ_AHEAD_SECONDS = 0.75
 LEAST_READ_SECONDS = 0.5
-JITTER_SECONDS = 0.1
+# Daemons read at different moments of the last part of the interval.
+SPREAD_SHARE = 0.4
 RETRY_SECONDS = 0.2
 # While entries may come back after an outage, or have to be given up, or no other
 # daemon is known yet.
@@ -46,6 +50,7 @@
         directory: Directory,
         rollouts: Rollouts,
         peers: PeerNews,
+        readings: SharedReadings,
         budget: WindowBudget,
         address: DaemonAddress,
         clock: Clock,
@@ -57,6 +62,7 @@
         self.directory = directory
         self.rollouts = rollouts
         self.peers = peers
+        self.readings = readings
         self.budget = budget
         self.address = address
         self.clock = clock
@@ -65,22 +71,40 @@
         self.reachable = True
         self.leaving = False
         self.wanted = asyncio.Event()
+        self.on_read: Callable[[], None] = _do_nothing
         peers.on_revision = self.hear
+        peers.on_confirmation = self.hear_confirmation
 
     async def run(self) -> None:
         """Read until cancelled, earlier when peers know of something newer."""
         while True:
             self.wanted.clear()
-            succeeded = await self.read_once()
-            pause = self.read_seconds() if succeeded else RETRY_SECONDS
-            if not self.directory.is_settled or not self.peers.peers:
-                pause = min(pause, UNSETTLED_SECONDS)
-            pause += self.random.uniform(0, JITTER_SECONDS)
-            try:
-                async with asyncio.timeout(pause):
-                    await self.wanted.wait()
-            except TimeoutError:
-                continue
+            if await self.read_once():
+                self.on_read()
+                await self._wait_until(self._draw_age())
+            else:
+                await self._wait(RETRY_SECONDS)
+
+    async def _wait_until(self, age: float) -> None:
+        """Wait until the content was last confirmed so many seconds ago."""
+        while (left := age - self.in_force.age()) > 0:
+            if await self._wait(left):
+                return
+
+    async def _wait(self, seconds: float) -> bool:
+        """Wait for a time; true, and earlier, when a read is wanted."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.wanted.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _draw_age(self) -> float:
+        """Return the age of the content at which to read it again."""
+        if not self.directory.is_settled or not self.peers.peers:
+            return UNSETTLED_SECONDS
+        return self.read_seconds() * (1 - self.random.uniform(0, SPREAD_SHARE))
 
     def read_seconds(self) -> float:
         """Return the interval at which the bounds in force want the store read."""
@@ -98,6 +122,7 @@
         reading = read.unwrap()
         self.rollouts.take_orders(reading.orders)
         self.rollouts.take_records(reading.records)
+        self.readings.note_reading(reading, began=began)
         self.in_force.confirm(reading.table, read_began=began)
         self.directory.take(reading.endpoints, interval=self.read_seconds())
         self.peers.know(reading.daemons)
@@ -118,6 +143,13 @@
         if revision > self.newest_revision():
             self.wanted.set()
 
+    def hear_confirmation(self, since: float) -> None:
+        """Believe a peer that found what is in force here to be the newest."""
+        if not self.directory.is_settled:
+            return
+        self.in_force.confirm(None, read_began=since)
+        self.directory.confirm(since)
+
     async def run_rollouts(self) -> None:
         """Follow and move roll-outs until cancelled."""
         while True:
@@ -147,3 +179,7 @@
         if not self.reachable:
             self.reachable = True
             log_change("store regained")
+
+
+def _do_nothing() -> None:
+    """Stand in for what follows a read."""
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import xxhash
 
@@ -12,6 +12,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.rollouts import Rollouts
+from linnetladder.forwarding.coordination.shared_readings import SharedReadings
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.news import CopiedBills, News, Report
 from linnetladder.state import EndpointTable
@@ -51,6 +52,7 @@
         rollouts: Rollouts,
         bills: BillBuffer,
         held_bills: HeldBills,
+        readings: SharedReadings,
         failure_domain: str,
         metrics: Metrics,
         seed: int,
@@ -64,6 +66,7 @@
         self.rollouts = rollouts
         self.bills = bills
         self.held_bills = held_bills
+        self.readings = readings
         self.failure_domain = failure_domain
         self.metrics = metrics
         self.random = random.Random(seed)
@@ -73,6 +76,7 @@
         self.listed: tuple[DaemonAddress, ...] = ()
         self.revision = 0
         self.on_revision: Callable[[int], None] = _ignore
+        self.on_confirmation: Callable[[float], None] = _ignore
 
     def know(self, daemons: tuple[DaemonAddress, ...]) -> None:
         """Take in who the daemons are; an empty list is not believed."""
@@ -103,8 +107,8 @@
         )
         return ranked[:BILL_HOLDERS]
 
-    def build(self) -> News:
-        """Return all that this daemon has to say, but for its bills."""
+    def build(self, receivers: Iterable[DaemonAddress] = ()) -> News:
+        """Return all that this daemon has to say to some peers, but for its bills."""
         loads = [
             (endpoint.name, endpoint.in_flight, round(backlog, 3))
             for endpoint in self.table.endpoints.values()
@@ -117,8 +121,12 @@
             crashes=self.crashes.export(),
             bad_targets=self.rollouts.export_bad(),
             leaving=list(self.table.departed)[-LEAVING_TOLD:],
+            reading=self.readings.digest,
+            echoes=self.readings.echoes(receivers),
         )
-        return self._message(report=report)
+        news = self._message(report=report)
+        self.readings.note_sent(news.sequence)
+        return news
 
     def build_bill_copy(self, copied: CopiedBills) -> News:
         """Return a message that holds bills alone."""
@@ -134,7 +142,11 @@
         if news.report is None or not self._is_newest(news):
             return
         self.metrics.count("peer_messages", label="received")
+        self.readings.note_heard(news.instance, news.incarnation, news.sequence)
         self._take_report(news.instance, news.report)
+        confirmed = self.readings.confirm(news.report.reading, news.report.echoes)
+        if confirmed is not None:
+            self.on_confirmation(confirmed)
 
     def _is_newest(self, news: News) -> bool:
         known = self.heard.get(news.instance)
@@ -167,5 +179,5 @@
         )
 
 
-def _ignore(revision: int) -> None:
-    """Take no notice of a revision that a peer has seen."""
+def _ignore(heard: float) -> None:
+    """Take no notice of what a peer has said."""
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -32,6 +32,7 @@
 from linnetladder.forwarding.coordination.rollouts import Rollouts
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.shared_readings import SharedReadings
 from linnetladder.forwarding.coordination.sizing import ConfidenceLadder
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
@@ -71,6 +72,7 @@
     rollouts: Rollouts
     bills: BillBuffer
     held_bills: HeldBills
+    readings: SharedReadings
     peers: PeerNews
     in_force: TableInForce
     follower: Follower
@@ -117,6 +119,9 @@
     }
     bills = BillBuffer(**ledger)
     held_bills = HeldBills(**ledger)
+    readings = SharedReadings(
+        instance=settings.instance, incarnation=incarnation, clock=clock
+    )
     peers = PeerNews(
         instance=settings.instance,
         incarnation=incarnation,
@@ -127,6 +132,7 @@
         rollouts=rollouts,
         bills=bills,
         held_bills=held_bills,
+        readings=readings,
         failure_domain=settings.failure_domain,
         metrics=metrics,
         seed=seed,
@@ -138,6 +144,7 @@
         directory=directory,
         rollouts=rollouts,
         peers=peers,
+        readings=readings,
         budget=budget,
         address=DaemonAddress(
             instance=settings.instance,
@@ -196,6 +203,7 @@
         rollouts=rollouts,
         bills=bills,
         held_bills=held_bills,
+        readings=readings,
         peers=peers,
         in_force=in_force,
         follower=follower,
--- a/linnetladder/forwarding/protocol/news.py
+++ b/linnetladder/forwarding/protocol/news.py
@@ -38,7 +38,8 @@
     ``loads`` holds rows of endpoint, requests in flight and backlog in seconds;
     ``outcomes`` rows of endpoint, route and the counts of `Row`; ``crashes`` pairs
     of fingerprint and endpoint; ``bad_targets`` pairs of service and order;
-    ``leaving`` pairs of endpoint and incarnation.
+    ``leaving`` pairs of endpoint and incarnation. ``reading`` is the digest of what it
+    last read of the store, ``echoes`` which reports of whom it had had by then.
     """
 
     loads: list[tuple[str, int, float]]
@@ -46,6 +47,8 @@
     crashes: list[tuple[str, str]]
     bad_targets: list[tuple[str, int]]
     leaving: list[tuple[str, str]]
+    reading: int = 0
+    echoes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/linnetladder/forwarding/transport/news_socket.py
+++ b/linnetladder/forwarding/transport/news_socket.py
@@ -29,6 +29,7 @@
         self.metrics = metrics
         self.secret = b""
         self.transport: asyncio.DatagramTransport | None = None
+        self.wanted = asyncio.Event()
 
     async def start(self, *, address: str, port: int) -> None:
         """Bind the socket; raise `OSError` if that is not possible."""
@@ -60,19 +61,32 @@
         while True:
             receivers = self.news.receivers()
             pause = max(INTERVAL_SECONDS, len(receivers) / PEERS_PER_SECOND)
-            await asyncio.sleep(pause)
+            await self._wait(pause)
             if self.secret and receivers:
                 self._send(receivers)
 
+    def send_soon(self) -> None:
+        """Send the next report now instead of after its pause."""
+        self.wanted.set()
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.wanted.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.wanted.clear()
+
     def stop(self) -> None:
         """Close the socket."""
         if self.transport is not None:
             self.transport.close()
 
     def _send(self, receivers: list[DaemonAddress]) -> None:
-        news = self.news.build()
-        plain = encode_news(news, secret=self.secret)
         holders = self.news.bill_holders()
+        news = self.news.build({*receivers, *holders})
+        plain = encode_news(news, secret=self.secret)
         news.copied_bills = self.news.bills.copies()
         with_bills = encode_news(news, secret=self.secret)
         for receiver in receivers:
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -340,7 +340,9 @@
 class LocalDaemon:
     """One daemon's coordination."""
 
-    def __init__(self, *, name="daemon-1", source=None, clock=None, policy=None):
+    def __init__(
+        self, *, name="daemon-1", incarnation="", source=None, clock=None, policy=None
+    ):
         self.clock = clock or ManualClock()
         self.source = source or MemorySource(table=table())
         self.metrics = Metrics()
@@ -366,7 +368,7 @@
                 clock=self.clock,
                 metrics=self.metrics,
             ),
-            incarnation=f"{name}-1",
+            incarnation=incarnation or f"{name}-1",
             seed=1,
         )
         for field in dataclasses.fields(core):
