Secure bills while the peers that should hold them are gone or leaving

A stopped peer stays registered until its lease ends, so daemon-3 went on sending copies to nobody and wrote a block only every 4 s. A holder that was stopped wrote what it held; what came after was lost with the daemon.

Ruled out: copies lost on the way (loopback; those before the stop were written by the holders, 80, 169, 181, 51 and 179 of them); the readings shared between daemons.

Change: reports say that their sender is draining, and a holder reports to those whose bills it holds; holders are peers that were heard within 1.3 s and are not draining. A change of holders writes a block at once, one holder alone makes a block every 0.5 s. Without any, an answer's end waits for its block, 0.15 s at most, and not at all while the store is away. BillUpkeep takes this over from the daemon; the ranking of holders is made when the fleet changes, not per answer.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -44,17 +44,10 @@
 __all__ = ["FleetDaemon", "run"]
 
 EXIT_USAGE = 2
-# Peers hold what is not written yet, so blocks are few; if all of them are killed with
-# the daemon, the bills since its last block are lost.
-LEAST_BILL_SECONDS = 4.0
-BILL_SECONDS_PER_DAEMON = 0.15
-HOLDERS_SECONDS = 0.5
-RECOVER_SECONDS = 3.0
 SETTINGS_SECONDS = 1.0
 SECRET_RETRY_SECONDS = 1.0
 # What is kept of the grace period for the last writes and the exit.
 GRACE_MARGIN_SECONDS = 0.9
-LAST_BILLS_SECONDS = 0.7
 # A daemon that has no peers by then is the only one.
 ALONE_SECONDS = 3.0
 # The balancer takes an instance out after two questions, a second apart.
@@ -102,9 +95,9 @@
         self._run(self.parts.follower.run())
         self._run(self.parts.follower.run_registration())
         self._run(self.parts.follower.run_rollouts())
-        self._run(self._write_bills())
-        self._run(self._recover_bills())
-        self._run(self._watch_holders())
+        self._run(self.parts.upkeep.run_writes())
+        self._run(self.parts.upkeep.run_recovery())
+        self._run(self.parts.upkeep.run_watch())
         self._run(self._follow_settings())
         self._run(self._agree_on_secret())
         self._run(self.parts.news_socket.run())
@@ -130,6 +123,8 @@
         ends = loop.time() + self.holder.bounds.grace - GRACE_MARGIN_SECONDS
         self.leaving = True
         self.parts.follower.leaving = self.parts.callers.leaving = True
+        self.parts.peers.draining = True
+        self.parts.news_socket.send_soon()
         log_change("draining", in_flight=self.parts.callers.active)
         notice = loop.time() + NOTICE_SECONDS
         while loop.time() < ends:
@@ -140,7 +135,8 @@
                     break
             await asyncio.sleep(IDLE_POLL_SECONDS)
         unfinished = self.parts.callers.active
-        flushed = await self._write_last_bills()
+        flushed = await self.parts.upkeep.write_last()
+        self.parts.news_socket.send_bill(self.parts.bills.copies())
         for task in self.tasks:
             task.cancel()
         await self.parts.callers.stop()
@@ -151,21 +147,6 @@
         await self.parts.store.close()
         log_change("stopped", unfinished=unfinished, bills_written=flushed)
 
-    async def _write_last_bills(self) -> bool:
-        """Write what waits, again if a reply is lost, and let its holders know."""
-        flushed = False
-        try:
-            async with asyncio.timeout(LAST_BILLS_SECONDS):
-                while not flushed:
-                    own = await self.parts.bills.flush()
-                    flushed = await self.parts.held_bills.hand_over() and own
-                    if not flushed:
-                        await asyncio.sleep(IDLE_POLL_SECONDS)
-        except TimeoutError:
-            log_change("the last bills were not written in time")
-        self.parts.news_socket.send_bill(self.parts.bills.copies())
-        return flushed
-
     def unready_reasons(self) -> list[str]:
         """Return what keeps the daemon from serving callers."""
         reasons = []
@@ -193,32 +174,6 @@
             self.parts.news_socket.secret = read.value_or("").encode()
             await asyncio.sleep(SECRET_RETRY_SECONDS)
 
-    async def _write_bills(self) -> None:
-        while True:
-            await asyncio.sleep(self._bill_seconds())
-            await self.parts.bills.flush()
-
-    async def _watch_holders(self) -> None:
-        """Write bills at once when a peer that holds them has gone or started anew."""
-        known: list[str] = []
-        while True:
-            await asyncio.sleep(HOLDERS_SECONDS)
-            holders = [peer.incarnation for peer in self.parts.peers.bill_holders()]
-            if known and holders != known:
-                await self.parts.bills.flush()
-            known = holders
-
-    def _bill_seconds(self) -> float:
-        """Return the time between blocks; a large fleet writes fewer of them."""
-        daemons = len(self.parts.peers.peers) + 1
-        return max(LEAST_BILL_SECONDS, daemons * BILL_SECONDS_PER_DAEMON)
-
-    async def _recover_bills(self) -> None:
-        while True:
-            await asyncio.sleep(RECOVER_SECONDS)
-            if self.parts.follower.reachable:
-                await self.parts.held_bills.recover(self.parts.peers.listed)
-
     async def _follow_settings(self) -> None:
         """Read the settings again on a signal and when the file has changed."""
         path = settings_path()
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.bill_upkeep import BillUpkeep
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.calls import (
@@ -67,6 +68,7 @@
         sizing: SizingPolicy,
         budget: WindowBudget,
         bills: BillBuffer,
+        upkeep: BillUpkeep,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -76,6 +78,7 @@
         self.sizing = sizing
         self.budget = budget
         self.bills = bills
+        self.upkeep = upkeep
         self.clock = clock
         self.metrics = metrics
         self.reporter = RequestReporter(in_force=in_force, clock=clock, metrics=metrics)
@@ -149,6 +152,7 @@
                 failed = FailedAnswer(status, sent.exchange.head.headers, body)
                 continue
             self._bill(request)
+            await self.upkeep.secure()
             await reply.send(status, sent.exchange.head.headers, body)
             self._finish(request, sent, status)
             return
@@ -258,6 +262,7 @@
             await reply.begin(200, sent.exchange.head.headers)
         self.sender.note_end(request, sent)
         self._bill(request)
+        await self.upkeep.secure()
         await reply.finish()
 
     async def _pass_failure(
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -15,26 +15,31 @@
 from linnetladder.forwarding.coordination.shared_readings import SharedReadings
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.news import CopiedBills, News, Report
-from linnetladder.state import EndpointTable
+from linnetladder.state import Clock, EndpointTable
 from linnetladder.telemetry import Metrics
 
-__all__ = ["PeerNews"]
+__all__ = ["BILL_HOLDERS", "PeerNews"]
 
 # A round reaches this many peers at most, and of those in other failure domains, whose
 # links cost more, a few.
 PEERS_PER_ROUND = 24
 REMOTE_PEERS_PER_ROUND = 6
 LEAVING_TOLD = 64
+# A holder sends reports to whom it holds bills for; two were lost by then.
+HOLDER_SILENCE_SECONDS = 1.3
+OWNER_SECONDS = 5.0
 # Two holders in other failure domains outlive the loss of an instance or a domain.
 BILL_HOLDERS = 2
 
 
 @dataclasses.dataclass(slots=True)
 class Heard:
-    """The newest message taken from a peer."""
+    """The newest report taken from a peer, and the clock's reading when it came."""
 
     incarnation: str
     sequence: int
+    moment: float
+    draining: bool
 
 
 class PeerNews:
@@ -54,6 +59,7 @@
         held_bills: HeldBills,
         readings: SharedReadings,
         failure_domain: str,
+        clock: Clock,
         metrics: Metrics,
         seed: int,
     ):
@@ -68,12 +74,16 @@
         self.held_bills = held_bills
         self.readings = readings
         self.failure_domain = failure_domain
+        self.clock = clock
         self.metrics = metrics
+        self.draining = False
+        self.owners: dict[str, float] = {}
         self.random = random.Random(seed)
         self.sequence = itertools.count(1)
         self.heard: dict[str, Heard] = {}
         self.peers: tuple[DaemonAddress, ...] = ()
         self.listed: tuple[DaemonAddress, ...] = ()
+        self.ranked_holders: list[DaemonAddress] = []
         self.revision = 0
         self.on_revision: Callable[[int], None] = _ignore
         self.on_confirmation: Callable[[float], None] = _ignore
@@ -84,9 +94,14 @@
         others = tuple(d for d in daemons if d.instance != self.instance)
         if others:
             self.peers = others
+            self.ranked_holders = self._rank_holders()
 
     def receivers(self) -> list[DaemonAddress]:
-        """Return whom the next message goes to: those near by, and some of the rest."""
+        """Return whom the next message goes to.
+
+        These are the peers near by, some of the rest, and those whose bills are held
+        here, who have to know that they still are.
+        """
         near = [p for p in self.peers if p.failure_domain == self.failure_domain]
         far = [p for p in self.peers if p.failure_domain != self.failure_domain]
         if len(far) > REMOTE_PEERS_PER_ROUND:
@@ -94,18 +109,44 @@
         room = PEERS_PER_ROUND - len(far)
         if len(near) > room:
             near = self.random.sample(near, room)
-        return near + far
+        chosen = near + far
+        since = self.clock.monotonic() - OWNER_SECONDS
+        return chosen + [
+            peer
+            for peer in self.peers
+            if self.owners.get(peer.instance, since) > since and peer not in chosen
+        ]
 
     def bill_holders(self) -> list[DaemonAddress]:
-        """Return the peers that hold this daemon's bills, other domains' first."""
-        ranked = sorted(
+        """Return the peers that are sent this daemon's bills, other domains' first.
+
+        If none of them is alive as far as is known, the bills are sent all the same.
+        """
+        return (self._alive_holders() or self.ranked_holders)[:BILL_HOLDERS]
+
+    def holder_starts(self) -> list[str]:
+        """Return the incarnations of those that hold this daemon's bills for sure."""
+        return [self.heard[p.instance].incarnation for p in self._alive_holders()]
+
+    def _alive_holders(self) -> list[DaemonAddress]:
+        alive = filter(self._is_alive, self.ranked_holders)
+        return list(itertools.islice(alive, BILL_HOLDERS))
+
+    def _is_alive(self, peer: DaemonAddress) -> bool:
+        """Tell whether a peer was heard lately and is not about to leave."""
+        heard = self.heard.get(peer.instance)
+        if heard is None or heard.draining:
+            return False
+        return self.clock.monotonic() - heard.moment <= HOLDER_SILENCE_SECONDS
+
+    def _rank_holders(self) -> list[DaemonAddress]:
+        return sorted(
             self.peers,
             key=lambda peer: (
                 peer.failure_domain == self.failure_domain,
                 xxhash.xxh64_intdigest(f"{self.instance}\0{peer.instance}".encode()),
             ),
         )
-        return ranked[:BILL_HOLDERS]
 
     def build(self, receivers: Iterable[DaemonAddress] = ()) -> News:
         """Return all that this daemon has to say to some peers, but for its bills."""
@@ -120,6 +161,7 @@
             outcomes=self.outcomes.export(),
             crashes=self.crashes.export(),
             bad_targets=self.rollouts.export_bad(),
+            draining=self.draining,
             leaving=list(self.table.departed)[-LEAVING_TOLD:],
             reading=self.readings.digest,
             echoes=self.readings.echoes(receivers),
@@ -138,6 +180,7 @@
             return
         if news.copied_bills is not None:
             self.held_bills.take(news.incarnation, news.copied_bills)
+            self.owners[news.instance] = self.clock.monotonic()
         self.on_revision(news.revision)
         if news.report is None or not self._is_newest(news):
             return
@@ -153,7 +196,12 @@
         same = known is not None and known.incarnation == news.incarnation
         if same and news.sequence <= known.sequence:
             return False
-        self.heard[news.instance] = Heard(news.incarnation, news.sequence)
+        self.heard[news.instance] = Heard(
+            news.incarnation,
+            news.sequence,
+            self.clock.monotonic(),
+            news.report.draining,
+        )
         return True
 
     def _take_report(self, peer: str, report: Report) -> None:
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -13,6 +13,7 @@
     Forwarder,
     TableInForce,
 )
+from linnetladder.forwarding.coordination.bill_upkeep import BillUpkeep
 from linnetladder.forwarding.coordination.bills import (
     BillBuffer,
     HeldBills,
@@ -72,6 +73,7 @@
     rollouts: Rollouts
     bills: BillBuffer
     held_bills: HeldBills
+    upkeep: BillUpkeep
     readings: SharedReadings
     peers: PeerNews
     in_force: TableInForce
@@ -134,6 +136,7 @@
         held_bills=held_bills,
         readings=readings,
         failure_domain=settings.failure_domain,
+        clock=clock,
         metrics=metrics,
         seed=seed,
     )
@@ -157,6 +160,13 @@
         metrics=metrics,
         seed=seed,
     )
+    upkeep = BillUpkeep(
+        bills=bills,
+        held_bills=held_bills,
+        peers=peers,
+        follower=follower,
+        metrics=metrics,
+    )
     background = Background()
     selection = Selection(
         directory=directory,
@@ -189,6 +199,7 @@
         sizing=ConfidenceLadder(loads=loads, policy=policy),
         budget=budget,
         bills=bills,
+        upkeep=upkeep,
         clock=clock,
         metrics=metrics,
     )
@@ -203,6 +214,7 @@
         rollouts=rollouts,
         bills=bills,
         held_bills=held_bills,
+        upkeep=upkeep,
         readings=readings,
         peers=peers,
         in_force=in_force,
--- a/linnetladder/forwarding/protocol/news.py
+++ b/linnetladder/forwarding/protocol/news.py
@@ -39,7 +39,8 @@
     ``outcomes`` rows of endpoint, route and the counts of `Row`; ``crashes`` pairs
     of fingerprint and endpoint; ``bad_targets`` pairs of service and order;
     ``leaving`` pairs of endpoint and incarnation. ``reading`` is the digest of what it
-    last read of the store, ``echoes`` which reports of whom it had had by then.
+    last read of the store, ``echoes`` which reports of whom it had had by then. A
+    sender that is ``draining`` is about to leave.
     """
 
     loads: list[tuple[str, int, float]]
@@ -47,6 +48,7 @@
     crashes: list[tuple[str, str]]
     bad_targets: list[tuple[str, int]]
     leaving: list[tuple[str, str]]
+    draining: bool = False
     reading: int = 0
     echoes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -49,6 +49,7 @@
     "bill_blocks_copied": Family("Blocks held by peers before they stood"),
     "bills_voided": Family("Bills taken back because no answer was given"),
     "bill_blocks_recovered": Family("Blocks written for an owner that is gone"),
+    "bills_unsecured": Family("Answers that ended before their bill was held or stood"),
     "bills_lost": Family("Bills dropped because too many waited"),
     "connections_closed": Family("Answers after which an endpoint closes"),
     "escalations_skipped": Family("Escalations that the budget did not allow"),
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import looptime
+import pytest
+
 from linnetladder.forwarding.coordination.bills import fold_blocks
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from tests.support.forwarding import (
@@ -180,3 +183,117 @@
     )
     holders = {peer.instance for peer in first.peers.bill_holders()}
     assert holders == {"d3", "d4"}
+
+
+def test_a_peer_that_leaves_or_falls_silent_is_no_holder_any_more():
+    source, clock, (first, second) = fleet()
+    assert first.peers.holder_starts() == []
+    tell(second, first)
+    assert first.peers.holder_starts() == ["d2-1"]
+    second.peers.draining = True
+    tell(second, first)
+    assert first.peers.holder_starts() == []
+    second.peers.draining = False
+    tell(second, first)
+    clock.now += 1.4
+    assert first.peers.holder_starts() == []
+    assert [peer.instance for peer in first.peers.bill_holders()] == ["d2"]
+
+
+def test_a_holder_tells_those_whose_bills_it_holds_in_any_fleet():
+    source, clock, (first, second) = fleet()
+    crowd = [address(f"far-{number}", domain="west") for number in range(200)]
+    second.peers.know((*crowd, address("d1", domain="north"), address("d2")))
+    tell(first, second)
+    for _ in range(20):
+        assert "d1" in [peer.instance for peer in second.peers.receivers()]
+    clock.now += 6.0
+    rounds = [second.peers.receivers() for _ in range(5)]
+    assert not all("d1" in [p.instance for p in receivers] for receivers in rounds)
+
+
+class EarlyReply(RecordedReply):
+    """A reply that notes which bills stood when it ended."""
+
+    def __init__(self, source):
+        super().__init__()
+        self.source = source
+        self.stood = None
+
+    async def send(self, status, headers, body):
+        self.stood = sorted(billed(self.source))
+        await super().send(status, headers, body)
+
+
+def answer_while_writing(daemon, source):
+    """Answer one request while blocks are written, on virtual time."""
+
+    async def scenario():
+        writes = asyncio.ensure_future(daemon.upkeep.run_writes())
+        await asyncio.sleep(0.01)
+        began = asyncio.get_running_loop().time()
+        reply = EarlyReply(source)
+        await daemon.forwarder.answer(
+            head("/fetch/1", attempt_id="a1"),
+            b"",
+            received=daemon.clock.monotonic(),
+            reply=reply,
+        )
+        writes.cancel()
+        return reply, asyncio.get_running_loop().time() - began
+
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def test_an_answer_waits_for_its_block_where_no_peer_holds_its_bill():
+    """A soak's seed 33: killed while its peers restarted, 103 bills lost."""
+    source, clock, (first, _) = fleet()
+    reply, seconds = answer_while_writing(first, source)
+    assert reply.stood == ["a1"]
+    assert seconds <= 0.1
+
+
+def test_an_answer_does_not_wait_for_the_store_where_a_peer_holds_its_bill():
+    source, clock, (first, second) = fleet()
+    tell(second, first)
+    reply, seconds = answer_while_writing(first, source)
+    assert reply.stood == []
+    assert seconds == pytest.approx(0.0, abs=0.001)
+
+
+def test_a_store_that_is_away_holds_up_no_answer():
+    source, clock, (first, _) = fleet()
+    source.down = True
+    reply, seconds = answer_while_writing(first, source)
+    assert reply.status == 200
+    assert seconds <= 0.16
+
+
+def test_blocks_are_written_sooner_while_only_one_peer_holds_bills():
+    """A soak's seed 33 again: the one holder was killed, then the store was silent."""
+    source, clock, (first, second) = fleet()
+    tell(second, first)
+
+    async def scenario():
+        writes = asyncio.ensure_future(first.upkeep.run_writes())
+        await asyncio.sleep(0.1)
+        reply = RecordedReply()
+        await first.forwarder.answer(
+            head("/fetch/1", attempt_id="a1"),
+            b"",
+            received=first.clock.monotonic(),
+            reply=reply,
+        )
+        await asyncio.sleep(0.6)
+        writes.cancel()
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+    assert sorted(billed(source)) == ["a1"]
