Let a daemon hear its peers before it moves a roll-out on

Ruled out: the verdict itself (made by two daemons from answers, told to four).

Change: no forward step in the first 2 s after an order was first seen. The new test fails without it.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -52,6 +52,9 @@
 # What a daemon is taken to get at least when an order comes before its traffic.
 LEAST_REQUESTS_PER_DAEMON = 2.5
 RATE_SECONDS = 2.0
+# A daemon that was started anew has lost its own verdicts. It gives no version a larger
+# share before it has heard those of its peers, which tell them every 0.4 s.
+HEARING_SECONDS = 2.0
 # A log likelihood ratio at which a version counts as bad: one false alarm in e^8.
 BAD_EVIDENCE = 8.0
 # Above this one a version gets no larger share until more answers have come in.
@@ -112,6 +115,7 @@
         self.orders: dict[str, RolloutOrder] = {}
         self.records: dict[str, RolloutRecord] = {}
         self.began: dict[tuple[str, int, float], float] = {}
+        self.first_seen: dict[tuple[str, int], float] = {}
         self.bad_targets: set[tuple[str, int]] = set()
 
     def take_orders(self, orders: tuple[RolloutOrder, ...]) -> None:
@@ -120,6 +124,8 @@
             known = self.orders.get(order.service)
             if known is None or order.revision > known.revision:
                 self.orders[order.service] = order
+                key = (order.service, order.revision)
+                self.first_seen[key] = self.clock.monotonic()
                 log_change(
                     "roll-out ordered",
                     service=order.service,
@@ -296,6 +302,8 @@
             return self._first(order)
         if self._is_bad(order):
             return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
+        if self._has_just_heard_of(order):
+            return None
         if record.phase is RolloutPhase.CANARY:
             return self._judge_canary(order, record)
         if record.phase is RolloutPhase.RAMP:
@@ -304,6 +312,11 @@
             return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
         return None
 
+    def _has_just_heard_of(self, order: RolloutOrder) -> bool:
+        """Tell whether peers may know of an order what is not known here yet."""
+        seen = self.first_seen[(order.service, order.revision)]
+        return self.clock.monotonic() - seen < HEARING_SECONDS
+
     def _judge_canary(
         self, order: RolloutOrder, record: RolloutRecord
     ) -> RolloutRecord | None:
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -403,3 +403,22 @@
         )
     daemon.rollouts._judge(source.orders["engines"])
     assert daemon.rollouts.bad_targets
+
+
+def test_a_daemon_that_started_anew_hears_its_peers_before_it_moves_a_roll_out(fleet):
+    """Found bad while the store was down; then it is back, and half were restarted."""
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 15.0)
+    assert source.records["engines"].phase is RolloutPhase.RAMP
+    source.down = True
+    spoil(daemons[0])
+    asyncio.run(daemons[0].rollouts.step())
+    clock.now += 4.0
+    source.down = False
+    again = LocalDaemon(name="daemon-3", source=source, clock=clock)
+    again.read()
+    asyncio.run(again.rollouts.step())
+    assert source.records["engines"].phase is RolloutPhase.RAMP
+    again.peers.take(daemons[0].peers.build())
+    asyncio.run(again.rollouts.step())
+    assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
