Part the schedule of a roll-out from its steps

rollouts.py had 408 lines and two jobs: which share of sessions a record gives at a moment, and which record follows. The first is rollout_schedule.py now. Moves and names only; no behaviour changes.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -11,12 +11,20 @@
 import dataclasses
 import random
 
-import xxhash
-
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.directory import Directory, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.judgement import Judge
+from linnetladder.forwarding.coordination.rollout_schedule import (
+    AHEAD_SECONDS,
+    COMPLETE_FROM,
+    COMPLETE_LATEST,
+    FULL_AFTER,
+    ORDER_LAG_SECONDS,
+    RAMP_FROM,
+    RolloutSchedule,
+    draw_of,
+)
 from linnetladder.forwarding.coordination.sources import OperatorSource
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase, RolloutRecord
 from linnetladder.state import Clock, Endpoint
@@ -24,25 +32,6 @@
 
 __all__ = ["Rollouts", "VersionRule"]
 
-# Shares of an order's duration: when the canary is judged, how long its share takes to
-# rise to a part of all sessions, when that part is judged after its start, how long it
-# takes to rise to all, and when the old version may be stopped. Sessions may move in
-# the second half only; the last part is left for reads and writes that are slow.
-RAMP_FROM = 0.52
-RAMP_SPAN = 0.04
-FULL_AFTER = 0.13
-FULL_SPAN = 0.08
-COMPLETE_FROM = 0.76
-COMPLETE_LATEST = 0.93
-# An order is read, and its first record written, this long after it was given at most:
-# an interval between reads and the pause between steps. Sessions wait for half of the
-# time from the record; the last step counts from the order.
-ORDER_LAG_SECONDS = 1.5
-# A part that shows a fault under real load and still keeps within the exposure.
-RAMP_SHARE = 0.3
-# Every daemon reads a step within this time of its writing, so that all act on it at
-# the same moment.
-AHEAD_SECONDS = 2.0
 # Requests a second on the candidate while it has shown nothing yet. The sessions that
 # move to it at the start are as many as these requests have repeats within a session's
 # time, so the figure does not grow with the traffic.
@@ -60,7 +49,6 @@
 # Above this one a version gets no larger share until more answers have come in.
 SUSPECT_EVIDENCE = 1.5
 DOUBT_LATEST = 0.74
-DRAW_SCALE = 1 << 64
 # Daemons that see the same step to take wait differently long, so that the first one's
 # news spares the others their writes.
 STEP_SPREAD_SECONDS = 0.8
@@ -114,7 +102,7 @@
         self.random = random.Random(seed)
         self.orders: dict[str, RolloutOrder] = {}
         self.records: dict[str, RolloutRecord] = {}
-        self.began: dict[tuple[str, int, float], float] = {}
+        self.schedule = RolloutSchedule(clock=clock)
         self.first_seen: dict[tuple[str, int], float] = {}
         self.bad_targets: set[tuple[str, int]] = set()
 
@@ -166,7 +154,7 @@
         record = self._record(service)
         if record is None or self._is_bad(order):
             return VersionRule(order.target, avoid_target=True)
-        if self._draw(order, session) < self._share(order, record):
+        if draw_of(order, session) < self.schedule.share(order, record):
             return VersionRule(order.target, only_target=True)
         return VersionRule(order.target, avoid_target=True)
 
@@ -256,45 +244,6 @@
             return None
         return record if record.order_revision == order.revision else None
 
-    def _since(self, order: RolloutOrder, unix: float) -> float:
-        """Return the seconds since a moment of the record, by this daemon's clock.
-
-        Unix time counts only once, when the moment is first seen, so that a step of
-        the time of day does not move a roll-out.
-        """
-        key = (order.service, order.revision, unix)
-        began = self.began.get(key)
-        now = self.clock.monotonic()
-        if began is None:
-            ago = self.clock.unix() - unix
-            ago = min(max(ago, -AHEAD_SECONDS), order.duration_seconds)
-            began = self.began[key] = now - ago
-        return now - began
-
-    def _share(self, order: RolloutOrder, record: RolloutRecord) -> float:
-        """Return the share of sessions that belong on the target by now."""
-        if record.phase is RolloutPhase.COMPLETE:
-            return 1.0
-        if record.full_unix and self._since(order, record.full_unix) >= 0:
-            return self._rising(order, record.full_unix, RAMP_SHARE, 1.0, FULL_SPAN)
-        if record.ramp_unix and self._since(order, record.ramp_unix) >= 0:
-            first = min(record.canary_share, RAMP_SHARE)
-            return self._rising(order, record.ramp_unix, first, RAMP_SHARE, RAMP_SPAN)
-        if self._since(order, record.canary_unix) < 0:
-            return 0.0
-        return record.canary_share
-
-    def _rising(
-        self, order: RolloutOrder, unix: float, first: float, last: float, span: float
-    ) -> float:
-        """Return a share that rises from a moment on, over a part of the duration."""
-        progress = self._since(order, unix) / (order.duration_seconds * span)
-        return first + (last - first) * min(progress, 1.0)
-
-    def _draw(self, order: RolloutOrder, session: str) -> float:
-        text = f"{order.service}\0{order.revision}\0{session}"
-        return xxhash.xxh64_intdigest(text.encode()) / DRAW_SCALE
-
     def _next(self, order: RolloutOrder) -> RolloutRecord | None:
         """Return the record that should follow the present one, if any."""
         record = self._record(order.service)
@@ -308,7 +257,9 @@
             return self._judge_canary(order, record)
         if record.phase is RolloutPhase.RAMP:
             return self._judge_ramp(order, record)
-        if self._share(order, record) >= 1.0 and self._may_complete(order, record):
+        if self.schedule.share(order, record) >= 1.0 and self._may_complete(
+            order, record
+        ):
             return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
         return None
 
@@ -320,7 +271,7 @@
     def _judge_canary(
         self, order: RolloutOrder, record: RolloutRecord
     ) -> RolloutRecord | None:
-        elapsed = self._since(order, record.ordered_unix)
+        elapsed = self.schedule.since(order, record.ordered_unix)
         if elapsed < order.duration_seconds * RAMP_FROM - AHEAD_SECONDS:
             return None
         if self._is_suspect(order):
@@ -332,11 +283,11 @@
     def _judge_ramp(
         self, order: RolloutOrder, record: RolloutRecord
     ) -> RolloutRecord | None:
-        ramping = self._since(order, record.ramp_unix)
+        ramping = self.schedule.since(order, record.ramp_unix)
         if ramping < order.duration_seconds * FULL_AFTER:
             return None
         if self._is_suspect(order):
-            elapsed = self._since(order, record.ordered_unix)
+            elapsed = self.schedule.since(order, record.ordered_unix)
             return self._after_doubt(order, record, elapsed)
         return dataclasses.replace(
             record, phase=RolloutPhase.FULL, full_unix=self._ahead()
@@ -378,7 +329,7 @@
 
     def _may_complete(self, order: RolloutOrder, record: RolloutRecord) -> bool:
         """Tell whether the old version's endpoints may be stopped."""
-        elapsed = self._since(order, record.ordered_unix)
+        elapsed = self.schedule.since(order, record.ordered_unix)
         if elapsed < order.duration_seconds * COMPLETE_FROM:
             return False
         since_order = elapsed + ORDER_LAG_SECONDS
