--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 EXAMPLE ?= daugava
 SECONDS ?= 60
 SEEDS ?= 5
+DAY ?= bench/days/outage-and-restarts.toml
 
-.PHONY: install demo test bench fuzz faults soak slopes policy clean
+.PHONY: install demo test bench fuzz faults soak day slopes policy clean
 
 install: $(VENV)/.installed
 
@@ -38,6 +39,9 @@
 soak: install
 	$(BIN)/python -m bench.fleet_soak --seeds=$(SEEDS)
 
+day: install
+	$(BIN)/python -m bench.fleet_day $(DAY)
+
 slopes: install
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/bench/fleet_callers.py
@@ -0,0 +1,48 @@
+"""Callers of a fleet: what they send, and what they got."""
+
+import asyncio
+import time
+
+import aiohttp
+
+from bench.fleet_checks import Sent
+from bench.fleet_site import ACCOUNTS, HOST, REVOKED_KEY
+
+__all__ = ["open_session", "send"]
+
+REQUEST_SECONDS = 6.0
+# A caller waits this much longer than it says before it closes the connection.
+SLACK_SECONDS = 2.0
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that keeps its connections and never sends again by itself."""
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    session._retry_connection = False
+    return session
+
+
+async def send(
+    session: aiohttp.ClientSession, sent: Sent, *, front: str, subject: str
+) -> None:
+    """Send one request and note its answer; ``subject`` names a stream's session."""
+    key = REVOKED_KEY if sent.account == "guest" else ACCOUNTS[sent.account]
+    headers = {
+        "Host": HOST,
+        "Linnetladder-Attempt-Id": sent.attempt,
+        "Linnetladder-Deadline-Ms": str(int(REQUEST_SECONDS * 1000)),
+        "Authorization": f"Bearer {key}",
+    }
+    if sent.route == "stream":
+        headers["Linnetladder-Model"] = "*"
+        headers["Linnetladder-Token-Counts"] = "500,20"
+        headers["Linnetladder-Prompt-Prefix"] = f"{subject}:400,{sent.attempt}:100"
+    url = f"{front}/{sent.route}/{sent.attempt}"
+    try:
+        async with asyncio.timeout(REQUEST_SECONDS + SLACK_SECONDS):
+            async with session.post(url, headers=headers, data=b"x") as response:
+                sent.body = await response.read()
+                sent.status = response.status
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        sent.error = repr(error)
+    sent.ended = time.monotonic()
--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -9,11 +9,11 @@
 
 import orjson
 
-from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS
+from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
 from standins.fleet_worker import expected_body
 
 if TYPE_CHECKING:
-    from bench.fleet_soak import Soak
+    from bench.fleet_faults import FaultRecord
 
 __all__ = ["Sent", "check"]
 
@@ -37,29 +37,31 @@
     error: str = ""
 
 
-def check(soak: "Soak", *, timed: bool = True) -> list[str]:
+def check(
+    site: FleetSite, requests: list[Sent], record: "FaultRecord", *, timed: bool = True
+) -> list[str]:
     """Return a line for each promise that was broken.
 
     ``timed`` includes the promises with a bound on elapsed time, which a busy machine
     may break by itself.
     """
     runs = collections.defaultdict(list)
-    for run in soak.site.runs():
+    for run in site.runs():
         runs[run["attempt"]].append(run)
     found = [
-        *_check_answers(soak, runs),
-        *_check_runs(soak, runs),
-        *_check_bills(soak, runs),
+        *_check_answers(requests, runs),
+        *_check_runs(requests, runs),
+        *_check_bills(site, requests, runs),
     ]
     if timed:
-        found += _check_credentials(soak, runs)
-        found += _check_leaving(soak)
+        found += _check_credentials(requests, record, runs)
+        found += _check_leaving(site, record)
     return found
 
 
-def _check_answers(soak: "Soak", runs: dict) -> list[str]:
+def _check_answers(requests: list[Sent], runs: dict) -> list[str]:
     found = []
-    for sent in soak.sent:
+    for sent in requests:
         path = f"/{sent.route}/"
         right = sent.body == expected_body(sent.attempt, path=path)
         if sent.status == 200 and not right:
@@ -74,9 +76,9 @@
     return found
 
 
-def _check_runs(soak: "Soak", runs: dict) -> list[str]:
+def _check_runs(requests: list[Sent], runs: dict) -> list[str]:
     found = []
-    known = {sent.attempt: sent for sent in soak.sent}
+    known = {sent.attempt: sent for sent in requests}
     for attempt, each in runs.items():
         sent = known.get(attempt)
         if sent is None:
@@ -91,53 +93,55 @@
     return found
 
 
-def _check_credentials(soak: "Soak", runs: dict) -> list[str]:
-    if not soak.revoked:
+def _check_credentials(
+    requests: list[Sent], record: "FaultRecord", runs: dict
+) -> list[str]:
+    if not record.revoked:
         return []
-    latest = soak.revoked + REVOKE_MILLISECONDS / 1000
+    latest = record.revoked + REVOKE_MILLISECONDS / 1000
     return [
-        f"{sent.attempt}: ran, sent {sent.time - soak.revoked:.1f} s after revocation"
-        for sent in soak.sent
+        f"{sent.attempt}: ran, sent {sent.time - record.revoked:.1f} s after revocation"
+        for sent in requests
         if sent.account == "guest" and sent.time > latest and runs.get(sent.attempt)
     ]
 
 
-def _check_leaving(soak: "Soak") -> list[str]:
+def _check_leaving(site: FleetSite, record: "FaultRecord") -> list[str]:
     found = []
-    for run in soak.site.runs():
-        drained = soak.drained.get(run["worker"])
+    for run in site.runs():
+        drained = record.drained.get(run["worker"])
         if drained is None:
             continue
         late = run["time"] - drained - DRAIN_MILLISECONDS / 1000
-        calm = not _disturbed(soak, drained - CONTACT_SECONDS, run["time"])
+        calm = not _disturbed(record, drained - CONTACT_SECONDS, run["time"])
         if late > SLACK_SECONDS and calm:
             found.append(f"{run['attempt']}: {run['worker']} got it {late:.1f} s late")
     return found
 
 
-def _disturbed(soak: "Soak", first: float, last: float) -> bool:
-    return any(began <= last and ended >= first for began, ended in soak.disturbed)
+def _disturbed(record: "FaultRecord", first: float, last: float) -> bool:
+    return any(began <= last and ended >= first for began, ended in record.disturbed)
 
 
-def _check_bills(soak: "Soak", runs: dict) -> list[str]:
+def _check_bills(site: FleetSite, requests: list[Sent], runs: dict) -> list[str]:
     """Hold the ledger to the answers: each once, and nothing that did not run."""
     billed = set()
-    for key in soak.site.store.items:
+    for key in site.store.items:
         if key.startswith("linnetladder/ledger/"):
-            billed.update(orjson.loads(soak.site.store.value(key)))
+            billed.update(orjson.loads(site.store.value(key)))
     found = [
         f"{sent.attempt}: answered and not billed"
-        for sent in soak.sent
+        for sent in requests
         if sent.status == 200 and sent.attempt not in billed
     ]
     found += [
         f"{attempt}: billed and never ran"
         for attempt in billed
-        if not runs.get(attempt) and not _may_have_run(soak, attempt)
+        if not runs.get(attempt) and not _may_have_run(requests, attempt)
     ]
     return found
 
 
-def _may_have_run(soak: "Soak", attempt: str) -> bool:
+def _may_have_run(requests: list[Sent], attempt: str) -> bool:
     """Tell whether a request got an answer that leaves open whether it ran."""
-    return any(s.attempt == attempt and s.status not in NOT_RUN for s in soak.sent)
+    return any(s.attempt == attempt and s.status not in NOT_RUN for s in requests)
--- /dev/null
+++ b/bench/fleet_day.py
@@ -0,0 +1,266 @@
+"""Play a day from a file: real daemons, the stand-ins of the users' platform, a plan.
+
+``python -m bench.fleet_day bench/days/quiet.toml`` prints what each route's callers got
+and which promises were broken; the exit code is 1 if any was. An experiment plays the
+day once for each value of a daemon's variable:
+``--vary=LINNETLADDER_POLICY_CONFIDENCE=30,50,70``.
+"""
+
+import asyncio
+import enum
+import random
+import sys
+import tempfile
+import time
+import tomllib
+from collections.abc import Coroutine
+from pathlib import Path
+
+import pydantic
+from absl import app as absl_app
+from absl import flags
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.table import Table
+
+from bench.fleet_callers import open_session, send
+from bench.fleet_checks import Sent, check
+from bench.fleet_faults import READY_SECONDS, FaultRecord, Faults
+from bench.fleet_site import ACCOUNTS, ROUTES, FleetSite
+from bench.processes import wait_for
+from standins.fleet_worker import Fault
+
+__all__ = ["Day", "DayPlan", "read_plan"]
+
+FLAGS = flags.FLAGS
+EXIT_USAGE = 2
+# A killed daemon's bills are written by its peers once it is gone for twelve seconds.
+SETTLE_SECONDS = 16.0
+MICROSECONDS = 1e6
+LONGEST_MICROSECONDS = 60 * 1_000_000
+SUBJECTS = 20
+
+
+class FaultKind(enum.StrEnum):
+    """What a day's file may plan."""
+
+    WORKER_ANSWERS = "worker_answers"
+    SILENCE = "silence"
+    CUT = "cut"
+    PAUSE = "pause"
+    KILL = "kill"
+    TERMINATE = "terminate"
+    RELOAD = "reload"
+    STORE_OUTAGE = "store_outage"
+    LOST_REPLIES = "lost_replies"
+    REVOKE = "revoke"
+    DRAIN = "drain"
+
+
+class Traffic(pydantic.BaseModel):
+    """Requests of one route at a rate, from a moment of the day for a time."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    route: str
+    per_second: float = pydantic.Field(gt=0, le=1000)
+    at: float = pydantic.Field(0.0, ge=0)
+    seconds: float | None = pydantic.Field(None, gt=0)
+
+    @pydantic.field_validator("route")
+    @classmethod
+    def check_route(cls, route: str) -> str:
+        """Reject a route that the site does not have."""
+        if route not in ROUTES:
+            raise ValueError(f"no such route; there are {', '.join(ROUTES)}")
+        return route
+
+
+class PlannedFault(pydantic.BaseModel):
+    """A fault at a moment, ``on`` a daemon, a worker or a link by its name."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    at: float = pydantic.Field(ge=0)
+    kind: FaultKind
+    on: str = ""
+    seconds: float = pydantic.Field(1.0, gt=0)
+    answers: list[Fault] = []
+
+    def bring_about(self, faults: Faults) -> Coroutine[None, None, None]:
+        """Return the work that does it."""
+        makers = {
+            FaultKind.WORKER_ANSWERS: lambda: faults.worker_answers(
+                self.on, self.answers
+            ),
+            FaultKind.SILENCE: lambda: faults.silence(self.on),
+            FaultKind.CUT: lambda: faults.cut(self.on, self.seconds),
+            FaultKind.PAUSE: lambda: faults.pause(self.on, self.seconds),
+            FaultKind.KILL: lambda: faults.kill(self.on),
+            FaultKind.TERMINATE: lambda: faults.terminate(self.on),
+            FaultKind.RELOAD: lambda: faults.reload(self.on),
+            FaultKind.STORE_OUTAGE: lambda: faults.store_outage(self.seconds),
+            FaultKind.LOST_REPLIES: faults.lost_replies,
+            FaultKind.REVOKE: faults.revoke,
+            FaultKind.DRAIN: lambda: faults.drain(self.on),
+        }
+        return makers[self.kind]()
+
+
+class DayPlan(pydantic.BaseModel):
+    """A day's file; times are seconds from the start of traffic."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    seconds: float = pydantic.Field(gt=0, le=600)
+    seed: int = 1
+    daemons: int = pydantic.Field(3, ge=1, le=12)
+    traffic: list[Traffic] = pydantic.Field(min_length=1)
+    fault: list[PlannedFault] = []
+
+
+def read_plan(path: Path) -> DayPlan:
+    """Return a day's plan; raise `ValueError` or `OSError` with what is wrong."""
+    return DayPlan.model_validate(tomllib.loads(path.read_text("utf-8")))
+
+
+class Day:
+    """One play of a plan."""
+
+    def __init__(self, *, plan: DayPlan, folder: Path, variables: dict[str, str]):
+        self.plan = plan
+        self.random = random.Random(plan.seed)
+        self.site = FleetSite(folder=folder, daemons=plan.daemons, variables=variables)
+        self.record = FaultRecord()
+        self.faults = Faults(site=self.site, record=self.record)
+        self.sent: list[Sent] = []
+
+    async def run(self, *, settle: float = SETTLE_SECONDS) -> None:
+        """Play the day and let everything settle; raise `ValueError` for a bad name."""
+        await self.site.start()
+        try:
+            self._check_names()
+            for name in self.site.names:
+                if not await wait_for(self.site.ready(name), seconds=READY_SECONDS):
+                    raise TimeoutError(f"{name} did not become ready")
+            async with open_session() as session, asyncio.TaskGroup() as tasks:
+                for traffic in self.plan.traffic:
+                    tasks.create_task(self._play(session, traffic, tasks))
+                for fault in self.plan.fault:
+                    tasks.create_task(self._disturb(fault))
+            await asyncio.sleep(settle)
+        finally:
+            await self.site.stop()
+
+    def broken(self, *, timed: bool = True) -> list[str]:
+        """Return a line for each promise that was broken."""
+        return check(self.site, self.sent, self.record, timed=timed)
+
+    def _check_names(self) -> None:
+        workers = {worker.name for worker in self.site.workers}
+        known = {*self.site.names, *workers, *self.site.relays, ""}
+        for fault in self.plan.fault:
+            if fault.on not in known:
+                names = ", ".join(sorted(known - {""}))
+                raise ValueError(f"fault on {fault.on!r}: there are {names}")
+
+    async def _play(self, session, traffic: Traffic, tasks: asyncio.TaskGroup) -> None:
+        """Start requests at random moments, without waiting for their answers."""
+        await asyncio.sleep(traffic.at)
+        seconds = traffic.seconds or self.plan.seconds - traffic.at
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends:
+            tasks.create_task(self._request(session, traffic.route))
+            await asyncio.sleep(self.random.expovariate(traffic.per_second))
+
+    async def _request(self, session, route: str) -> None:
+        sent = Sent(
+            attempt=f"d{len(self.sent)}",
+            route=route,
+            daemon=self.random.choice(self.site.names),
+            account=self.random.choice(tuple(ACCOUNTS)),
+            time=time.monotonic(),
+        )
+        self.sent.append(sent)
+        subject = f"s{self.random.randrange(SUBJECTS)}"
+        await send(session, sent, front=self.site.front(sent.daemon), subject=subject)
+
+    async def _disturb(self, fault: PlannedFault) -> None:
+        await asyncio.sleep(fault.at)
+        await fault.bring_about(self.faults)
+
+
+def summarise(day: Day, label: str) -> list[tuple[str, ...]]:
+    """Return a row for each route: counts and latencies of whole answers in ms."""
+    rows = []
+    for route in sorted({sent.route for sent in day.sent}):
+        requests = [sent for sent in day.sent if sent.route == route]
+        answered = [sent for sent in requests if sent.status == 200]
+        histogram = HdrHistogram(1, LONGEST_MICROSECONDS, 3)
+        for sent in answered:
+            histogram.record_value(int((sent.ended - sent.time) * MICROSECONDS))
+        quantiles = (
+            f"{histogram.get_value_at_percentile(share) / 1000:.1f}"
+            for share in (50, 95, 99)
+        )
+        refused = sum(sent.status == 503 for sent in requests)
+        failed = len(requests) - len(answered) - refused
+        counts = map(str, (len(requests), len(answered), refused, failed))
+        rows.append((label, route, *counts, *quantiles))
+    return rows
+
+
+def play(plan: DayPlan, variables: dict[str, str], label: str) -> tuple[list, list]:
+    """Play a plan once; return the table's rows and the broken promises."""
+    folder = Path(tempfile.mkdtemp(prefix="day-"))
+    day = Day(plan=plan, folder=folder, variables=variables)
+    asyncio.run(day.run())
+    return summarise(day, label), day.broken()
+
+
+def read_variants(text: str) -> list[dict[str, str]]:
+    """Return the variables of each play of ``NAME=VALUE,VALUE...``."""
+    if not text:
+        return [{}]
+    name, separator, values = text.partition("=")
+    if not separator or not values:
+        raise ValueError("--vary wants NAME=VALUE,VALUE...")
+    return [{name: value} for value in values.split(",")]
+
+
+def main(argv: list[str]) -> None:
+    """Play the day that the command line names."""
+    try:
+        (path,) = argv[1:]
+        plan = read_plan(Path(path))
+        broken = play_variants(plan, read_variants(FLAGS.vary))
+    except (OSError, ValueError) as error:
+        print(f"fleet_day: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from error
+    for line in broken:
+        print(line)
+    print(f"{len(broken)} promises broken")
+    raise SystemExit(1 if broken else 0)
+
+
+def play_variants(plan: DayPlan, variants: list[dict[str, str]]) -> list[str]:
+    """Play the plan once for each variant, print a table, return what was broken."""
+    table = Table(box=None, header_style="bold")
+    for column in ("variant", "route", "sent", "answered", "refused", "failed"):
+        table.add_column(column)
+    for share in ("p50", "p95", "p99"):
+        table.add_column(f"{share} ms", justify="right")
+    broken: list[str] = []
+    for variables in variants:
+        label = ",".join(variables.values()) or "as set"
+        rows, found = play(plan, variables, label)
+        for row in rows:
+            table.add_row(*row)
+        broken += [f"{label}: {line}" for line in found]
+    Console().print(table)
+    return broken
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("vary", "", "A daemon's variable and its values to try.")
+    absl_app.run(main)
--- /dev/null
+++ b/bench/fleet_faults.py
@@ -0,0 +1,130 @@
+"""Faults that are brought about from outside a fleet's processes.
+
+A run notes what it disturbed and when, since some promises hold only for what was not.
+"""
+
+import asyncio
+import signal
+import time
+
+from bench.fleet_site import FleetSite
+from bench.processes import wait_for
+from standins.fleet_worker import Fault
+
+__all__ = ["FaultRecord", "Faults"]
+
+READY_SECONDS = 30.0
+SILENCE_SECONDS = 4.0
+LOST_REPLIES = 4
+
+
+class FaultRecord:
+    """What was done to a site, by the steady clock.
+
+    ``disturbed`` holds spans of unplanned faults; ``drained`` and ``stopping`` when a
+    worker or a daemon was told to leave; ``revoked`` when a credential was taken away.
+    """
+
+    def __init__(self):
+        self.disturbed: list[tuple[float, float]] = []
+        self.drained: dict[str, float] = {}
+        self.stopping: dict[str, float] = {}
+        self.revoked = 0.0
+
+
+class Faults:
+    """Bring about one fault at a time; several may overlap."""
+
+    def __init__(self, *, site: FleetSite, record: FaultRecord):
+        self.site = site
+        self.record = record
+
+    async def worker_answers(self, worker: str, faults: list[Fault]) -> None:
+        """Let a worker answer its next requests badly."""
+        self._worker(worker).faults.extend(faults)
+
+    async def silence(self, link: str) -> None:
+        """Silence the open connections of a link; new ones work."""
+        with Disturbance(self.record, SILENCE_SECONDS):
+            self.site.relays[link].silence()
+
+    async def cut(self, link: str, seconds: float) -> None:
+        """Cut a link for a time."""
+        relay = self.site.relays[link]
+        with Disturbance(self.record, seconds):
+            relay.cut()
+            await asyncio.sleep(seconds)
+            relay.is_cut = False
+
+    async def pause(self, daemon: str, seconds: float) -> None:
+        """Suspend a daemon's process for a time."""
+        with Disturbance(self.record, seconds):
+            self.site.fleet.send(daemon, signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            self.site.fleet.send(daemon, signal.SIGCONT)
+
+    async def kill(self, daemon: str) -> None:
+        """Kill a daemon and start it again."""
+        await self._end(daemon, signal.SIGKILL, unplanned=True)
+
+    async def terminate(self, daemon: str) -> None:
+        """Stop a daemon as the platform does and start it again."""
+        await self._end(daemon, signal.SIGTERM, unplanned=False)
+
+    async def reload(self, daemon: str) -> None:
+        """Tell a daemon that its settings have changed."""
+        self.site.fleet.send(daemon, signal.SIGHUP)
+
+    async def store_outage(self, seconds: float) -> None:
+        """Take the store down for a time."""
+        with Disturbance(self.record, seconds):
+            self.site.store.down = True
+            await asyncio.sleep(seconds)
+            self.site.store.down = False
+
+    async def lost_replies(self) -> None:
+        """Lose the replies to the store's next calls, which take effect."""
+        with Disturbance(self.record, 1.0):
+            self.site.store.faults.extend(["lost_reply"] * LOST_REPLIES)
+
+    async def revoke(self) -> None:
+        """Take a credential away, once."""
+        if not self.record.revoked:
+            self.site.keys.pop("guest", None)
+            self.site.configure()
+            self.record.revoked = time.monotonic()
+
+    async def drain(self, worker: str) -> None:
+        """Let a worker say that it leaves."""
+        if worker not in self.record.drained:
+            self.record.drained[worker] = time.monotonic()
+            self._worker(worker).drain()
+
+    def _worker(self, name: str):
+        return next(worker for worker in self.site.workers if worker.name == name)
+
+    async def _end(self, name: str, number: signal.Signals, *, unplanned: bool) -> None:
+        if name in self.record.stopping:
+            return
+        began = self.record.stopping[name] = time.monotonic()
+        await self.site.restart(name, number)
+        await wait_for(self.site.ready(name), seconds=READY_SECONDS)
+        if unplanned:
+            self.record.disturbed.append((began, time.monotonic()))
+        del self.record.stopping[name]
+
+
+class Disturbance:
+    """Note the span of an unplanned fault, and a little after it."""
+
+    def __init__(self, record: FaultRecord, seconds: float):
+        self.record = record
+        self.seconds = seconds
+        self.began = 0.0
+
+    def __enter__(self) -> None:
+        self.began = time.monotonic()
+        self.record.disturbed.append((self.began, self.began + self.seconds))
+
+    def __exit__(self, *exception: object) -> None:
+        self.record.disturbed.append((self.began, time.monotonic()))
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -34,8 +34,15 @@
 class FleetSite:
     """The store, the workers and the daemons of one run."""
 
-    def __init__(self, *, folder: Path, daemons: int = 3):
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        daemons: int = 3,
+        variables: dict[str, str] | None = None,
+    ):
         self.folder = folder
+        self.variables = variables or {}
         self.store = FleetStore()
         self.fleet = Fleet(folder=folder)
         self.workers: list[FleetWorker] = []
@@ -82,7 +89,10 @@
         self.fleet.start(
             name,
             "linnetladder.fleet",
-            environment={"LINNETLADDER_BOOT": str(self.folder / f"{name}.conf")},
+            environment={
+                "LINNETLADDER_BOOT": str(self.folder / f"{name}.conf"),
+                **self.variables,
+            },
         )
 
     async def restart(self, name: str, number: signal.Signals) -> None:
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -20,6 +20,8 @@
 EVENT_SECONDS = 0.01
 WORK_SECONDS = 0.01
 EVENTS = 6
+# What a body that is cut short lacks.
+MISSING_BYTES = 10
 
 
 class Fault(enum.StrEnum):
@@ -153,13 +155,24 @@
             return await self._stream(request, attempt_id, fault)
         answer = self._reply(200, attempt_id, expected_body(attempt_id, path="/"))
         if fault is Fault.CUT:
-            answer.content_length = len(answer.body) + 10
+            return await self._cut_short(request, attempt_id, answer.body)
         if fault is Fault.EXTRA:
             await answer.prepare(request)
             await answer.write_eof()
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
         return answer
 
+    async def _cut_short(
+        self, request: web.BaseRequest, attempt_id: str, body: bytes
+    ) -> web.StreamResponse:
+        """Announce more than is sent, then break off."""
+        answer = web.StreamResponse(headers=self._headers(attempt_id))
+        answer.content_length = len(body) + MISSING_BYTES
+        await answer.prepare(request)
+        await answer.write(body)
+        request.transport.abort()
+        return answer
+
     async def _stream(
         self, request: web.BaseRequest, attempt_id: str, fault: Fault | None
     ) -> web.StreamResponse:
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -23,7 +23,7 @@
     plant(soak, worker, "denied", route="fetch", runs=0, status=401)
     plant(soak, worker, "unbilled", route="fetch", runs=1, status=200)
     soak.site.store.put("linnetladder/ledger/x/1", {"phantom": []})
-    found = "\n".join(check(soak, timed=False))
+    found = "\n".join(check(soak.site, soak.sent, soak.record, timed=False))
     for words in (
         "twice: ran 2 times",
         "untrue: answered 503 and ran",
