Wait for the store with the last bills until the grace period ends

Ruled out: holders that were counted though gone (none was counted; the answers had waited for their block in vain, as they should while the store is away).

Change: the last bills, own and held, are tried until the grace period's margin. The test fails without it.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -44,6 +44,8 @@
 __all__ = ["FleetDaemon", "run"]
 
 EXIT_USAGE = 2
+# What the last bills get of the margin that is kept of the grace period.
+LAST_BILLS_SECONDS = 0.7
 SETTINGS_SECONDS = 1.0
 SECRET_RETRY_SECONDS = 1.0
 # What is kept of the grace period for the last writes and the exit.
@@ -135,7 +137,8 @@
                     break
             await asyncio.sleep(IDLE_POLL_SECONDS)
         unfinished = self.parts.callers.active
-        flushed = await self.parts.upkeep.write_last()
+        left = max(ends - loop.time(), 0.0) + LAST_BILLS_SECONDS
+        flushed = await self.parts.upkeep.write_last(seconds=left)
         self.parts.news_socket.send_bill(self.parts.bills.copies())
         for task in self.tasks:
             task.cancel()
--- a/linnetladder/forwarding/coordination/bill_upkeep.py
+++ b/linnetladder/forwarding/coordination/bill_upkeep.py
@@ -26,8 +26,7 @@
 ALONE_GAP_SECONDS = 0.03
 # A write takes a few milliseconds; a slower store holds up no answer for longer.
 SECURE_SECONDS = 0.15
-LAST_BILLS_SECONDS = 0.7
-LAST_RETRY_SECONDS = 0.05
+LAST_RETRY_SECONDS = 0.2
 
 
 class BillUpkeep:
@@ -105,11 +104,15 @@
         except TimeoutError:
             self.metrics.count("bills_unsecured")
 
-    async def write_last(self) -> bool:
-        """Write what waits and what is held, before the daemon leaves."""
+    async def write_last(self, *, seconds: float) -> bool:
+        """Write what waits and what is held, before the daemon leaves.
+
+        A store that is away is waited for as long as the daemon may stay: nobody else
+        may have these bills.
+        """
         written = False
         try:
-            async with asyncio.timeout(LAST_BILLS_SECONDS):
+            async with asyncio.timeout(seconds):
                 while not written:
                     own = await self.bills.flush()
                     written = await self.held_bills.hand_over() and own
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -297,3 +297,24 @@
     finally:
         loop.close()
     assert sorted(billed(source)) == ["a1"]
+
+
+def test_the_last_bills_wait_for_a_store_that_comes_back():
+    """A soak's seed 54: all daemons were stopped in turn while the store was down."""
+    source, clock, (first, _) = fleet()
+    run_request(first, "a1")
+    source.down = True
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.call_later(3.0, setattr, source, "down", False)
+        written = await first.upkeep.write_last(seconds=6.0)
+        return written, loop.time()
+
+    loop = looptime.new_event_loop()
+    try:
+        written, ended = loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+    assert written and ended <= 3.3
+    assert sorted(billed(source)) == ["a1"]
