Leave a store alone that fails, whatever peers have seen

Ruled out: blocks of bills (9 and 6 in the same time, two holders all along), renewals of leases (8), steps of roll-outs (3).

Change: a failed read is followed by 0.2 s, then 0.4 and 0.8 s, that nothing shortens. The new test fails without it.

--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -30,7 +30,10 @@
 LEAST_READ_SECONDS = 0.5
 # Daemons read at different moments of the last part of the interval.
 SPREAD_SHARE = 0.4
+# A store that fails is asked again after the first of these, then twice as long each
+# time up to the second; a machine counts as cut off for three seconds anyway.
 RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 0.8
 # While entries may come back after an outage, or have to be given up, or no other
 # daemon is known yet.
 UNSETTLED_SECONDS = 0.4
@@ -69,6 +72,7 @@
         self.metrics = metrics
         self.random = random.Random(seed)
         self.reachable = True
+        self.failures = 0
         self.leaving = False
         self.wanted = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
@@ -82,8 +86,10 @@
             if await self.read_once():
                 self.on_read()
                 await self._wait_until(self._draw_age())
+                self.failures = 0
             else:
-                await self._wait(RETRY_SECONDS)
+                await asyncio.sleep(self._draw_retry())
+                self.failures += 1
 
     async def _wait_until(self, age: float) -> None:
         """Wait until the content was last confirmed so many seconds ago."""
@@ -100,6 +106,11 @@
             return False
         return True
 
+    def _draw_retry(self) -> float:
+        """Return how long to leave a store alone that has failed, whatever peers say."""
+        seconds = min(RETRY_SECONDS * 2**self.failures, LONGEST_RETRY_SECONDS)
+        return seconds * self.random.uniform(0.75, 1.25)
+
     def _draw_age(self) -> float:
         """Return the age of the content at which to read it again."""
         if not self.directory.is_settled or not self.peers.peers:
--- a/tests/forwarding/test_shared_readings.py
+++ b/tests/forwarding/test_shared_readings.py
@@ -253,8 +253,27 @@
 
 
 class DownSource(MemorySource):
-    """A store that answers nobody."""
+    """A store that answers nobody, and counts who asks."""
 
     def __init__(self):
         super().__init__()
         self.down = True
+        self.asked = 0
+
+    async def read(self):
+        self.asked += 1
+        return await super().read()
+
+
+def test_a_daemon_that_is_turned_away_does_not_ask_at_each_word_of_its_peers():
+    """A grown site in trouble: 15 calls a second by each of 23 daemons."""
+    source = DownSource()
+
+    def cut_one_and_change(fleet):
+        now = asyncio.get_event_loop().time()
+        if now > 5.0:
+            fleet.daemons["daemon-0"].follower.source = source
+            fleet.source.table = table(version=2 + int(now))
+
+    play(linked=True, watch=cut_one_and_change, seconds=24.0)
+    assert 20 <= source.asked <= 40
