--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -14,7 +14,7 @@
 )
 from linnetladder.telemetry import log_change
 
-__all__ = ["Directory"]
+__all__ = ["Directory", "group_name", "version_of"]
 
 # Entries that lapsed while the register was away are back within two seconds of its
 # return, by the platform's word.
@@ -122,3 +122,8 @@
         if isinstance(ref, VersionRef) and ref.model == endpoint.service:
             return ref.version
     return ""
+
+
+def group_name(service: str, version: str) -> str:
+    """Return what all endpoints of a version are called together."""
+    return f"{service}/{version}"
--- a/linnetladder/forwarding/coordination/following.py
+++ b/linnetladder/forwarding/coordination/following.py
@@ -37,7 +37,9 @@
 # While entries may come back after an outage, or have to be given up, or no other
 # daemon is known yet.
 UNSETTLED_SECONDS = 0.4
+# Roll-outs are looked at this often by so many daemons; a larger fleet takes turns.
 STEP_SECONDS = 0.5
+JUDGES = 12
 REGISTRATION_PAUSE_SECONDS = 4.0
 REGISTRATION_SECONDS = 12.0
 
@@ -107,7 +109,7 @@
         return True
 
     def _draw_retry(self) -> float:
-        """Return how long to leave a store alone that has failed, whatever peers say."""
+        """Return how long to leave a store alone that has failed."""
         seconds = min(RETRY_SECONDS * 2**self.failures, LONGEST_RETRY_SECONDS)
         return seconds * self.random.uniform(0.75, 1.25)
 
@@ -169,7 +171,12 @@
                     self.wanted.set()
             except Exception as error:
                 log_failure("roll-out step failed", error)
-            await asyncio.sleep(STEP_SECONDS)
+            await asyncio.sleep(self._step_seconds())
+
+    def _step_seconds(self) -> float:
+        """Return the pause between two looks at the roll-outs."""
+        share = max(1.0, (len(self.peers.peers) + 1) / JUDGES)
+        return STEP_SECONDS * share * self.random.uniform(0.8, 1.2)
 
     async def run_registration(self) -> None:
         """Stay registered until cancelled."""
--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import math
+from collections.abc import Callable
 
 from linnetladder.state import Clock
 
@@ -41,6 +42,8 @@
 PEER_ROWS_SECONDS = 6.0
 # Shares are summed up over all peers' rows this often, not for each request.
 SHARES_SECONDS = 0.25
+# With more peers the sums are made less often, so that they take the same time.
+PEERS_AT_ONCE = 12
 # Good attempts that an endpoint is credited with.
 SHARE_PRIOR = 4.0
 # Falls of the share of good answers that are looked for.
@@ -97,6 +100,11 @@
         self.slow *= longer
         self.updated = now
 
+    @property
+    def spoiled(self) -> bool:
+        """Whether any attempt failed that still counts."""
+        return self.failed + self.broken + self.long_failed >= NEGLIGIBLE
+
     def counts(self) -> tuple[float, ...]:
         """Return the counts in the order of the fields."""
         return tuple(getattr(self, name) for name in COUNTS)
@@ -196,18 +204,31 @@
                 return usual
         return None
 
-    def export(self) -> list[tuple[str, str, tuple[float, ...]]]:
-        """Return this daemon's rows that still matter."""
+    def export(
+        self, group_of: Callable[[str], str | None]
+    ) -> list[tuple[str, str, tuple[float, ...]]]:
+        """Return this daemon's rows that still matter.
+
+        Endpoints without a failure are told as one row of their group, since there are
+        many of them and nobody asks after each; ``group_of`` names it, or ``None``.
+        """
+        self._forget_negligible()
+        spoiled = {endpoint for (endpoint, _), row in self.rows.items() if row.spoiled}
+        told: dict[tuple[str, str], Row] = {}
+        for (endpoint, route), row in self.rows.items():
+            group = None if endpoint in spoiled else group_of(endpoint)
+            _add(told.setdefault((group or endpoint, route), Row()), row)
+        return [
+            (*key, tuple(round(count, 2) for count in row.counts()))
+            for key, row in told.items()
+        ]
+
+    def _forget_negligible(self) -> None:
         now = self.clock.monotonic()
-        found = []
         for key, row in list(self.rows.items()):
             row.fade(now)
             if row.total < NEGLIGIBLE and row.long_total < NEGLIGIBLE:
                 del self.rows[key]
-                continue
-            counts = tuple(round(count, 2) for count in row.counts())
-            found.append((*key, counts))
-        return found
 
     def learn(
         self,
@@ -242,7 +263,8 @@
     def bad_share(self, endpoint: str) -> float:
         """Return an endpoint's share of bad attempts, shrunk towards none."""
         now = self.clock.monotonic()
-        if now - self.shared >= SHARES_SECONDS:
+        pause = SHARES_SECONDS * max(1.0, len(self.peers) / PEERS_AT_ONCE)
+        if now - self.shared >= pause:
             self.shared = now
             self.shares = self._bad_shares(now)
         return self.shares.get(endpoint, 0.0)
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from linnetladder.forwarding.coordination.bills import BillBuffer, HeldBills
+from linnetladder.forwarding.coordination.directory import group_name, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -22,7 +23,7 @@
 
 # A round reaches this many peers at most, and of those in other failure domains, whose
 # links cost more, a few.
-PEERS_PER_ROUND = 24
+PEERS_PER_ROUND = 14
 REMOTE_PEERS_PER_ROUND = 6
 LEAVING_TOLD = 64
 # A holder sends reports to whom it holds bills for; two were lost by then.
@@ -158,7 +159,7 @@
         ]
         report = Report(
             loads=loads,
-            outcomes=self.outcomes.export(),
+            outcomes=self.outcomes.export(self._group_of),
             crashes=self.crashes.export(),
             bad_targets=self.rollouts.export_bad(),
             draining=self.draining,
@@ -170,6 +171,13 @@
         self.readings.note_sent(news.sequence)
         return news
 
+    def _group_of(self, name: str) -> str | None:
+        """Return the group that an endpoint's answers are told with."""
+        endpoint = self.table.endpoints.get(name)
+        if endpoint is None:
+            return None
+        return group_name(endpoint.service, version_of(endpoint))
+
     def build_bill_copy(self, copied: CopiedBills) -> News:
         """Return a message that holds bills alone."""
         return self._message(copied_bills=copied)
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -422,3 +422,23 @@
     again.peers.take(daemons[0].peers.build())
     asyncio.run(again.rollouts.step())
     assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
+
+
+def test_answers_of_sound_endpoints_are_told_in_one_row_and_count_all_the_same(fleet):
+    """A grown site: each daemon told a row for each of its endpoints and routes."""
+    source, clock, daemons = fleet
+    for number in range(60):
+        source.endpoints[f"more-{number}"] = report(f"more-{number}")
+    pass_time(clock, daemons, 4.0)
+    for number in range(60):
+        daemons[0].outcomes.add(f"more-{number}", "draft", Verdict.GOOD)
+    for verdict in (Verdict.GOOD, Verdict.FAILED):
+        daemons[0].outcomes.add("old-1", "draft", verdict)
+    told = daemons[0].peers.build()
+    assert len(told.report.outcomes) == 2
+    daemons[1].peers.take(told)
+    judge, order = daemons[1].rollouts.judge, source.orders["engines"]
+    (finding,) = (f for f in judge.findings(order) if f.route == "draft")
+    assert (finding.usual_total, finding.usual_failed) == (62, 1)
+    assert daemons[1].outcomes.bad_share("old-1") > 0.1
+    assert daemons[1].outcomes.bad_share("more-1") == 0.0
