Keep two copies of bills after a start, and end no daemon by a hangup

Change: copies go to peers that are alive, and beside them to others up to two; the signal is ignored from the first instruction on; a later start that is heard ends the earlier one for the holder. A holder that writes for the same daemon twice uses another name: the second block was silently taken for the first (found by reading).

--- a/linnetladder/fleet.py
+++ b/linnetladder/fleet.py
@@ -5,12 +5,16 @@
 
 import gc
 import os
+import signal
 
 __all__ = ["main"]
 
 
 def main() -> None:
     """Run until a signal."""
+    # Its default would end a daemon that has not come far enough to take it. The
+    # settings are about to be read anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # uvloop reads this when it is loaded; instances do not offer io_uring.
     os.environ.setdefault("UV_USE_IO_URING", "0")
     # The HTTP library reads all certificates of the system when it is loaded, an eighth
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -117,9 +117,13 @@
 
 @dataclasses.dataclass(slots=True)
 class HeldBlocks:
-    """One daemon's bills by the block they belong to, and when it was last listed."""
+    """One daemon's bills by the block they belong to, and when it was last listed.
+
+    ``ended`` is set once a later start of the same instance was heard.
+    """
 
     listed: float
+    ended: bool = False
     blocks: dict[int, dict[str, BillRow]] = dataclasses.field(default_factory=dict)
 
     def count(self) -> int:
@@ -143,6 +147,7 @@
         self.clock = clock
         self.metrics = metrics
         self.held: dict[str, HeldBlocks] = {}
+        self.copies = 1
 
     def take(self, incarnation: str, copied: CopiedBills) -> None:
         """Hold a peer's bills and drop those that stand."""
@@ -159,6 +164,12 @@
         if known.count() > MAXIMUM_HELD_BILLS:
             known.blocks.pop(min(known.blocks))
 
+    def note_end(self, incarnation: str) -> None:
+        """Take in that a daemon is gone for certain."""
+        held = self.held.get(incarnation)
+        if held is not None:
+            held.ended = True
+
     async def hand_over(self) -> bool:
         """Write all bills held, before this daemon leaves; true if all stand."""
         for incarnation, held in list(self.held.items()):
@@ -174,7 +185,7 @@
         for incarnation, held in list(self.held.items()):
             if incarnation in listed:
                 held.listed = now
-            if now - held.listed < ORPHAN_SECONDS:
+            if now - held.listed < ORPHAN_SECONDS and not held.ended:
                 continue
             if await self._write(incarnation, held):
                 self.held.pop(incarnation, None)
@@ -187,11 +198,12 @@
             return True
         written = await self.source.write_bills(
             incarnation=incarnation,
-            name=f"copy-{self.incarnation}",
+            name=f"copy-{self.incarnation}-{self.copies}",
             content=orjson.dumps(bills),
         )
         if written.value_or(None) is None:
             return False
+        self.copies += 1
         self.metrics.count("bill_blocks_recovered")
         log_change("bills written for a peer that is gone", count=len(bills))
         return True
--- a/linnetladder/forwarding/coordination/peer_news.py
+++ b/linnetladder/forwarding/coordination/peer_news.py
@@ -121,9 +121,12 @@
     def bill_holders(self) -> list[DaemonAddress]:
         """Return the peers that are sent this daemon's bills, other domains' first.
 
-        If none of them is alive as far as is known, the bills are sent all the same.
+        Where too few are known to be alive, others are sent them all the same: a peer
+        that has just started may hold them well before it is heard.
         """
-        return (self._alive_holders() or self.ranked_holders)[:BILL_HOLDERS]
+        alive = self._alive_holders()
+        others = [peer for peer in self.ranked_holders if peer not in alive]
+        return (alive + others)[:BILL_HOLDERS]
 
     def holder_starts(self) -> list[str]:
         """Return the incarnations of those that hold this daemon's bills for sure."""
@@ -204,6 +207,8 @@
         same = known is not None and known.incarnation == news.incarnation
         if same and news.sequence <= known.sequence:
             return False
+        if known is not None and not same:
+            self.held_bills.note_end(known.incarnation)
         self.heard[news.instance] = Heard(
             news.incarnation,
             news.sequence,
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -318,3 +318,38 @@
         loop.close()
     assert written and ended <= 3.3
     assert sorted(billed(source)) == ["a1"]
+
+
+def test_a_peer_that_was_not_heard_yet_is_sent_bills_beside_one_that_was():
+    """A soak's seed 114: the one that was heard died, the other had been left out."""
+    source, clock, (first, second) = fleet()
+    known = (address("d1"), address("d2"), address("d3"), address("d4"))
+    first.peers.know(known)
+    tell(second, first)
+    sent = [peer.instance for peer in first.peers.bill_holders()]
+    assert len(sent) == 2
+    assert sent[0] == "d2"
+    assert first.peers.holder_starts() == ["d2-1"]
+
+
+def test_bills_of_an_earlier_start_are_written_as_soon_as_the_later_one_is_heard():
+    """A soak's seed 126: the holder waited for the lease, and was killed meanwhile."""
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    tell(first, second)
+    again = ready_daemon(name="d1", incarnation="d1-2", source=source, clock=clock)
+    asyncio.run(second.held_bills.recover(second.peers.listed))
+    assert billed(source) == {}
+    second.peers.take(again.peers.build())
+    asyncio.run(second.held_bills.recover(second.peers.listed))
+    assert sorted(billed(source)) == ["a1"]
+
+
+def test_a_holder_writes_again_for_a_daemon_that_it_had_given_up_once():
+    source, clock, (first, second) = fleet()
+    for attempt in ("a1", "a2"):
+        run_request(first, attempt)
+        tell(first, second)
+        second.held_bills.note_end("d1-1")
+        asyncio.run(second.held_bills.recover(second.peers.listed))
+    assert sorted(billed(source)) == ["a1", "a2"]
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import base64
+import os
 import pathlib
 import re
+import signal
+import subprocess
+import sys
 
 import orjson
 import pytest
@@ -136,6 +140,24 @@
         read_operations_settings(variables)
 
 
+def test_a_hangup_during_the_start_ends_no_daemon(tmp_path):
+    """A soak's seed 114: killed by the signal before its handler was there."""
+    path = tmp_path / "node.conf"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "linnetladder.fleet"],
+        env={**os.environ, "LINNETLADDER_BOOT": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    # The daemon opens its settings first of all; this waits until it does.
+    with path.open("w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("nothing\n")
+    _, errors = process.communicate()
+    assert process.returncode == 2
+    assert b"is not valid" in errors
+
+
 def test_the_configuration_becomes_routes_accounts_and_limits():
     decoded = ConfigurationModel.model_validate(CONFIGURATION).decode(revision=40)
     assert (decoded.version, decoded.revision) == (7, 40)
