Bring in no version that hardly answers

It was taken to full at 18.5 s; at the end three of three timed answers were slow.

Ruled out: the pace (all that were timed counted as slow); too little traffic (30 a second).

The test fails without it.

--- a/linnetladder/forwarding/coordination/judgement.py
+++ b/linnetladder/forwarding/coordination/judgement.py
@@ -18,7 +18,9 @@
 from linnetladder.forwarding.state import RolloutOrder
 from linnetladder.state import Endpoint
 
-__all__ = ["Finding", "Judge"]
+__all__ = ["ALL_ROUTES", "Finding", "Judge"]
+
+ALL_ROUTES = "all"
 
 # Fewer failures than these may be anybody's.
 MINIMUM_FAILURES = 2.5
@@ -68,7 +70,7 @@
             candidate = self.outcomes.tally(new, route)
             baseline = self.outcomes.tally(old, route)
             finding = Finding(
-                route=route or "all",
+                route=route or ALL_ROUTES,
                 failing=self._failing(candidate, baseline),
                 slowness=evidence_of_slowness(candidate.counts, baseline.counts),
                 failed=round(candidate.counts.long_failed, 1),
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -14,7 +14,7 @@
 from linnetladder.forwarding.coordination.budget import WindowBudget
 from linnetladder.forwarding.coordination.directory import Directory, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.judgement import Judge
+from linnetladder.forwarding.coordination.judgement import ALL_ROUTES, Judge
 from linnetladder.forwarding.coordination.rollout_schedule import (
     AHEAD_SECONDS,
     COMPLETE_FROM,
@@ -49,6 +49,10 @@
 # Above this one a version gets no larger share until more answers have come in.
 SUSPECT_EVIDENCE = 1.5
 DOUBT_LATEST = 0.74
+# A part of the sessions gives this many answers within a second or two where the old
+# version gives ten times as many, unless the new one hardly answers.
+LEAST_ANSWERS = 6.0
+USUAL_TO_LEAST = 10.0
 # Daemons that see the same step to take wait differently long, so that the first one's
 # news spares the others their writes.
 STEP_SPREAD_SECONDS = 0.8
@@ -213,6 +217,15 @@
         """Tell whether a target's answers speak against it, if not yet clearly."""
         return any(f.evidence >= SUSPECT_EVIDENCE for f in self.judge.findings(order))
 
+    def _hardly_answers(self, order: RolloutOrder) -> bool:
+        """Tell whether a target owes answers that would tell whether it is slow."""
+        return any(
+            finding.route == ALL_ROUTES
+            and finding.total < LEAST_ANSWERS
+            and finding.usual_total >= LEAST_ANSWERS * USUAL_TO_LEAST
+            for finding in self.judge.findings(order)
+        )
+
     def _mark_bad(
         self, service: str, revision: int, *, reason: str, **evidence: object
     ) -> None:
@@ -286,7 +299,7 @@
         ramping = self.schedule.since(order, record.ramp_unix)
         if ramping < order.duration_seconds * FULL_AFTER:
             return None
-        if self._is_suspect(order):
+        if self._is_suspect(order) or self._hardly_answers(order):
             elapsed = self.schedule.since(order, record.ordered_unix)
             return self._after_doubt(order, record, elapsed)
         return dataclasses.replace(
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -442,3 +442,19 @@
     assert (finding.usual_total, finding.usual_failed) == (62, 1)
     assert daemons[1].outcomes.bad_share("old-1") > 0.1
     assert daemons[1].outcomes.bad_share("more-1") == 0.0
+
+
+def test_a_version_that_hardly_answers_is_not_brought_in(fleet):
+    """Muscat, slow versions, seed 596846723696: 3.8 answers, none timed, then full."""
+    source, clock, daemons = fleet
+    pass_time(clock, daemons, 13.0)
+    assert source.records["engines"].phase is RolloutPhase.RAMP
+    for serial in range(200):
+        daemons[0].outcomes.add(f"old-{1 + serial % 3}", "draft", Verdict.GOOD)
+    for name in ("new-1", "new-2", "new-3"):
+        daemons[0].outcomes.add(name, "draft", Verdict.GOOD)
+    for _ in range(12):
+        tell(daemons)
+        pass_time(clock, daemons, 0.5)
+    assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
+    assert RolloutPhase.FULL not in source.writes
