Let one flush of bills run at a time

Found by reading each await of the change: the regular write, the one at a change of holders and the last one at shutdown may overlap. Both wrote the first block, and both dropped the first block when it stood, so the second one dropped a block that nobody had written: its bills were lost.

Ruled out: the store (the second write of a block is refused as standing, as it should).

Change: a lock around the flush, and a block is dropped by identity. A holder's copies take their number before the write, so that two overlapping writes have two names.

The new test fails without it.

--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -7,6 +7,7 @@
 that is gone. Whoever reads the ledger counts each request once.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 
@@ -60,6 +61,7 @@
         self.sequence = 1
         self.written = 0
         self.rounds: list[dict[int, dict[str, BillRow]]] = [{}]
+        self.flushing = asyncio.Lock()
         self.on_bill: Callable[[CopiedBills], None] = _ignore
 
     def add(self, request: ForwardRequest, *, model: str, events: int) -> None:
@@ -86,21 +88,31 @@
         return CopiedBills(written=self.written, blocks=blocks)
 
     async def flush(self) -> bool:
-        """Write what waits; return whether everything stands."""
-        self._seal()
-        while self.blocks:
-            block = self.blocks[0]
-            written = await self.source.write_bills(
-                incarnation=self.incarnation,
-                name=f"{block.sequence:08d}",
-                content=orjson.dumps(block.bills),
-            )
-            if written.value_or(None) is None:
-                return False
+        """Write what waits; return whether everything stands.
+
+        One flush at a time, since each takes the first block and drops it afterwards.
+        """
+        async with self.flushing:
+            self._seal()
+            while self.blocks:
+                if not await self._write(self.blocks[0]):
+                    return False
+            return True
+
+    async def _write(self, block: Block) -> bool:
+        """Write the first block and drop it when it stands."""
+        written = await self.source.write_bills(
+            incarnation=self.incarnation,
+            name=f"{block.sequence:08d}",
+            content=orjson.dumps(block.bills),
+        )
+        if written.value_or(None) is None:
+            return False
+        if self.blocks and self.blocks[0] is block:
             self.blocks.pop(0)
-            self.written = block.sequence
-            self.metrics.count("bills", len(block.bills))
-            self.metrics.count("bill_blocks")
+        self.written = block.sequence
+        self.metrics.count("bills", len(block.bills))
+        self.metrics.count("bill_blocks")
         return True
 
     def _seal(self) -> None:
@@ -196,14 +208,15 @@
             bills.update(block)
         if not bills:
             return True
+        number = self.copies
+        self.copies += 1
         written = await self.source.write_bills(
             incarnation=incarnation,
-            name=f"copy-{self.incarnation}-{self.copies}",
+            name=f"copy-{self.incarnation}-{number}",
             content=orjson.dumps(bills),
         )
         if written.value_or(None) is None:
             return False
-        self.copies += 1
         self.metrics.count("bill_blocks_recovered")
         log_change("bills written for a peer that is gone", count=len(bills))
         return True
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -353,3 +353,33 @@
         second.held_bills.note_end("d1-1")
         asyncio.run(second.held_bills.recover(second.peers.listed))
     assert sorted(billed(source)) == ["a1", "a2"]
+
+
+class SlowSource(MemorySource):
+    """A store that takes a while for each block."""
+
+    async def write_bills(self, *, incarnation, name, content):
+        await asyncio.sleep(0.01)
+        return await super().write_bills(
+            incarnation=incarnation, name=name, content=content
+        )
+
+
+def test_two_writes_at_once_drop_no_block():
+    """The last bills are written while the regular write is still under way."""
+    source = SlowSource(table=table())
+    daemon = ready_daemon(name="d1", source=source)
+
+    async def scenario():
+        daemon.bills.open["a1"] = ("studio", "desk", "", 0, 0)
+        first = asyncio.ensure_future(daemon.bills.flush())
+        await asyncio.sleep(0.005)
+        daemon.bills.open["a2"] = ("studio", "desk", "", 0, 0)
+        return await daemon.bills.flush() and await first
+
+    loop = looptime.new_event_loop()
+    try:
+        assert loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+    assert sorted(billed(source)) == ["a1", "a2"]
