Call a request's lines in the logs a timeline

The module, its types and its function were named for a metaphor (story, chapter, tell). Names only; the command's flags and output are the same. tests/test_logs.py and tests/test_docs.py ran.

--- a/linnetladder/management/commands/explain.py
+++ b/linnetladder/management/commands/explain.py
@@ -10,16 +10,20 @@
 )
 from linnetladder.management.base import Command, Context, ExitCode
 from linnetladder.management.commands.history import format_time
-from linnetladder.telemetry.stories import Chapter, read_log_lines, tell_story
+from linnetladder.telemetry.timelines import (
+    TimelineEntry,
+    build_timeline,
+    read_log_lines,
+)
 
 __all__ = ["COMMAND"]
 
-# Fields that each line of a story shows in columns of their own, or not at all.
+# Fields that each line of a timeline shows in columns of their own, or not at all.
 SHOWN_APART = frozenset(("time", "instance", "event", "level", "request", "attempts"))
 
 
 class ExplainCommand(Command):
-    """Verify a receipt and run its decision again, or tell a request's story."""
+    """Verify a receipt and run its decision again, or tell a request's timeline."""
 
     name = "explain"
     summary = (
@@ -77,26 +81,26 @@
         lines = read_log_lines(Path(name) for name in files)
     except OSError as error:
         return context.fail(f"can't read the logs: {error}", ExitCode.NOT_FOUND)
-    story = tell_story(lines, arguments[0])
-    if story is None:
+    timeline = build_timeline(lines, arguments[0])
+    if timeline is None:
         detail = f"none of {len(lines)} log lines is about request {arguments[0]!r}"
         return context.fail(detail, ExitCode.NOT_FOUND)
     if context.format == "json":
-        context.print_json(story)
+        context.print_json(timeline)
         return ExitCode.OK
-    for chapter in story.chapters:
-        _print_chapter(context, chapter)
+    for entry in timeline.entries:
+        _print_entry(context, entry)
     return ExitCode.OK
 
 
-def _print_chapter(context: Context, chapter: Chapter) -> None:
-    line = chapter.line
-    mark = "=>" if chapter.deciding else "  "
+def _print_entry(context: Context, entry: TimelineEntry) -> None:
+    line = entry.line
+    mark = "=>" if entry.deciding else "  "
     fields = ", ".join(
         f"{name}={value}" for name, value in line.items() if name not in SHOWN_APART
     )
     context.print(
-        f"{mark} {format_time(line['time'])} ({chapter.age:.3f} s before the end)"
+        f"{mark} {format_time(line['time'])} ({entry.age:.3f} s before the end)"
         f" {line.get('instance')}: {line.get('event')}: {fields}"
     )
     for attempt in line.get("attempts", ()):
--- a/linnetladder/telemetry/stories.py
+++ b/linnetladder/telemetry/timelines.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-__all__ = ["Chapter", "Story", "read_log_lines", "tell_story"]
+__all__ = ["TimelineEntry", "Timeline", "read_log_lines", "build_timeline"]
 
 # Beliefs older than this are left out, but for the last word on each subject.
 RECENT_SECONDS = 10.0
@@ -38,7 +38,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Chapter:
+class TimelineEntry:
     """A line that bears on the request.
 
     ``age`` is in seconds, from the line to the request's end; ``own`` marks the
@@ -52,11 +52,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Story:
+class Timeline:
     """All that the logs say of a request, in order of time."""
 
     request: str
-    chapters: tuple[Chapter, ...]
+    entries: tuple[TimelineEntry, ...]
 
 
 def read_log_lines(paths: Iterable[Path]) -> list[dict]:
@@ -72,8 +72,8 @@
     return sorted(lines, key=lambda line: line["time"])
 
 
-def tell_story(lines: list[dict], request: str) -> Story | None:
-    """Return a request's story, or ``None`` if no line is about it."""
+def build_timeline(lines: list[dict], request: str) -> Timeline | None:
+    """Return a request's timeline, or ``None`` if no line is about it."""
     own = [line for line in lines if line.get("request") == request]
     if not own:
         return None
@@ -81,8 +81,8 @@
     beliefs = [line for line in lines if _bears_on(line, last)]
     chosen = _recent_or_last(beliefs, last["time"])
     deciding = _deciding(own, chosen)
-    chapters = [
-        Chapter(
+    entries = [
+        TimelineEntry(
             age=last["time"] - line["time"],
             line=line,
             own=any(line is mine for mine in own),
@@ -90,7 +90,7 @@
         )
         for line in sorted(own + chosen, key=lambda line: line["time"])
     ]
-    return Story(request=request, chapters=tuple(chapters))
+    return Timeline(request=request, entries=tuple(entries))
 
 
 def endpoints_of(line: dict) -> list[str]:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,7 +12,7 @@
 from linnetladder.management import ExitCode, run
 from linnetladder.telemetry.line_writer import LineWriter
 from linnetladder.telemetry.request_log import RequestLog
-from linnetladder.telemetry.stories import read_log_lines, tell_story
+from linnetladder.telemetry.timelines import build_timeline, read_log_lines
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "reference" / "logs.md").read_text("utf-8")
@@ -98,26 +98,26 @@
 ]
 
 
-def test_a_story_has_what_its_own_instance_believed_and_the_deciding_line():
-    story = tell_story(STALE, "r1")
-    assert [c.line["event"] for c in story.chapters] == [
+def test_a_timeline_has_what_its_own_instance_believed_and_the_deciding_line():
+    timeline = build_timeline(STALE, "r1")
+    assert [c.line["event"] for c in timeline.entries] == [
         "configuration in force",
         "store lost",
         "refused",
     ]
-    (deciding,) = (c for c in story.chapters if c.deciding)
+    (deciding,) = (c for c in timeline.entries if c.deciding)
     assert deciding.line["event"] == "store lost"
     assert deciding.age == pytest.approx(4.0)
 
 
-def test_a_story_has_the_endpoints_that_were_tried_and_no_others():
-    told = [(c.line["event"], c.own) for c in tell_story(FAILED, "r2").chapters]
+def test_a_timeline_has_the_endpoints_that_were_tried_and_no_others():
+    told = [(c.line["event"], c.own) for c in build_timeline(FAILED, "r2").entries]
     assert told == [
         ("endpoint registered", False),
         ("version found bad", False),
         ("failed", True),
     ]
-    assert tell_story(FAILED, "r3") is None
+    assert build_timeline(FAILED, "r3") is None
 
 
 def write_logs(tmp_path):
@@ -138,7 +138,7 @@
     assert read_log_lines(write_logs(tmp_path)) == STALE
 
 
-def test_the_tool_tells_a_story_without_a_platform(tmp_path, capsys):
+def test_the_tool_prints_a_timeline_without_a_platform(tmp_path, capsys):
     files = ",".join(map(str, write_logs(tmp_path)))
     assert run(["explain", f"--logs={files}", "r1"]) == ExitCode.OK
     printed = capsys.readouterr().out
