Pass an answer at hand on before its time limit

Found by reading each await of the change: where no peer holds bills, the wait for a block counted towards the request's own time limit, so an answer that was at hand could become a 504 in its last 0.15 s. `ran` stayed true there (unknown, and billed).

Change: the wait ends 20 ms before the time limit, and is left out after that.

--- a/linnetladder/forwarding/coordination/bill_upkeep.py
+++ b/linnetladder/forwarding/coordination/bill_upkeep.py
@@ -91,11 +91,14 @@
             if self.follower.reachable:
                 await self.held_bills.recover(self.peers.listed)
 
-    async def secure(self) -> None:
-        """Return once the latest bill is with a peer, stands, or can't be written."""
+    async def secure(self, *, seconds: float) -> None:
+        """Return once the latest bill is with a peer, stands, or can't be written.
+
+        An answer at hand goes out in time all the same: ``seconds`` is what it has.
+        """
         sequence = self.bills.sequence
         try:
-            async with asyncio.timeout(SECURE_SECONDS):
+            async with asyncio.timeout(min(SECURE_SECONDS, seconds)):
                 while self.writing and not self.peers.holder_starts():
                     if self.bills.written >= sequence:
                         return
--- a/linnetladder/forwarding/coordination/entry.py
+++ b/linnetladder/forwarding/coordination/entry.py
@@ -16,7 +16,7 @@
     credential_digest,
 )
 
-__all__ = ["Entry"]
+__all__ = ["ANSWER_SECONDS", "Entry"]
 
 # The answer leaves this long before the caller stops waiting for it.
 ANSWER_SECONDS = 0.02
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -14,7 +14,7 @@
     CallFaultKind,
     Reply,
 )
-from linnetladder.forwarding.coordination.entry import Entry
+from linnetladder.forwarding.coordination.entry import ANSWER_SECONDS, Entry
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Verdict
 from linnetladder.forwarding.coordination.reporting import RequestReporter
@@ -110,6 +110,11 @@
             request.billed = True
             self.bills.add(request, model=request.model, events=request.events)
 
+    async def _secure_bill(self, request: ForwardRequest) -> None:
+        left = request.deadline - self.clock.monotonic() - ANSWER_SECONDS
+        if left > 0:
+            await self.upkeep.secure(seconds=left)
+
     async def _serve_in_time(self, request: ForwardRequest, reply: Reply) -> None:
         remaining = request.deadline - self.clock.monotonic()
         try:
@@ -152,7 +157,7 @@
                 failed = FailedAnswer(status, sent.exchange.head.headers, body)
                 continue
             self._bill(request)
-            await self.upkeep.secure()
+            await self._secure_bill(request)
             await reply.send(status, sent.exchange.head.headers, body)
             self._finish(request, sent, status)
             return
@@ -262,7 +267,7 @@
             await reply.begin(200, sent.exchange.head.headers)
         self.sender.note_end(request, sent)
         self._bill(request)
-        await self.upkeep.secure()
+        await self._secure_bill(request)
         await reply.finish()
 
     async def _pass_failure(
