Record what tells a congested instance from a silent endpoint

The metrics that could be collected were cut off before the bytes of control traffic, and neither the outcome of a probe nor the lateness of the loop was recorded anywhere.

Added: bytes and messages of control traffic first in a scrape, bytes read from the store, probes by outcome, late wake-ups of the event loop with a log line, and the reason for which a silent endpoint was given up in the request's attempts. No decision changes.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -50,7 +50,7 @@
         address=settings_holder.current.store_address, clock=clock, metrics=metrics
     )
     source = PlatformSource(store=store, metrics=metrics)
-    calls = HttpEndpointCalls(codec=PlatformEndpointCodec())
+    calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=metrics)
     core = build_forwarding_core(
         settings_holder,
         policy_settings,
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -39,6 +39,7 @@
     log_change,
     log_failure,
     start_request_log,
+    watch_lateness,
 )
 
 __all__ = ["FleetDaemon", "run"]
@@ -109,6 +110,7 @@
         self._start_task(self.parts.bill_flusher.run_holder_watch())
         self._start_task(self._watch_settings_file())
         self._start_task(self._fetch_shared_secret())
+        self._start_task(watch_lateness(parts.metrics))
         self._start_task(self.parts.peer_socket.run())
         await self.parts.callers.start(
             address=settings.address, port=settings.caller_port
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -7,7 +7,14 @@
 from linnetladder.errors import Refusal
 from linnetladder.forwarding.protocol import EndpointCall, ResponseHead
 
-__all__ = ["CallFault", "CallFaultKind", "EndpointCalls", "Exchange", "Reply"]
+__all__ = [
+    "CallFault",
+    "CallFaultKind",
+    "EndpointCalls",
+    "Exchange",
+    "ProbeOutcome",
+    "Reply",
+]
 
 
 class CallFaultKind(enum.StrEnum):
@@ -24,17 +31,34 @@
     INVALID = "invalid"
 
 
+class ProbeOutcome(enum.StrEnum):
+    """The outcome of a new connection that is opened to see if an endpoint is alive."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+
+
 class CallFault(Exception):
     """A call failed to return a complete response.
 
-    ``may_have_run`` is false only if the request was certainly not sent.
+    ``may_have_run`` is false only if the request was certainly not sent. ``evidence``
+    names in a word or two what a silent endpoint was given up for.
     """
 
-    def __init__(self, kind: CallFaultKind, detail: str, *, may_have_run: bool):
+    def __init__(
+        self,
+        kind: CallFaultKind,
+        detail: str,
+        *,
+        may_have_run: bool,
+        evidence: str = "",
+    ):
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.may_have_run = may_have_run
+        self.evidence = evidence
 
 
 class Exchange(abc.ABC):
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -304,7 +304,8 @@
 
         ``already_counted`` is set if the attempt's outcome has been counted before.
         """
-        request.history.append(f"{endpoint.name}={fault.kind}")
+        evidence = f":{fault.evidence}" if fault.evidence else ""
+        request.history.append(f"{endpoint.name}={fault.kind}{evidence}")
         self.metrics.count("attempts", label=fault.kind)
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -20,12 +20,14 @@
     CallFaultKind,
     EndpointCalls,
     Exchange,
+    ProbeOutcome,
 )
 from linnetladder.forwarding.protocol import (
     EndpointCall,
     EndpointCodec,
     ResponseHead,
 )
+from linnetladder.telemetry import Metrics
 
 __all__ = ["HttpEndpointCalls"]
 
@@ -126,9 +128,16 @@
         )
         if not silent and last_activity < self.probe_after:
             return
-        if silent or not await self.calls.is_reachable(self.address):
-            detail = f"{self.address} was silent for {waited:.1f} s"
-            raise CallFault(CallFaultKind.SILENT, detail, may_have_run=True)
+        evidence = "limit"
+        if not silent:
+            outcome = await self.calls.probe(self.address)
+            if outcome is ProbeOutcome.ACCEPTED:
+                return
+            evidence = f"probe {outcome}"
+        detail = f"{self.address} was silent for {waited:.1f} s ({evidence})"
+        raise CallFault(
+            CallFaultKind.SILENT, detail, may_have_run=True, evidence=evidence
+        )
 
 
 class HttpExchange(Exchange):
@@ -198,8 +207,9 @@
     something or accepted a probe.
     """
 
-    def __init__(self, *, codec: EndpointCodec):
+    def __init__(self, *, codec: EndpointCodec, metrics: Metrics):
         self.codec = codec
+        self.metrics = metrics
         self.last_activity: dict[str, float] = {}
         self.pooled_session = self._build_session(keepalive_timeout=KEEPALIVE_SECONDS)
         self.fresh_session = self._build_session(
@@ -245,15 +255,27 @@
 
     async def is_reachable(self, address: str) -> bool:
         """Return whether an address accepts a new connection, which is closed again."""
+        return await self.probe(address) is ProbeOutcome.ACCEPTED
+
+    async def probe(self, address: str) -> ProbeOutcome:
+        """Open a connection to an address and close it again."""
+        outcome = await self._open_and_close(address)
+        self.metrics.count("probes", label=outcome)
+        if outcome is ProbeOutcome.ACCEPTED:
+            self.last_activity[address] = asyncio.get_running_loop().time()
+        return outcome
+
+    async def _open_and_close(self, address: str) -> ProbeOutcome:
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
+        except TimeoutError:
+            return ProbeOutcome.TIMED_OUT
+        except OSError:
+            return ProbeOutcome.REFUSED
         writer.close()
-        self.last_activity[address] = asyncio.get_running_loop().time()
-        return True
+        return ProbeOutcome.ACCEPTED
 
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address after one of them failed."""
--- a/linnetladder/platform/store.py
+++ b/linnetladder/platform/store.py
@@ -238,6 +238,7 @@
             async with asyncio.timeout(seconds):
                 async with self.session.request(method, url, json=body) as response:
                     content = await response.read()
+                    self.metrics.count("platform_bytes", len(content), label="received")
         except aiohttp.ClientConnectorError as error:
             return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
         except TimeoutError:
--- a/linnetladder/telemetry/__init__.py
+++ b/linnetladder/telemetry/__init__.py
@@ -14,6 +14,7 @@
     "log_failure",
     "log_request",
     "start_request_log",
+    "watch_lateness",
 ]
 
 __getattr__, __dir__ = lazy_exports(
@@ -30,5 +31,6 @@
         "log_failure": "logs",
         "log_request": "request_log",
         "start_request_log": "request_log",
+        "watch_lateness": "lateness",
     },
 )
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -32,7 +32,14 @@
     label: str = ""
 
 
+# The first families are those that tell a congested or late instance from a faulty
+# endpoint, since collectors with a size limit only keep the beginning of a scrape.
 COUNTERS: dict[str, Family] = {
+    "peer_bytes": Family("Bytes exchanged with peers", "direction"),
+    "peer_messages": Family("Messages exchanged with peers", "direction"),
+    "platform_bytes": Family("Bytes exchanged with the platform", "direction"),
+    "probes": Family("Connections opened to see if an endpoint is alive", "outcome"),
+    "late_wakeups": Family("Wake-ups of the event loop that came 0.1 s late or more"),
     "requests": Family("Requests received from callers"),
     "answered": Family("Requests answered whole", "target"),
     "refused": Family("Requests refused", "kind"),
@@ -60,12 +67,9 @@
     "ejections": Family("Endpoints left out after failures"),
     "platform_calls": Family("Calls to the platform", "call"),
     "platform_faults": Family("Failed calls to the platform", "kind"),
-    "platform_bytes": Family("Bytes exchanged with the platform", "direction"),
     "configuration_installs": Family("Revisions put in force"),
     "configuration_regressions": Family("Older or diverging heads that were not taken"),
     "configuration_heals": Family("Heads restored to the platform"),
-    "peer_messages": Family("Messages exchanged with peers", "direction"),
-    "peer_bytes": Family("Bytes exchanged with peers", "direction"),
     "rejected_peers": Family("Peer connections cut off", "reason"),
 }
 
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -105,7 +105,7 @@
     """Run a coroutine function with a client and an endpoint that sends answers."""
 
     async def scenario():
-        calls = HttpEndpointCalls(codec=PlatformEndpointCodec())
+        calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=Metrics())
         try:
             async with asyncio.timeout(5), RawEndpoint(*answers) as endpoint:
                 await work(calls, endpoint)
@@ -207,10 +207,25 @@
         assert caught.value.kind is CallFaultKind.CONNECT
         assert not caught.value.may_have_run
         assert not await calls.is_reachable(endpoint.address)
+        assert calls.metrics.value("probes", label="refused") == 1
 
     run_with_calls(work)
 
 
+def test_silent_fault_names_the_outcome_of_the_probe():
+    async def work(calls, endpoint):
+        exchange = await calls.open(build_call(endpoint, probe_after=0.05))
+        endpoint.server.close()
+        with pytest.raises(CallFault) as caught:
+            await exchange.read()
+        assert caught.value.kind is CallFaultKind.SILENT
+        assert caught.value.evidence == "probe refused"
+
+    run_with_calls(
+        work, [ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\n", WAIT_SECONDS]
+    )
+
+
 @pytest.mark.parametrize(
     "parts",
     [
