--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -42,8 +42,9 @@
 class CallFault(Exception):
     """A call failed to return a complete response.
 
-    ``may_have_run`` is false only if the request was certainly not sent. ``evidence``
-    names in a word or two what a silent endpoint was given up for.
+    ``may_have_run`` is false only if the request was certainly not sent. ``probe`` is
+    the outcome of the probe for which a silent endpoint was given up, ``None`` if it
+    was given up for the length of the silence.
     """
 
     def __init__(
@@ -52,13 +53,19 @@
         detail: str,
         *,
         may_have_run: bool,
-        evidence: str = "",
+        probe: ProbeOutcome | None = None,
     ):
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.may_have_run = may_have_run
-        self.evidence = evidence
+        self.probe = probe
+
+    def describe(self) -> str:
+        """Return the kind, and for a silent endpoint what it was given up for."""
+        if self.kind is not CallFaultKind.SILENT:
+            return str(self.kind)
+        return f"{self.kind}:probe {self.probe}" if self.probe else f"{self.kind}:limit"
 
 
 class Exchange(abc.ABC):
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -304,8 +304,7 @@
 
         ``already_counted`` is set if the attempt's outcome has been counted before.
         """
-        evidence = f":{fault.evidence}" if fault.evidence else ""
-        request.history.append(f"{endpoint.name}={fault.kind}{evidence}")
+        request.history.append(f"{endpoint.name}={fault.describe()}")
         self.metrics.count("attempts", label=fault.kind)
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -128,16 +128,13 @@
         )
         if not silent and last_activity < self.probe_after:
             return
-        evidence = "limit"
+        probe = None
         if not silent:
-            outcome = await self.calls.probe(self.address)
-            if outcome is ProbeOutcome.ACCEPTED:
+            probe = await self.calls.probe(self.address)
+            if probe is ProbeOutcome.ACCEPTED:
                 return
-            evidence = f"probe {outcome}"
-        detail = f"{self.address} was silent for {waited:.1f} s ({evidence})"
-        raise CallFault(
-            CallFaultKind.SILENT, detail, may_have_run=True, evidence=evidence
-        )
+        detail = f"{self.address} was silent for {waited:.1f} s"
+        raise CallFault(CallFaultKind.SILENT, detail, may_have_run=True, probe=probe)
 
 
 class HttpExchange(Exchange):
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -219,7 +219,7 @@
         with pytest.raises(CallFault) as caught:
             await exchange.read()
         assert caught.value.kind is CallFaultKind.SILENT
-        assert caught.value.evidence == "probe refused"
+        assert caught.value.describe() == "silent:probe refused"
 
     run_with_calls(
         work, [ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\n", WAIT_SECONDS]
