Adapt the time limit of connections to the instance's own link

Connections and probes were given 0.2 s, whatever the link did, and every one that took longer counted as an unreachable endpoint, which was left out.

The limit now follows the measured times as RFC 6298 does, between 0.2 and 1 s. It doubles when connections time out and none succeeds, and one success sets it back, so an unreachable failure domain does not raise it. An endpoint's silence is counted from the moment the request was sent: a connection that was still being opened counted as silent, as if the request may have run.

The test of the silence failed before (SILENT instead of an answer).

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -22,6 +22,7 @@
     Exchange,
     ProbeOutcome,
 )
+from linnetladder.forwarding.coordination.connect_timeout import ConnectTimeout
 from linnetladder.forwarding.protocol import (
     EndpointCall,
     EndpointCodec,
@@ -31,10 +32,6 @@
 
 __all__ = ["HttpEndpointCalls"]
 
-# Connecting within a region takes a few milliseconds. A lost SYN is only retransmitted
-# after a second, which is too late for most requests.
-CONNECT_TIMEOUT_SECONDS = 0.2
-PROBE_TIMEOUT_SECONDS = 0.2
 # Shorter than the time after which any observed endpoint closes an idle connection.
 KEEPALIVE_SECONDS = 4.0
 # A request that must not be sent twice only reuses a connection that was idle for less.
@@ -91,7 +88,8 @@
     """Probes the endpoint of a call that receives nothing, and may give it up.
 
     A probe is skipped if any call to the same address has received something within
-    ``probe_after`` seconds. ``limit`` is the longest silence in seconds.
+    ``probe_after`` seconds. ``limit`` is the longest silence in seconds. ``sent_at`` is
+    the event loop's time at which the request was sent, ``None`` before that.
     """
 
     def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall):
@@ -101,6 +99,12 @@
         self.probe_after = call.probe_after_seconds
         self.limit = call.silence_seconds
         self.reserve_retry = call.reserve_retry
+        self.started_at = self.loop.time()
+        self.sent_at: float | None = None
+
+    def record_sent(self) -> None:
+        """Record that the request was sent; the endpoint's silence begins."""
+        self.sent_at = self.loop.time()
 
     def record_activity(self) -> None:
         """Record that the endpoint has sent something."""
@@ -108,18 +112,26 @@
 
     async def wait(self, work: asyncio.Task) -> aiohttp.ClientResponse:
         """Return the response that a task awaits; raise `CallFault` on silence."""
-        waited = 0.0
+        checks = 0
         try:
             while not work.done():
-                await asyncio.wait((work,), timeout=self.probe_after)
-                if not work.done():
-                    waited += self.probe_after
-                    await self.check_liveness(waited)
+                due = self._next_check(checks)
+                await asyncio.wait((work,), timeout=max(due - self.loop.time(), 0.0))
+                # The request may have been sent during the wait, which moves the check.
+                if work.done() or self.loop.time() < self._next_check(checks):
+                    continue
+                checks += 1
+                await self.check_liveness(checks * self.probe_after)
             return work.result()
         finally:
             if not work.done():
                 work.cancel()
 
+    def _next_check(self, checks: int) -> float:
+        """Return the time of the next check; the connection's own limit comes first."""
+        silent_since = self.loop.time() if self.sent_at is None else self.sent_at
+        return silent_since + (checks + 1) * self.probe_after
+
     async def check_liveness(self, waited: float) -> None:
         """Raise `CallFault` for a silent endpoint if another attempt can follow.
 
@@ -208,13 +220,14 @@
     """Calls endpoints at their ``IP:port`` addresses.
 
     ``last_activity`` maps an address to the event loop's time when it last sent
-    something or accepted a probe.
+    something or accepted a probe. ``connect_timeout`` is shared by calls and probes.
     """
 
     def __init__(self, *, codec: EndpointCodec, metrics: Metrics):
         self.codec = codec
         self.metrics = metrics
         self.last_activity: dict[str, float] = {}
+        self.connect_timeout = ConnectTimeout()
         self.pooled_session = self._build_session(keepalive_timeout=KEEPALIVE_SECONDS)
         self.fresh_session = self._build_session(
             keepalive_timeout=FRESH_KEEPALIVE_SECONDS
@@ -237,6 +250,10 @@
             headers=self.codec.build_call_headers(call),
             skip_auto_headers=SUPPRESSED_HEADERS,
             allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self.connect_timeout.seconds()
+            ),
+            trace_request_ctx=monitor,
         )
         try:
             if monitor.probe_after is None:
@@ -244,6 +261,10 @@
             else:
                 response = await monitor.wait(asyncio.ensure_future(sending))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                self.connect_timeout.timed_out(
+                    started=monitor.started_at, now=monitor.loop.time()
+                )
             detail = f"can't connect to {call.address}: {error}"
             raise CallFault(
                 CallFaultKind.CONNECT, detail, may_have_run=False
@@ -271,13 +292,17 @@
 
     async def _open_and_close(self, address: str) -> ProbeOutcome:
         host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self.connect_timeout.seconds()):
                 _, writer = await asyncio.open_connection(host, int(port))
         except TimeoutError:
+            self.connect_timeout.timed_out(started=started, now=loop.time())
             return ProbeOutcome.TIMED_OUT
         except OSError:
             return ProbeOutcome.REFUSED
+        self.connect_timeout.succeeded(loop.time() - started)
         writer.close()
         return ProbeOutcome.ACCEPTED
 
@@ -314,16 +339,33 @@
                 keepalive_timeout=keepalive_timeout,
                 socket_factory=_build_socket,
             ),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
-            ),
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
+            trace_configs=[self._build_trace_config()],
         )
         # aiohttp would silently retry requests with idempotent methods.
         session._retry_connection = False
         return session
 
+    def _build_trace_config(self) -> aiohttp.TraceConfig:
+        """Return callbacks that time connections and note when requests are sent."""
+        loop = asyncio.get_running_loop()
+
+        async def record_start(session, context, parameters) -> None:
+            context.connection_started = loop.time()
+
+        async def record_connected(session, context, parameters) -> None:
+            self.connect_timeout.succeeded(loop.time() - context.connection_started)
+
+        async def record_sent(session, context, parameters) -> None:
+            context.trace_request_ctx.record_sent()
+
+        config = aiohttp.TraceConfig()
+        config.on_connection_create_start.append(record_start)
+        config.on_connection_create_end.append(record_connected)
+        config.on_request_headers_sent.append(record_sent)
+        return config
+
 
 def _build_socket(address_info) -> socket.socket:
     family, kind, protocol, _, _ = address_info
--- a/tests/forwarding/test_congestion.py
+++ b/tests/forwarding/test_congestion.py
@@ -9,12 +9,13 @@
 import pytest
 
 from linnetladder.forwarding.coordination.calls import CallFaultKind, ProbeOutcome
+from linnetladder.forwarding.coordination.connect_timeout import ConnectTimeout
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.transport import HttpEndpointCalls, PeerSocket
 from linnetladder.platform import PlatformEndpointCodec
 from linnetladder.telemetry import Metrics
-from tests.forwarding.test_transport import ANSWER_HEAD, RawEndpoint
+from tests.forwarding.test_transport import ANSWER_HEAD, RawEndpoint, build_call
 from tests.support.forwarding import (
     LocalDaemon,
     RecordedReply,
@@ -211,3 +212,62 @@
     reply = daemon.answer(head(), Script(chunks=(FIRST_EVENT,), cut_after=1))
     assert reply.broken
     assert not reply.complete
+
+
+def test_connect_timeout_follows_a_link_that_becomes_slow():
+    """Guards against a congested link that makes every endpoint look unreachable.
+
+    Connections that take longer than the shortest limit were all given up.
+    """
+    timeout = ConnectTimeout()
+    timeout.succeeded(0.002)
+    now = 10.0
+    while timeout.seconds() < 0.7:
+        started, now = now, now + timeout.seconds()
+        timeout.timed_out(started=started, now=now)
+    timeout.succeeded(0.6)
+    assert timeout.seconds() > 0.6
+    for _ in range(100):
+        timeout.succeeded(0.002)
+    assert timeout.seconds() == pytest.approx(0.2)
+
+
+def test_connections_that_time_out_together_raise_the_limit_once():
+    """Guards against slow failover after one failure domain became unreachable."""
+    timeout = ConnectTimeout()
+    for _ in range(20):
+        timeout.timed_out(started=10.0, now=10.2)
+    assert timeout.seconds() == pytest.approx(0.4)
+    timeout.succeeded(0.002)
+    assert timeout.seconds() == pytest.approx(0.2)
+
+
+def test_silence_is_counted_from_the_time_the_request_was_sent():
+    """Guards against a connection that is still being opened counting as silent.
+
+    Such a request has not run, and was counted as if it may have.
+    """
+
+    class SlowConnector(CongestedCalls):
+        async def open(self, call):
+            connector = self.pooled_session.connector
+            connect = connector._create_direct_connection
+
+            async def delayed(*arguments, **options):
+                await asyncio.sleep(0.3)
+                return await connect(*arguments, **options)
+
+            connector._create_direct_connection = delayed
+            return await super().open(call)
+
+    async def scenario():
+        answer = ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\nok"
+        async with asyncio.timeout(5), RawEndpoint([answer]) as endpoint:
+            calls = SlowConnector(codec=PlatformEndpointCodec(), metrics=Metrics())
+            exchange = await calls.open(build_call(endpoint, probe_after=0.1))
+            body = await exchange.read()
+            exchange.close()
+            await calls.close()
+            return body
+
+    assert asyncio.run(scenario()) == b"ok"
