Don't probe a silent endpoint twice before the retry

A probe that failed is why a silent endpoint is given up. The same address was then probed again before the retry was sent, which cost the caller up to one more time limit.

The test failed before (one probe instead of none).

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -342,8 +342,9 @@
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
         self.calls.close_idle_connections(endpoint.address)
-        dead = fault.kind is CallFaultKind.CONNECT
-        if fault.kind is not CallFaultKind.CONNECT and fault.may_have_run:
+        # A failed connection or probe has shown that the endpoint is unreachable.
+        dead = fault.kind is CallFaultKind.CONNECT or fault.probe is not None
+        if not dead and fault.may_have_run:
             dead = not await self.calls.is_reachable(endpoint.address)
             if dead and fault.kind is CallFaultKind.BROKEN:
                 name = f"{endpoint.name}:{endpoint.incarnation}"
--- a/tests/forwarding/test_congestion.py
+++ b/tests/forwarding/test_congestion.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from linnetladder.forwarding.coordination.calls import CallFaultKind, ProbeOutcome
+from linnetladder.forwarding.coordination.calls import (
+    CallFault,
+    CallFaultKind,
+    ProbeOutcome,
+)
 from linnetladder.forwarding.coordination.connect_timeout import ConnectTimeout
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
 from linnetladder.forwarding.coordination.sources import DaemonAddress
@@ -271,3 +275,24 @@
             return body
 
     assert asyncio.run(scenario()) == b"ok"
+
+
+def test_failed_probe_of_a_silent_endpoint_is_not_repeated_before_the_retry():
+    """Guards against retries that wait for a second probe of the same endpoint."""
+    daemon = ready_daemon()
+    probed = []
+
+    async def is_reachable(address):
+        probed.append(address)
+        return False
+
+    daemon.calls.is_reachable = is_reachable
+    silent = CallFault(
+        CallFaultKind.SILENT,
+        "silent",
+        may_have_run=True,
+        probe=ProbeOutcome.TIMED_OUT,
+    )
+    reply = daemon.answer(head("/fetch/1"), Script(fault=silent))
+    assert reply.status == 200
+    assert probed == []
