Expire a crash everywhere thirty seconds after it happened

Requests stayed refused as suspected of crashing endpoints, and their crashes stayed in the reports, for as long as two daemons reported them to each other: a crash that had expired was recorded again as new when a peer repeated it.

A report now gives the age of each crash, rounded up to 0.1 s, and a receiver records the time at which it happened. Each crash expires by itself; before, one of any age counted until the newest of its request had expired.

The new test exchanges reports for 31 s after a crash: it failed before the change, with the crash still known at both daemons, and passes now.

--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -258,8 +258,8 @@
         }
         self.loads.learn(peer, loads_by_endpoint)
         self.outcomes.learn(peer, report.outcomes)
-        for fingerprint, endpoint in report.crashes:
-            self.crashes.learn(fingerprint, endpoint)
+        for fingerprint, endpoint, age in report.crashes:
+            self.crashes.learn(fingerprint, endpoint, age=age)
         self.rollouts.add_bad_targets(report.bad_targets)
         for name, incarnation in report.leaving:
             self.table.mark_leaving(name, incarnation)
--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash endpoints, by a fingerprint of their content."""
 
 import collections
+import math
 
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.state import Clock
@@ -24,15 +25,18 @@
             collections.OrderedDict()
         )
 
-    def learn(self, fingerprint: str, endpoint: str) -> bool:
+    def learn(self, fingerprint: str, endpoint: str, *, age: float = 0.0) -> bool:
         """Record a crash and return whether it was new.
 
         ``endpoint`` identifies one start of an endpoint, as ``name:incarnation``.
+        ``age`` is the time since the crash in seconds; an expired one is ignored.
         """
+        if age >= CRASH_EXPIRY_SECONDS:
+            return False
         crash_times = self.crashes_by_fingerprint.setdefault(fingerprint, {})
         already_recorded = endpoint in crash_times
         if not already_recorded:
-            crash_times[endpoint] = self.clock.monotonic()
+            crash_times[endpoint] = self.clock.monotonic() - age
             log_change(
                 "request crashed an endpoint",
                 fingerprint=fingerprint,
@@ -43,13 +47,17 @@
             self.crashes_by_fingerprint.popitem(last=False)
         return not already_recorded
 
-    def export(self) -> list[tuple[str, str]]:
-        """Return fingerprint and endpoint of each crash that has not expired."""
+    def export(self) -> list[tuple[str, str, float]]:
+        """Return fingerprint, endpoint and age of each crash that has not expired.
+
+        The age in seconds is rounded up, so that relayed crashes do not get younger.
+        """
         self._expire()
+        now = self.clock.monotonic()
         return [
-            (fingerprint, endpoint)
+            (fingerprint, endpoint, math.ceil((now - crashed) * 10) / 10)
             for fingerprint, crash_times in self.crashes_by_fingerprint.items()
-            for endpoint in crash_times
+            for endpoint, crashed in crash_times.items()
         ]
 
     def crashes(self, fingerprint: str) -> int:
@@ -72,5 +80,8 @@
     def _expire(self) -> None:
         expired_before = self.clock.monotonic() - CRASH_EXPIRY_SECONDS
         for fingerprint, crash_times in list(self.crashes_by_fingerprint.items()):
-            if max(crash_times.values()) < expired_before:
+            for endpoint, crashed in list(crash_times.items()):
+                if crashed <= expired_before:
+                    del crash_times[endpoint]
+            if not crash_times:
                 del self.crashes_by_fingerprint[fingerprint]
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -46,7 +46,8 @@
 
     * ``loads``: endpoint, requests in flight, backlog in seconds
     * ``outcomes``: endpoint or group, route, decayed counts of attempts by outcome
-    * ``crashes``: fingerprint of a request, endpoint that crashed on it
+    * ``crashes``: fingerprint of a request, endpoint that crashed on it, age in
+      seconds
     * ``bad_targets``: service, revision of the order whose target version is bad
     * ``leaving``: endpoint, incarnation
 
@@ -57,7 +58,7 @@
 
     loads: list[tuple[str, int, float]]
     outcomes: list[tuple[str, str, tuple[float, ...]]]
-    crashes: list[tuple[str, str]]
+    crashes: list[tuple[str, str, float]]
     bad_targets: list[tuple[str, int]]
     leaving: list[tuple[str, str]]
     draining: bool = False
--- a/tests/forwarding/test_peer_gossip.py
+++ b/tests/forwarding/test_peer_gossip.py
@@ -111,3 +111,18 @@
     receiver.peers.apply(sender.peers.build())
     receiver.loads.daemons = 11
     assert receiver.loads.in_flight_of(receiver.table.endpoints["engine-1"]) == 20
+
+
+# Guards against crashes that two daemons report to each other for ever.
+def test_a_crash_repeated_by_peers_expires_thirty_seconds_after_it_happened():
+    clock = ManualClock()
+    first = ready_daemon(name="daemon-1", clock=clock)
+    second = ready_daemon(name="daemon-2", clock=clock)
+    first.crashes.learn("f", "engine-1:1")
+    clock.now += 5
+    for _ in range(26):
+        second.peers.apply(first.peers.build())
+        first.peers.apply(second.peers.build())
+        clock.now += 1
+    assert first.crashes.export() == []
+    assert second.crashes.export() == []
