--- a/linnetladder/forwarding/coordination/budget.py
+++ b/linnetladder/forwarding/coordination/budget.py
@@ -29,11 +29,13 @@
         self.buckets[-1][1] += 1
         self.total += 1
 
-    def cancel(self) -> None:
-        """Take the latest event back."""
-        if self.buckets and self.buckets[-1][1]:
-            self.buckets[-1][1] -= 1
-            self.total -= 1
+    def cancel(self, at: float) -> None:
+        """Take an event back that was counted at a time, unless it has expired."""
+        for bucket in reversed(self.buckets):
+            if bucket[0] == int(at / BUCKET_SECONDS):
+                bucket[1] -= 1
+                self.total -= 1
+                return
 
     def count(self, now: float, window: float) -> int:
         """Return the number of events in the last ``window`` seconds."""
@@ -97,9 +99,9 @@
         self._counts_of(service).retries.add(self.clock.monotonic())
         return True
 
-    def refund(self, service: str) -> None:
-        """Take back a retry that reached no endpoint."""
-        self._counts_of(service).retries.cancel()
+    def refund(self, service: str, *, spent_at: float) -> None:
+        """Take back a retry that was spent at a time and reached no endpoint."""
+        self._counts_of(service).retries.cancel(spent_at)
 
     def _counts_of(self, service: str) -> ServiceCounts:
         counts = self.services.get(service)
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -94,9 +94,13 @@
     async def open(self, call: EndpointCall) -> Exchange:
         """Send a call and return once its response begins; raise `CallFault`."""
 
+    @abc.abstractmethod
+    async def probe(self, address: str) -> ProbeOutcome:
+        """Open a connection to an address that is expected to accept it."""
+
     @abc.abstractmethod
     async def is_reachable(self, address: str) -> bool:
-        """Return whether an address accepts a new connection."""
+        """Return whether an address that was unreachable accepts a connection again."""
 
     @abc.abstractmethod
     def close_idle_connections(self, address: str) -> None:
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -18,6 +18,7 @@
     CallFaultKind,
     EndpointCalls,
     Exchange,
+    ProbeOutcome,
 )
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
@@ -51,6 +52,8 @@
 MINIMUM_PROBE_SECONDS = 0.1
 # No attempt is sent with less time than this before the deadline.
 MINIMUM_ATTEMPT_SECONDS = 0.01
+# A silent endpoint is not given up for a successor that would have less time than this.
+MINIMUM_SUCCESSOR_SECONDS = 0.2
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -117,7 +120,7 @@
             except CallFault as fault:
                 last_fault = fault
                 if is_retry and not fault.may_have_run:
-                    self.budget.refund(request.service)
+                    self._refund_retry(request)
                 await self._record_fault(request, endpoint, fault)
                 continue
             if attempt is not None:
@@ -148,28 +151,37 @@
         Return false if no further attempt would be allowed or possible.
         """
         remaining = request.deadline - self.clock.monotonic()
-        if remaining < MINIMUM_ATTEMPT_SECONDS or not self.may_retry(request):
+        if remaining < MINIMUM_SUCCESSOR_SECONDS or not self.may_retry(request):
+            return False
+        if self.crashes.refuse(request.fingerprint) is not None:
             return False
         inputs = self.selection_inputs(request, model)
         if not self.selection.has_healthy_candidate(inputs):
             return False
         if not request.retry_reserved:
-            request.retry_reserved = self.budget.spend(request.service)
+            request.retry_reserved = self._take_retry(request)
         return request.retry_reserved
 
     def release_retry(self, request: ForwardRequest) -> None:
         """Give a reserved retry back that was not sent."""
         if request.retry_reserved:
             request.retry_reserved = False
-            self.budget.refund(request.service)
+            self._refund_retry(request)
 
     def _spend_retry(self, request: ForwardRequest) -> bool:
         """Use the reserved retry, or take one from the budget."""
         if request.retry_reserved:
             request.retry_reserved = False
             return True
+        return self._take_retry(request)
+
+    def _take_retry(self, request: ForwardRequest) -> bool:
+        request.retry_spent_at = self.clock.monotonic()
         return self.budget.spend(request.service)
 
+    def _refund_retry(self, request: ForwardRequest) -> None:
+        self.budget.refund(request.service, spent_at=request.retry_spent_at)
+
     def close(
         self, request: ForwardRequest, attempt: Attempt, outcome: AttemptOutcome | None
     ) -> None:
@@ -299,6 +311,7 @@
             fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
             probe_after_seconds=_probe_after_seconds(request),
             silence_seconds=_silence_timeout_seconds(request),
+            on_unreachable=functools.partial(self._eject_unreachable, endpoint),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
         )
 
@@ -345,8 +358,11 @@
         # A failed connection or probe has shown that the endpoint is unreachable.
         dead = fault.kind is CallFaultKind.CONNECT or fault.probe is not None
         if not dead and fault.may_have_run:
-            dead = not await self.calls.is_reachable(endpoint.address)
-            if dead and fault.kind is CallFaultKind.BROKEN:
+            probe = await self.calls.probe(endpoint.address)
+            dead = probe is not ProbeOutcome.ACCEPTED
+            # A time-out may be due to the network; an ended process refuses.
+            refused = probe is ProbeOutcome.REFUSED
+            if refused and fault.kind is CallFaultKind.BROKEN:
                 name = f"{endpoint.name}:{endpoint.incarnation}"
                 self.crashes.learn(request.fingerprint, name)
         if dead:
@@ -363,6 +379,10 @@
                 request=request.head.attempt_id,
             )
 
+    def _eject_unreachable(self, endpoint: Endpoint) -> None:
+        self.calls.close_idle_connections(endpoint.address)
+        self.quarantine.eject(endpoint)
+
     def _refuse_attempt(
         self, request: ForwardRequest, last_fault: CallFault | None
     ) -> Refusal | None:
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -23,6 +23,10 @@
     return True
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class InvalidHeadError(Exception):
     """A request's head lacks a required header or has a malformed one."""
 
@@ -38,8 +42,9 @@
     After ``probe_after_seconds`` without a byte the endpoint is probed with a new
     connection, and after ``silence_seconds`` without a byte it counts as silent in any
     case. Both are ``None`` for a request that can't be retried, whose answer must be
-    awaited. A silent endpoint is given up only if ``reserve_retry`` returns true: it
-    reserves the attempt that follows, unless none is allowed.
+    awaited. ``on_unreachable`` is called when a probe failed. A silent endpoint is
+    given up only if ``reserve_retry`` returns true: it reserves the attempt that
+    follows, unless none is allowed. By default one may always follow.
     """
 
     request: ForwardRequest
@@ -52,6 +57,7 @@
     fresh_connection: bool = False
     probe_after_seconds: float | None = None
     silence_seconds: float | None = None
+    on_unreachable: Callable[[], None] = _do_nothing
     reserve_retry: Callable[[], bool] = _always
 
 
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -89,6 +89,7 @@
     times_sent: int = 0
     ran: bool = False
     retry_reserved: bool = False
+    retry_spent_at: float = 0.0
     model: str = ""
     events: int = 0
     billed: bool = False
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -9,7 +9,7 @@
 import functools
 import math
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -94,11 +94,11 @@
 
     def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall):
         self.calls = calls
+        self.call = call
         self.address = call.address
         self.loop = asyncio.get_running_loop()
         self.probe_after = call.probe_after_seconds
         self.limit = call.silence_seconds
-        self.reserve_retry = call.reserve_retry
         self.started_at = self.loop.time()
         self.sent_at: float | None = None
 
@@ -112,47 +112,49 @@
 
     async def wait(self, work: asyncio.Task) -> aiohttp.ClientResponse:
         """Return the response that a task awaits; raise `CallFault` on silence."""
-        checks = 0
+        checked_at = 0.0
         try:
             while not work.done():
-                due = self._next_check(checks)
+                due = self._next_check(checked_at)
                 await asyncio.wait((work,), timeout=max(due - self.loop.time(), 0.0))
                 # The request may have been sent during the wait, which moves the check.
-                if work.done() or self.loop.time() < self._next_check(checks):
+                if work.done() or self.loop.time() < self._next_check(checked_at):
                     continue
-                checks += 1
-                await self.check_liveness(checks * self.probe_after)
+                await self.check_liveness(since=self.sent_at, arrived=work.done)
+                checked_at = self.loop.time()
             return work.result()
         finally:
             if not work.done():
                 work.cancel()
 
-    def _next_check(self, checks: int) -> float:
+    def _next_check(self, checked_at: float) -> float:
         """Return the time of the next check; the connection's own limit comes first."""
         silent_since = self.loop.time() if self.sent_at is None else self.sent_at
-        return silent_since + (checks + 1) * self.probe_after
+        return max(silent_since, checked_at) + self.probe_after
 
-    async def check_liveness(self, waited: float) -> None:
+    async def check_liveness(
+        self, *, since: float, arrived: Callable[[], bool]
+    ) -> None:
         """Raise `CallFault` for a silent endpoint if another attempt can follow.
 
-        It is silent if it is unreachable or the limit is reached.
+        It is silent if it is unreachable or has sent nothing since a time for the
+        limit. ``arrived`` returns whether it has sent something meanwhile.
         """
-        silent = self.limit is not None and waited >= self.limit
-        # In seconds before now.
-        last_activity = self.loop.time() - self.calls.last_activity.get(
-            self.address, -math.inf
-        )
-        if not silent and last_activity < self.probe_after:
+        now = self.loop.time()
+        silent = self.limit is not None and now - since >= self.limit
+        last_activity = self.calls.last_activity.get(self.address, -math.inf)
+        if not silent and now - last_activity < self.probe_after:
             return
         probe = None
         if not silent:
             probe = await self.calls.probe(self.address)
-            if probe is ProbeOutcome.ACCEPTED:
+            if probe is ProbeOutcome.ACCEPTED or arrived():
                 return
+            self.call.on_unreachable()
         # Without a successor, waiting is the only way to the rest of the answer.
-        if not self.reserve_retry():
+        if not self.call.reserve_retry():
             return
-        detail = f"{self.address} was silent for {waited:.1f} s"
+        detail = f"{self.address} was silent for {self.loop.time() - since:.1f} s"
         raise CallFault(CallFaultKind.SILENT, detail, may_have_run=True, probe=probe)
 
 
@@ -189,7 +191,8 @@
 
     async def _read_next(self, content: aiohttp.StreamReader) -> bytes:
         """Return the next bytes, or ``b""`` at the end."""
-        waited = 0.0
+        since = self.monitor.loop.time()
+        received = content.total_bytes
         while True:
             try:
                 async with asyncio.timeout(self.monitor.probe_after):
@@ -197,8 +200,14 @@
                 self.monitor.record_activity()
                 return data
             except TimeoutError:
-                waited += self.monitor.probe_after
-                await self.monitor.check_liveness(waited)
+                await self.monitor.check_liveness(
+                    since=since,
+                    arrived=lambda: (
+                        content.total_bytes > received
+                        or content.is_eof()
+                        or content.exception() is not None
+                    ),
+                )
 
     def close(self) -> None:
         """Return the connection to the pool after a complete answer, else close it."""
@@ -228,6 +237,7 @@
         self.metrics = metrics
         self.last_activity: dict[str, float] = {}
         self.connect_timeout = ConnectTimeout()
+        self.loop = asyncio.get_running_loop()
         self.pooled_session = self._build_session(keepalive_timeout=KEEPALIVE_SECONDS)
         self.fresh_session = self._build_session(
             keepalive_timeout=FRESH_KEEPALIVE_SECONDS
@@ -251,7 +261,8 @@
             skip_auto_headers=SUPPRESSED_HEADERS,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=self.connect_timeout.seconds()
+                total=None,
+                sock_connect=self.connect_timeout.seconds(now=self.loop.time()),
             ),
             trace_request_ctx=monitor,
         )
@@ -279,33 +290,44 @@
         return self._check_head(call, response, monitor)
 
     async def is_reachable(self, address: str) -> bool:
-        """Return whether an address accepts a new connection, which is closed again."""
-        return await self.probe(address) is ProbeOutcome.ACCEPTED
+        """Return whether an address accepts a new connection, which is closed again.
+
+        A time-out says nothing about the link, since the address was unreachable.
+        """
+        outcome = await self._open_and_close(address)
+        self.metrics.count("probes", label=outcome)
+        return outcome is ProbeOutcome.ACCEPTED
 
     async def probe(self, address: str) -> ProbeOutcome:
         """Open a connection to an address and close it again."""
+        started = self.loop.time()
         outcome = await self._open_and_close(address)
         self.metrics.count("probes", label=outcome)
+        if outcome is ProbeOutcome.TIMED_OUT:
+            self.connect_timeout.timed_out(started=started, now=self.loop.time())
         if outcome is ProbeOutcome.ACCEPTED:
-            self.last_activity[address] = asyncio.get_running_loop().time()
+            self.last_activity[address] = self.loop.time()
         return outcome
 
     async def _open_and_close(self, address: str) -> ProbeOutcome:
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        started = loop.time()
+        started = self.loop.time()
         try:
-            async with asyncio.timeout(self.connect_timeout.seconds()):
+            async with asyncio.timeout(self.connect_timeout.seconds(now=started)):
                 _, writer = await asyncio.open_connection(host, int(port))
         except TimeoutError:
-            self.connect_timeout.timed_out(started=started, now=loop.time())
             return ProbeOutcome.TIMED_OUT
         except OSError:
             return ProbeOutcome.REFUSED
-        self.connect_timeout.succeeded(loop.time() - started)
+        self._record_connected(started)
         writer.close()
         return ProbeOutcome.ACCEPTED
 
+    def _record_connected(self, started: float) -> None:
+        seconds = self.loop.time() - started
+        self.connect_timeout.succeeded(seconds)
+        self.metrics.record("connect_seconds", seconds)
+
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address after one of them failed."""
         host, _, port = address.rpartition(":")
@@ -349,13 +371,12 @@
 
     def _build_trace_config(self) -> aiohttp.TraceConfig:
         """Return callbacks that time connections and note when requests are sent."""
-        loop = asyncio.get_running_loop()
 
         async def record_start(session, context, parameters) -> None:
-            context.connection_started = loop.time()
+            context.connection_started = self.loop.time()
 
         async def record_connected(session, context, parameters) -> None:
-            self.connect_timeout.succeeded(loop.time() - context.connection_started)
+            self._record_connected(context.connection_started)
 
         async def record_sent(session, context, parameters) -> None:
             context.trace_request_ctx.record_sent()
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -77,6 +77,7 @@
 }
 
 LATENCIES: dict[str, str] = {
+    "connect_seconds": "Time to establish a connection to an endpoint",
     "first_byte_seconds": "From a request's arrival to the first byte of its answer",
     "total_seconds": "From a request's arrival to the end of its answer",
     "decision_seconds": "Time spent on choosing a version",
--- a/tests/forwarding/test_congestion.py
+++ b/tests/forwarding/test_congestion.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import contextlib
+import dataclasses
+import socket
 
 import pytest
 
@@ -225,14 +228,14 @@
     timeout = ConnectTimeout()
     timeout.succeeded(0.002)
     now = 10.0
-    while timeout.seconds() < 0.7:
-        started, now = now, now + timeout.seconds()
+    while timeout.seconds(now=now) < 0.7:
+        started, now = now, now + timeout.seconds(now=now)
         timeout.timed_out(started=started, now=now)
     timeout.succeeded(0.6)
-    assert timeout.seconds() > 0.6
+    assert timeout.seconds(now=now) > 0.6
     for _ in range(100):
         timeout.succeeded(0.002)
-    assert timeout.seconds() == pytest.approx(0.2)
+    assert timeout.seconds(now=now) == pytest.approx(0.2)
 
 
 def test_connections_that_time_out_together_raise_the_limit_once():
@@ -240,9 +243,67 @@
     timeout = ConnectTimeout()
     for _ in range(20):
         timeout.timed_out(started=10.0, now=10.2)
-    assert timeout.seconds() == pytest.approx(0.4)
+    assert timeout.seconds(now=10.2) == pytest.approx(0.4)
     timeout.succeeded(0.002)
-    assert timeout.seconds() == pytest.approx(0.2)
+    assert timeout.seconds(now=10.2) == pytest.approx(0.2)
+
+
+def test_raised_limit_ends_without_further_time_outs():
+    """Guards against slow failover long after an outage, with no new connection."""
+    timeout = ConnectTimeout()
+    timeout.timed_out(started=10.0, now=10.2)
+    assert timeout.seconds(now=11.0) == pytest.approx(0.4)
+    assert timeout.seconds(now=12.3) == pytest.approx(0.2)
+    timeout.timed_out(started=12.3, now=12.5)
+    assert timeout.seconds(now=12.5) == pytest.approx(0.4)
+
+
+def test_calls_and_probes_adapt_the_connect_timeout():
+    """Guards against a limit that is computed and fed by nothing."""
+
+    async def scenario():
+        answer = ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\nok"
+        async with asyncio.timeout(5), RawEndpoint([answer]) as endpoint:
+            calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=Metrics())
+            exchange = await calls.open(build_call(endpoint))
+            await exchange.read()
+            exchange.close()
+            after_call = calls.connect_timeout.smoothed
+            await calls.probe(endpoint.address)
+            after_probe = calls.connect_timeout.smoothed
+            with full_listener() as address:
+                call = dataclasses.replace(build_call(endpoint), address=address)
+                with pytest.raises(CallFault) as caught:
+                    await calls.open(call)
+                after_time_out = calls.connect_timeout.backoff
+                await calls.probe(address)
+            await calls.close()
+            assert caught.value.kind is CallFaultKind.CONNECT
+            return after_call, after_probe, after_time_out, calls
+
+    after_call, after_probe, after_time_out, calls = asyncio.run(scenario())
+    assert after_call is not None
+    assert after_probe != after_call
+    assert after_time_out == pytest.approx(2.0)
+    assert calls.connect_timeout.backoff == pytest.approx(4.0)
+    assert calls.metrics.value("probes", label="timed_out") == 1
+
+
+@contextlib.contextmanager
+def full_listener():
+    """Yield an address whose queue of new connections is full, so that more hang."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    host, port = listener.getsockname()
+    queued = []
+    for _ in range(2):
+        queued.append(socket.socket())
+        queued[-1].setblocking(False)
+        queued[-1].connect_ex((host, port))
+    yield f"{host}:{port}"
+    for sock in (*queued, listener):
+        sock.close()
 
 
 def test_silence_is_counted_from_the_time_the_request_was_sent():
@@ -276,16 +337,102 @@
     assert asyncio.run(scenario()) == b"ok"
 
 
+def stream_around_a_slow_probe(parts):
+    """Return the body of a call whose probe takes longer than the endpoint's pause."""
+
+    class SlowProbe(CongestedCalls):
+        async def probe(self, address):
+            await asyncio.sleep(0.5)
+            return await super().probe(address)
+
+    async def scenario():
+        async with asyncio.timeout(5), RawEndpoint(parts) as endpoint:
+            calls = SlowProbe(codec=PlatformEndpointCodec(), metrics=Metrics())
+            exchange = await calls.open(build_call(endpoint, probe_after=0.1))
+            body = await exchange.read()
+            exchange.close()
+            await calls.close()
+            return body
+
+    return asyncio.run(scenario())
+
+
+def test_bytes_that_arrive_during_the_probe_keep_the_answer():
+    """Guards against live streams cut because their probe timed out meanwhile."""
+    answer = ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\n"
+    assert stream_around_a_slow_probe([answer + b"o", 0.3, b"k"]) == b"ok"
+
+
+def test_answer_that_begins_during_the_probe_is_kept():
+    """Guards against a live endpoint given up because its probe timed out meanwhile."""
+    answer = ANSWER_HEAD % b"a1" + b"Content-Length: 2\r\n\r\nok"
+    assert stream_around_a_slow_probe([0.3, answer]) == b"ok"
+
+
+def test_time_out_after_a_broken_connection_is_no_crash():
+    """Guards against innocent requests refused as poison on a congested link."""
+    daemon = ready_daemon()
+
+    async def probe(address):
+        return ProbeOutcome.TIMED_OUT
+
+    daemon.calls.probe = probe
+    daemon.calls.reachable = False
+    request = head("/fetch/1")
+    daemon.answer(request, Script(fault=broken()), Script(fault=broken()))
+    assert daemon.crashes.export() == []
+    assert daemon.answer(request).status == 200
+
+
+def test_poisonous_request_is_not_given_up_for_a_successor():
+    """Guards against a stream cut for an attempt that would be refused as poison."""
+    daemon = ready_daemon()
+    request = daemon.forwarder.admission.admit(
+        head(), b"", received=daemon.clock.monotonic()
+    ).unwrap()
+    for name in ("engine-1:1", "engine-2:1"):
+        daemon.crashes.learn(request.fingerprint, name)
+    assert not daemon.sender.reserve_retry(request, "small")
+
+
+def test_refund_expires_the_retry_that_was_given_back():
+    """Guards against a budget that is exceeded once an older retry has expired."""
+    daemon = ready_daemon()
+    for _ in range(100):
+        daemon.budget.count_request("engines")
+    assert daemon.budget.spend("engines")
+    first = daemon.clock.now
+    daemon.clock.now += 4.0
+    assert daemon.budget.spend("engines")
+    daemon.budget.refund("engines", spent_at=first)
+    retries = daemon.budget.services["engines"].retries
+    daemon.clock.now += 8.0
+    assert retries.count(daemon.clock.now, 10.0) == 1
+
+
+def test_unreachable_endpoint_is_ejected_although_its_answer_is_awaited():
+    """Guards against new requests sent to an endpoint that a probe found dead."""
+    daemon = ready_daemon()
+    engine = daemon.table.endpoints["engine-1"]
+
+    async def scenario():
+        daemon.sender._eject_unreachable(engine)
+        return engine.ejected_until
+
+    assert asyncio.run(scenario()) > daemon.clock.now
+    assert daemon.calls.addresses_with_closed_connections == [engine.address]
+
+
 def test_failed_probe_of_a_silent_endpoint_is_not_repeated_before_the_retry():
     """Guards against retries that wait for a second probe of the same endpoint."""
     daemon = ready_daemon()
     probed = []
 
-    async def is_reachable(address):
+    async def probe(address):
         probed.append(address)
-        return False
+        return ProbeOutcome.TIMED_OUT
 
-    daemon.calls.is_reachable = is_reachable
+    daemon.calls.probe = probe
     silent = CallFault(
         CallFaultKind.SILENT,
         "silent",
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -11,6 +11,7 @@
     CallFaultKind,
     EndpointCalls,
     Exchange,
+    ProbeOutcome,
     Reply,
 )
 from linnetladder.forwarding.coordination.sources import (
@@ -229,6 +230,9 @@
         self.exchanges.append(exchange)
         return exchange
 
+    async def probe(self, address):
+        return ProbeOutcome.ACCEPTED if self.reachable else ProbeOutcome.REFUSED
+
     async def is_reachable(self, address):
         return self.reachable
 
