Keep a peer's load until its next report in large fleets

Found by review: reports of a peer come up to 4.4 s apart at 66 daemons, and its loads expired after 2.5 s, so an old version could be stopped while peers still used it.

--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -21,7 +21,9 @@
 FIRST_TOKEN_OVERHEAD_SECONDS = 0.015
 MINIMUM_MEASURED_TOKENS = 1_000
 PEER_LOAD_EXPIRY_SECONDS = 2.5
-# Each peer reports every 0.4 s, so more frequent sums would change little.
+# In large fleets reports of a peer come less often: the time for each daemon.
+PEER_LOAD_EXPIRY_SECONDS_PER_DAEMON = 0.08
+# Peers report a few times a second, so more frequent sums would change little.
 TOTALS_REFRESH_SECONDS = 0.05
 NO_LOAD = (0, 0.0)
 
@@ -130,9 +132,13 @@
         if now - self.totals_updated < TOTALS_REFRESH_SECONDS:
             return self.totals
         self.totals_updated = now
+        expiry = max(
+            PEER_LOAD_EXPIRY_SECONDS,
+            self.daemons * PEER_LOAD_EXPIRY_SECONDS_PER_DAEMON,
+        )
         sums: dict[str, tuple[int, float]] = {}
         for peer, loads in list(self.peers.items()):
-            if now - loads.received > PEER_LOAD_EXPIRY_SECONDS:
+            if now - loads.received > expiry:
                 del self.peers[peer]
                 continue
             for endpoint, (in_flight, backlog) in loads.loads_by_endpoint.items():
--- a/tests/forwarding/test_peer_gossip.py
+++ b/tests/forwarding/test_peer_gossip.py
@@ -80,6 +80,24 @@
     assert receiver.loads.in_flight_of(engine) == 0
 
 
+def test_the_load_of_a_peer_lasts_until_its_next_report_in_a_large_fleet():
+    """Guards against an old version stopped while unheard peers still use it.
+
+    With 66 daemons the rows of one peer come up to 4.4 s apart.
+    """
+    clock = ManualClock()
+    sender = ready_daemon(name="daemon-1", clock=clock)
+    receiver = ready_daemon(name="daemon-2", clock=clock)
+    sender.table.endpoints["engine-1"].in_flight = 5
+    receiver.peers.apply(sender.peers.build())
+    receiver.loads.daemons = 66
+    engine = receiver.table.endpoints["engine-1"]
+    clock.now += 4.4
+    assert receiver.loads.in_flight_of(engine) >= 5
+    clock.now += 4.4
+    assert receiver.loads.in_flight_of(engine) == 0
+
+
 def test_a_daemon_without_known_peers_has_no_receivers():
     assert LocalDaemon().peers.receivers() == []
 
