Read the era of the store from its answers

The store may return from an older copy; the header of its answers then rises. The stand-in returns to the copy of some seconds ago and answers 410 to a watch from a revision that it has lost.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -3,6 +3,7 @@
 import dataclasses
 import secrets
 
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import (
     ForwardingCore,
     ForwardingPorts,
@@ -48,15 +49,21 @@
 ) -> FleetDaemonParts:
     """Connect the forwarding core to the platform's store and to network sockets."""
     clock, metrics = BootClock(), Metrics()
+    era = StoreEra(metrics=metrics)
     store = PlatformStore(
-        address=settings_holder.current.store_address, clock=clock, metrics=metrics
+        address=settings_holder.current.store_address,
+        era=era,
+        clock=clock,
+        metrics=metrics,
     )
     source = PlatformSource(store=store, metrics=metrics)
     calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=metrics)
     core = build_forwarding_core(
         settings_holder,
         policy_settings,
-        ForwardingPorts(source=source, calls=calls, clock=clock, metrics=metrics),
+        ForwardingPorts(
+            source=source, era=era, calls=calls, clock=clock, metrics=metrics
+        ),
         incarnation=secrets.token_hex(INCARNATION_BYTES),
         seed=secrets.randbits(64),
     )
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -25,13 +25,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreSnapshot:
-    """The content of one read; ``table`` is ``None`` until one is configured."""
+    """The content of one read; ``table`` is ``None`` until one is configured.
+
+    ``era`` is the era of the store in which it was read.
+    """
 
     table: RoutingTable | None
     orders: tuple[RolloutOrder, ...]
     records: tuple[RolloutRecord, ...]
     endpoints: tuple[EndpointReport, ...]
     daemons: tuple[DaemonAddress, ...]
+    era: int = 0
 
 
 class OperatorSource(abc.ABC):
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -39,6 +39,7 @@
     DaemonAddress,
     OperatorSource,
 )
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
     PolicySettings,
 )
@@ -54,6 +55,7 @@
     """Implementations of the interfaces that the coordination layer depends on."""
 
     source: OperatorSource
+    era: StoreEra
     calls: EndpointCalls
     clock: Clock
     metrics: Metrics
--- a/linnetladder/forwarding/state/__init__.py
+++ b/linnetladder/forwarding/state/__init__.py
@@ -1,5 +1,6 @@
 """State of the forwarding daemon: routing tables, requests and rollouts."""
 
+from linnetladder.forwarding.state.positions import Position
 from linnetladder.forwarding.state.requests import (
     ForwardRequest,
     Prompt,
@@ -29,6 +30,7 @@
     "ClientAccount",
     "EngineSpec",
     "ForwardRequest",
+    "Position",
     "Prompt",
     "PromptPart",
     "RequestHead",
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -78,6 +78,7 @@
                 records=tuple(values_by_prefix[RECORD_PREFIX]),
                 endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
                 daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
+                era=self.store.era.current or 0,
             )
         )
 
--- a/linnetladder/platform/store.py
+++ b/linnetladder/platform/store.py
@@ -20,6 +20,7 @@
     TransactionOutcome,
     WatchEvent,
 )
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics
 
@@ -30,6 +31,7 @@
 WATCH_WAIT_SECONDS = 10.0
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_PAGES = 50
+ERA_HEADER = "Store-Era"
 
 ResponseModel = TypeVar("ResponseModel", bound=pydantic.BaseModel)
 
@@ -84,8 +86,9 @@
 class PlatformStore(KeyValueService):
     """A client of the store at a single address."""
 
-    def __init__(self, *, address: str, clock: Clock, metrics: Metrics):
+    def __init__(self, *, address: str, era: StoreEra, clock: Clock, metrics: Metrics):
         self.address = address
+        self.era = era
         self.clock = clock
         self.metrics = metrics
         self.session = aiohttp.ClientSession(
@@ -114,6 +117,7 @@
     ) -> Result[tuple[Record, ...], PlatformFault]:
         """Read all pages below a prefix; skip values that are not valid base64."""
         records: list[Record] = []
+        era = None
         for _ in range(MAXIMUM_PAGES):
             query = {"PathPrefix": prefix}
             if after:
@@ -122,6 +126,10 @@
             read = await self._call("GET", path, RangeModel)
             if isinstance(read, Failure):
                 return read
+            if records and self.era.current != era:
+                detail = "kv-range: the era of the store rose between two pages"
+                return Failure(PlatformFault(FaultKind.UNREACHABLE, detail))
+            era = self.era.current
             page = read.unwrap()
             records.extend(self._decode_all(page.Entries))
             if not page.HasMore or not page.Entries or 0 < limit <= len(records):
@@ -238,6 +246,7 @@
             async with asyncio.timeout(seconds):
                 async with self.session.request(method, url, json=body) as response:
                     content = await response.read()
+                    era = response.headers.get(ERA_HEADER, "")
                     self.metrics.count("platform_bytes", len(content), label="received")
         except aiohttp.ClientConnectorError as error:
             return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
@@ -249,6 +258,9 @@
             return Failure(PlatformFault(fault_kind, f"{operation}: {error!r}"))
         finally:
             self.metrics.record("platform_seconds", self.clock.monotonic() - began)
+        if era.isdecimal() and not self.era.observe(int(era)):
+            detail = f"{operation}: an answer of era {era}, which has ended"
+            return Failure(PlatformFault(fault_kind, detail))
         return _decode_response(operation, response.status, content, model, not_found)
 
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -70,6 +70,7 @@
     "ejections": Family("Endpoints left out after failures"),
     "platform_calls": Family("Calls to the platform", "call"),
     "platform_faults": Family("Failed calls to the platform", "kind"),
+    "store_era_changes": Family("Returns of the store from an older copy"),
     "configuration_installs": Family("Revisions put in force"),
     "configuration_regressions": Family("Older or diverging heads that were not taken"),
     "configuration_heals": Family("Heads restored to the platform"),
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -4,13 +4,15 @@
 conditional transactions and leases. ``faults`` is a queue of faults for the next calls:
 ``unavailable`` answers 503 without any effect, ``lost_reply`` executes the call and
 closes the connection without a reply. While ``down`` is set, every call is answered
-503.
+503. `FleetStore.rewind` returns it to an older copy and raises its era, which all
+answers carry.
 """
 
 import asyncio
 import base64
 import collections
 import dataclasses
+import time
 
 import orjson
 from aiohttp import web
@@ -18,6 +20,9 @@
 __all__ = ["FleetStore"]
 
 PAGE_ITEMS = 500
+# Copies older than this can't be returned to.
+COPY_RETENTION_SECONDS = 30.0
+ERA_HEADER = "Store-Era"
 
 
 @dataclasses.dataclass
@@ -30,10 +35,26 @@
     lease: int = 0
 
 
+@dataclasses.dataclass
+class Undo:
+    """What a change replaced; ``lease`` is the id of a lease that it granted.
+
+    ``at`` is the time of the change on the monotonic clock, in seconds.
+    """
+
+    at: float
+    revision: int
+    key: str = ""
+    item: Item | None = None
+    lease: int = 0
+
+
 class FleetStore:
     """The store's data and the HTTP handlers of its operations."""
 
     def __init__(self):
+        self.era = 1
+        self.undo: collections.deque[Undo] = collections.deque()
         self.items: dict[str, Item] = {}
         self.revision = 1
         self.leases: set[int] = set()
@@ -64,6 +85,7 @@
 
     def put_bytes(self, key: str, value: bytes, *, lease: int = 0) -> int:
         """Write bytes and return their revision."""
+        self._keep_undo(key=key)
         self.revision += 1
         existing = self.items.get(key)
         created = existing.created if existing is not None else self.revision
@@ -74,10 +96,36 @@
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        if self.items.pop(key, None) is not None:
+        if key in self.items:
+            self._keep_undo(key=key)
+            del self.items[key]
             self.revision += 1
             self._record({"Key": key, "Rev": self.revision, "Removed": True})
 
+    def rewind(self, seconds: float) -> None:
+        """Return to the copy of some seconds ago and raise the era.
+
+        Changes and leases since then are gone, and their revisions are given out again.
+        """
+        since = time.monotonic() - seconds
+        while self.undo and self.undo[-1].at >= since:
+            undo = self.undo.pop()
+            self.revision = undo.revision
+            self.leases.discard(undo.lease)
+            if undo.item is not None:
+                self.items[undo.key] = undo.item
+            elif undo.key:
+                self.items.pop(undo.key, None)
+        self.era += 1
+        self.history = [e for e in self.history if e["Rev"] <= self.revision]
+        self.changed.set()
+
+    def _keep_undo(self, *, key: str = "", lease: int = 0) -> None:
+        now = time.monotonic()
+        self.undo.append(Undo(now, self.revision, key, self.items.get(key), lease))
+        while self.undo[0].at < now - COPY_RETENTION_SECONDS:
+            self.undo.popleft()
+
     def value(self, key: str) -> bytes:
         """Return a key's value."""
         return base64.b64decode(self.items[key].value)
@@ -97,17 +145,20 @@
         name, _, argument = request.path.removeprefix("/-/").partition("/")
         self.calls[name] += 1
         fault = self.faults.popleft() if self.faults else ""
+        headers = {ERA_HEADER: str(self.era)}
         if fault == "unavailable" or self.down:
-            return web.Response(status=503)
+            return web.Response(status=503, headers=headers)
         content = await request.read()
         body = orjson.loads(content) if content else {}
         status, answer = await self._answer(name, argument, request.query, body)
+        headers = {ERA_HEADER: str(self.era)}
         if fault == "lost_reply":
             request.transport.close()
         return web.Response(
             status=status,
             body=orjson.dumps(answer),
             content_type="application/json",
+            headers=headers,
         )
 
     async def _answer(self, name, argument, query, body) -> tuple[int, dict]:
@@ -117,12 +168,16 @@
             case "kv-range":
                 return 200, self._range(query["PathPrefix"], query.get("After", ""))
             case "kv-watch":
+                if int(query["After"]) > self.revision:
+                    return 410, {"At": self.revision}
                 return 200, await self._watch(query)
             case "kv-txn":
                 return self._transact(body)
             case "kv-lease":
-                self.leases.add(len(self.leases) + self.revision + 1000)
-                return 200, {"Lease": max(self.leases), "TtlMs": body["TtlMs"]}
+                lease = len(self.leases) + self.revision + 1000
+                self._keep_undo(lease=lease)
+                self.leases.add(lease)
+                return 200, {"Lease": lease, "TtlMs": body["TtlMs"]}
             case "kv-keep":
                 if int(argument) in self.leases:
                     return 200, {"TtlMs": 3000}
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -11,8 +11,10 @@
 
 import orjson
 import pytest
+from returns.result import Failure
 
 from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
     VariableError,
     read_operations_settings,
@@ -182,7 +184,13 @@
     async def scenario():
         server = FleetStore()
         address = await server.start()
-        store = PlatformStore(address=address, clock=ManualClock(), metrics=Metrics())
+        metrics = Metrics()
+        store = PlatformStore(
+            address=address,
+            era=StoreEra(metrics=metrics),
+            clock=ManualClock(),
+            metrics=metrics,
+        )
         source = PlatformSource(store=store, metrics=Metrics())
         try:
             return await work(server, store, source)
@@ -457,3 +465,38 @@
         assert base64.b64decode(server.encoded(key), validate=True) == b"ab"
 
     run_with_store(work)
+
+
+def test_store_that_returns_from_an_older_copy_raises_the_era():
+    """Guards against revisions of different eras being taken for one history."""
+
+    async def scenario(server, store, _source):
+        server.put_bytes("op/a", b"1")
+        assert (await store.get("op/a")).unwrap().value == b"1"
+        before = server.revision
+        server.put_bytes("op/a", b"2")
+        server.rewind(60.0)
+        assert server.revision < before
+        assert (await store.get("op/a")).unwrap() is None
+        assert store.era.current == 2
+        assert store.metrics.value("store_era_changes") == 1
+        server.era = 1
+        late = await store.get("op/a")
+        assert isinstance(late, Failure)
+        assert store.era.current == 2
+
+    run_with_store(scenario)
+
+
+def test_watch_from_a_revision_that_the_store_has_lost_fails():
+    async def scenario(server, store, _source):
+        server.put_bytes("op/a", b"1")
+        watch = store.watch("op/")
+        waiting = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.05)
+        server.put_bytes("op/a", b"2")
+        assert (await waiting).unwrap().value == b"2"
+        server.rewind(60.0)
+        assert isinstance(await anext(watch), Failure)
+
+    run_with_store(scenario)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -17,6 +17,7 @@
     OperatorSource,
     StoreSnapshot,
 )
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import ForwardingPorts, build_forwarding_core
 from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.protocol import ResponseHead
@@ -284,6 +285,7 @@
         self.daemons = {}
         self.blocks = {}
         self.revision = 100
+        self.era = 1
         self.down = False
         self.lose_replies = 0
         self.writes = []
@@ -301,6 +303,7 @@
                 records=tuple(self.records.values()),
                 endpoints=tuple(self.endpoints.values()),
                 daemons=tuple(self.daemons.values()),
+                era=self.era,
             )
         )
 
@@ -349,6 +352,7 @@
         self.clock = clock or ManualClock()
         self.source = source or MemorySource(table=table())
         self.metrics = Metrics()
+        self.era = StoreEra(metrics=self.metrics)
         self.holder = SettingsHolder(
             settings=FleetSettings(
                 instance=name,
@@ -367,6 +371,7 @@
             policy or PolicySettings(),
             ForwardingPorts(
                 source=self.source,
+                era=self.era,
                 calls=self.calls,
                 clock=self.clock,
                 metrics=self.metrics,
