Order what is known of the store by position

Revisions go back when the store returns from an older copy. A daemon that heard of a lower revision of the new era did not read, and an entry written again at a revision that had been given out before kept its old value in the cache, so callers were routed by content that no longer stood in the store.

Reports carry positions, a receiver observes their era, the digest of a read includes it, and decoded values are cached by position. The first read after a change of era waits for a random time of up to 0.4 s. The new tests failed before.

--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -24,6 +24,7 @@
     DaemonMessage,
     DaemonReport,
 )
+from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock, EndpointTable
 from linnetladder.telemetry import Metrics
 
@@ -107,8 +108,8 @@
         self.listed_daemons: tuple[DaemonAddress, ...] = ()
         self.ranked_holders: list[DaemonAddress] = []
         self._rotation_rank: dict[str, int] = {}
-        self.revision = 0
-        self.on_revision: Callable[[int], None] = _ignore
+        self.position = Position(era=0, revision=0)
+        self.on_position: Callable[[Position], None] = _ignore
         self.on_confirmation: Callable[[float], None] = _ignore
         self.on_news: Callable[[], None] = _do_nothing
 
@@ -317,7 +318,7 @@
     def apply(self, message: DaemonMessage) -> None:
         """Apply a peer's message.
 
-        Bills and the revision are always applied; a report is ignored if a newer one
+        Bills and the position are always applied; a report is ignored if a newer one
         of the same incarnation was applied before.
         """
         if message.instance == self.instance:
@@ -325,7 +326,7 @@
         if message.copied_bills is not None:
             self.bill_replicas.apply(message.incarnation, message.copied_bills)
             self.bill_owners[message.instance] = self.clock.monotonic()
-        self.on_revision(message.revision)
+        self.on_position(message.position)
         if message.report is None or not self._accept_if_newer(message):
             return
         self.metrics.count("peer_messages", label="received")
@@ -387,13 +388,13 @@
             instance=self.instance,
             incarnation=self.incarnation,
             sequence=next(self.sequence),
-            revision=self.revision,
+            position=self.position,
             report=report,
             copied_bills=copied_bills,
         )
 
 
-def _ignore(value: float) -> None:
+def _ignore(value: object) -> None:
     """Do nothing; the default callback."""
 
 
--- a/linnetladder/forwarding/coordination/shared_snapshots.py
+++ b/linnetladder/forwarding/coordination/shared_snapshots.py
@@ -32,6 +32,7 @@
     """
     table = snapshot.table
     content = (
+        snapshot.era,
         (table.version, table.revision) if table is not None else None,
         sorted((order.service, order.revision) for order in snapshot.orders),
         sorted((record.service, record.revision) for record in snapshot.records),
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -6,7 +6,12 @@
 from returns.result import Result
 
 from linnetladder.coordination.platform import PlatformFault
-from linnetladder.forwarding.state import RolloutOrder, RolloutRecord, RoutingTable
+from linnetladder.forwarding.state import (
+    Position,
+    RolloutOrder,
+    RolloutRecord,
+    RoutingTable,
+)
 from linnetladder.state import EndpointReport
 
 __all__ = ["DaemonAddress", "OperatorSource", "StoreSnapshot"]
@@ -27,7 +32,7 @@
 class StoreSnapshot:
     """The content of one read; ``table`` is ``None`` until one is configured.
 
-    ``era`` is the era of the store in which it was read.
+    ``era`` is the era of the store in which it was read, 0 if it is unknown.
     """
 
     table: RoutingTable | None
@@ -37,6 +42,14 @@
     daemons: tuple[DaemonAddress, ...]
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """The newest position of the configuration, an order or a record."""
+        revisions = [item.revision for item in (*self.orders, *self.records)]
+        if self.table is not None:
+            revisions.append(self.table.revision)
+        return Position(era=self.era, revision=max(revisions, default=0))
+
 
 class OperatorSource(abc.ABC):
     """The platform's store, with its content decoded to the router's types.
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -3,7 +3,8 @@
 Content is fresh as of the last linearizable read, either a daemon's own or a peer's
 that returned the same content. Each daemon chooses the time of its next read at random,
 so usually one of them reads and its report confirms the content of the others. A newer
-revision reported by a peer triggers a read at once.
+position reported by a peer triggers a read at once. After a change of the store's era
+that read waits for a short random time.
 """
 
 import asyncio
@@ -20,6 +21,8 @@
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
+from linnetladder.forwarding.coordination.store_era import StoreEra
+from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change, log_failure
 
@@ -43,6 +46,8 @@
 # grows, so that the number of checks per second stays the same.
 STEP_INTERVAL_SECONDS = 0.5
 DAEMONS_PER_STEP_INTERVAL = 12
+# All daemons hear of a new era of the store within some tenths of a second.
+ERA_READ_JITTER_SECONDS = 0.4
 REGISTRATION_RENEWAL_SECONDS = 4.0
 REGISTRATION_LEASE_SECONDS = 12.0
 
@@ -54,6 +59,7 @@
         self,
         *,
         source: OperatorSource,
+        era: StoreEra,
         in_force: TableInForce,
         directory: EndpointDirectory,
         rollouts: RolloutController,
@@ -66,6 +72,8 @@
         seed: int,
     ):
         self.source = source
+        self.era = era
+        self.position = Position(era=0, revision=0)
         self.in_force = in_force
         self.directory = directory
         self.rollouts = rollouts
@@ -81,12 +89,13 @@
         self.leaving = False
         self.read_requested = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
-        peers.on_revision = self.on_peer_revision
+        peers.on_position = self.on_peer_position
         peers.on_confirmation = self.on_peer_confirmation
 
     async def run(self) -> None:
         """Read until cancelled; earlier than due if a read is requested."""
         while True:
+            await self._delay_after_era_change()
             self.read_requested.clear()
             if await self.read_once():
                 self.on_read()
@@ -96,6 +105,11 @@
                 await asyncio.sleep(self._retry_delay())
                 self.failures += 1
 
+    async def _delay_after_era_change(self) -> None:
+        """Wait for a random time if a new era is known that was not read yet."""
+        if self.position.era < (self.era.current or 0):
+            await asyncio.sleep(self.random.uniform(0, ERA_READ_JITTER_SECONDS))
+
     async def _wait_until_age(self, age: float) -> None:
         """Wait until the content reaches an age in seconds, or a read is requested.
 
@@ -139,28 +153,26 @@
             self._note_fault(read.failure())
             return False
         snapshot = read.unwrap()
+        if snapshot.era:
+            self.era.observe(snapshot.era)
         self.rollouts.update_orders(snapshot.orders)
         self.rollouts.update_records(snapshot.records)
         self.snapshots.record_snapshot(snapshot, began=began)
         self.in_force.confirm(snapshot.table, read_began=began)
         self.directory.apply(snapshot.endpoints, interval=self.read_interval())
         self.peers.update_daemons(snapshot.daemons)
-        self.peers.revision = self.newest_revision()
+        self.position = self.peers.position = max(self.position, snapshot.position)
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
         self.peers.loads.daemons = self.budget.daemons
         self.peers.outcomes.daemons = self.budget.daemons
         self._note_success()
         return True
 
-    def newest_revision(self) -> int:
-        """Return the newest known revision of configuration, orders and records."""
-        table = self.in_force.table
-        revision = table.revision if table is not None else 0
-        return max(revision, self.rollouts.newest_revision())
-
-    def on_peer_revision(self, revision: int) -> None:
-        """Request a read if a peer reports a newer revision."""
-        if revision > self.newest_revision():
+    def on_peer_position(self, position: Position) -> None:
+        """Request a read if a peer reports a newer position of the store."""
+        if position.era:
+            self.era.observe(position.era)
+        if position > self.position:
             self.read_requested.set()
 
     def on_peer_confirmation(self, since: float) -> None:
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -144,6 +144,7 @@
     in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
         source=source,
+        era=ports.era,
         in_force=in_force,
         directory=directory,
         rollouts=rollouts,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -15,6 +15,8 @@
 import orjson
 import pydantic
 
+from linnetladder.forwarding.state import Position
+
 __all__ = [
     "CopiedBills",
     "DaemonMessage",
@@ -79,7 +81,7 @@
 class DaemonMessage:
     """A message from one daemon to its peers.
 
-    ``revision`` is the newest revision of the store that the sender has seen; peers
+    ``position`` is the newest position of the store that the sender has seen; peers
     have to read up to it. ``copied_bills`` is only sent to the peers that keep copies
     of the sender's bills.
     """
@@ -87,7 +89,7 @@
     instance: str
     incarnation: str
     sequence: int
-    revision: int
+    position: Position
     report: DaemonReport | None = None
     copied_bills: CopiedBills | None = None
 
@@ -110,7 +112,7 @@
 ]
 # The fields of a message in their order.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
-    tuple[str, str, int, int, _ReportArray | None, CopiedBills | None]
+    tuple[str, str, int, tuple[int, int], _ReportArray | None, CopiedBills | None]
 )
 
 
@@ -120,7 +122,7 @@
         message.instance,
         message.incarnation,
         message.sequence,
-        message.revision,
+        (message.position.era, message.position.revision),
         _report_array(message.report) if message.report is not None else None,
         message.copied_bills,
     )
@@ -137,12 +139,12 @@
         # The limit bounds the memory that a small datagram can expand to.
         plain = zlib.decompressobj().decompress(content, MAXIMUM_DATAGRAM_BYTES * 10)
         array = _MESSAGE_ADAPTER.validate_json(plain)
-        instance, incarnation, sequence, revision, report, copied_bills = array
+        instance, incarnation, sequence, position, report, copied_bills = array
         return DaemonMessage(
             instance=instance,
             incarnation=incarnation,
             sequence=sequence,
-            revision=revision,
+            position=Position(*position),
             report=_report(report) if report is not None else None,
             copied_bills=copied_bills,
         )
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -11,6 +11,7 @@
     StoreSnapshot,
 )
 from linnetladder.forwarding.state import (
+    Position,
     RolloutOrder,
     RolloutPhase,
     RolloutRecord,
@@ -47,7 +48,8 @@
 class PlatformSource(OperatorSource):
     """The operator's documents, registrations and records, over one store client.
 
-    ``decoded`` caches the revision and the decoded value of each key of the last read.
+    ``decoded`` caches the position and the decoded value of each key of the last read;
+    ``table_position`` is the position of ``table``.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
     """
 
@@ -57,7 +59,8 @@
         self.table: RoutingTable | None = None
         self.lease_id = 0
         self.unreadable_revisions: dict[str, int] = {}
-        self.decoded: dict[str, tuple[int, object]] = {}
+        self.table_position = Position(era=0, revision=0)
+        self.decoded: dict[str, tuple[Position, object]] = {}
 
     async def read(self) -> Result[StoreSnapshot, PlatformFault]:
         """Read all keys after ``LIST_AFTER_KEY``, in one call if they fit on a page."""
@@ -68,6 +71,9 @@
             prefix: []
             for prefix in (ORDER_PREFIX, RECORD_PREFIX, DAEMON_PREFIX, SERVER_PREFIX)
         }
+        era = self.store.era.current or 0
+        if self.table_position.era != era:
+            self.table = None
         previously_decoded, self.decoded = self.decoded, {}
         for record in listed.unwrap():
             self._decode(record, values_by_prefix, previously_decoded)
@@ -78,7 +84,7 @@
                 records=tuple(values_by_prefix[RECORD_PREFIX]),
                 endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
                 daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
-                era=self.store.era.current or 0,
+                era=era,
             )
         )
 
@@ -140,35 +146,36 @@
         self,
         record: Record,
         values_by_prefix: dict[str, list],
-        previously_decoded: dict[str, tuple[int, object]],
+        previously_decoded: dict[str, tuple[Position, object]],
     ) -> None:
         """Decode one record into the list of its prefix; skip an invalid one.
 
-        ``previously_decoded`` holds the revision and the value of each key of the
-        previous read, which are reused if the revision is the same.
+        ``previously_decoded`` holds the position and the value of each key of the
+        previous read, which are reused if the position is the same.
         """
+        position = Position(self.store.era.current or 0, record.modify_revision)
         try:
             if record.key == CONFIGURATION_KEY:
-                self._decode_table(record)
+                self._decode_table(record, position)
                 return
             for prefix, values in values_by_prefix.items():
                 if not record.key.startswith(prefix):
                     continue
                 cached = previously_decoded.get(record.key)
-                if cached is None or cached[0] != record.modify_revision:
-                    cached = (record.modify_revision, _DECODERS[prefix](record))
+                if cached is None or cached[0] != position:
+                    cached = (position, _DECODERS[prefix](record))
                 self.decoded[record.key] = cached
                 values.append(cached[1])
                 return
         except (ValueError, TypeError) as error:
             self._report_unreadable(record, error)
 
-    def _decode_table(self, record: Record) -> None:
-        """Decode the configuration if its revision is new."""
-        revision = record.modify_revision
-        if self.table is None or self.table.revision < revision:
+    def _decode_table(self, record: Record, position: Position) -> None:
+        """Decode the configuration if its position is new."""
+        if self.table is None or self.table_position < position:
             model = ConfigurationModel.model_validate_json(record.value)
-            self.table = model.decode(revision=revision)
+            self.table = model.decode(revision=position.revision)
+            self.table_position = position
 
     def _report_unreadable(self, record: Record, error: Exception) -> None:
         """Count a value that can't be decoded and log it once per revision."""
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -37,6 +37,7 @@
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.protocol import daemon_messages
 
 
@@ -141,6 +142,7 @@
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
     ("signature", daemon_messages, "_sign", always(b"x" * 16), "peer_gossip"),
+    ("era_from_peers", StoreEra, "observe", always(True), "store_era"),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
--- a/tests/forwarding/test_peer_gossip.py
+++ b/tests/forwarding/test_peer_gossip.py
@@ -1,5 +1,7 @@
 """Messages between daemons: authentication, ordering, receivers and their effects."""
 
+import dataclasses
+
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.daemon_messages import (
     decode_message,
@@ -60,11 +62,13 @@
     assert receiver.table.endpoints["engine-1"].leaving
 
 
-def test_a_newer_revision_at_a_peer_triggers_a_read():
+def test_a_newer_position_at_a_peer_triggers_a_read():
     daemon = ready_daemon()
-    daemon.peers.on_revision(daemon.poller.newest_revision())
+    position = daemon.poller.position
+    daemon.peers.on_position(position)
     assert not daemon.poller.read_requested.is_set()
-    daemon.peers.on_revision(daemon.poller.newest_revision() + 1)
+    newer = dataclasses.replace(position, revision=position.revision + 1)
+    daemon.peers.on_position(newer)
     assert daemon.poller.read_requested.is_set()
 
 
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -500,3 +500,35 @@
         assert isinstance(await anext(watch), Failure)
 
     run_with_store(scenario)
+
+
+def test_content_of_a_new_era_at_the_same_revision_is_decoded_again():
+    """Guards against values of an ended era being reused at an equal revision."""
+
+    async def scenario(server, store, source):
+        server.put("op/start", {})
+        revision = server.revision
+        server.put("op/config", CONFIGURATION)
+        server.put("servers/w1", WORKER)
+        assert (await source.read()).unwrap().endpoints[0].capacity == 8
+        server.rewind(60.0)
+        server.revision = revision
+        server.put("op/config", CONFIGURATION | {"Version": 8})
+        server.put("servers/w1", WORKER | {"Slots": 3})
+        snapshot = (await source.read()).unwrap()
+        assert (snapshot.era, snapshot.table.version) == (2, 8)
+        assert snapshot.endpoints[0].capacity == 3
+
+    run_with_store(scenario)
+
+
+def test_configuration_that_the_older_copy_lacks_is_not_read_from_the_cache():
+    """Guards against a configuration of an ended era being confirmed by a read."""
+
+    async def scenario(server, store, source):
+        server.put("op/config", CONFIGURATION)
+        assert (await source.read()).unwrap().table.version == 7
+        server.rewind(60.0)
+        assert (await source.read()).unwrap().table is None
+
+    run_with_store(scenario)
