Keep to the newest configuration that any daemon knows of

A store that returned from an older copy gave out an older configuration, and each read of it confirmed the table in force: a credential that had been withdrawn could be accepted for longer than the bound allows. A configuration written again at a lower revision was passed over.

The configuration's version alone decides. Reports carry the newest version known, and a read or a peer's confirmation counts only for that version. Just after a change of era or a start, reads of an older version that a peer's position doesn't explain are taken back. The interval between reads now follows from the last read, not from the last confirmation. The new tests failed before.

--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -17,28 +17,38 @@
 # configuration has to be in force.
 ABSENCE_MARGIN_SECONDS = 0.2
 STALE_RETRY_SECONDS = 0.3
+# By then every peer has been heard from, and with it the newest version that it knows.
+ERA_DOUBT_SECONDS = 3.0
 
 
 class TableInForce:
     """Holds the newest routing table and the time at which it was last confirmed.
 
-    ``confirmed_at`` is the time when the latest successful read began, in seconds of
-    the daemon's clock. Only a table with both a higher version and a higher revision
-    replaces the one in force.
+    Only a table of a higher version replaces the one in force. The store may return
+    from an older copy, so a read confirms the table only if it returned the newest
+    version that this daemon or a peer knows of, ``newest_version_known``.
+    ``confirmed_at`` is the time when the latest such read began, in seconds of the
+    daemon's clock.
     """
 
     def __init__(self, *, settings: SettingsHolder, clock: Clock):
         self.settings = settings
         self.clock = clock
         self.table: RoutingTable | None = None
+        self.newest_version_known = 0
+        self.version_read = 0
         self.confirmed_at = -math.inf
+        self.confirmed_before_era = -math.inf
+        self.era_began_at = clock.monotonic()
 
-    def confirm(self, table: RoutingTable | None, *, read_began: float) -> bool:
-        """Record a successful read and return whether a new table came into force.
+    def confirm_read(self, table: RoutingTable | None, *, began: float) -> bool:
+        """Record a read of the store and return whether a new table came into force.
 
-        ``table`` is ``None`` if the read only confirmed the table in force.
+        ``table`` is ``None`` if the store has none; ``began`` is when the read began.
         """
-        self.confirmed_at = max(self.confirmed_at, read_began)
+        self.version_read = table.version if table is not None else 0
+        self.newest_version_known = max(self.newest_version_known, self.version_read)
+        self.confirm(began)
         if table is None or not self._is_newer(table):
             return False
         previous_version = self.table.version if self.table is not None else 0
@@ -53,6 +63,35 @@
         )
         return True
 
+    def confirm(self, since: float) -> None:
+        """Record that the content last read was current at a time.
+
+        It confirms the table in force unless a newer version is known.
+        """
+        if self.version_read >= self.newest_version_known:
+            self.confirmed_at = max(self.confirmed_at, since)
+
+    def note_version(self, version: int, *, after_read: bool) -> None:
+        """Record that a version of the configuration exists.
+
+        ``after_read`` is whether it may have been written after the last read. If not,
+        and the store's era has just begun or this daemon has just started, its reads
+        returned the older copy and no longer count.
+        """
+        self.newest_version_known = max(self.newest_version_known, version)
+        era_seconds = self.clock.monotonic() - self.era_began_at
+        if (
+            version > self.version_read
+            and not after_read
+            and era_seconds < ERA_DOUBT_SECONDS
+        ):
+            self.confirmed_at = min(self.confirmed_at, self.confirmed_before_era)
+
+    def note_era_change(self) -> None:
+        """Record that the store returned from an older copy."""
+        self.confirmed_before_era = self.confirmed_at
+        self.era_began_at = self.clock.monotonic()
+
     def age(self) -> float:
         """Return the seconds since the table was last confirmed."""
         return self.clock.monotonic() - self.confirmed_at
@@ -96,8 +135,4 @@
         )
 
     def _is_newer(self, table: RoutingTable) -> bool:
-        if self.table is None:
-            return True
-        return (
-            table.version > self.table.version and table.revision > self.table.revision
-        )
+        return self.table is None or table.version > self.table.version
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -109,7 +109,8 @@
         self.ranked_holders: list[DaemonAddress] = []
         self._rotation_rank: dict[str, int] = {}
         self.position = Position(era=0, revision=0)
-        self.on_position: Callable[[Position], None] = _ignore
+        self.configuration_version = 0
+        self.on_position: Callable[[Position, int], None] = _ignore_position
         self.on_confirmation: Callable[[float], None] = _ignore
         self.on_news: Callable[[], None] = _do_nothing
 
@@ -318,15 +319,15 @@
     def apply(self, message: DaemonMessage) -> None:
         """Apply a peer's message.
 
-        Bills and the position are always applied; a report is ignored if a newer one
-        of the same incarnation was applied before.
+        Bills, the position and the configuration's version are always applied; a report
+        is ignored if a newer one of the same incarnation was applied before.
         """
         if message.instance == self.instance:
             return
         if message.copied_bills is not None:
             self.bill_replicas.apply(message.incarnation, message.copied_bills)
             self.bill_owners[message.instance] = self.clock.monotonic()
-        self.on_position(message.position)
+        self.on_position(message.position, message.configuration_version)
         if message.report is None or not self._accept_if_newer(message):
             return
         self.metrics.count("peer_messages", label="received")
@@ -389,12 +390,17 @@
             incarnation=self.incarnation,
             sequence=next(self.sequence),
             position=self.position,
+            configuration_version=self.configuration_version,
             report=report,
             copied_bills=copied_bills,
         )
 
 
-def _ignore(value: object) -> None:
+def _ignore(value: float) -> None:
+    """Do nothing; the default callback."""
+
+
+def _ignore_position(position: Position, configuration_version: int) -> None:
     """Do nothing; the default callback."""
 
 
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -89,6 +90,8 @@
         self.leaving = False
         self.read_requested = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
+        self.content_confirmed_at = -math.inf
+        era.listeners.append(self.on_era_change)
         peers.on_position = self.on_peer_position
         peers.on_confirmation = self.on_peer_confirmation
 
@@ -111,14 +114,18 @@
             await asyncio.sleep(self.random.uniform(0, ERA_READ_JITTER_SECONDS))
 
     async def _wait_until_age(self, age: float) -> None:
-        """Wait until the content reaches an age in seconds, or a read is requested.
+        """Wait until the last read reaches an age in seconds, or a read is requested.
 
         A confirmation by a peer lowers the age and so prolongs the wait.
         """
-        while (remaining := age - self.in_force.age()) > 0:
+        while (remaining := age - self._content_age()) > 0:
             if await self._wait_for_request(remaining):
                 return
 
+    def _content_age(self) -> float:
+        """Return the seconds since the content last read was current."""
+        return self.clock.monotonic() - self.content_confirmed_at
+
     async def _wait_for_request(self, seconds: float) -> bool:
         """Wait; return true, without waiting further, when a read is requested."""
         try:
@@ -158,7 +165,9 @@
         self.rollouts.update_orders(snapshot.orders)
         self.rollouts.update_records(snapshot.records)
         self.snapshots.record_snapshot(snapshot, began=began)
-        self.in_force.confirm(snapshot.table, read_began=began)
+        self.content_confirmed_at = began
+        self.in_force.confirm_read(snapshot.table, began=began)
+        self.peers.configuration_version = self.in_force.newest_version_known
         self.directory.apply(snapshot.endpoints, interval=self.read_interval())
         self.peers.update_daemons(snapshot.daemons)
         self.position = self.peers.position = max(self.position, snapshot.position)
@@ -168,12 +177,20 @@
         self._note_success()
         return True
 
-    def on_peer_position(self, position: Position) -> None:
-        """Request a read if a peer reports a newer position of the store."""
+    def on_peer_position(self, position: Position, configuration_version: int) -> None:
+        """Record what a peer knows of; request a read if its position is newer."""
         if position.era:
             self.era.observe(position.era)
         if position > self.position:
             self.read_requested.set()
+        self.in_force.note_version(
+            configuration_version, after_read=position > self.position
+        )
+        self.peers.configuration_version = self.in_force.newest_version_known
+
+    def on_era_change(self, era: int) -> None:
+        """Prepare for content of an older copy of the store."""
+        self.in_force.note_era_change()
 
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
@@ -183,7 +200,8 @@
         """
         if not self.directory.is_settled:
             return
-        self.in_force.confirm(None, read_began=since)
+        self.content_confirmed_at = max(self.content_confirmed_at, since)
+        self.in_force.confirm(since)
         self.directory.confirm(since)
 
     async def run_rollouts(self) -> None:
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -82,14 +82,16 @@
     """A message from one daemon to its peers.
 
     ``position`` is the newest position of the store that the sender has seen; peers
-    have to read up to it. ``copied_bills`` is only sent to the peers that keep copies
-    of the sender's bills.
+    have to read up to it. ``configuration_version`` is the newest version of the
+    configuration that it knows of. ``copied_bills`` is only sent to the peers that keep
+    copies of the sender's bills.
     """
 
     instance: str
     incarnation: str
     sequence: int
     position: Position
+    configuration_version: int = 0
     report: DaemonReport | None = None
     copied_bills: CopiedBills | None = None
 
@@ -112,7 +114,7 @@
 ]
 # The fields of a message in their order.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
-    tuple[str, str, int, tuple[int, int], _ReportArray | None, CopiedBills | None]
+    tuple[str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None]
 )
 
 
@@ -123,6 +125,7 @@
         message.incarnation,
         message.sequence,
         (message.position.era, message.position.revision),
+        message.configuration_version,
         _report_array(message.report) if message.report is not None else None,
         message.copied_bills,
     )
@@ -139,12 +142,14 @@
         # The limit bounds the memory that a small datagram can expand to.
         plain = zlib.decompressobj().decompress(content, MAXIMUM_DATAGRAM_BYTES * 10)
         array = _MESSAGE_ADAPTER.validate_json(plain)
-        instance, incarnation, sequence, position, report, copied_bills = array
+        instance, incarnation, sequence, position, version, *contents = array
+        report, copied_bills = contents
         return DaemonMessage(
             instance=instance,
             incarnation=incarnation,
             sequence=sequence,
             position=Position(*position),
+            configuration_version=version,
             report=_report(report) if report is not None else None,
             copied_bills=copied_bills,
         )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -72,10 +72,10 @@
 
 def test_configuration_age_counts_from_the_start_of_the_read():
     daemon = ready_daemon()
-    daemon.in_force.confirm(None, read_began=daemon.clock.now - 4.0)
+    daemon.in_force.confirm(daemon.clock.now - 4.0)
     assert daemon.in_force.age() == pytest.approx(0.0)
     daemon.clock.now += 3.0
-    daemon.in_force.confirm(None, read_began=daemon.clock.now - 2.0)
+    daemon.in_force.confirm(daemon.clock.now - 2.0)
     assert daemon.in_force.age() == pytest.approx(2.0)
 
 
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -73,7 +73,7 @@
     return self.confirmed_at
 
 
-def confirm_now(self, table, *, read_began):
+def confirm_now(self, table, *, began):
     self.confirmed_at = self.clock.monotonic()
     if table is not None:
         self.table = table
@@ -131,7 +131,9 @@
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
-    ("configuration_order", TableInForce, "confirm", confirm_now, "admission"),
+    ("configuration_order", TableInForce, "confirm_read", confirm_now, "admission"),
+    ("configuration_version", TableInForce, "note_version", always(None), "store_era"),
+    ("configuration_doubt", in_force, "ERA_DOUBT_SECONDS", 0.0, "store_era"),
     ("strict_revocation", TableInForce, "refuse_stale", always(None), "admission"),
     ("absence_margin", in_force, "ABSENCE_MARGIN_SECONDS", -60.0, "admission"),
     ("retry_budget", RetryBudget, "spend", always(True), "attempts"),
--- a/tests/forwarding/test_peer_gossip.py
+++ b/tests/forwarding/test_peer_gossip.py
@@ -65,10 +65,10 @@
 def test_a_newer_position_at_a_peer_triggers_a_read():
     daemon = ready_daemon()
     position = daemon.poller.position
-    daemon.peers.on_position(position)
+    daemon.peers.on_position(position, 1)
     assert not daemon.poller.read_requested.is_set()
     newer = dataclasses.replace(position, revision=position.revision + 1)
-    daemon.peers.on_position(newer)
+    daemon.peers.on_position(newer, 1)
     assert daemon.poller.read_requested.is_set()
 
 
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -42,7 +42,7 @@
         for serial in range(1, 20):
             await asyncio.sleep(0.5)
             daemon.clock.now += 0.5
-            daemon.in_force.confirm(None, read_began=daemon.clock.now)
+            daemon.in_force.confirm(daemon.clock.now)
             assert (await send(daemon, serial)).status == 200
         assert unreachable_endpoint not in [
             call.instance for call in daemon.calls.calls[1:]
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -1,6 +1,14 @@
 """A daemon whose store returns from an older copy, without network."""
 
-from tests.support.forwarding import ManualClock, ready_daemon, table
+import pytest
+
+from tests.support.forwarding import (
+    LocalDaemon,
+    ManualClock,
+    MemorySource,
+    ready_daemon,
+    table,
+)
 
 
 def test_a_daemon_that_hears_of_a_new_era_reads_though_its_revision_is_higher():
@@ -30,3 +38,100 @@
     receiver.peers.apply(sender.peers.build())
     assert receiver.era.current == 2
     assert not receiver.poller.read_requested.is_set()
+
+
+def table_at(revision, *, version):
+    """Return a routing table that was written at a revision."""
+    changed = table(version=version)
+    changed.revision = revision
+    return changed
+
+
+def read_repeatedly(daemon, *, seconds):
+    for _ in range(round(seconds / 0.5)):
+        daemon.clock.now += 0.5
+        assert daemon.read()
+
+
+def test_an_older_copy_of_the_configuration_is_not_taken_or_confirmed():
+    """Guards against a withdrawn credential being accepted after a change of era."""
+    daemon = ready_daemon()
+    older = daemon.source.table
+    daemon.source.table = table(version=6, accounts=())
+    assert daemon.read()
+    confirmed_at = daemon.in_force.confirmed_at
+    daemon.source.era, daemon.source.table = 2, older
+    read_repeatedly(daemon, seconds=5.0)
+    assert daemon.in_force.table.version == 6
+    assert daemon.in_force.confirmed_at == confirmed_at
+    assert daemon.in_force.refuse_stale() is not None
+    daemon.source.table = table_at(2, version=6)
+    assert daemon.read()
+    assert daemon.in_force.refuse_stale() is None
+
+
+def test_a_higher_version_at_a_lower_revision_comes_into_force():
+    """Guards against a new configuration being passed over after a change of era."""
+    daemon = ready_daemon()
+    daemon.source.table = table_at(90, version=6)
+    assert daemon.read()
+    daemon.source.era = 2
+    daemon.source.table = table_at(40, version=7)
+    assert daemon.read()
+    assert daemon.in_force.table.version == 7
+
+
+@pytest.mark.parametrize("reads_first", [False, True])
+def test_a_daemon_that_starts_on_an_older_copy_learns_the_version_from_a_peer(
+    reads_first,
+):
+    """Guards against a daemon that knows only the older copy believing it."""
+    clock = ManualClock()
+    peer = ready_daemon(name="daemon-1", clock=clock)
+    peer.source.table = table(version=6)
+    assert peer.read()
+    started = LocalDaemon(
+        name="daemon-2", clock=clock, source=MemorySource(table=table(version=5))
+    )
+    started.source.era = 2
+    if reads_first:
+        assert started.read()
+    started.peers.apply(peer.peers.build())
+    assert started.read()
+    assert started.in_force.table.version == 5
+    assert started.in_force.refuse_stale() is not None
+    passed_on = started.peers.build()
+    assert passed_on.configuration_version == 6
+
+
+def test_a_peer_does_not_confirm_an_older_copy():
+    """Guards against the digest of an older copy confirming a newer table."""
+    daemon = ready_daemon()
+    older = daemon.source.table
+    daemon.source.table = table(version=6)
+    assert daemon.read()
+    confirmed_at = daemon.in_force.confirmed_at
+    daemon.source.era, daemon.source.table = 2, older
+    daemon.clock.now += 0.5
+    assert daemon.read()
+    daemon.clock.now += 0.5
+    daemon.poller.on_peer_confirmation(daemon.clock.now)
+    assert daemon.in_force.confirmed_at == confirmed_at
+
+
+def test_a_newer_version_does_not_unconfirm_the_reads_of_a_long_era():
+    """Guards against refusals at each change of the configuration."""
+    daemon = ready_daemon()
+    read_repeatedly(daemon, seconds=5.0)
+    daemon.poller.on_peer_position(daemon.poller.position, 2)
+    assert daemon.in_force.refuse_stale() is None
+
+
+def test_an_unconfirmed_configuration_does_not_make_reads_follow_at_once():
+    """Guards against a daemon that reads without a pause until it is confirmed."""
+    daemon = ready_daemon()
+    daemon.poller.on_peer_position(daemon.poller.position, 9)
+    daemon.clock.now += 5.0
+    assert daemon.read()
+    assert daemon.poller._content_age() == 0.0
+    assert daemon.in_force.age() > 4.0
