Keep to what was seen of an endpoint before a change of era

After the store returned from an older copy, a caller's request could go to an endpoint whose entry had been removed before, since the copy listed it again; and endpoints that had registered since the copy were dropped at once, although they write their entries again within two seconds.

The directory remembers the latest revisions of entries that have gone and passes over such an entry of a new era until it has another revision or incarnation; meanwhile the daemon reads at the short interval. Entries missing at the first read of an era get the grace period of lapsed entries. The new tests failed before, except that of a draining endpoint, which guards what held already.

--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -1,5 +1,7 @@
 """The current endpoints, from a registry that may lose entries during an outage."""
 
+import collections
+import dataclasses
 import math
 from collections.abc import Callable, Iterable
 
@@ -22,10 +24,30 @@
 # If the time between two reads exceeds the usual interval by this, at least one read
 # failed because of an outage of the registry.
 OUTAGE_EXCESS_SECONDS = 0.9
+# Revisions of an entry that are kept to recognize it in an older copy.
+KEPT_REVISIONS = 4
+MAXIMUM_GONE_ENTRIES = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class SeenEntry:
+    """An entry of the registry: its incarnation and the latest revisions seen.
+
+    ``era`` is the era of the read in which it was last found or first missed.
+    """
+
+    incarnation: str
+    era: int
+    revisions: collections.deque[int]
 
 
 class EndpointDirectory:
-    """Keeps the endpoint table up to date with what is read from the registry."""
+    """Keeps the endpoint table up to date with what is read from the registry.
+
+    The registry may return from an older copy, in a new era. An entry that was gone
+    before stays so while the copy lists it at a revision that was seen: ``gone``
+    holds such entries, and ``held_back`` the names of those that the last read listed.
+    """
 
     def __init__(self, *, table: EndpointTable, loads: EndpointLoads, clock: Clock):
         self.table = table
@@ -33,25 +55,45 @@
         self.clock = clock
         self.last_read = math.inf
         self.lapsed_until: dict[str, float] = {}
+        self.era = 0
+        self.era_grace_until = -math.inf
+        self.entries: dict[str, SeenEntry] = {}
+        self.gone: collections.OrderedDict[str, SeenEntry] = collections.OrderedDict()
+        self.held_back: set[str] = set()
         self.read_once = False
         self.on_leaving: Callable[[], None] = _do_nothing
         self.pools_by_service: dict[str, Pool] = {}
 
     def apply(
-        self, reports: Iterable[EndpointReport], *, interval: float = 1.25
+        self,
+        reports: Iterable[EndpointReport],
+        *,
+        interval: float = 1.25,
+        era: int = 0,
     ) -> None:
         """Update the table from one complete read of the registry.
 
-        ``interval`` is the usual time between two reads, in seconds.
+        ``interval`` is the usual time between two reads, in seconds; ``era`` is the era
+        of the registry.
         """
         now = self.clock.monotonic()
         after_outage = now - self.last_read > interval + OUTAGE_EXCESS_SECONDS
+        if era > self.era:
+            if self.era:
+                after_outage = True
+                self.era_grace_until = now + LAPSE_GRACE_SECONDS
+            self.era = era
         self.last_read = now
         self.read_once = True
         names = set()
+        self.held_back = set()
         for report in reports:
+            if self._is_gone(report):
+                self.held_back.add(report.name)
+                continue
             names.add(report.name)
             self._merge(report)
+            self._note_seen(report)
         if after_outage:
             self._note_lapsed(names, now)
         self.lapsed_until = {
@@ -59,7 +101,9 @@
             for name, until in self.lapsed_until.items()
             if until > now and name not in names
         }
-        self.table.update_listed(names | self.lapsed_until.keys())
+        listed = names | self.lapsed_until.keys()
+        self._note_gone(listed)
+        self.table.update_listed(listed)
         self._index()
 
     def confirm(self, since: float) -> None:
@@ -68,8 +112,9 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether no entry that lapsed in an outage may still come back."""
-        return not self.lapsed_until
+        """Whether no entry that lapsed or was held back is expected to come back."""
+        awaited = self.held_back and self.clock.monotonic() < self.era_grace_until
+        return not self.lapsed_until and not awaited
 
     def pool(self, service: str) -> Pool | None:
         """Return the endpoints of a service, whether or not they accept work."""
@@ -102,6 +147,40 @@
         if endpoint.leaving and not was_leaving:
             log_change("endpoint leaves", endpoint=report.name, reason="register")
 
+    def _is_gone(self, report: EndpointReport) -> bool:
+        """Return whether an older copy lists an entry that had gone before."""
+        seen = self.gone.get(report.name)
+        if seen is None:
+            return False
+        if (
+            seen.era < self.era
+            and seen.incarnation == report.incarnation
+            and report.revision in seen.revisions
+        ):
+            return True
+        del self.gone[report.name]
+        return False
+
+    def _note_seen(self, report: EndpointReport) -> None:
+        """Remember the revision at which an entry was found."""
+        seen = self.entries.get(report.name)
+        if seen is None or seen.incarnation != report.incarnation:
+            revisions = collections.deque(maxlen=KEPT_REVISIONS)
+            seen = SeenEntry(report.incarnation, self.era, revisions)
+            self.entries[report.name] = seen
+        seen.era = self.era
+        if report.revision not in seen.revisions:
+            seen.revisions.append(report.revision)
+
+    def _note_gone(self, listed: set[str]) -> None:
+        """Remember the entries that are no longer listed."""
+        for name in self.entries.keys() - listed:
+            seen = self.entries.pop(name)
+            seen.era = self.era
+            self.gone[name] = seen
+            if len(self.gone) > MAXIMUM_GONE_ENTRIES:
+                self.gone.popitem(last=False)
+
     def _note_lapsed(self, names: set[str], now: float) -> None:
         """Start the grace period of endpoints without an entry after an outage."""
         for endpoint in self.table.endpoints.values():
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -168,7 +168,9 @@
         self.content_confirmed_at = began
         self.in_force.confirm_read(snapshot.table, began=began)
         self.peers.configuration_version = self.in_force.newest_version_known
-        self.directory.apply(snapshot.endpoints, interval=self.read_interval())
+        self.directory.apply(
+            snapshot.endpoints, interval=self.read_interval(), era=snapshot.era
+        )
         self.peers.update_daemons(snapshot.daemons)
         self.position = self.peers.position = max(self.position, snapshot.position)
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -215,8 +215,11 @@
     Models: list[dict] | None = None
     born: int | None = None
 
-    def decode(self, *, name: str) -> EndpointReport:
-        """Return the state of the endpoint that registered under a name."""
+    def decode(self, *, name: str, revision: int) -> EndpointReport:
+        """Return the state of the endpoint that registered under a name.
+
+        ``revision`` is the revision of its entry.
+        """
         return EndpointReport(
             name=name,
             incarnation=str(self.born or ""),
@@ -226,4 +229,5 @@
             versions=frozenset((VersionRef(self.Service, self.Version),)),
             capacity=self.Slots,
             leaving=self.State == "draining",
+            revision=revision,
         )
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -199,7 +199,8 @@
 
 def _decode_server(record: Record) -> EndpointReport:
     model = ServerModel.model_validate_json(record.value)
-    return model.decode(name=record.key.removeprefix(SERVER_PREFIX))
+    name = record.key.removeprefix(SERVER_PREFIX)
+    return model.decode(name=name, revision=record.modify_revision)
 
 
 def _decode_daemon(record: Record) -> DaemonAddress:
--- a/linnetladder/state/endpoints.py
+++ b/linnetladder/state/endpoints.py
@@ -12,7 +12,8 @@
     """One source's report on an endpoint; ``None`` where the source has no value.
 
     ``capacity`` is the number of requests that the endpoint runs at once; ``in_flight``
-    is the number that it runs or holds queued, from all daemons.
+    is the number that it runs or holds queued, from all daemons. ``revision`` is the
+    revision of the entry in a registry, 0 from sources that have none.
     """
 
     name: str
@@ -24,6 +25,7 @@
     capacity: int | None = None
     in_flight: int | None = None
     leaving: bool = False
+    revision: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -29,6 +29,7 @@
 from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -131,6 +132,8 @@
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
+    ("gone_entries", EndpointDirectory, "_is_gone", always(False), "store_era"),
+    ("era_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "store_era"),
     ("configuration_order", TableInForce, "confirm_read", confirm_now, "admission"),
     ("configuration_version", TableInForce, "note_version", always(None), "store_era"),
     ("configuration_doubt", in_force, "ERA_DOUBT_SECONDS", 0.0, "store_era"),
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -7,6 +7,7 @@
     ManualClock,
     MemorySource,
     ready_daemon,
+    report,
     table,
 )
 
@@ -135,3 +136,78 @@
     assert daemon.read()
     assert daemon.poller._content_age() == 0.0
     assert daemon.in_force.age() > 4.0
+
+
+def usable_names(daemon):
+    pool = daemon.directory.pool("engines")
+    return sorted(e.name for e in pool.endpoints if e.listed and not e.leaving)
+
+
+def test_an_endpoint_seen_to_be_gone_stays_so_when_the_older_copy_lists_it():
+    """Guards against requests to an endpoint that left before the change of era."""
+    daemon = ready_daemon()
+    entries = daemon.source.endpoints
+    entries["engine-1"] = report("engine-1", revision=30)
+    assert daemon.read()
+    entries["engine-1"] = report("engine-1", revision=40)
+    assert daemon.read()
+    del entries["engine-1"]
+    assert daemon.read()
+    daemon.source.era = 2
+    entries["engine-1"] = report("engine-1", revision=30)
+    for _ in range(2):
+        daemon.clock.now += 0.4
+        assert daemon.read()
+        assert usable_names(daemon) == ["engine-2", "engine-3"]
+    assert not daemon.directory.is_settled
+    daemon.clock.now += 3.0
+    assert daemon.read()
+    assert daemon.directory.is_settled
+
+
+@pytest.mark.parametrize("changes", [{"revision": 35}, {"incarnation": "2"}])
+def test_an_endpoint_whose_entry_was_written_again_comes_back(changes):
+    """Guards against an endpoint that restarted being left out after a new era."""
+    daemon = ready_daemon()
+    entries = daemon.source.endpoints
+    entries["engine-1"] = report("engine-1", revision=30)
+    assert daemon.read()
+    del entries["engine-1"]
+    assert daemon.read()
+    daemon.source.era = 2
+    entries["engine-1"] = report("engine-1", revision=30)
+    assert daemon.read()
+    entries["engine-1"] = report("engine-1", **{"revision": 30, **changes})
+    daemon.clock.now += 0.4
+    assert daemon.read()
+    assert "engine-1" in usable_names(daemon)
+
+
+def test_a_draining_endpoint_stays_so_when_the_older_copy_lists_it_as_ready():
+    """Guards against requests to an endpoint whose leaving was acknowledged."""
+    daemon = ready_daemon()
+    daemon.source.endpoints["engine-1"] = report("engine-1", leaving=True, revision=40)
+    assert daemon.read()
+    daemon.source.era = 2
+    daemon.source.endpoints["engine-1"] = report("engine-1", revision=30)
+    assert daemon.read()
+    assert "engine-1" not in usable_names(daemon)
+
+
+def test_entries_missing_after_a_change_of_era_stay_for_the_grace_period():
+    """Guards against refusals until the endpoints have registered again."""
+    daemon = ready_daemon()
+    missing = daemon.source.endpoints.pop("engine-1")
+    daemon.source.era = 2
+    daemon.clock.now += 0.5
+    assert daemon.read()
+    assert "engine-1" in usable_names(daemon)
+    daemon.clock.now += 1.9
+    daemon.source.endpoints["engine-1"] = missing
+    assert daemon.read()
+    daemon.clock.now += 1.0
+    assert daemon.read()
+    assert "engine-1" in usable_names(daemon)
+    del daemon.source.endpoints["engine-1"]
+    assert daemon.read()
+    assert "engine-1" not in usable_names(daemon)
