Register again when the store returned from an older copy

The store forgets leases granted since the copy and may give out their ids again. A daemon renewed such an id for up to four seconds at a time, perhaps that of another daemon, and stayed unlisted, so that its peers sent it no reports and no bills.

A lease of an ended era is not renewed. A change of era ends the wait for the next renewal, and the registration is written within a second at a random time; one that failed is retried after one to two seconds. Peers that the list lacks within four seconds of the change are kept while they are heard from.

--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 import xxhash
@@ -49,6 +50,9 @@
 HOLDER_TIMEOUT_SECONDS = 1.3
 # Reports go to a peer for this long after bills were received from it.
 BILL_OWNER_TTL_SECONDS = 5.0
+# For this long after a change of era, peers that the store doesn't list are kept if
+# they were heard from within the same time: their registrations may be lost.
+PEER_GRACE_SECONDS = 4.0
 # With two holders in other failure domains, bills survive the loss of an instance or of
 # a failure domain.
 BILL_HOLDERS = 2
@@ -98,6 +102,7 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
+        self.era_began_at = -math.inf
         self.bill_owners: dict[str, float] = {}
         self.sequence = itertools.count(1)
         self.news = ReportNews(table=table, crashes=crashes, clock=clock)
@@ -118,10 +123,12 @@
         """Set the daemons listed in the store.
 
         The known peers are kept if the list names no other daemon, since such a list
-        is not trusted.
+        is not trusted. Just after a change of era the list may lack daemons whose
+        registrations were lost.
         """
         self.listed_daemons = daemons
         others = tuple(d for d in daemons if d.instance != self.instance)
+        others += self._unlisted_peers({daemon.instance for daemon in others})
         if others:
             self.peers = others
             self.ranked_holders = self._rank_holders()
@@ -132,6 +139,24 @@
             for instance in self.last_sent.keys() - listed:
                 del self.last_sent[instance]
 
+    def note_era_change(self) -> None:
+        """Record that the store returned from an older copy."""
+        self.era_began_at = self.clock.monotonic()
+
+    def _unlisted_peers(self, listed: set[str]) -> tuple[DaemonAddress, ...]:
+        """Return the known peers whose registrations a change of era may have lost."""
+        since = self.clock.monotonic() - PEER_GRACE_SECONDS
+        if self.era_began_at < since:
+            return ()
+        return tuple(
+            peer
+            for peer in self.peers
+            if peer.instance not in listed
+            and (status := self.peer_status.get(peer.instance)) is not None
+            and status.received_at >= since
+            and not status.draining
+        )
+
     def receivers(self) -> list[DaemonAddress]:
         """Return the peers that the next report goes to, the most urgent ones first.
 
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -50,6 +50,9 @@
 # All daemons hear of a new era of the store within some tenths of a second.
 ERA_READ_JITTER_SECONDS = 0.4
 REGISTRATION_RENEWAL_SECONDS = 4.0
+# A registration that the store lost is written again within this time, at random;
+# one that failed is retried after this time or up to twice as long.
+REGISTRATION_RETRY_SECONDS = 1.0
 REGISTRATION_LEASE_SECONDS = 12.0
 
 
@@ -89,6 +92,7 @@
         self.failures = 0
         self.leaving = False
         self.read_requested = asyncio.Event()
+        self.registration_lost = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
         self.content_confirmed_at = -math.inf
         era.listeners.append(self.on_era_change)
@@ -119,22 +123,13 @@
         A confirmation by a peer lowers the age and so prolongs the wait.
         """
         while (remaining := age - self._content_age()) > 0:
-            if await self._wait_for_request(remaining):
+            if await _wait_for(self.read_requested, remaining):
                 return
 
     def _content_age(self) -> float:
         """Return the seconds since the content last read was current."""
         return self.clock.monotonic() - self.content_confirmed_at
 
-    async def _wait_for_request(self, seconds: float) -> bool:
-        """Wait; return true, without waiting further, when a read is requested."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self.read_requested.wait()
-        except TimeoutError:
-            return False
-        return True
-
     def _retry_delay(self) -> float:
         """Return the delay before the next retry: exponential backoff with jitter."""
         seconds = min(FIRST_RETRY_SECONDS * 2**self.failures, MAXIMUM_RETRY_SECONDS)
@@ -193,6 +188,8 @@
     def on_era_change(self, era: int) -> None:
         """Prepare for content of an older copy of the store."""
         self.in_force.note_era_change()
+        self.peers.note_era_change()
+        self.registration_lost.set()
 
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
@@ -222,13 +219,30 @@
         return STEP_INTERVAL_SECONDS * scale * self.random.uniform(0.8, 1.2)
 
     async def run_registration(self) -> None:
-        """Renew this daemon's registration until cancelled, except while it leaves."""
+        """Renew this daemon's registration until cancelled, except while it leaves.
+
+        After a change of era it is written again, after a short random time.
+        """
         while True:
-            if not self.leaving:
-                await self.source.register_daemon(
-                    self.address, seconds=REGISTRATION_LEASE_SECONDS
+            self.registration_lost.clear()
+            registered = self.leaving or await self._register()
+            if not registered:
+                await asyncio.sleep(
+                    REGISTRATION_RETRY_SECONDS + self._registration_delay()
                 )
-            await asyncio.sleep(REGISTRATION_RENEWAL_SECONDS)
+            elif await _wait_for(self.registration_lost, REGISTRATION_RENEWAL_SECONDS):
+                await asyncio.sleep(self._registration_delay())
+
+    async def _register(self) -> bool:
+        """Register this daemon or renew that, and return whether it succeeded."""
+        registered = await self.source.register_daemon(
+            self.address, seconds=REGISTRATION_LEASE_SECONDS
+        )
+        return not isinstance(registered, Failure)
+
+    def _registration_delay(self) -> float:
+        """Return the random seconds before a registration is written again."""
+        return REGISTRATION_RETRY_SECONDS * self.random.uniform(0.0, 1.0)
 
     def _note_fault(self, fault: PlatformFault) -> None:
         self.metrics.count("platform_faults", label=fault.kind)
@@ -242,5 +256,15 @@
             log_change("store regained")
 
 
+async def _wait_for(event: asyncio.Event, seconds: float) -> bool:
+    """Wait; return true, without waiting further, when an event is set."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 def _do_nothing() -> None:
     """Do nothing; the default action after a read."""
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -50,6 +50,7 @@
 
     ``decoded`` caches the position and the decoded value of each key of the last read;
     ``table_position`` is the position of ``table``.
+    ``lease_era`` is the era in which the lease ``lease_id`` was granted.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
     """
 
@@ -58,6 +59,7 @@
         self.metrics = metrics
         self.table: RoutingTable | None = None
         self.lease_id = 0
+        self.lease_era: int | None = None
         self.unreadable_revisions: dict[str, int] = {}
         self.table_position = Position(era=0, revision=0)
         self.decoded: dict[str, tuple[Position, object]] = {}
@@ -104,15 +106,20 @@
     async def register_daemon(
         self, address: DaemonAddress, *, seconds: float
     ) -> Result[None, PlatformFault]:
-        """Renew the lease, or write the registration under a new one."""
-        if self.lease_id:
+        """Renew the lease, or write the registration under a new one.
+
+        A lease of an ended era is not renewed: its id may be that of another daemon's.
+        """
+        if self.lease_id and self.lease_era == self.store.era.current:
             renewed = await self.store.keep_alive(self.lease_id)
-            if isinstance(renewed, Failure) or renewed.unwrap() > 0:
+            if isinstance(renewed, Failure):
                 return renewed.map(lambda remaining: None)
+            if renewed.unwrap() > 0 and self.lease_era == self.store.era.current:
+                return Success(None)
         granted = await self.store.grant_lease(seconds=seconds)
         if isinstance(granted, Failure):
             return granted
-        self.lease_id = granted.unwrap()
+        self.lease_id, self.lease_era = granted.unwrap(), self.store.era.current
         put = Put(
             DAEMON_PREFIX + address.instance, orjson.dumps(address), self.lease_id
         )
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -24,6 +24,7 @@
     rollouts,
     selection,
     sender,
+    store_polling,
 )
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
@@ -148,6 +149,15 @@
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
     ("signature", daemon_messages, "_sign", always(b"x" * 16), "peer_gossip"),
     ("era_from_peers", StoreEra, "observe", always(True), "store_era"),
+    ("era_peers", peer_gossip, "PEER_GRACE_SECONDS", -1.0, "store_era"),
+    ("era_read_jitter", store_polling, "ERA_READ_JITTER_SECONDS", 0.0, "store_era"),
+    (
+        "era_registration",
+        store_polling,
+        "REGISTRATION_RETRY_SECONDS",
+        0.0,
+        "store_era",
+    ),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -14,6 +14,7 @@
 from returns.result import Failure
 
 from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
     VariableError,
@@ -305,8 +306,6 @@
 
 def test_daemon_registers_again_after_its_lease_has_expired():
     async def work(server, store, source):
-        from linnetladder.forwarding.coordination.sources import DaemonAddress
-
         address = DaemonAddress(
             instance="d1",
             incarnation="i",
@@ -532,3 +531,53 @@
         assert (await source.read()).unwrap().table is None
 
     run_with_store(scenario)
+
+
+def test_lease_of_an_ended_era_is_not_renewed():
+    """Guards against renewing a lease that was given out again to another daemon."""
+
+    async def scenario(server, store, source):
+        addresses = [
+            DaemonAddress(
+                instance=name,
+                incarnation="i",
+                failure_domain="a",
+                host="10.0.0.1",
+                port=7000,
+            )
+            for name in ("d1", "d2")
+        ]
+        await source.register_daemon(addresses[0], seconds=8)
+        lost_lease = source.lease_id
+        server.rewind(60.0)
+        other = PlatformSource(store=store, metrics=Metrics())
+        await other.register_daemon(addresses[1], seconds=8)
+        assert other.lease_id == lost_lease
+        renewals = server.calls["kv-keep"]
+        await source.register_daemon(addresses[0], seconds=8)
+        assert server.calls["kv-keep"] == renewals
+        assert source.lease_id != lost_lease
+        assert len((await source.read()).unwrap().daemons) == 2
+
+    run_with_store(scenario)
+
+
+def test_renewal_that_meets_a_new_era_registers_again():
+    """Guards against a registration believed by a renewal of another's lease."""
+
+    async def scenario(server, store, source):
+        address = DaemonAddress(
+            instance="d1",
+            incarnation="i",
+            failure_domain="a",
+            host="10.0.0.1",
+            port=7000,
+        )
+        await source.register_daemon(address, seconds=8)
+        lost_lease = source.lease_id
+        server.rewind(60.0)
+        server.leases.add(lost_lease)
+        await source.register_daemon(address, seconds=8)
+        assert (await source.read()).unwrap().daemons == (address,)
+
+    run_with_store(scenario)
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -1,7 +1,12 @@
 """A daemon whose store returns from an older copy, without network."""
 
+import asyncio
+
+import looptime
 import pytest
 
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.state import Position
 from tests.support.forwarding import (
     LocalDaemon,
     ManualClock,
@@ -10,6 +15,7 @@
     report,
     table,
 )
+from tests.support.memory import LoopClock
 
 
 def test_a_daemon_that_hears_of_a_new_era_reads_though_its_revision_is_higher():
@@ -211,3 +217,110 @@
     del daemon.source.endpoints["engine-1"]
     assert daemon.read()
     assert "engine-1" not in usable_names(daemon)
+
+
+def address(name):
+    return DaemonAddress(
+        instance=name, incarnation="i", failure_domain="east", host="10.1.0.1", port=90
+    )
+
+
+def test_peers_that_the_older_copy_lacks_are_kept_if_they_are_heard_from():
+    """Guards against daemons that forget each other until they register again."""
+    clock = ManualClock()
+    daemon = ready_daemon(name="daemon-1", clock=clock)
+    daemon.source.daemons = {f"daemon-{n}": address(f"daemon-{n}") for n in range(5)}
+    assert daemon.read()
+    draining = ready_daemon(name="daemon-3", clock=clock)
+    draining.peers.draining = True
+    for peer in (ready_daemon(name="daemon-2", clock=clock), draining):
+        daemon.peers.apply(peer.peers.build())
+    daemon.source.era = 2
+    daemon.source.daemons = {"daemon-4": address("daemon-4")}
+    assert daemon.read()
+    kept = {peer.instance for peer in daemon.peers.peers}
+    assert kept == {"daemon-2", "daemon-4"}
+    clock.now += 4.1
+    daemon.peers.apply(ready_daemon(name="daemon-2", clock=clock).peers.build())
+    assert daemon.read()
+    assert {peer.instance for peer in daemon.peers.peers} == {"daemon-4"}
+
+
+class RegistrationSource(MemorySource):
+    """A store that records the times of registrations."""
+
+    def __init__(self):
+        super().__init__(table=table())
+        self.registered_at = []
+
+    async def register_daemon(self, address, *, seconds):
+        self.registered_at.append(asyncio.get_running_loop().time())
+        return await super().register_daemon(address, seconds=seconds)
+
+
+def run_on_virtual_time(work):
+    loop = looptime.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work())
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def test_daemons_register_again_soon_but_not_at_once_after_a_change_of_era():
+    """Guards against unregistered daemons, and against 66 registrations at a time."""
+    source = RegistrationSource()
+
+    async def work():
+        daemons = [
+            LocalDaemon(name=f"daemon-{n}", source=source, clock=LoopClock())
+            for n in range(66)
+        ]
+        for seed, daemon in enumerate(daemons):
+            daemon.poller.random.seed(seed)
+            daemon.era.observe(1)
+        tasks = [asyncio.ensure_future(d.poller.run_registration()) for d in daemons]
+        await asyncio.sleep(1.0)
+        source.registered_at.clear()
+        for daemon in daemons:
+            daemon.era.observe(2)
+        await asyncio.sleep(1.1)
+        for task in tasks:
+            task.cancel()
+
+    run_on_virtual_time(work)
+    assert len(source.registered_at) == 66
+    first = min(source.registered_at)
+    assert sum(at < first + 0.1 for at in source.registered_at) < 20
+
+
+def test_reads_after_a_change_of_era_are_soon_and_spread():
+    """Guards against 66 reads at the moment at which the store returns."""
+    source = MemorySource(table=table())
+    read_at = []
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        daemons = [
+            LocalDaemon(name=f"daemon-{n}", source=source, clock=LoopClock())
+            for n in range(66)
+        ]
+        source.daemons = {f"daemon-{n}": address(f"daemon-{n}") for n in range(66)}
+        for seed, daemon in enumerate(daemons):
+            daemon.poller.random.seed(seed)
+            daemon.poller.on_read = lambda: read_at.append(loop.time())
+        tasks = [asyncio.ensure_future(d.poller.run()) for d in daemons]
+        await asyncio.sleep(0.1)
+        source.era = 2
+        read_at.clear()
+        for daemon in daemons:
+            daemon.poller.on_peer_position(Position(era=2, revision=1), 1)
+        await asyncio.sleep(0.5)
+        for task in tasks:
+            task.cancel()
+        assert all(daemon.poller.position.era == 2 for daemon in daemons)
+
+    run_on_virtual_time(work)
+    assert len(read_at) == 66
+    assert sum(at < min(read_at) + 0.05 for at in read_at) < 20
