Write the shared secret again when the store has lost it

A daemon fetched the secret once. If the store returned from a copy that was older than the secret, a daemon that started afterwards created another one, and neither side accepted the other's reports or copies of bills.

After each change of era a daemon writes the secret in use if none is stored and adopts a stored one. The mutation row shows that the test fails without the check.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import secrets
+from functools import partial
 
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import (
     ForwardingCore,
@@ -40,6 +42,7 @@
     calls: HttpEndpointCalls
     callers: ForwardingServer
     peer_socket: PeerSocket
+    shared_secret: SharedSecret
 
 
 def assemble_fleet_daemon(
@@ -75,6 +78,8 @@
         metrics=metrics,
     )
     peer_socket = PeerSocket(gossip=core.peers, metrics=metrics, settings=peer_settings)
+    shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
+    shared_secret.on_change = partial(setattr, peer_socket, "secret")
     core.bills.on_bill = peer_socket.send_bill
     core.poller.on_read = peer_socket.send_soon
     core.crashes.on_crash = peer_socket.send_soon
@@ -93,4 +98,5 @@
         calls=calls,
         callers=callers,
         peer_socket=peer_socket,
+        shared_secret=shared_secret,
     )
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import gc
-import secrets
 import signal
 import sys
 import time
@@ -50,7 +49,6 @@
 # Part of GRACE_MARGIN_SECONDS that the final write of bills may use.
 FINAL_BILL_WRITE_SECONDS = 0.7
 SETTINGS_POLL_SECONDS = 1.0
-SECRET_RETRY_SECONDS = 1.0
 # End of the grace period that is reserved for the final writes and the exit.
 GRACE_MARGIN_SECONDS = 0.9
 # A daemon that has found no peers after this time assumes that there are none.
@@ -113,7 +111,7 @@
         self._start_task(self.parts.bill_flusher.run_recovery())
         self._start_task(self.parts.bill_flusher.run_holder_watch())
         self._start_task(self._watch_settings_file())
-        self._start_task(self._fetch_shared_secret())
+        self._start_task(self.parts.shared_secret.run())
         self._start_task(watch_lateness(parts.metrics))
         self._start_task(self.parts.peer_socket.run())
         await self.parts.callers.start(
@@ -195,13 +193,6 @@
         task.add_done_callback(_log_task_failure)
         self.tasks.append(task)
 
-    async def _fetch_shared_secret(self) -> None:
-        """Fetch the secret that signs messages between daemons; create it if absent."""
-        while not self.parts.peer_socket.secret:
-            read = await self.parts.source.shared_secret(secrets.token_hex(16))
-            self.parts.peer_socket.secret = read.value_or("").encode()
-            await asyncio.sleep(SECRET_RETRY_SECONDS)
-
     async def _watch_settings_file(self) -> None:
         """Reload the settings on SIGHUP or when the file was modified."""
         path = settings_path()
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -38,6 +38,7 @@
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.protocol import daemon_messages
@@ -158,6 +159,7 @@
         0.0,
         "store_era",
     ),
+    ("era_secret", SharedSecret, "_request_check", always(None), "platform"),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -14,6 +14,7 @@
 from returns.result import Failure
 
 from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
@@ -38,6 +39,7 @@
     read_settings,
 )
 from linnetladder.platform.documents import ConfigurationModel
+from linnetladder.platform.source import SECRET_KEY
 from linnetladder.telemetry import Metrics
 from standins.fleet_store import FleetStore
 from tests.support.forwarding import ManualClock, head, route, table
@@ -581,3 +583,27 @@
         assert (await source.read()).unwrap().daemons == (address,)
 
     run_with_store(scenario)
+
+
+@pytest.mark.parametrize("stored", [None, b"another"])
+def test_a_shared_secret_that_the_store_lost_is_written_again(stored):
+    """Guards against daemons that can't verify each other after a change of era."""
+
+    async def scenario(server, store, source):
+        shared = SharedSecret(source=source, era=store.era, seed=1)
+        adopted = []
+        shared.on_change = adopted.append
+        task = asyncio.ensure_future(shared.run())
+        await asyncio.sleep(0.1)
+        first = shared.value
+        assert server.value(SECRET_KEY) == first
+        server.rewind(60.0)
+        if stored is not None:
+            server.put_bytes(SECRET_KEY, stored)
+        assert (await source.read()).unwrap().era == 2
+        await asyncio.sleep(0.7)
+        task.cancel()
+        expected = stored or first
+        assert server.value(SECRET_KEY) == shared.value == adopted[-1] == expected
+
+    run_with_store(scenario)
