Don't write a roll-out's record that was read in an ended era

Revisions are given out again after the store returned from an older copy, so a write that is conditional on a revision of the ended era could replace another record. The write is rejected without a call if the record names an era and it has ended.

--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -4,7 +4,13 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.platform import Condition, PlatformFault, Put, Record
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    PlatformFault,
+    Put,
+    Record,
+)
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
     OperatorSource,
@@ -91,7 +97,14 @@
         )
 
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
-        """Write the daemons' record and the operator's status in one transaction."""
+        """Write the daemons' record and the operator's status in one transaction.
+
+        A record of an ended era is not written, since its revision may have been given
+        out again.
+        """
+        if self._is_of_ended_era(record):
+            detail = f"the record of {record.service!r} was read in an ended era"
+            return Failure(PlatformFault(FaultKind.REJECTED, detail))
         key = RECORD_PREFIX + record.service
         status = StatusModel(State=_OPERATOR_STATES[record.phase], Target=record.target)
         written = await self.store.transact(
@@ -103,6 +116,11 @@
         )
         return written.map(lambda outcome: outcome.succeeded)
 
+    def _is_of_ended_era(self, record: RolloutRecord) -> bool:
+        """Return whether a record was read in another era than the current one."""
+        era = getattr(record, "era", 0)
+        return era != 0 and era != self.store.era.current
+
     async def register_daemon(
         self, address: DaemonAddress, *, seconds: float
     ) -> Result[None, PlatformFault]:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -42,6 +42,7 @@
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.protocol import daemon_messages
+from linnetladder.platform import PlatformSource
 
 
 async def skip_wait(self):
@@ -159,6 +160,13 @@
         0.0,
         "store_era",
     ),
+    (
+        "era_of_record",
+        PlatformSource,
+        "_is_of_ended_era",
+        always(False),
+        "platform",
+    ),
     ("era_secret", SharedSecret, "_request_check", always(None), "platform"),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import os
 import pathlib
 import re
@@ -607,3 +608,34 @@
         assert server.value(SECRET_KEY) == shared.value == adopted[-1] == expected
 
     run_with_store(scenario)
+
+
+def test_record_of_an_ended_era_is_not_written():
+    """Guards against replacing a record whose revision was given out again."""
+
+    @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+    class RecordOfEra(RolloutRecord):
+        era: int = 0
+
+    async def scenario(server, store, source):
+        record = RecordOfEra(
+            service="s1",
+            target="v2",
+            order_revision=3,
+            phase=RolloutPhase.CANARY,
+            ordered_unix=1.0,
+            canary_unix=2.0,
+            canary_share=0.1,
+            era=1,
+        )
+        await source.read()
+        assert (await source.write_rollout(record)).unwrap()
+        server.rewind(60.0)
+        await source.read()
+        refused = await source.write_rollout(record)
+        assert refused.failure().kind is FaultKind.REJECTED
+        assert (await source.read()).unwrap().records == ()
+        again = dataclasses.replace(record, era=2)
+        assert (await source.write_rollout(again)).unwrap()
+
+    run_with_store(scenario)
