Drop endpoints that left while only this daemon was cut off from the store

A daemon that came back from an outage took every missing entry for one that had lapsed with the store, and for 2.2 s sent callers' requests to endpoints that had left in the meantime.

Each report says for how long its sender's reads went on without a gap and how old the last one is. If that covers the whole outage of the receiver, the store was up, and missing entries are gone at once, whether the report comes before or after the first read. Without such word, and after a change of era, the grace period holds as before.

--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -24,6 +24,8 @@
 # If the time between two reads exceeds the usual interval by this, at least one read
 # failed because of an outage of the registry.
 OUTAGE_EXCESS_SECONDS = 0.9
+# A longer excess ends a period of reads without a gap.
+GAP_EXCESS_SECONDS = 0.3
 # Revisions of an entry that are kept to recognize it in an older copy.
 KEPT_REVISIONS = 4
 MAXIMUM_GONE_ENTRIES = 4096
@@ -41,12 +43,23 @@
     revisions: collections.deque[int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPeriod:
+    """A period of reads without a gap, in seconds of this daemon's clock."""
+
+    began: float
+    latest: float
+
+
 class EndpointDirectory:
     """Keeps the endpoint table up to date with what is read from the registry.
 
     The registry may return from an older copy, in a new era. An entry that was gone
     before stays so while the copy lists it at a revision that was seen: ``gone``
     holds such entries, and ``held_back`` the names of those that the last read listed.
+    ``outage`` is the time without reads after which entries are taken for lapsed.
+    A peer that read the registry all that time shows that only this daemon was cut off:
+    then the missing entries are gone.
     """
 
     def __init__(self, *, table: EndpointTable, loads: EndpointLoads, clock: Clock):
@@ -55,6 +68,10 @@
         self.clock = clock
         self.last_read = math.inf
         self.lapsed_until: dict[str, float] = {}
+        self.reads_began_at = math.inf
+        self.interval = 0.0
+        self.peer_reads: dict[str, ReadPeriod] = {}
+        self.outage: ReadPeriod | None = None
         self.era = 0
         self.era_grace_until = -math.inf
         self.entries: dict[str, SeenEntry] = {}
@@ -77,13 +94,16 @@
         of the registry.
         """
         now = self.clock.monotonic()
+        self.interval = interval
+        outage = ReadPeriod(self.last_read, now)
         after_outage = now - self.last_read > interval + OUTAGE_EXCESS_SECONDS
         if era > self.era:
             if self.era:
                 after_outage = True
+                outage = None
                 self.era_grace_until = now + LAPSE_GRACE_SECONDS
             self.era = era
-        self.last_read = now
+        self._extend_reads(now)
         self.read_once = True
         names = set()
         self.held_back = set()
@@ -94,21 +114,43 @@
             names.add(report.name)
             self._merge(report)
             self._note_seen(report)
-        if after_outage:
+        if after_outage and not self._was_up(outage):
+            self.outage = outage
             self._note_lapsed(names, now)
         self.lapsed_until = {
             name: until
             for name, until in self.lapsed_until.items()
             if until > now and name not in names
         }
-        listed = names | self.lapsed_until.keys()
-        self._note_gone(listed)
-        self.table.update_listed(listed)
-        self._index()
+        self._update_listed(names | self.lapsed_until.keys())
 
     def confirm(self, since: float) -> None:
         """Record that the last content read was still current at a time."""
-        self.last_read = max(self.last_read, since)
+        if since > self.last_read:
+            self._extend_reads(since)
+
+    def read_ages(self) -> tuple[float, float] | None:
+        """Return the seconds since reads without a gap began and since the last one.
+
+        It is ``None`` before the first read.
+        """
+        if not self.read_once:
+            return None
+        now = self.clock.monotonic()
+        return round(now - self.reads_began_at, 2), round(now - self.last_read, 2)
+
+    def learn_reads(self, peer: str, began_age: float, latest_age: float) -> None:
+        """Record for how long a peer has read the registry without a gap.
+
+        Entries taken for lapsed are gone if that covers the outage of this daemon.
+        """
+        now = self.clock.monotonic()
+        self.peer_reads[peer] = ReadPeriod(now - began_age, now - latest_age)
+        if self.lapsed_until and self._was_up(self.outage):
+            listed = {e.name for e in self.table.endpoints.values() if e.listed}
+            listed -= self.lapsed_until.keys()
+            self.lapsed_until.clear()
+            self._update_listed(listed)
 
     @property
     def is_settled(self) -> bool:
@@ -147,6 +189,28 @@
         if endpoint.leaving and not was_leaving:
             log_change("endpoint leaves", endpoint=report.name, reason="register")
 
+    def _update_listed(self, listed: set[str]) -> None:
+        self._note_gone(listed)
+        self.table.update_listed(listed)
+        self._index()
+
+    def _extend_reads(self, now: float) -> None:
+        """Record the time of a read, which begins a new period after a gap."""
+        gap = now - self.last_read
+        if not self.read_once or gap > self.interval + GAP_EXCESS_SECONDS:
+            self.reads_began_at = now
+        self.last_read = now
+
+    def _was_up(self, outage: ReadPeriod | None) -> bool:
+        """Return whether a peer read the registry during an outage of this daemon."""
+        if outage is None:
+            return False
+        latest = outage.latest - self.interval - GAP_EXCESS_SECONDS
+        return any(
+            reads.began <= outage.began and reads.latest >= latest
+            for reads in self.peer_reads.values()
+        )
+
     def _is_gone(self, report: EndpointReport) -> bool:
         """Return whether an older copy lists an entry that had gone before."""
         seen = self.gone.get(report.name)
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -12,7 +12,11 @@
 import xxhash
 
 from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
-from linnetladder.forwarding.coordination.directory import group_name, version_of
+from linnetladder.forwarding.coordination.directory import (
+    EndpointDirectory,
+    group_name,
+    version_of,
+)
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -77,6 +81,7 @@
         instance: str,
         incarnation: str,
         table: EndpointTable,
+        directory: EndpointDirectory,
         loads: EndpointLoads,
         outcomes: Outcomes,
         crashes: CrashLog,
@@ -91,6 +96,7 @@
         self.instance = instance
         self.incarnation = incarnation
         self.table = table
+        self.directory = directory
         self.loads = loads
         self.outcomes = outcomes
         self.crashes = crashes
@@ -275,6 +281,7 @@
             leaving=news.leaving,
             reading=self.snapshots.digest,
             echoes=echoes,
+            reads=self.directory.read_ages(),
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -398,6 +405,8 @@
         for fingerprint, endpoint, age in report.crashes:
             self.crashes.learn(fingerprint, endpoint, age=age)
         self.rollouts.add_bad_targets(report.bad_targets)
+        if report.reads is not None:
+            self.directory.learn_reads(peer, *report.reads)
         departures = self.table.departures
         for name, incarnation in report.leaving:
             self.table.mark_leaving(name, incarnation)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -130,6 +130,7 @@
         instance=settings.instance,
         incarnation=incarnation,
         table=table,
+        directory=directory,
         loads=loads,
         outcomes=outcomes,
         crashes=crashes,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -30,6 +30,7 @@
 # Resolution of the numbers in reports.
 BACKLOG_UNITS_PER_SECOND = 1_000
 AGE_UNITS_PER_SECOND = 10
+READ_AGE_UNITS_PER_SECOND = 100
 UNITS_PER_COUNT = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
@@ -64,7 +65,9 @@
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
     ``echoes`` identifies the peers' reports that it had received when that content was
-    last confirmed. ``draining`` is set once the sender is shutting down.
+    last confirmed. ``reads`` gives the period in which the sender read the store, or
+    had its content confirmed, without a gap: the seconds since it began and since the
+    last read. ``draining`` is set once the sender is shutting down.
     """
 
     loads: list[tuple[str, int, float]] | None
@@ -75,6 +78,7 @@
     draining: bool = False
     reading: int = 0
     echoes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    reads: tuple[float, float] | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -111,6 +115,7 @@
     bool,
     int,
     list[tuple[int, int]],
+    tuple[int, int] | None,
 ]
 # The fields of a message in their order.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
@@ -179,6 +184,9 @@
         (fingerprint, index(endpoint), round(age * AGE_UNITS_PER_SECOND))
         for fingerprint, endpoint, age in report.crashes
     ]
+    reads = report.reads
+    if reads is not None:
+        reads = [round(age * READ_AGE_UNITS_PER_SECOND) for age in reads]
     return (
         list(names),
         loads,
@@ -189,12 +197,16 @@
         report.draining,
         report.reading,
         report.echoes,
+        reads,
     )
 
 
 def _report(array: _ReportArray) -> DaemonReport:
     names, loads, outcomes, crashes, bad_targets, leaving, *rest = array
-    draining, reading, echoes = rest
+    draining, reading, echoes, reads = rest
+    if reads is not None:
+        began, latest = reads
+        reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
     if loads is not None:
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
@@ -217,6 +229,7 @@
         draining=draining,
         reading=reading,
         echoes=echoes,
+        reads=reads,
     )
 
 
--- a/tests/forwarding/test_directory.py
+++ b/tests/forwarding/test_directory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support.forwarding import ready_daemon, report
+from tests.support.forwarding import ManualClock, ready_daemon, report
 
 
 def usable_names(daemon, service="engines"):
@@ -97,3 +97,82 @@
     daemon.source.endpoints.clear()
     assert daemon.read()
     assert usable_names(daemon) == []
+
+
+def cut_off_for(daemon, peer, *, seconds, peer_reads):
+    """Let time pass in which one daemon can't read, and its peer can or can't."""
+    daemon.source.down = True
+    peer.source.down = not peer_reads
+    for _ in range(round(seconds / 0.5)):
+        daemon.clock.now += 0.5
+        assert not daemon.read()
+        assert peer.read() is peer_reads
+    daemon.source.down = peer.source.down = False
+
+
+@pytest.fixture(name="pair")
+def make_pair():
+    """Return two daemons that have read their stores, which are separate."""
+    clock = ManualClock()
+    daemon = ready_daemon(name="daemon-1", clock=clock)
+    peer = ready_daemon(name="daemon-2", clock=clock)
+    clock.now += 0.5
+    assert daemon.read() and peer.read()
+    return daemon, peer
+
+
+@pytest.mark.parametrize("report_first", [False, True])
+def test_an_entry_missing_after_only_this_daemon_was_cut_off_is_gone(
+    pair, report_first
+):
+    """Guards against requests to endpoints that left while this daemon was cut off."""
+    daemon, peer = pair
+    cut_off_for(daemon, peer, seconds=6.0, peer_reads=True)
+    del daemon.source.endpoints["engine-1"]
+    if report_first:
+        daemon.peers.apply(peer.peers.build())
+    assert daemon.read()
+    if not report_first:
+        assert not daemon.directory.is_settled
+        daemon.peers.apply(peer.peers.build())
+    assert daemon.directory.is_settled
+    assert usable_names(daemon) == ["engine-2", "engine-3"]
+
+
+@pytest.mark.parametrize("peer_reads_again", [False, True])
+def test_a_peer_that_was_cut_off_as_well_is_no_word_that_the_registry_was_up(
+    pair, peer_reads_again
+):
+    """Guards against dropping endpoints whose entries lapsed with the store away."""
+    daemon, peer = pair
+    cut_off_for(daemon, peer, seconds=6.0, peer_reads=False)
+    del daemon.source.endpoints["engine-1"]
+    if peer_reads_again:
+        assert peer.read()
+    daemon.peers.apply(peer.peers.build())
+    assert daemon.read()
+    daemon.peers.apply(peer.peers.build())
+    assert "engine-1" in usable_names(daemon)
+
+
+def test_an_old_word_of_a_peer_does_not_show_that_the_registry_was_up(pair):
+    """Guards against believing reads from before the end of the outage."""
+    daemon, peer = pair
+    cut_off_for(daemon, peer, seconds=3.0, peer_reads=True)
+    daemon.peers.apply(peer.peers.build())
+    cut_off_for(daemon, peer, seconds=3.0, peer_reads=False)
+    del daemon.source.endpoints["engine-1"]
+    assert daemon.read()
+    assert "engine-1" in usable_names(daemon)
+
+
+def test_a_peer_does_not_shorten_the_grace_after_a_change_of_era(pair):
+    """Guards against dropping endpoints that the older copy of the store lacks."""
+    daemon, peer = pair
+    cut_off_for(daemon, peer, seconds=6.0, peer_reads=True)
+    del daemon.source.endpoints["engine-1"]
+    daemon.source.era = 2
+    daemon.peers.apply(peer.peers.build())
+    assert daemon.read()
+    daemon.peers.apply(peer.peers.build())
+    assert "engine-1" in usable_names(daemon)
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -135,6 +135,8 @@
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
+    ("peer_reads", EndpointDirectory, "learn_reads", always(None), "directory"),
+    ("peer_reads_gaps", directory, "GAP_EXCESS_SECONDS", 60.0, "directory"),
     ("gone_entries", EndpointDirectory, "_is_gone", always(False), "store_era"),
     ("era_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "store_era"),
     ("configuration_order", TableInForce, "confirm_read", confirm_now, "admission"),
