--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 import secrets
+from functools import partial
 
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import (
     ForwardingCore,
     ForwardingPorts,
@@ -39,6 +42,7 @@
     calls: HttpEndpointCalls
     callers: ForwardingServer
     peer_socket: PeerSocket
+    shared_secret: SharedSecret
 
 
 def assemble_fleet_daemon(
@@ -48,15 +52,21 @@
 ) -> FleetDaemonParts:
     """Connect the forwarding core to the platform's store and to network sockets."""
     clock, metrics = BootClock(), Metrics()
+    era = StoreEra(metrics=metrics)
     store = PlatformStore(
-        address=settings_holder.current.store_address, clock=clock, metrics=metrics
+        address=settings_holder.current.store_address,
+        era=era,
+        clock=clock,
+        metrics=metrics,
     )
     source = PlatformSource(store=store, metrics=metrics)
     calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=metrics)
     core = build_forwarding_core(
         settings_holder,
         policy_settings,
-        ForwardingPorts(source=source, calls=calls, clock=clock, metrics=metrics),
+        ForwardingPorts(
+            source=source, era=era, calls=calls, clock=clock, metrics=metrics
+        ),
         incarnation=secrets.token_hex(INCARNATION_BYTES),
         seed=secrets.randbits(64),
     )
@@ -68,6 +78,8 @@
         metrics=metrics,
     )
     peer_socket = PeerSocket(gossip=core.peers, metrics=metrics, settings=peer_settings)
+    shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
+    shared_secret.on_change = partial(setattr, peer_socket, "secret")
     core.bills.on_bill = peer_socket.send_bill
     core.poller.on_read = peer_socket.send_soon
     core.crashes.on_crash = peer_socket.send_soon
@@ -86,4 +98,5 @@
         calls=calls,
         callers=callers,
         peer_socket=peer_socket,
+        shared_secret=shared_secret,
     )
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -6,12 +6,17 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 import xxhash
 
 from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
-from linnetladder.forwarding.coordination.directory import group_name, version_of
+from linnetladder.forwarding.coordination.directory import (
+    EndpointDirectory,
+    group_name,
+    version_of,
+)
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -24,6 +29,7 @@
     DaemonMessage,
     DaemonReport,
 )
+from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock, EndpointTable
 from linnetladder.telemetry import Metrics
 
@@ -48,6 +54,9 @@
 HOLDER_TIMEOUT_SECONDS = 1.3
 # Reports go to a peer for this long after bills were received from it.
 BILL_OWNER_TTL_SECONDS = 5.0
+# For this long after a change of era, peers that the store doesn't list are kept if
+# they were heard from within the same time: their registrations may be lost.
+PEER_GRACE_SECONDS = 4.0
 # With two holders in other failure domains, bills survive the loss of an instance or of
 # a failure domain.
 BILL_HOLDERS = 2
@@ -72,6 +81,7 @@
         instance: str,
         incarnation: str,
         table: EndpointTable,
+        directory: EndpointDirectory,
         loads: EndpointLoads,
         outcomes: Outcomes,
         crashes: CrashLog,
@@ -86,6 +96,7 @@
         self.instance = instance
         self.incarnation = incarnation
         self.table = table
+        self.directory = directory
         self.loads = loads
         self.outcomes = outcomes
         self.crashes = crashes
@@ -97,6 +108,7 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
+        self.era_began_at = -math.inf
         self.bill_owners: dict[str, float] = {}
         self.sequence = itertools.count(1)
         self.news = ReportNews(table=table, crashes=crashes, clock=clock)
@@ -107,8 +119,9 @@
         self.listed_daemons: tuple[DaemonAddress, ...] = ()
         self.ranked_holders: list[DaemonAddress] = []
         self._rotation_rank: dict[str, int] = {}
-        self.revision = 0
-        self.on_revision: Callable[[int], None] = _ignore
+        self.position = Position(era=0, revision=0)
+        self.configuration_version = 0
+        self.on_position: Callable[[Position, int], None] = _ignore_position
         self.on_confirmation: Callable[[float], None] = _ignore
         self.on_news: Callable[[], None] = _do_nothing
 
@@ -116,10 +129,12 @@
         """Set the daemons listed in the store.
 
         The known peers are kept if the list names no other daemon, since such a list
-        is not trusted.
+        is not trusted. Just after a change of era the list may lack daemons whose
+        registrations were lost.
         """
         self.listed_daemons = daemons
         others = tuple(d for d in daemons if d.instance != self.instance)
+        others += self._unlisted_peers({daemon.instance for daemon in others})
         if others:
             self.peers = others
             self.ranked_holders = self._rank_holders()
@@ -130,6 +145,24 @@
             for instance in self.last_sent.keys() - listed:
                 del self.last_sent[instance]
 
+    def note_era_change(self) -> None:
+        """Record that the store returned from an older copy."""
+        self.era_began_at = self.clock.monotonic()
+
+    def _unlisted_peers(self, listed: set[str]) -> tuple[DaemonAddress, ...]:
+        """Return the known peers whose registrations a change of era may have lost."""
+        since = self.clock.monotonic() - PEER_GRACE_SECONDS
+        if self.era_began_at < since:
+            return ()
+        return tuple(
+            peer
+            for peer in self.peers
+            if peer.instance not in listed
+            and (status := self.peer_status.get(peer.instance)) is not None
+            and status.received_at >= since
+            and not status.draining
+        )
+
     def receivers(self) -> list[DaemonAddress]:
         """Return the peers that the next report goes to, the most urgent ones first.
 
@@ -248,6 +281,7 @@
             leaving=news.leaving,
             reading=self.snapshots.digest,
             echoes=echoes,
+            reads=self.directory.read_ages(),
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -317,15 +351,15 @@
     def apply(self, message: DaemonMessage) -> None:
         """Apply a peer's message.
 
-        Bills and the revision are always applied; a report is ignored if a newer one
-        of the same incarnation was applied before.
+        Bills, the position and the configuration's version are always applied; a report
+        is ignored if a newer one of the same incarnation was applied before.
         """
         if message.instance == self.instance:
             return
         if message.copied_bills is not None:
             self.bill_replicas.apply(message.incarnation, message.copied_bills)
             self.bill_owners[message.instance] = self.clock.monotonic()
-        self.on_revision(message.revision)
+        self.on_position(message.position, message.configuration_version)
         if message.report is None or not self._accept_if_newer(message):
             return
         self.metrics.count("peer_messages", label="received")
@@ -371,6 +405,8 @@
         for fingerprint, endpoint, age in report.crashes:
             self.crashes.learn(fingerprint, endpoint, age=age)
         self.rollouts.add_bad_targets(report.bad_targets)
+        if report.reads is not None:
+            self.directory.learn_reads(peer, *report.reads)
         departures = self.table.departures
         for name, incarnation in report.leaving:
             self.table.mark_leaving(name, incarnation)
@@ -387,7 +423,8 @@
             instance=self.instance,
             incarnation=self.incarnation,
             sequence=next(self.sequence),
-            revision=self.revision,
+            position=self.position,
+            configuration_version=self.configuration_version,
             report=report,
             copied_bills=copied_bills,
         )
@@ -397,5 +434,9 @@
     """Do nothing; the default callback."""
 
 
+def _ignore_position(position: Position, configuration_version: int) -> None:
+    """Do nothing; the default callback."""
+
+
 def _do_nothing() -> None:
     """Do nothing; the default action on news."""
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -3,10 +3,12 @@
 Content is fresh as of the last linearizable read, either a daemon's own or a peer's
 that returned the same content. Each daemon chooses the time of its next read at random,
 so usually one of them reads and its report confirms the content of the others. A newer
-revision reported by a peer triggers a read at once.
+position reported by a peer triggers a read at once. After a change of the store's era
+that read waits for a short random time.
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -20,6 +22,8 @@
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
+from linnetladder.forwarding.coordination.store_era import StoreEra
+from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change, log_failure
 
@@ -43,7 +47,12 @@
 # grows, so that the number of checks per second stays the same.
 STEP_INTERVAL_SECONDS = 0.5
 DAEMONS_PER_STEP_INTERVAL = 12
+# All daemons hear of a new era of the store within some tenths of a second.
+ERA_READ_JITTER_SECONDS = 0.4
 REGISTRATION_RENEWAL_SECONDS = 4.0
+# A registration that the store lost is written again within this time, at random;
+# one that failed is retried after this time or up to twice as long.
+REGISTRATION_RETRY_SECONDS = 1.0
 REGISTRATION_LEASE_SECONDS = 12.0
 
 
@@ -54,6 +63,7 @@
         self,
         *,
         source: OperatorSource,
+        era: StoreEra,
         in_force: TableInForce,
         directory: EndpointDirectory,
         rollouts: RolloutController,
@@ -66,6 +76,8 @@
         seed: int,
     ):
         self.source = source
+        self.era = era
+        self.position = Position(era=0, revision=0)
         self.in_force = in_force
         self.directory = directory
         self.rollouts = rollouts
@@ -80,13 +92,17 @@
         self.failures = 0
         self.leaving = False
         self.read_requested = asyncio.Event()
+        self.registration_lost = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
-        peers.on_revision = self.on_peer_revision
+        self.content_confirmed_at = -math.inf
+        era.listeners.append(self.on_era_change)
+        peers.on_position = self.on_peer_position
         peers.on_confirmation = self.on_peer_confirmation
 
     async def run(self) -> None:
         """Read until cancelled; earlier than due if a read is requested."""
         while True:
+            await self._delay_after_era_change()
             self.read_requested.clear()
             if await self.read_once():
                 self.on_read()
@@ -96,23 +112,23 @@
                 await asyncio.sleep(self._retry_delay())
                 self.failures += 1
 
+    async def _delay_after_era_change(self) -> None:
+        """Wait for a random time if a new era is known that was not read yet."""
+        if self.position.era < (self.era.current or 0):
+            await asyncio.sleep(self.random.uniform(0, ERA_READ_JITTER_SECONDS))
+
     async def _wait_until_age(self, age: float) -> None:
-        """Wait until the content reaches an age in seconds, or a read is requested.
+        """Wait until the last read reaches an age in seconds, or a read is requested.
 
         A confirmation by a peer lowers the age and so prolongs the wait.
         """
-        while (remaining := age - self.in_force.age()) > 0:
-            if await self._wait_for_request(remaining):
+        while (remaining := age - self._content_age()) > 0:
+            if await _wait_for(self.read_requested, remaining):
                 return
 
-    async def _wait_for_request(self, seconds: float) -> bool:
-        """Wait; return true, without waiting further, when a read is requested."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self.read_requested.wait()
-        except TimeoutError:
-            return False
-        return True
+    def _content_age(self) -> float:
+        """Return the seconds since the content last read was current."""
+        return self.clock.monotonic() - self.content_confirmed_at
 
     def _retry_delay(self) -> float:
         """Return the delay before the next retry: exponential backoff with jitter."""
@@ -139,29 +155,41 @@
             self._note_fault(read.failure())
             return False
         snapshot = read.unwrap()
+        if snapshot.era:
+            self.era.observe(snapshot.era)
         self.rollouts.update_orders(snapshot.orders)
         self.rollouts.update_records(snapshot.records)
         self.snapshots.record_snapshot(snapshot, began=began)
-        self.in_force.confirm(snapshot.table, read_began=began)
-        self.directory.apply(snapshot.endpoints, interval=self.read_interval())
+        self.content_confirmed_at = began
+        self.in_force.confirm_read(snapshot.table, began=began)
+        self.peers.configuration_version = self.in_force.newest_version_known
+        self.directory.apply(
+            snapshot.endpoints, interval=self.read_interval(), era=snapshot.era
+        )
         self.peers.update_daemons(snapshot.daemons)
-        self.peers.revision = self.newest_revision()
+        self.position = self.peers.position = max(self.position, snapshot.position)
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
         self.peers.loads.daemons = self.budget.daemons
         self.peers.outcomes.daemons = self.budget.daemons
         self._note_success()
         return True
 
-    def newest_revision(self) -> int:
-        """Return the newest known revision of configuration, orders and records."""
-        table = self.in_force.table
-        revision = table.revision if table is not None else 0
-        return max(revision, self.rollouts.newest_revision())
-
-    def on_peer_revision(self, revision: int) -> None:
-        """Request a read if a peer reports a newer revision."""
-        if revision > self.newest_revision():
+    def on_peer_position(self, position: Position, configuration_version: int) -> None:
+        """Record what a peer knows of; request a read if its position is newer."""
+        if position.era:
+            self.era.observe(position.era)
+        if position > self.position:
             self.read_requested.set()
+        self.in_force.note_version(
+            configuration_version, after_read=position > self.position
+        )
+        self.peers.configuration_version = self.in_force.newest_version_known
+
+    def on_era_change(self, era: int) -> None:
+        """Prepare for content of an older copy of the store."""
+        self.in_force.note_era_change()
+        self.peers.note_era_change()
+        self.registration_lost.set()
 
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
@@ -171,7 +199,8 @@
         """
         if not self.directory.is_settled:
             return
-        self.in_force.confirm(None, read_began=since)
+        self.content_confirmed_at = max(self.content_confirmed_at, since)
+        self.in_force.confirm(since)
         self.directory.confirm(since)
 
     async def run_rollouts(self) -> None:
@@ -190,13 +219,30 @@
         return STEP_INTERVAL_SECONDS * scale * self.random.uniform(0.8, 1.2)
 
     async def run_registration(self) -> None:
-        """Renew this daemon's registration until cancelled, except while it leaves."""
+        """Renew this daemon's registration until cancelled, except while it leaves.
+
+        After a change of era it is written again, after a short random time.
+        """
         while True:
-            if not self.leaving:
-                await self.source.register_daemon(
-                    self.address, seconds=REGISTRATION_LEASE_SECONDS
+            self.registration_lost.clear()
+            registered = self.leaving or await self._register()
+            if not registered:
+                await asyncio.sleep(
+                    REGISTRATION_RETRY_SECONDS + self._registration_delay()
                 )
-            await asyncio.sleep(REGISTRATION_RENEWAL_SECONDS)
+            elif await _wait_for(self.registration_lost, REGISTRATION_RENEWAL_SECONDS):
+                await asyncio.sleep(self._registration_delay())
+
+    async def _register(self) -> bool:
+        """Register this daemon or renew that, and return whether it succeeded."""
+        registered = await self.source.register_daemon(
+            self.address, seconds=REGISTRATION_LEASE_SECONDS
+        )
+        return not isinstance(registered, Failure)
+
+    def _registration_delay(self) -> float:
+        """Return the random seconds before a registration is written again."""
+        return REGISTRATION_RETRY_SECONDS * self.random.uniform(0.0, 1.0)
 
     def _note_fault(self, fault: PlatformFault) -> None:
         self.metrics.count("platform_faults", label=fault.kind)
@@ -210,5 +256,15 @@
             log_change("store regained")
 
 
+async def _wait_for(event: asyncio.Event, seconds: float) -> bool:
+    """Wait; return true, without waiting further, when an event is set."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 def _do_nothing() -> None:
     """Do nothing; the default action after a read."""
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -39,6 +39,7 @@
     DaemonAddress,
     OperatorSource,
 )
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
     PolicySettings,
 )
@@ -54,6 +55,7 @@
     """Implementations of the interfaces that the coordination layer depends on."""
 
     source: OperatorSource
+    era: StoreEra
     calls: EndpointCalls
     clock: Clock
     metrics: Metrics
@@ -128,6 +130,7 @@
         instance=settings.instance,
         incarnation=incarnation,
         table=table,
+        directory=directory,
         loads=loads,
         outcomes=outcomes,
         crashes=crashes,
@@ -142,6 +145,7 @@
     in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
         source=source,
+        era=ports.era,
         in_force=in_force,
         directory=directory,
         rollouts=rollouts,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -15,6 +15,8 @@
 import orjson
 import pydantic
 
+from linnetladder.forwarding.state import Position
+
 __all__ = [
     "CopiedBills",
     "DaemonMessage",
@@ -28,6 +30,7 @@
 # Resolution of the numbers in reports.
 BACKLOG_UNITS_PER_SECOND = 1_000
 AGE_UNITS_PER_SECOND = 10
+READ_AGE_UNITS_PER_SECOND = 100
 UNITS_PER_COUNT = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
@@ -62,7 +65,9 @@
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
     ``echoes`` identifies the peers' reports that it had received when that content was
-    last confirmed. ``draining`` is set once the sender is shutting down.
+    last confirmed. ``reads`` gives the period in which the sender read the store, or
+    had its content confirmed, without a gap: the seconds since it began and since the
+    last read. ``draining`` is set once the sender is shutting down.
     """
 
     loads: list[tuple[str, int, float]] | None
@@ -73,21 +78,24 @@
     draining: bool = False
     reading: int = 0
     echoes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    reads: tuple[float, float] | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DaemonMessage:
     """A message from one daemon to its peers.
 
-    ``revision`` is the newest revision of the store that the sender has seen; peers
-    have to read up to it. ``copied_bills`` is only sent to the peers that keep copies
-    of the sender's bills.
+    ``position`` is the newest position of the store that the sender has seen; peers
+    have to read up to it. ``configuration_version`` is the newest version of the
+    configuration that it knows of. ``copied_bills`` is only sent to the peers that keep
+    copies of the sender's bills.
     """
 
     instance: str
     incarnation: str
     sequence: int
-    revision: int
+    position: Position
+    configuration_version: int = 0
     report: DaemonReport | None = None
     copied_bills: CopiedBills | None = None
 
@@ -107,10 +115,11 @@
     bool,
     int,
     list[tuple[int, int]],
+    tuple[int, int] | None,
 ]
 # The fields of a message in their order.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
-    tuple[str, str, int, int, _ReportArray | None, CopiedBills | None]
+    tuple[str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None]
 )
 
 
@@ -120,7 +129,8 @@
         message.instance,
         message.incarnation,
         message.sequence,
-        message.revision,
+        (message.position.era, message.position.revision),
+        message.configuration_version,
         _report_array(message.report) if message.report is not None else None,
         message.copied_bills,
     )
@@ -137,12 +147,14 @@
         # The limit bounds the memory that a small datagram can expand to.
         plain = zlib.decompressobj().decompress(content, MAXIMUM_DATAGRAM_BYTES * 10)
         array = _MESSAGE_ADAPTER.validate_json(plain)
-        instance, incarnation, sequence, revision, report, copied_bills = array
+        instance, incarnation, sequence, position, version, *contents = array
+        report, copied_bills = contents
         return DaemonMessage(
             instance=instance,
             incarnation=incarnation,
             sequence=sequence,
-            revision=revision,
+            position=Position(*position),
+            configuration_version=version,
             report=_report(report) if report is not None else None,
             copied_bills=copied_bills,
         )
@@ -172,6 +184,9 @@
         (fingerprint, index(endpoint), round(age * AGE_UNITS_PER_SECOND))
         for fingerprint, endpoint, age in report.crashes
     ]
+    reads = report.reads
+    if reads is not None:
+        reads = [round(age * READ_AGE_UNITS_PER_SECOND) for age in reads]
     return (
         list(names),
         loads,
@@ -182,12 +197,16 @@
         report.draining,
         report.reading,
         report.echoes,
+        reads,
     )
 
 
 def _report(array: _ReportArray) -> DaemonReport:
     names, loads, outcomes, crashes, bad_targets, leaving, *rest = array
-    draining, reading, echoes = rest
+    draining, reading, echoes, reads = rest
+    if reads is not None:
+        began, latest = reads
+        reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
     if loads is not None:
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
@@ -210,6 +229,7 @@
         draining=draining,
         reading=reading,
         echoes=echoes,
+        reads=reads,
     )
 
 
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -4,13 +4,20 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.platform import Condition, PlatformFault, Put, Record
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    PlatformFault,
+    Put,
+    Record,
+)
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
     OperatorSource,
     StoreSnapshot,
 )
 from linnetladder.forwarding.state import (
+    Position,
     RolloutOrder,
     RolloutPhase,
     RolloutRecord,
@@ -47,7 +54,9 @@
 class PlatformSource(OperatorSource):
     """The operator's documents, registrations and records, over one store client.
 
-    ``decoded`` caches the revision and the decoded value of each key of the last read.
+    ``decoded`` caches the position and the decoded value of each key of the last read;
+    ``table_position`` is the position of ``table``.
+    ``lease_era`` is the era in which the lease ``lease_id`` was granted.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
     """
 
@@ -56,8 +65,10 @@
         self.metrics = metrics
         self.table: RoutingTable | None = None
         self.lease_id = 0
+        self.lease_era: int | None = None
         self.unreadable_revisions: dict[str, int] = {}
-        self.decoded: dict[str, tuple[int, object]] = {}
+        self.table_position = Position(era=0, revision=0)
+        self.decoded: dict[str, tuple[Position, object]] = {}
 
     async def read(self) -> Result[StoreSnapshot, PlatformFault]:
         """Read all keys after ``LIST_AFTER_KEY``, in one call if they fit on a page."""
@@ -68,6 +79,9 @@
             prefix: []
             for prefix in (ORDER_PREFIX, RECORD_PREFIX, DAEMON_PREFIX, SERVER_PREFIX)
         }
+        era = self.store.era.current or 0
+        if self.table_position.era != era:
+            self.table = None
         previously_decoded, self.decoded = self.decoded, {}
         for record in listed.unwrap():
             self._decode(record, values_by_prefix, previously_decoded)
@@ -78,11 +92,19 @@
                 records=tuple(values_by_prefix[RECORD_PREFIX]),
                 endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
                 daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
+                era=era,
             )
         )
 
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
-        """Write the daemons' record and the operator's status in one transaction."""
+        """Write the daemons' record and the operator's status in one transaction.
+
+        A record of an ended era is not written, since its revision may have been given
+        out again.
+        """
+        if self._is_of_ended_era(record):
+            detail = f"the record of {record.service!r} was read in an ended era"
+            return Failure(PlatformFault(FaultKind.REJECTED, detail))
         key = RECORD_PREFIX + record.service
         status = StatusModel(State=_OPERATOR_STATES[record.phase], Target=record.target)
         written = await self.store.transact(
@@ -94,18 +116,28 @@
         )
         return written.map(lambda outcome: outcome.succeeded)
 
+    def _is_of_ended_era(self, record: RolloutRecord) -> bool:
+        """Return whether a record was read in another era than the current one."""
+        era = getattr(record, "era", 0)
+        return era != 0 and era != self.store.era.current
+
     async def register_daemon(
         self, address: DaemonAddress, *, seconds: float
     ) -> Result[None, PlatformFault]:
-        """Renew the lease, or write the registration under a new one."""
-        if self.lease_id:
+        """Renew the lease, or write the registration under a new one.
+
+        A lease of an ended era is not renewed: its id may be that of another daemon's.
+        """
+        if self.lease_id and self.lease_era == self.store.era.current:
             renewed = await self.store.keep_alive(self.lease_id)
-            if isinstance(renewed, Failure) or renewed.unwrap() > 0:
+            if isinstance(renewed, Failure):
                 return renewed.map(lambda remaining: None)
+            if renewed.unwrap() > 0 and self.lease_era == self.store.era.current:
+                return Success(None)
         granted = await self.store.grant_lease(seconds=seconds)
         if isinstance(granted, Failure):
             return granted
-        self.lease_id = granted.unwrap()
+        self.lease_id, self.lease_era = granted.unwrap(), self.store.era.current
         put = Put(
             DAEMON_PREFIX + address.instance, orjson.dumps(address), self.lease_id
         )
@@ -139,35 +171,36 @@
         self,
         record: Record,
         values_by_prefix: dict[str, list],
-        previously_decoded: dict[str, tuple[int, object]],
+        previously_decoded: dict[str, tuple[Position, object]],
     ) -> None:
         """Decode one record into the list of its prefix; skip an invalid one.
 
-        ``previously_decoded`` holds the revision and the value of each key of the
-        previous read, which are reused if the revision is the same.
+        ``previously_decoded`` holds the position and the value of each key of the
+        previous read, which are reused if the position is the same.
         """
+        position = Position(self.store.era.current or 0, record.modify_revision)
         try:
             if record.key == CONFIGURATION_KEY:
-                self._decode_table(record)
+                self._decode_table(record, position)
                 return
             for prefix, values in values_by_prefix.items():
                 if not record.key.startswith(prefix):
                     continue
                 cached = previously_decoded.get(record.key)
-                if cached is None or cached[0] != record.modify_revision:
-                    cached = (record.modify_revision, _DECODERS[prefix](record))
+                if cached is None or cached[0] != position:
+                    cached = (position, _DECODERS[prefix](record))
                 self.decoded[record.key] = cached
                 values.append(cached[1])
                 return
         except (ValueError, TypeError) as error:
             self._report_unreadable(record, error)
 
-    def _decode_table(self, record: Record) -> None:
-        """Decode the configuration if its revision is new."""
-        revision = record.modify_revision
-        if self.table is None or self.table.revision < revision:
+    def _decode_table(self, record: Record, position: Position) -> None:
+        """Decode the configuration if its position is new."""
+        if self.table is None or self.table_position < position:
             model = ConfigurationModel.model_validate_json(record.value)
-            self.table = model.decode(revision=revision)
+            self.table = model.decode(revision=position.revision)
+            self.table_position = position
 
     def _report_unreadable(self, record: Record, error: Exception) -> None:
         """Count a value that can't be decoded and log it once per revision."""
@@ -191,7 +224,8 @@
 
 def _decode_server(record: Record) -> EndpointReport:
     model = ServerModel.model_validate_json(record.value)
-    return model.decode(name=record.key.removeprefix(SERVER_PREFIX))
+    name = record.key.removeprefix(SERVER_PREFIX)
+    return model.decode(name=name, revision=record.modify_revision)
 
 
 def _decode_daemon(record: Record) -> DaemonAddress:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -24,11 +24,13 @@
     rollouts,
     selection,
     sender,
+    store_polling,
 )
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -36,8 +38,11 @@
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.protocol import daemon_messages
+from linnetladder.platform import PlatformSource
 
 
 async def skip_wait(self):
@@ -72,7 +77,7 @@
     return self.confirmed_at
 
 
-def confirm_now(self, table, *, read_began):
+def confirm_now(self, table, *, began):
     self.confirmed_at = self.clock.monotonic()
     if table is not None:
         self.table = table
@@ -130,7 +135,13 @@
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
-    ("configuration_order", TableInForce, "confirm", confirm_now, "admission"),
+    ("peer_reads", EndpointDirectory, "learn_reads", always(None), "directory"),
+    ("peer_reads_gaps", directory, "GAP_EXCESS_SECONDS", 60.0, "directory"),
+    ("gone_entries", EndpointDirectory, "_is_gone", always(False), "store_era"),
+    ("era_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "store_era"),
+    ("configuration_order", TableInForce, "confirm_read", confirm_now, "admission"),
+    ("configuration_version", TableInForce, "note_version", always(None), "store_era"),
+    ("configuration_doubt", in_force, "ERA_DOUBT_SECONDS", 0.0, "store_era"),
     ("strict_revocation", TableInForce, "refuse_stale", always(None), "admission"),
     ("absence_margin", in_force, "ABSENCE_MARGIN_SECONDS", -60.0, "admission"),
     ("retry_budget", RetryBudget, "spend", always(True), "attempts"),
@@ -141,6 +152,24 @@
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
     ("signature", daemon_messages, "_sign", always(b"x" * 16), "peer_gossip"),
+    ("era_from_peers", StoreEra, "observe", always(True), "store_era"),
+    ("era_peers", peer_gossip, "PEER_GRACE_SECONDS", -1.0, "store_era"),
+    ("era_read_jitter", store_polling, "ERA_READ_JITTER_SECONDS", 0.0, "store_era"),
+    (
+        "era_registration",
+        store_polling,
+        "REGISTRATION_RETRY_SECONDS",
+        0.0,
+        "store_era",
+    ),
+    (
+        "era_of_record",
+        PlatformSource,
+        "_is_of_ended_era",
+        always(False),
+        "platform",
+    ),
+    ("era_secret", SharedSecret, "_request_check", always(None), "platform"),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import os
 import pathlib
 import re
@@ -11,8 +12,12 @@
 
 import orjson
 import pytest
+from returns.result import Failure
 
 from linnetladder.coordination.platform import FaultKind
+from linnetladder.forwarding.coordination.shared_secret import SharedSecret
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
     VariableError,
     read_operations_settings,
@@ -35,6 +40,7 @@
     read_settings,
 )
 from linnetladder.platform.documents import ConfigurationModel
+from linnetladder.platform.source import SECRET_KEY
 from linnetladder.telemetry import Metrics
 from standins.fleet_store import FleetStore
 from tests.support.forwarding import ManualClock, head, route, table
@@ -182,7 +188,13 @@
     async def scenario():
         server = FleetStore()
         address = await server.start()
-        store = PlatformStore(address=address, clock=ManualClock(), metrics=Metrics())
+        metrics = Metrics()
+        store = PlatformStore(
+            address=address,
+            era=StoreEra(metrics=metrics),
+            clock=ManualClock(),
+            metrics=metrics,
+        )
         source = PlatformSource(store=store, metrics=Metrics())
         try:
             return await work(server, store, source)
@@ -297,8 +309,6 @@
 
 def test_daemon_registers_again_after_its_lease_has_expired():
     async def work(server, store, source):
-        from linnetladder.forwarding.coordination.sources import DaemonAddress
-
         address = DaemonAddress(
             instance="d1",
             incarnation="i",
@@ -457,3 +467,175 @@
         assert base64.b64decode(server.encoded(key), validate=True) == b"ab"
 
     run_with_store(work)
+
+
+def test_store_that_returns_from_an_older_copy_raises_the_era():
+    """Guards against revisions of different eras being taken for one history."""
+
+    async def scenario(server, store, _source):
+        server.put_bytes("op/a", b"1")
+        assert (await store.get("op/a")).unwrap().value == b"1"
+        before = server.revision
+        server.put_bytes("op/a", b"2")
+        server.rewind(60.0)
+        assert server.revision < before
+        assert (await store.get("op/a")).unwrap() is None
+        assert store.era.current == 2
+        assert store.metrics.value("store_era_changes") == 1
+        server.era = 1
+        late = await store.get("op/a")
+        assert isinstance(late, Failure)
+        assert store.era.current == 2
+
+    run_with_store(scenario)
+
+
+def test_watch_from_a_revision_that_the_store_has_lost_fails():
+    async def scenario(server, store, _source):
+        server.put_bytes("op/a", b"1")
+        watch = store.watch("op/")
+        waiting = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.05)
+        server.put_bytes("op/a", b"2")
+        assert (await waiting).unwrap().value == b"2"
+        server.rewind(60.0)
+        assert isinstance(await anext(watch), Failure)
+
+    run_with_store(scenario)
+
+
+def test_content_of_a_new_era_at_the_same_revision_is_decoded_again():
+    """Guards against values of an ended era being reused at an equal revision."""
+
+    async def scenario(server, store, source):
+        server.put("op/start", {})
+        revision = server.revision
+        server.put("op/config", CONFIGURATION)
+        server.put("servers/w1", WORKER)
+        assert (await source.read()).unwrap().endpoints[0].capacity == 8
+        server.rewind(60.0)
+        server.revision = revision
+        server.put("op/config", CONFIGURATION | {"Version": 8})
+        server.put("servers/w1", WORKER | {"Slots": 3})
+        snapshot = (await source.read()).unwrap()
+        assert (snapshot.era, snapshot.table.version) == (2, 8)
+        assert snapshot.endpoints[0].capacity == 3
+
+    run_with_store(scenario)
+
+
+def test_configuration_that_the_older_copy_lacks_is_not_read_from_the_cache():
+    """Guards against a configuration of an ended era being confirmed by a read."""
+
+    async def scenario(server, store, source):
+        server.put("op/config", CONFIGURATION)
+        assert (await source.read()).unwrap().table.version == 7
+        server.rewind(60.0)
+        assert (await source.read()).unwrap().table is None
+
+    run_with_store(scenario)
+
+
+def test_lease_of_an_ended_era_is_not_renewed():
+    """Guards against renewing a lease that was given out again to another daemon."""
+
+    async def scenario(server, store, source):
+        addresses = [
+            DaemonAddress(
+                instance=name,
+                incarnation="i",
+                failure_domain="a",
+                host="10.0.0.1",
+                port=7000,
+            )
+            for name in ("d1", "d2")
+        ]
+        await source.register_daemon(addresses[0], seconds=8)
+        lost_lease = source.lease_id
+        server.rewind(60.0)
+        other = PlatformSource(store=store, metrics=Metrics())
+        await other.register_daemon(addresses[1], seconds=8)
+        assert other.lease_id == lost_lease
+        renewals = server.calls["kv-keep"]
+        await source.register_daemon(addresses[0], seconds=8)
+        assert server.calls["kv-keep"] == renewals
+        assert source.lease_id != lost_lease
+        assert len((await source.read()).unwrap().daemons) == 2
+
+    run_with_store(scenario)
+
+
+def test_renewal_that_meets_a_new_era_registers_again():
+    """Guards against a registration believed by a renewal of another's lease."""
+
+    async def scenario(server, store, source):
+        address = DaemonAddress(
+            instance="d1",
+            incarnation="i",
+            failure_domain="a",
+            host="10.0.0.1",
+            port=7000,
+        )
+        await source.register_daemon(address, seconds=8)
+        lost_lease = source.lease_id
+        server.rewind(60.0)
+        server.leases.add(lost_lease)
+        await source.register_daemon(address, seconds=8)
+        assert (await source.read()).unwrap().daemons == (address,)
+
+    run_with_store(scenario)
+
+
+@pytest.mark.parametrize("stored", [None, b"another"])
+def test_a_shared_secret_that_the_store_lost_is_written_again(stored):
+    """Guards against daemons that can't verify each other after a change of era."""
+
+    async def scenario(server, store, source):
+        shared = SharedSecret(source=source, era=store.era, seed=1)
+        adopted = []
+        shared.on_change = adopted.append
+        task = asyncio.ensure_future(shared.run())
+        await asyncio.sleep(0.1)
+        first = shared.value
+        assert server.value(SECRET_KEY) == first
+        server.rewind(60.0)
+        if stored is not None:
+            server.put_bytes(SECRET_KEY, stored)
+        assert (await source.read()).unwrap().era == 2
+        await asyncio.sleep(0.7)
+        task.cancel()
+        expected = stored or first
+        assert server.value(SECRET_KEY) == shared.value == adopted[-1] == expected
+
+    run_with_store(scenario)
+
+
+def test_record_of_an_ended_era_is_not_written():
+    """Guards against replacing a record whose revision was given out again."""
+
+    @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+    class RecordOfEra(RolloutRecord):
+        era: int = 0
+
+    async def scenario(server, store, source):
+        record = RecordOfEra(
+            service="s1",
+            target="v2",
+            order_revision=3,
+            phase=RolloutPhase.CANARY,
+            ordered_unix=1.0,
+            canary_unix=2.0,
+            canary_share=0.1,
+            era=1,
+        )
+        await source.read()
+        assert (await source.write_rollout(record)).unwrap()
+        server.rewind(60.0)
+        await source.read()
+        refused = await source.write_rollout(record)
+        assert refused.failure().kind is FaultKind.REJECTED
+        assert (await source.read()).unwrap().records == ()
+        again = dataclasses.replace(record, era=2)
+        assert (await source.write_rollout(again)).unwrap()
+
+    run_with_store(scenario)
