--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -34,11 +34,12 @@
     session_fraction,
 )
 from linnetladder.forwarding.coordination.sources import OperatorSource
+from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase, RolloutRecord
 from linnetladder.state import Clock, Endpoint
 from linnetladder.telemetry import Metrics, log_change
 
-__all__ = ["RolloutController", "VersionRule"]
+__all__ = ["RolloutController"]
 
 # Requests per second of the whole fleet on the target in the canary phase. How many
 # sessions move to the target at the start follows from this rate and from how often a
@@ -69,28 +70,6 @@
 STEP_JITTER_SECONDS = 0.8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VersionRule:
-    """Restriction of one request to the target version, or to the other versions.
-
-    At most one of ``only_target`` and ``avoid_target`` is true; both are false if there
-    is no roll-out order for the service.
-    """
-
-    target: str = ""
-    only_target: bool = False
-    avoid_target: bool = False
-
-    def allows(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint may run the request."""
-        if not self.target:
-            return True
-        is_target = version_of(endpoint) == self.target
-        if self.only_target:
-            return is_target
-        return not (self.avoid_target and is_target)
-
-
 class RolloutController:
     """Chooses versions by the current orders and advances the orders' records."""
 
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -13,7 +13,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
-from linnetladder.forwarding.coordination.rollouts import VersionRule
+from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.state import Clock, Endpoint
 
 __all__ = ["Selection", "SelectionInputs"]
