Don't write a roll-out's record over a revision of an ended era

After the store had returned from an older copy, a daemon could write a step of a roll-out over a record that it had never read: revisions are given out again, and the condition compared only the number. Orders and records now carry the era in which they were read, positions are compared instead of revisions, and a write over a revision of another era is answered as rejected without a call.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -101,11 +101,12 @@
         self.bad_targets: set[tuple[str, int]] = set()
         self.on_bad_target: Callable[[], None] = _do_nothing
 
-    def update_orders(self, orders: tuple[RolloutOrder, ...]) -> None:
-        """Store new orders of the operator; older revisions are ignored."""
+    def update_orders(self, orders: tuple[RolloutOrder, ...], *, era: int = 0) -> None:
+        """Store new orders of the operator; older positions are ignored."""
         for order in orders:
+            order = dataclasses.replace(order, era=era)
             current = self.orders.get(order.service)
-            if current is None or order.revision > current.revision:
+            if current is None or order.position > current.position:
                 self.orders[order.service] = order
                 key = (order.service, order.revision)
                 self.first_seen[key] = self.clock.monotonic()
@@ -117,11 +118,14 @@
                     revision=order.revision,
                 )
 
-    def update_records(self, records: tuple[RolloutRecord, ...]) -> None:
-        """Store the records read from the store; older revisions are ignored."""
+    def update_records(
+        self, records: tuple[RolloutRecord, ...], *, era: int = 0
+    ) -> None:
+        """Store the records as read in an era; older positions are ignored."""
         for record in records:
+            record = dataclasses.replace(record, era=era)
             current = self.records.get(record.service)
-            if current is not None and record.revision <= current.revision:
+            if current is not None and record.position <= current.position:
                 continue
             self.records[record.service] = record
             log_change(
@@ -332,6 +336,7 @@
             canary_unix=self._activation_time(),
             canary_share=self._canary_share(order.service),
             revision=current.revision if current is not None else 0,
+            era=current.era if current is not None else 0,
         )
 
     def _canary_share(self, service: str) -> float:
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -139,8 +139,8 @@
             self._note_fault(read.failure())
             return False
         snapshot = read.unwrap()
-        self.rollouts.update_orders(snapshot.orders)
-        self.rollouts.update_records(snapshot.records)
+        self.rollouts.update_orders(snapshot.orders, era=snapshot.era)
+        self.rollouts.update_records(snapshot.records, era=snapshot.era)
         self.snapshots.record_snapshot(snapshot, began=began)
         self.in_force.confirm(snapshot.table, read_began=began)
         self.directory.apply(snapshot.endpoints, interval=self.read_interval())
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -4,7 +4,13 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from linnetladder.coordination.platform import Condition, PlatformFault, Put, Record
+from linnetladder.coordination.platform import (
+    Condition,
+    FaultKind,
+    PlatformFault,
+    Put,
+    Record,
+)
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
     OperatorSource,
@@ -83,7 +89,13 @@
         )
 
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
-        """Write the daemons' record and the operator's status in one transaction."""
+        """Write the daemons' record and the operator's status in one transaction.
+
+        A condition on a revision of another era could hold for another value.
+        """
+        if record.revision and record.era != (self.store.era.current or 0):
+            detail = f"a roll-out record of era {record.era}, which has ended"
+            return Failure(PlatformFault(FaultKind.REJECTED, detail))
         key = RECORD_PREFIX + record.service
         status = StatusModel(State=_OPERATOR_STATES[record.phase], Target=record.target)
         written = await self.store.transact(
