Keep orders, sessions and outcomes of roll-outs when the store loses them

After the store had returned from an older copy, the order that the operator wrote again counted as a new one: its sessions were drawn anew and changed version, a bad target got sessions again, and the roll-out started over. A phase, complete and rolled_back among them, that the copy didn't hold stayed lost to the operator, and an order of the copy was steered until its successor was back.

An order now keeps the position at which it was first read, and records name it. The record that is furthest is kept and written again, with its times and the operator's status; other steps wait until peers can have done so. An unknown order of a new era waits until the operator has had time to write a newer one. The identity that peers exchange for bad targets holds the era, since revisions are given out again.

Orders and records are one commit because either alone starts roll-outs over.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -23,6 +23,8 @@
     version_of,
 )
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.rollout_orders import OrderBook
+from linnetladder.forwarding.coordination.rollout_records import RecordBook
 from linnetladder.forwarding.coordination.rollout_schedule import (
     ACTIVATION_DELAY_SECONDS,
     COMPLETE_EARLIEST_FRACTION,
@@ -94,47 +96,29 @@
         self.clock = clock
         self.metrics = metrics
         self.random = random.Random(seed)
-        self.orders: dict[str, RolloutOrder] = {}
-        self.records: dict[str, RolloutRecord] = {}
+        self.order_book = OrderBook(clock=clock)
+        self.record_book = RecordBook(orders=self.order_book)
+        self.orders = self.order_book.current
         self.schedule = RolloutSchedule(clock=clock)
-        self.first_seen: dict[tuple[str, int], float] = {}
         self.bad_targets: set[tuple[str, int]] = set()
         self.on_bad_target: Callable[[], None] = _do_nothing
 
     def update_orders(self, orders: tuple[RolloutOrder, ...], *, era: int = 0) -> None:
-        """Store new orders of the operator; older positions are ignored."""
-        for order in orders:
-            order = dataclasses.replace(order, era=era)
-            current = self.orders.get(order.service)
-            if current is None or order.position > current.position:
-                self.orders[order.service] = order
-                key = (order.service, order.revision)
-                self.first_seen[key] = self.clock.monotonic()
-                log_change(
-                    "roll-out ordered",
-                    service=order.service,
-                    target=order.target,
-                    seconds=order.duration_seconds,
-                    revision=order.revision,
-                )
+        """Store the operator's orders as read in an era of the store."""
+        self.order_book.update(orders, era=era)
 
     def update_records(
         self, records: tuple[RolloutRecord, ...], *, era: int = 0
     ) -> None:
-        """Store the records as read in an era; older positions are ignored."""
-        for record in records:
-            record = dataclasses.replace(record, era=era)
-            current = self.records.get(record.service)
-            if current is not None and record.position <= current.position:
-                continue
-            self.records[record.service] = record
-            log_change(
-                "roll-out phase",
-                service=record.service,
-                target=record.target,
-                phase=record.phase,
-                revision=record.revision,
-            )
+        """Store the records as read in an era of the store.
+
+        A record may name its order by another position; a bad target stays bad.
+        """
+        known_as = {service: order.identity for service, order in self.orders.items()}
+        self.record_book.update(records, era=era)
+        for service, identity in known_as.items():
+            if (service, identity) in self.bad_targets:
+                self.bad_targets.add((service, self.orders[service].identity))
 
     def active(self) -> list[RolloutOrder]:
         """Return the orders without a record in a final phase."""
@@ -169,26 +153,27 @@
         return record is None or record.phase is not RolloutPhase.COMPLETE
 
     def newest_revision(self) -> int:
-        """Return the newest revision of any order or record that was read."""
-        revisions = [order.revision for order in self.orders.values()]
-        revisions += [record.revision for record in self.records.values()]
-        return max(revisions, default=0)
+        """Return the newest revision of the orders and records last read."""
+        stored = self.record_book.stored.values()
+        revisions = [record.revision for record in stored]
+        return max([self.order_book.newest_revision, *revisions])
 
     def export_bad_targets(self) -> list[tuple[str, int]]:
-        """Return service and revision of orders with a bad target, for peers."""
+        """Return service and identity of orders with a bad target, for peers."""
         return sorted(self.bad_targets)
 
     def add_bad_targets(self, reported: list[tuple[str, int]]) -> None:
         """Mark targets as bad that a peer reports as bad."""
-        for service, revision in reported:
-            self._mark_bad(service, revision, reason="peer")
+        for service, identity in reported:
+            self._mark_bad(service, identity, reason="peer")
 
     async def step(self) -> bool:
-        """Check each active order's target and write the steps that are due.
+        """Write again what the store has lost, then write the steps that are due.
 
         Return whether a write was attempted.
         """
-        wrote = False
+        self.order_book.release(self.record_book.stored)
+        wrote = await self._restore()
         for order in self.active():
             self._detect_bad_target(order)
             if self._next_record(order) is None:
@@ -200,6 +185,19 @@
                 wrote = True
         return wrote
 
+    async def _restore(self) -> bool:
+        """Write the records again that the store has lost, also of ended roll-outs."""
+        wrote = False
+        for service, order in list(self.orders.items()):
+            if self.record_book.lost_record(service) is None:
+                continue
+            await asyncio.sleep(self.random.uniform(0.0, STEP_JITTER_SECONDS))
+            record = self.record_book.lost_record(service)
+            if record is not None:
+                await self._write(order, record)
+                wrote = True
+        return wrote
+
     def _detect_bad_target(self, order: RolloutOrder) -> None:
         """Mark a target as bad if the evidence on any route reaches the threshold."""
         if self._is_bad(order):
@@ -208,7 +206,7 @@
             if finding.evidence >= ROLLBACK_EVIDENCE:
                 self._mark_bad(
                     order.service,
-                    order.revision,
+                    order.identity,
                     reason="answers",
                     **dataclasses.asdict(finding),
                 )
@@ -228,17 +226,17 @@
         )
 
     def _mark_bad(
-        self, service: str, revision: int, *, reason: str, **evidence: object
+        self, service: str, identity: int, *, reason: str, **evidence: object
     ) -> None:
-        if (service, revision) in self.bad_targets:
+        if (service, identity) in self.bad_targets:
             return
-        self.bad_targets.add((service, revision))
+        self.bad_targets.add((service, identity))
         self.on_bad_target()
         self.metrics.count("versions_pulled")
         log_change(
             "version found bad",
             service=service,
-            order=revision,
+            order=identity,
             reason=reason,
             **evidence,
         )
@@ -249,21 +247,22 @@
             return True
         if record is not None and record.phase is RolloutPhase.COMPLETE:
             return False
-        return (order.service, order.revision) in self.bad_targets
+        return (order.service, order.identity) in self.bad_targets
 
     def _current_record(self, service: str) -> RolloutRecord | None:
         """Return the record of a service's current order, if it has one."""
-        record = self.records.get(service)
-        order = self.orders.get(service)
-        if record is None or order is None:
-            return None
-        return record if record.order_revision == order.revision else None
+        return self.record_book.current(service)
 
     def _next_record(self, order: RolloutOrder) -> RolloutRecord | None:
         """Return the record of the next step if one is due."""
         record = self._current_record(order.service)
+        if self._awaits_restoration():
+            return None
         if record is None:
-            return self._first_record(order)
+            is_outdated = self.record_book.shows_newer_order(order.service)
+            return None if is_outdated else self._first_record(order)
+        if self.record_book.stored.get(order.service) != record:
+            return None
         if self._is_bad(order):
             return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
         if self._awaits_peer_reports(order):
@@ -278,9 +277,14 @@
             return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
         return None
 
+    def _awaits_restoration(self) -> bool:
+        """Return whether peers may not yet have written again what they know."""
+        changed = self.order_book.era_changed_at
+        return self.clock.monotonic() - changed < PEER_REPORT_WAIT_SECONDS
+
     def _awaits_peer_reports(self, order: RolloutOrder) -> bool:
         """Return whether the order is too new here for peers' reports to have come."""
-        seen = self.first_seen[(order.service, order.revision)]
+        seen = self.order_book.first_seen[(order.service, order.identity)]
         return self.clock.monotonic() - seen < PEER_REPORT_WAIT_SECONDS
 
     def _advance_canary(
@@ -321,11 +325,11 @@
         """Keep the phase until there are more answers; roll back if time runs out."""
         if elapsed < order.duration_seconds * HOLD_LATEST_FRACTION:
             return None
-        self._mark_bad(order.service, order.revision, reason="still in doubt")
+        self._mark_bad(order.service, order.identity, reason="still in doubt")
         return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
 
     def _first_record(self, order: RolloutOrder) -> RolloutRecord:
-        current = self.records.get(order.service)
+        stored = self.record_book.stored.get(order.service)
         now = self.clock.unix()
         return RolloutRecord(
             service=order.service,
@@ -335,8 +339,9 @@
             ordered_unix=round(now, 3),
             canary_unix=self._activation_time(),
             canary_share=self._canary_share(order.service),
-            revision=current.revision if current is not None else 0,
-            era=current.era if current is not None else 0,
+            revision=stored.revision if stored is not None else 0,
+            order_era=order.era,
+            era=self.record_book.era,
         )
 
     def _canary_share(self, service: str) -> float:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -5,6 +5,7 @@
 them must fail with it.
 """
 
+import dataclasses
 import math
 
 import pytest
@@ -20,6 +21,8 @@
     poison,
     quarantine,
     report_news,
+    rollout_orders,
+    rollout_records,
     rollout_schedule,
     rollouts,
     selection,
@@ -33,11 +36,15 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.rollout_orders import OrderBook
+from linnetladder.forwarding.coordination.rollout_records import RecordBook
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.protocol import daemon_messages
+from linnetladder.forwarding.state import RolloutOrder
+from linnetladder.platform import source
 
 
 async def skip_wait(self):
@@ -49,6 +56,30 @@
     return lambda *arguments, **options: value
 
 
+ERA_ROLLOUTS = "store_eras_rollouts"
+
+revision_alone = property(lambda self: self.revision)
+write_rollout = source.PlatformSource.write_rollout
+
+
+def release_after_grace(self, records):
+    """Accept waiting orders after the grace only."""
+    for order in list(self.waiting.values()):
+        if not self.in_grace():
+            self._accept(order)
+
+
+def names_alias(self, record, *, known):
+    """Match a record by the positions of the order alone."""
+    return record.order_position in self.aliases.get(record.service, ())
+
+
+async def write_over_any_era(self, record):
+    """Write without comparing the record's era with the store's."""
+    era = self.store.era.current
+    return await write_rollout(self, dataclasses.replace(record, era=era))
+
+
 def mean_gap(self):
     self.measured = True
     return sum(self.gaps) / len(self.gaps)
@@ -116,6 +147,31 @@
         always(None),
         "rollouts",
     ),
+    ("era_same_order", OrderBook, "_is_same", always(False), ERA_ROLLOUTS),
+    ("era_earlier_order", OrderBook, "_is_earlier", always(False), ERA_ROLLOUTS),
+    ("era_grace", rollout_orders, "RESTORE_GRACE_SECONDS", 0.0, ERA_ROLLOUTS),
+    ("era_grace_end", rollout_orders, "RESTORE_GRACE_SECONDS", 99.0, ERA_ROLLOUTS),
+    ("era_peer_accepted", OrderBook, "release", release_after_grace, ERA_ROLLOUTS),
+    ("era_adopted_identity", OrderBook, "adopt_identity", always(None), ERA_ROLLOUTS),
+    ("era_named_order", OrderBook, "names", names_alias, ERA_ROLLOUTS),
+    ("era_identity", RolloutOrder, "identity", revision_alone, ERA_ROLLOUTS),
+    ("era_lost_record", RecordBook, "lost_record", always(None), ERA_ROLLOUTS),
+    ("era_record_rank", rollout_records, "_is_behind", always(False), ERA_ROLLOUTS),
+    ("era_newer_order", RecordBook, "shows_newer_order", always(False), ERA_ROLLOUTS),
+    (
+        "era_new_step",
+        RolloutController,
+        "_awaits_restoration",
+        always(False),
+        ERA_ROLLOUTS,
+    ),
+    (
+        "era_conditional_write",
+        source.PlatformSource,
+        "write_rollout",
+        write_over_any_era,
+        ERA_ROLLOUTS,
+    ),
     ("slowness", Outcomes, "add_duration", always(None), "rollouts"),
     ("holders_timeout", peer_gossip, "HOLDER_TIMEOUT_SECONDS", math.inf, "bills"),
     ("holders_draining", PeerGossip, "_is_alive", always(True), "bills"),
