--- a/tests/forwarding/test_store_eras_rollouts.py
+++ b/tests/forwarding/test_store_eras_rollouts.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 
+import orjson
 import pytest
 
 from linnetladder.coordination.platform import FaultKind
@@ -444,3 +445,35 @@
         assert (await source.write_rollout(again)).unwrap()
 
     run_with_store(work)
+
+
+# Guards against an outcome that is kept in memory but not accepted by the store itself.
+def test_lost_record_and_status_are_written_to_the_store_again():
+    async def work(server, store, source):
+        order = {"Service": "engines", "Target": "v2", "DurationS": 24}
+        clock = ManualClock()
+        server.put("op/rollout/engines", order)
+        daemon = LocalDaemon(source=source, clock=clock)
+        daemon.rollouts.random.uniform = lambda low, high: low
+        await daemon.poller.read_once()
+        await daemon.rollouts.step()
+        await daemon.poller.read_once()
+        clock.now += 2.5
+        order_read = daemon.rollouts.orders["engines"]
+        daemon.rollouts.add_bad_targets([("engines", order_read.identity)])
+        await daemon.rollouts.step()
+        lost = orjson.loads(server.value("router/rollouts/engines"))
+        assert lost["phase"] == "rolled_back"
+        await daemon.poller.read_once()
+        server.rewind(60.0)
+        server.put("other", {})
+        server.put("op/rollout/engines", order)
+        await daemon.poller.read_once()
+        await daemon.rollouts.step()
+        written = orjson.loads(server.value("router/rollouts/engines"))
+        for name in ("phase", "order_revision", "order_era", "canary_unix"):
+            assert written[name] == lost[name]
+        status = orjson.loads(server.value("status/rollout/engines"))
+        assert status == {"State": "rolled_back", "Target": "v2"}
+
+    run_with_store(work)
