Decode values again when the store returns from an older copy

A daemon kept following an order that the store had lost, if the operator's next one got the same revision: decoded values were reused by their revision alone. They are dropped when the era rises. The test failed before.

--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -53,7 +53,8 @@
 class PlatformSource(OperatorSource):
     """The operator's documents, registrations and records, over one store client.
 
-    ``decoded`` caches the revision and the decoded value of each key of the last read.
+    ``decoded`` caches the revision and the decoded value of each key of the last read,
+    which was in the era ``decoded_era``.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
     """
 
@@ -64,6 +65,7 @@
         self.lease_id = 0
         self.unreadable_revisions: dict[str, int] = {}
         self.decoded: dict[str, tuple[int, object]] = {}
+        self.decoded_era: int | None = None
 
     async def read(self) -> Result[StoreSnapshot, PlatformFault]:
         """Read all keys after ``LIST_AFTER_KEY``, in one call if they fit on a page."""
@@ -75,6 +77,8 @@
             for prefix in (ORDER_PREFIX, RECORD_PREFIX, DAEMON_PREFIX, SERVER_PREFIX)
         }
         previously_decoded, self.decoded = self.decoded, {}
+        if self.decoded_era != self.store.era.current:
+            self.decoded_era, previously_decoded = self.store.era.current, {}
         for record in listed.unwrap():
             self._decode(record, values_by_prefix, previously_decoded)
         return Success(
--- a/tests/forwarding/test_store_eras_rollouts.py
+++ b/tests/forwarding/test_store_eras_rollouts.py
@@ -447,6 +447,21 @@
     run_with_store(work)
 
 
+# Guards against a value of the ended era that is returned for the same revision.
+def test_order_under_a_revision_that_is_given_out_again_is_decoded():
+    async def work(server, store, source):
+        order = {"Service": "engines", "Target": "v2", "DurationS": 24}
+        server.put("op/rollout/engines", order)
+        (before,) = (await source.read()).unwrap().orders
+        server.rewind(60.0)
+        server.put("op/rollout/engines", {**order, "Target": "v3"})
+        (after,) = (await source.read()).unwrap().orders
+        assert after.revision == before.revision
+        assert after.target == "v3"
+
+    run_with_store(work)
+
+
 # Guards against an outcome that is kept in memory but not accepted by the store itself.
 def test_lost_record_and_status_are_written_to_the_store_again():
     async def work(server, store, source):
