--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -157,8 +157,8 @@
         snapshot = read.unwrap()
         if snapshot.era:
             self.era.observe(snapshot.era)
-        self.rollouts.update_orders(snapshot.orders)
-        self.rollouts.update_records(snapshot.records)
+        self.rollouts.update_orders(snapshot.orders, era=snapshot.era)
+        self.rollouts.update_records(snapshot.records, era=snapshot.era)
         self.snapshots.record_snapshot(snapshot, began=began)
         self.content_confirmed_at = began
         self.in_force.confirm_read(snapshot.table, began=began)
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -99,11 +99,10 @@
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
         """Write the daemons' record and the operator's status in one transaction.
 
-        A record of an ended era is not written, since its revision may have been given
-        out again.
+        A condition on a revision of another era could hold for another value.
         """
         if self._is_of_ended_era(record):
-            detail = f"the record of {record.service!r} was read in an ended era"
+            detail = f"a roll-out record of era {record.era}, which has ended"
             return Failure(PlatformFault(FaultKind.REJECTED, detail))
         key = RECORD_PREFIX + record.service
         status = StatusModel(State=_OPERATOR_STATES[record.phase], Target=record.target)
@@ -117,9 +116,13 @@
         return written.map(lambda outcome: outcome.succeeded)
 
     def _is_of_ended_era(self, record: RolloutRecord) -> bool:
-        """Return whether a record was read in another era than the current one."""
-        era = getattr(record, "era", 0)
-        return era != 0 and era != self.store.era.current
+        """Return whether a record is based on another era than the current one.
+
+        A new record that names no era is not.
+        """
+        if not record.era and not record.revision:
+            return False
+        return record.era != (self.store.era.current or 0)
 
     async def register_daemon(
         self, address: DaemonAddress, *, seconds: float
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -613,12 +613,8 @@
 def test_record_of_an_ended_era_is_not_written():
     """Guards against replacing a record whose revision was given out again."""
 
-    @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-    class RecordOfEra(RolloutRecord):
-        era: int = 0
-
     async def scenario(server, store, source):
-        record = RecordOfEra(
+        record = RolloutRecord(
             service="s1",
             target="v2",
             order_revision=3,
