Read at once when any call meets a new era of the store

A change of era that a renewal or a write met did not lead to a read, so callers were routed by the content of the ended era until the next read was due. A daemon whose first read came three seconds after its start took an older configuration for confirmed.

A change of era requests a read unless a read found it, and the doubt about an older configuration counts from the first read. Both new tests failed before.

--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -46,6 +46,8 @@
 
         ``table`` is ``None`` if the store has none; ``began`` is when the read began.
         """
+        if self.confirmed_at == -math.inf:
+            self.era_began_at = self.clock.monotonic()
         self.version_read = table.version if table is not None else 0
         self.newest_version_known = max(self.newest_version_known, self.version_read)
         self.confirm(began)
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable
 
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.platform import PlatformFault
 from linnetladder.forwarding.coordination.budget import RetryBudget
@@ -21,7 +21,11 @@
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
-from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
+from linnetladder.forwarding.coordination.sources import (
+    DaemonAddress,
+    OperatorSource,
+    StoreSnapshot,
+)
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock
@@ -91,6 +95,7 @@
         self.reachable = True
         self.failures = 0
         self.leaving = False
+        self.reading = False
         self.read_requested = asyncio.Event()
         self.registration_lost = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
@@ -150,13 +155,11 @@
     async def read_once(self) -> bool:
         """Read the store, apply its content, and return whether the read succeeded."""
         began = self.clock.monotonic()
-        read = await self.source.read()
+        read = await self._read_source()
         if isinstance(read, Failure):
             self._note_fault(read.failure())
             return False
         snapshot = read.unwrap()
-        if snapshot.era:
-            self.era.observe(snapshot.era)
         self.rollouts.update_orders(snapshot.orders)
         self.rollouts.update_records(snapshot.records)
         self.snapshots.record_snapshot(snapshot, began=began)
@@ -174,6 +177,17 @@
         self._note_success()
         return True
 
+    async def _read_source(self) -> Result[StoreSnapshot, PlatformFault]:
+        """Read the store and observe the era of the content."""
+        self.reading = True
+        try:
+            read = await self.source.read()
+            if isinstance(read, Success) and read.unwrap().era:
+                self.era.observe(read.unwrap().era)
+            return read
+        finally:
+            self.reading = False
+
     def on_peer_position(self, position: Position, configuration_version: int) -> None:
         """Record what a peer knows of; request a read if its position is newer."""
         if position.era:
@@ -186,10 +200,12 @@
         self.peers.configuration_version = self.in_force.newest_version_known
 
     def on_era_change(self, era: int) -> None:
-        """Prepare for content of an older copy of the store."""
+        """Prepare for content of an older copy, and read it unless a read found it."""
         self.in_force.note_era_change()
         self.peers.note_era_change()
         self.registration_lost.set()
+        if not self.reading:
+            self.read_requested.set()
 
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -324,3 +324,28 @@
     run_on_virtual_time(work)
     assert len(read_at) == 66
     assert sum(at < min(read_at) + 0.05 for at in read_at) < 20
+
+
+def test_a_change_of_era_that_another_call_meets_requests_a_read():
+    """Guards against content of an ended era until the next read is due."""
+    daemon = ready_daemon()
+    daemon.era.observe(2)
+    assert daemon.poller.read_requested.is_set()
+    daemon.poller.read_requested.clear()
+    daemon.source.era = 3
+    assert daemon.read()
+    assert not daemon.poller.read_requested.is_set()
+
+
+def test_a_daemon_whose_first_read_comes_late_doubts_an_older_copy():
+    """Guards against an older copy being believed after a start without store."""
+    clock = ManualClock()
+    peer = ready_daemon(name="daemon-1", clock=clock)
+    peer.source.table = table(version=6)
+    assert peer.read()
+    started = LocalDaemon(name="daemon-2", clock=clock)
+    started.source.era = 2
+    clock.now += 5.0
+    assert started.read()
+    started.peers.apply(peer.peers.build())
+    assert started.in_force.refuse_stale() is not None
