Have the holders write the blocks that their owner has dropped

Bills in a block dropped beyond MAXIMUM_UNWRITTEN_BLOCKS were billed nowhere: the next write raised the mark "written" past the block, so the peers discarded their copies. Each failed flush began a block, so an outage of 50 seconds was enough.

Messages now name the dropped blocks; holders keep them and write them. A failed flush begins no new block. Both tests failed before.

--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -24,6 +24,8 @@
 
 MAXIMUM_BLOCK_BILLS = 4_000
 MAXIMUM_UNWRITTEN_BLOCKS = 50
+# Numbers of dropped blocks that are sent to peers, the latest ones.
+MAXIMUM_DROPPED_NUMBERS = 50
 # Datagrams may be lost, so each bill is sent in one of its own and again in this many
 # rounds of reports.
 COPY_ROUNDS = 2
@@ -64,6 +66,7 @@
         self.blocks: list[Block] = []
         self.sequence = 1
         self.written = 0
+        self.dropped: list[int] = []
         self.rounds: list[dict[int, dict[str, BillRow]]] = [{}]
         self.flush_lock = asyncio.Lock()
         self.on_bill: Callable[[CopiedBills], None] = _ignore
@@ -80,7 +83,7 @@
         added = self.rounds[-1].setdefault(self.sequence, {})
         added[request.head.attempt_id] = bill
         blocks = {self.sequence: {request.head.attempt_id: bill}}
-        self.on_bill(CopiedBills(written=self.written, blocks=blocks))
+        self.on_bill(self._copied(blocks))
         if len(self.open_bills) >= MAXIMUM_BLOCK_BILLS:
             self._seal()
 
@@ -92,7 +95,12 @@
                 if sequence > self.written:
                     blocks.setdefault(sequence, {}).update(bills)
         self.rounds = [*self.rounds[-COPY_ROUNDS + 1 :], {}]
-        return CopiedBills(written=self.written, blocks=blocks)
+        return self._copied(blocks)
+
+    def _copied(self, blocks: dict[int, dict[str, BillRow]]) -> CopiedBills:
+        return CopiedBills(
+            written=self.written, dropped=list(self.dropped), blocks=blocks
+        )
 
     async def flush(self) -> bool:
         """Write all buffered bills; return whether all of them are in the store.
@@ -101,11 +109,17 @@
         block and removes it afterwards.
         """
         async with self.flush_lock:
+            # Failed flushes begin no new blocks, since the number of blocks is limited.
+            if not await self._write_blocks():
+                return False
             self._seal()
-            while self.blocks:
-                if not await self._write(self.blocks[0]):
-                    return False
-            return True
+            return await self._write_blocks()
+
+    async def _write_blocks(self) -> bool:
+        while self.blocks:
+            if not await self._write(self.blocks[0]):
+                return False
+        return True
 
     async def _write(self, block: Block) -> bool:
         """Write the first block and remove it once it is in the store."""
@@ -131,6 +145,7 @@
         self.open_bills = {}
         if len(self.blocks) > MAXIMUM_UNWRITTEN_BLOCKS:
             dropped = self.blocks.pop(0)
+            self.dropped = [*self.dropped, dropped.sequence][-MAXIMUM_DROPPED_NUMBERS:]
             self.metrics.count("bills_lost", len(dropped.bills))
             log_change(
                 "bills dropped: too many unwritten blocks", count=len(dropped.bills)
@@ -143,10 +158,12 @@
 
     ``last_seen`` is the time at which it was last listed in the store or sent bills;
     ``ended`` is set once a later incarnation of the same instance has reported.
+    ``dropped`` are the blocks that the peer will not write.
     """
 
     last_seen: float
     ended: bool = False
+    dropped: set[int] = dataclasses.field(default_factory=set)
     blocks: dict[int, dict[str, BillRow]] = dataclasses.field(default_factory=dict)
 
     def count(self) -> int:
@@ -183,10 +200,11 @@
         replica.last_seen = now
         for sequence, bills in copied.blocks.items():
             replica.blocks.setdefault(sequence, {}).update(bills)
+        replica.dropped.update(replica.blocks.keys() & set(copied.dropped))
         replica.blocks = {
             sequence: bills
             for sequence, bills in replica.blocks.items()
-            if sequence > copied.written
+            if sequence > copied.written or sequence in replica.dropped
         }
         if replica.count() > MAXIMUM_REPLICA_BILLS:
             replica.blocks.pop(min(replica.blocks))
@@ -209,21 +227,36 @@
         return True
 
     async def recover_orphans(self, daemons: tuple[DaemonAddress, ...]) -> None:
-        """Write the bills of peers that have ended or are not listed or heard from."""
+        """Write the bills of peers that have ended or are not listed or heard from.
+
+        Blocks that a peer has dropped are written while it runs, too.
+        """
         now = self.clock.monotonic()
         listed = {daemon.incarnation for daemon in daemons}
         for incarnation, held in list(self.held.items()):
             if incarnation in listed:
                 held.last_seen = now
             if now - held.last_seen < ORPHAN_TIMEOUT_SECONDS and not held.ended:
+                await self._write_dropped(incarnation, held)
                 continue
             if await self._write(incarnation, held):
                 self.held.pop(incarnation, None)
 
-    async def _write(self, incarnation: str, held: ReplicaBlocks) -> bool:
+    async def _write_dropped(self, incarnation: str, held: ReplicaBlocks) -> None:
+        numbers = set(held.dropped)
+        if await self._write(incarnation, held, numbers):
+            for sequence in numbers:
+                held.blocks.pop(sequence, None)
+            held.dropped -= numbers
+
+    async def _write(
+        self, incarnation: str, held: ReplicaBlocks, numbers: set[int] | None = None
+    ) -> bool:
+        """Write the given blocks, by default all; return whether they are written."""
         bills: dict[str, BillRow] = {}
-        for block in held.blocks.values():
-            bills.update(block)
+        for sequence, block in held.blocks.items():
+            if numbers is None or sequence in numbers:
+                bills.update(block)
         if not bills:
             return True
         number = self.next_copy_number
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -38,12 +38,14 @@
     """Copies of bills that a peer keeps in case their owner fails.
 
     ``blocks`` maps the number of a block to its bills by attempt id. The owner has
-    written all blocks up to ``written`` to the store. A bill is a tuple of client
-    account, service, model, prompt tokens and events.
+    written all blocks up to ``written`` to the store, except those in ``dropped``,
+    which it does not have any more. A bill is a tuple of client account, service,
+    model, prompt tokens and events.
     """
 
     written: int
     blocks: dict[int, dict[str, tuple[str, str, str, int, int]]]
+    dropped: list[int] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -5,6 +5,7 @@
 import looptime
 import pytest
 
+from linnetladder.forwarding.coordination import bills
 from linnetladder.forwarding.coordination.bills import merge_blocks
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from tests.support.forwarding import (
@@ -404,3 +405,31 @@
     daemon = ready_daemon(name="d1", source=source)
     reply, _ = answer_while_writing(daemon, source, deadline_seconds=0.1)
     assert reply.status == 200
+
+
+def test_holders_write_a_block_that_its_owner_has_dropped(monkeypatch):
+    """Peers discarded their copies of a block that its owner dropped unwritten."""
+    monkeypatch.setattr(bills, "MAXIMUM_UNWRITTEN_BLOCKS", 2)
+    monkeypatch.setattr(bills, "MAXIMUM_BLOCK_BILLS", 1)
+    source, clock, (first, second) = fleet()
+    source.down = True
+    for serial in range(3):
+        run_request(first, f"a{serial}")
+        send_report(first, second)
+    source.down = False
+    assert asyncio.run(first.bills.flush())
+    send_report(first, second)
+    asyncio.run(second.bill_replicas.recover_orphans(second.peers.listed_daemons))
+    assert sorted(billed(source)) == ["a0", "a1", "a2"]
+
+
+def test_a_long_outage_of_the_store_drops_no_bills():
+    """Each failed flush began a block; the oldest were dropped after 50 seconds."""
+    source, clock, (first, _) = fleet()
+    source.down = True
+    for serial in range(60):
+        run_request(first, f"a{serial}")
+        assert not asyncio.run(first.bills.flush())
+    source.down = False
+    assert asyncio.run(first.bills.flush())
+    assert len(billed(source)) == 60
