Keep bills that reach a holder during its write

Bills of a stopped peer that arrived while its earlier ones were written were billed nowhere: after the write the holder dropped all its copies of that peer. Now it removes the bills that it wrote. The test failed before.

--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -223,8 +223,9 @@
         for incarnation, held in list(self.held.items()):
             if not await self._write(incarnation, held):
                 return False
-            self.held.pop(incarnation, None)
-        return True
+            if not held.blocks:
+                self.held.pop(incarnation, None)
+        return not self.held
 
     async def recover_orphans(self, daemons: tuple[DaemonAddress, ...]) -> None:
         """Write the bills of peers that have ended or are not listed or heard from.
@@ -239,20 +240,20 @@
             if now - held.last_seen < ORPHAN_TIMEOUT_SECONDS and not held.ended:
                 await self._write_dropped(incarnation, held)
                 continue
-            if await self._write(incarnation, held):
+            if await self._write(incarnation, held) and not held.blocks:
                 self.held.pop(incarnation, None)
 
     async def _write_dropped(self, incarnation: str, held: ReplicaBlocks) -> None:
-        numbers = set(held.dropped)
-        if await self._write(incarnation, held, numbers):
-            for sequence in numbers:
-                held.blocks.pop(sequence, None)
-            held.dropped -= numbers
+        if held.dropped:
+            await self._write(incarnation, held, set(held.dropped))
 
     async def _write(
         self, incarnation: str, held: ReplicaBlocks, numbers: set[int] | None = None
     ) -> bool:
-        """Write the given blocks, by default all; return whether they are written."""
+        """Write and remove the bills of the given blocks, by default of all blocks.
+
+        Bills that arrive during the write stay. Return whether the write succeeded.
+        """
         bills: dict[str, BillRow] = {}
         for sequence, block in held.blocks.items():
             if numbers is None or sequence in numbers:
@@ -268,6 +269,12 @@
         )
         if written.value_or(None) is None:
             return False
+        for sequence, block in list(held.blocks.items()):
+            for attempt_id in block.keys() & bills.keys():
+                del block[attempt_id]
+            if not block:
+                del held.blocks[sequence]
+                held.dropped.discard(sequence)
         self.metrics.count("bill_blocks_recovered")
         log_change("bills of a stopped peer written", count=len(bills))
         return True
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -1,6 +1,7 @@
 """Each request that ran is billed once, despite crashes and lost replies."""
 
 import asyncio
+import functools
 
 import looptime
 import pytest
@@ -433,3 +434,33 @@
     source.down = False
     assert asyncio.run(first.bills.flush())
     assert len(billed(source)) == 60
+
+
+def test_bills_that_reach_a_holder_during_its_write_are_kept():
+    """A holder dropped all bills of a peer after its write, also later ones."""
+
+    async def scenario(source, first, second, write):
+        first.bills.open_bills["a1"] = ("studio", "desk", "", 0, 0)
+        first.bills.rounds[-1][1] = dict(first.bills.open_bills)
+        send_report(first, second)
+        second.bill_replicas.mark_ended("d1-1")
+        writing = asyncio.ensure_future(write())
+        await asyncio.sleep(0.005)
+        first.bills.rounds[-1][1] = {"a2": ("studio", "desk", "", 0, 0)}
+        send_report(first, second)
+        await writing
+        await write()
+        return sorted(billed(source))
+
+    for name in ("recover_orphans", "write_all"):
+        source = SlowSource(table=table())
+        first, second = [ready_daemon(name=n, source=source) for n in ("d1", "d2")]
+        write = getattr(second.bill_replicas, name)
+        if name == "recover_orphans":
+            write = functools.partial(write, ())
+        loop = looptime.new_event_loop()
+        try:
+            work = scenario(source, first, second, write)
+            assert loop.run_until_complete(work) == ["a1", "a2"]
+        finally:
+            loop.close()
