Write retained bills again when the store returns from an older copy

Bills acknowledged since the copy were billed nowhere: the owner forgot a block once it was acknowledged, and the peers dropped their copies.

When the era rises, owners write the retained blocks again under their names, and holders those of stopped owners. Messages name the era in which their blocks are written; a report of another era releases nothing. A leaving daemon writes its last block again, whose answer shows the era.

BillReplicas has a module of its own.

--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -3,11 +3,14 @@
 While peers hold copies, bills are written in few large blocks and no answer waits for
 the store. If no peer holds copies, because all are stopped, silent or draining, blocks
 are written at once and the end of each answer waits a limited time for its block.
+When the era of the store rises, retained blocks are written again soon.
 """
 
 import asyncio
+import random
 
-from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.peer_gossip import BILL_HOLDERS, PeerGossip
 from linnetladder.forwarding.coordination.store_polling import StorePoller
 from linnetladder.telemetry import Metrics, log_change
@@ -31,6 +34,8 @@
 DURABILITY_TIMEOUT_SECONDS = 0.15
 # Delay between the retries of the final flush before the daemon exits.
 FINAL_RETRY_SECONDS = 0.2
+# Longest delay of the writes after a change of era, so that daemons spread them.
+ERA_JITTER_SECONDS = 0.5
 
 
 class BillFlusher:
@@ -44,6 +49,7 @@
         peers: PeerGossip,
         poller: StorePoller,
         metrics: Metrics,
+        seed: int,
     ):
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -53,6 +59,14 @@
         self.flush_requested = asyncio.Event()
         self.flush_finished = asyncio.Event()
         self.last_flush_succeeded = False
+        self.random = random.Random(seed)
+        self.delay_seconds = 0.0
+
+    def on_era(self, era: int) -> None:
+        """Request a flush after a random delay, or at once if no peer holds copies."""
+        if self.peers.alive_holder_incarnations():
+            self.delay_seconds = self.random.uniform(0, ERA_JITTER_SECONDS)
+        self.flush_requested.set()
 
     async def run_flushes(self) -> None:
         """Write blocks when they are due or requested, until cancelled."""
@@ -63,6 +77,8 @@
                     await self.flush_requested.wait()
             except TimeoutError:
                 pass
+            delay, self.delay_seconds = self.delay_seconds, 0.0
+            await asyncio.sleep(delay)
             self.flush_requested.clear()
             self.last_flush_succeeded = await self.bills.flush()
             self.flush_finished.set()
@@ -122,14 +138,18 @@
         """Write this daemon's bills and its copies of peers' bills before it exits.
 
         Writes are retried for ``seconds`` if the store is unreachable, since no other
-        daemon may have these bills. Return whether all were written.
+        daemon may have these bills. Blocks written before are written again if the era
+        of the store has risen. Return whether all were written.
         """
         written = False
+        self.bills.recheck()
         try:
             async with asyncio.timeout(seconds):
                 while not written:
                     own_written = await self.bills.flush()
-                    written = await self.bill_replicas.write_all() and own_written
+                    copies_written = await self.bill_replicas.write_all()
+                    # The era may have risen during the last writes.
+                    written = copies_written and own_written and not self.bills.blocks
                     if not written:
                         await asyncio.sleep(FINAL_RETRY_SECONDS)
         except TimeoutError:
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -10,7 +10,8 @@
 
 import xxhash
 
-from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.directory import group_name, version_of
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -15,10 +15,8 @@
 )
 from linnetladder.forwarding.coordination.admission import AdmissionControl
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
-from linnetladder.forwarding.coordination.bills import (
-    BillBuffer,
-    BillReplicas,
-)
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import EndpointCalls
 from linnetladder.forwarding.coordination.canary_analysis import CanaryAnalysis
@@ -118,6 +116,7 @@
     bill_arguments = {
         "source": source,
         "incarnation": incarnation,
+        "era": ports.era,
         "clock": clock,
         "metrics": metrics,
     }
@@ -167,7 +166,13 @@
         peers=peers,
         poller=poller,
         metrics=metrics,
+        seed=seed,
     )
+    ports.era.listeners += [
+        bills.restart,
+        bill_replicas.restart,
+        bill_flusher.on_era,
+    ]
     background = BackgroundTasks()
     selection = Selection(
         directory=directory,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -38,13 +38,14 @@
     """Copies of bills that a peer keeps in case their owner fails.
 
     ``blocks`` maps the number of a block to its bills by attempt id. The owner has
-    written all blocks up to ``written`` to the store, except those in ``dropped``,
-    which it does not have any more. A bill is a tuple of client account, service,
-    model, prompt tokens and events.
+    written all blocks up to ``written`` to the store in its ``era``, except those in
+    ``dropped``, which it does not have any more. A bill is a tuple of client account,
+    service, model, prompt tokens and events.
     """
 
     written: int
     blocks: dict[int, dict[str, tuple[str, str, str, int, int]]]
+    era: int | None = None
     dropped: list[int] = dataclasses.field(default_factory=list)
 
 
@@ -124,7 +125,7 @@
         message.sequence,
         message.revision,
         _report_array(message.report) if message.report is not None else None,
-        message.copied_bills,
+        _copied_fields(message.copied_bills) if message.copied_bills else None,
     )
     content = zlib.compress(orjson.dumps(array, option=orjson.OPT_NON_STR_KEYS))
     return _sign(content, secret) + content
@@ -152,6 +153,16 @@
         return None
 
 
+def _copied_fields(copied: CopiedBills) -> dict:
+    """Return the fields that differ from their defaults."""
+    fields = {"written": copied.written, "blocks": copied.blocks}
+    if copied.era is not None:
+        fields["era"] = copied.era
+    if copied.dropped:
+        fields["dropped"] = copied.dropped
+    return fields
+
+
 def _report_array(report: DaemonReport) -> tuple:
     names: dict[str, int] = {}
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -55,6 +55,9 @@
     "caller_left": Family("Requests whose caller left before the end"),
     "bills": Family("Bills that stand at the platform"),
     "bill_blocks": Family("Blocks of bills that stand at the platform"),
+    "bill_blocks_rewritten": Family(
+        "Blocks of bills written again after the store returned from an older copy"
+    ),
     "bill_block_retries": Family("Tries at writing a block that had to be repeated"),
     "bill_blocks_copied": Family("Blocks held by peers before they stood"),
     "bills_voided": Family("Bills taken back because no answer was given"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -26,7 +26,8 @@
     sender,
 )
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
-from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
 from linnetladder.forwarding.coordination.in_force import TableInForce
