Test bills in random histories with drills and deaths

A random history of answers, flushes, lost replies, outages, drills, deaths and exits on a store in memory; at the end each request is in the ledger. Each new mechanism has a row of mutations, which a test notices.

--- a/tests/forwarding/test_bill_eras.py
+++ b/tests/forwarding/test_bill_eras.py
@@ -5,6 +5,7 @@
 import pytest
 
 from linnetladder.forwarding.coordination import bills
+from tests.support.bill_walk import BillWalk
 from tests.support.bills import (
     add_bill,
     address,
@@ -14,7 +15,7 @@
     run_virtual,
     send_report,
 )
-from tests.support.forwarding import MemorySource, table
+from tests.support.forwarding import MemorySource, ready_daemon, table
 
 
 def flush(daemon):
@@ -214,7 +215,10 @@
 def test_retained_blocks_are_written_soon_after_a_change_of_era():
     """The next regular flush is seconds away, and another daemon may die meanwhile."""
     source, clock, (first, second) = fleet()
-    send_report(second, first)
+    third = ready_daemon(name="d3", source=source, clock=clock)
+    first.peers.update_daemons((address("d1"), address("d2"), address("d3")))
+    for holder in (second, third):
+        send_report(holder, first)
     source.copy()
     for serial in range(3):
         run_request(first, f"a{serial}")
@@ -275,3 +279,12 @@
     first.bill_replicas.write_all = write_after_a_drill
     assert run_virtual(first.bill_flusher.flush_before_exit(seconds=6.0))
     assert sorted(billed(source)) == ["a1", "b1"]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_bill_is_lost_or_added_in_a_random_history(seed):
+    """Bills, flushes, lost replies, outages, drills, deaths and exits at random."""
+    walk = BillWalk(seed)
+    walk.run(500)
+    assert walk.drills > 5
+    assert walk.deaths >= 1
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -11,6 +11,8 @@
 
 from linnetladder.forwarding.coordination import (
     bill_flushing,
+    bill_replicas,
+    bills,
     directory,
     forwarder,
     in_force,
@@ -26,7 +28,7 @@
     sender,
 )
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
-from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
@@ -39,6 +41,7 @@
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.protocol import daemon_messages
+from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 
 
 async def skip_wait(self):
@@ -50,6 +53,23 @@
     return lambda *arguments, **options: value
 
 
+def copy_without_dropped(self, blocks):
+    """Send copies of bills without the numbers of the dropped blocks."""
+    return CopiedBills(written=self.written, era=self.era.current, blocks=blocks)
+
+
+def copy_of_any_era(self, blocks):
+    """Claim that the written blocks are in the store in the highest era."""
+    return CopiedBills(
+        written=self.written, era=99, dropped=list(self.dropped), blocks=blocks
+    )
+
+
+def add_silently(self, bills):
+    """Add bills to a written block without making it unwritten."""
+    self.bills.update(bills)
+
+
 def mean_gap(self):
     self.measured = True
     return sum(self.gaps) / len(self.gaps)
@@ -130,6 +150,16 @@
     ),
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
+    ("bills_dropped", BillBuffer, "_copied", copy_without_dropped, "bills"),
+    ("bills_held_late", HeldBlock, "add", add_silently, "bills"),
+    ("bills_rewritten", BillBuffer, "restart", always(None), "bill_eras"),
+    ("bills_rewritten_soon", BillFlusher, "on_era", always(None), "bill_eras"),
+    ("bills_retained", bills, "RETENTION_SECONDS", -1.0, "bill_eras"),
+    ("bills_bounded", BillBuffer, "_retain", always(None), "bill_eras"),
+    ("bills_era", BillBuffer, "_copied", copy_of_any_era, "bill_eras"),
+    ("bills_rechecked", BillBuffer, "recheck", always(None), "bill_eras"),
+    ("copies_rewritten", BillReplicas, "restart", always(None), "bill_eras"),
+    ("copies_retained", bill_replicas, "RETENTION_SECONDS", -1.0, "bill_eras"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
     ("configuration_order", TableInForce, "confirm", confirm_now, "admission"),
     ("strict_revocation", TableInForce, "refuse_stale", always(None), "admission"),
--- a/tests/support/bills.py
+++ b/tests/support/bills.py
@@ -16,11 +16,11 @@
 )
 
 
-def address(name, domain="east"):
-    """Return the address of the first incarnation of a daemon."""
+def address(name, domain="east", incarnation=""):
+    """Return the address of a daemon, by default of its first incarnation."""
     return DaemonAddress(
         instance=name,
-        incarnation=f"{name}-1",
+        incarnation=incarnation or f"{name}-1",
         failure_domain=domain,
         host="10.0.0.1",
         port=1,
