Send unwritten bills to a third peer while the store is lost

From the first failed read on, a third peer gets all unwritten bills, and they are written when a read succeeds. Both tests failed before.

--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -3,7 +3,9 @@
 While peers hold copies, bills are written in few large blocks and no answer waits for
 the store. If no peer holds copies, because all are stopped, silent or draining, blocks
 are written at once and the end of each answer waits a limited time for its block.
-When the era of the store rises, retained blocks are written again soon.
+While the store is lost, one more peer holds the unwritten bills, which are written as
+soon as it is regained. When the era of the store rises, retained blocks are written
+again soon.
 """
 
 import asyncio
@@ -34,6 +36,8 @@
 DURABILITY_TIMEOUT_SECONDS = 0.15
 # Delay between the retries of the final flush before the daemon exits.
 FINAL_RETRY_SECONDS = 0.2
+# Further peers that hold bills while the store is lost, when no block can be written.
+EXTRA_HOLDERS = 1
 # Longest delay of the writes after a change of era, so that daemons spread them.
 ERA_JITTER_SECONDS = 0.5
 
@@ -61,6 +65,8 @@
         self.last_flush_succeeded = False
         self.random = random.Random(seed)
         self.delay_seconds = 0.0
+        poller.on_lost = self.on_store_lost
+        poller.on_regained = self.on_store_regained
 
     def on_era(self, era: int) -> None:
         """Request a flush after a random delay, or at once if no peer holds copies."""
@@ -68,6 +74,17 @@
             self.delay_seconds = self.random.uniform(0, ERA_JITTER_SECONDS)
         self.flush_requested.set()
 
+    def on_store_lost(self) -> None:
+        """Send all unwritten bills to one more peer, until the store is regained."""
+        self.peers.extra_holders = EXTRA_HOLDERS
+        for copied in self.bills.unwritten_copies():
+            self.bills.on_bill(copied)
+
+    def on_store_regained(self) -> None:
+        """Request a flush."""
+        self.peers.extra_holders = 0
+        self.flush_requested.set()
+
     async def run_flushes(self) -> None:
         """Write blocks when they are due or requested, until cancelled."""
         self.last_flush_succeeded = True
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -27,6 +27,9 @@
 
 MAXIMUM_BLOCK_BILLS = 4_000
 MAXIMUM_UNWRITTEN_BILLS = 200_000
+# Bills in one message, and messages in which all unwritten bills are sent.
+MAXIMUM_MESSAGE_BILLS = 200
+MAXIMUM_COPY_MESSAGES = 10
 # Numbers of dropped blocks that are sent to peers, the latest ones.
 MAXIMUM_DROPPED_NUMBERS = 50
 # Datagrams may be lost, so each bill is sent in one of its own and again in this many
@@ -111,6 +114,21 @@
         self.rounds = [*self.rounds[-COPY_ROUNDS + 1 :], {}]
         return self._copied(blocks)
 
+    def unwritten_copies(self) -> list[CopiedBills]:
+        """Return the unwritten bills, the latest if there are very many.
+
+        Each part fits into one message.
+        """
+        blocks = {block.sequence: block.bills for block in self.blocks}
+        blocks[self.sequence] = self.open_bills
+        parts = []
+        for sequence, unwritten in blocks.items():
+            bills = list(unwritten.items())
+            for start in range(0, len(bills), MAXIMUM_MESSAGE_BILLS):
+                part = dict(bills[start : start + MAXIMUM_MESSAGE_BILLS])
+                parts.append(self._copied({sequence: part}))
+        return parts[-MAXIMUM_COPY_MESSAGES:]
+
     def _copied(self, blocks: dict[int, dict[str, BillRow]]) -> CopiedBills:
         return CopiedBills(
             written=self.written,
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -98,6 +98,7 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
+        self.extra_holders = 0
         self.bill_owners: dict[str, float] = {}
         self.sequence = itertools.count(1)
         self.news = ReportNews(table=table, crashes=crashes, clock=clock)
@@ -179,11 +180,12 @@
         """Return the peers that this daemon's bills are sent to, other domains' first.
 
         If too few peers are known to be alive, others are added: a peer that has just
-        started may hold bills before its first report arrives.
+        started may hold bills before its first report arrives. There are
+        ``extra_holders`` more than usual.
         """
         alive = self._alive_holders()
         others = [peer for peer in self.ranked_holders if peer not in alive]
-        return (alive + others)[:BILL_HOLDERS]
+        return (alive + others)[: BILL_HOLDERS + self.extra_holders]
 
     def alive_holder_incarnations(self) -> list[str]:
         """Return the incarnations of the holders that are known to be alive."""
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -81,6 +81,8 @@
         self.leaving = False
         self.read_requested = asyncio.Event()
         self.on_read: Callable[[], None] = _do_nothing
+        self.on_lost: Callable[[], None] = _do_nothing
+        self.on_regained: Callable[[], None] = _do_nothing
         peers.on_revision = self.on_peer_revision
         peers.on_confirmation = self.on_peer_confirmation
 
@@ -203,12 +205,14 @@
         if self.reachable:
             self.reachable = False
             log_change("store lost", kind=fault.kind, detail=fault.detail)
+            self.on_lost()
 
     def _note_success(self) -> None:
         if not self.reachable:
             self.reachable = True
             log_change("store regained")
+            self.on_regained()
 
 
 def _do_nothing() -> None:
-    """Do nothing; the default action after a read."""
+    """Do nothing; the default action."""
--- a/tests/forwarding/test_bills.py
+++ b/tests/forwarding/test_bills.py
@@ -420,3 +420,49 @@
             write = functools.partial(write, ())
         work = scenario(source, first, second, write)
         assert run_virtual(work) == ["a1", "a2"]
+
+
+def test_a_third_peer_holds_bills_while_the_store_is_lost():
+    """A daemon and both holders were killed around an outage (soak, seed 210)."""
+    source, clock, (first, _) = fleet()
+    names = ("d1", "d2", "d3", "d4")
+    first.peers.update_daemons(tuple(address(name) for name in names))
+    holders = {}
+    for name in names[1:]:
+        holders[name] = ready_daemon(name=name, source=source, clock=clock)
+        send_report(holders[name], first)
+
+    def deliver(copied):
+        for peer in first.peers.bill_holders():
+            holders[peer.instance].peers.apply(first.peers.build_bill_copy(copied))
+
+    first.bills.on_bill = deliver
+    source.daemons = {name: address(name) for name in names}
+    run_request(first, "a1")
+    [third] = holders.keys() - {peer.instance for peer in first.peers.bill_holders()}
+    source.down = True
+    assert not first.read()
+    run_request(first, "a2")
+    source.down = False
+    clock.now += 6
+    asyncio.run(holders[third].bill_replicas.recover_orphans((address(third),)))
+    assert sorted(billed(source)) == ["a1", "a2"]
+
+
+def test_bills_are_written_at_once_when_the_store_is_regained():
+    """A daemon was killed within a second of the store's return (soak, seed 210)."""
+    source, clock, (first, _) = fleet()
+    run_request(first, "a1")
+    source.down = True
+
+    async def scenario():
+        writes = asyncio.ensure_future(first.bill_flusher.run_flushes())
+        await first.poller.read_once()
+        await asyncio.sleep(0.6)
+        source.down = False
+        await first.poller.read_once()
+        await asyncio.sleep(0.1)
+        writes.cancel()
+
+    run_virtual(scenario())
+    assert sorted(billed(source)) == ["a1"]
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -151,6 +151,8 @@
     ("bills_recovered", BillReplicas, "_write", skip_wait, "bills"),
     ("bills_copied", BillBuffer, "copies", lambda self: None, "bills"),
     ("bills_dropped", BillBuffer, "_copied", copy_without_dropped, "bills"),
+    ("bills_third_holder", bill_flushing, "EXTRA_HOLDERS", 0, "bills"),
+    ("bills_regained", BillFlusher, "on_store_regained", always(None), "bills"),
     ("bills_held_late", HeldBlock, "add", add_silently, "bills"),
     ("bills_rewritten", BillBuffer, "restart", always(None), "bill_eras"),
     ("bills_rewritten_soon", BillFlusher, "on_era", always(None), "bill_eras"),
