--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -11,7 +11,8 @@
 
 import xxhash
 
-from linnetladder.forwarding.coordination.bills import BillBuffer, BillReplicas
+from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
+from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.directory import (
     EndpointDirectory,
     group_name,
@@ -109,6 +110,7 @@
         self.metrics = metrics
         self.draining = False
         self.era_began_at = -math.inf
+        self.extra_holders = 0
         self.bill_owners: dict[str, float] = {}
         self.sequence = itertools.count(1)
         self.news = ReportNews(table=table, crashes=crashes, clock=clock)
@@ -211,11 +213,12 @@
         """Return the peers that this daemon's bills are sent to, other domains' first.
 
         If too few peers are known to be alive, others are added: a peer that has just
-        started may hold bills before its first report arrives.
+        started may hold bills before its first report arrives. There are
+        ``extra_holders`` more than usual.
         """
         alive = self._alive_holders()
         others = [peer for peer in self.ranked_holders if peer not in alive]
-        return (alive + others)[:BILL_HOLDERS]
+        return (alive + others)[: BILL_HOLDERS + self.extra_holders]
 
     def alive_holder_incarnations(self) -> list[str]:
         """Return the incarnations of the holders that are known to be alive."""
--- a/linnetladder/forwarding/coordination/rollout_orders.py
+++ b/linnetladder/forwarding/coordination/rollout_orders.py
@@ -44,7 +44,6 @@
         self.era: int | None = None
         self.era_seen_at = -math.inf
         self.era_changed_at = -math.inf
-        self.newest_revision = 0
 
     def update(self, orders: tuple[RolloutOrder, ...], *, era: int) -> None:
         """Store the orders of one read of the store in an era."""
@@ -54,7 +53,6 @@
                 self.era_changed_at = self.era_seen_at
             self.era = era
             self.waiting.clear()
-        self.newest_revision = max((order.revision for order in orders), default=0)
         for order in orders:
             self._consider(dataclasses.replace(order, era=era))
 
--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -152,12 +152,6 @@
         record = self._current_record(endpoint.service)
         return record is None or record.phase is not RolloutPhase.COMPLETE
 
-    def newest_revision(self) -> int:
-        """Return the newest revision of the orders and records last read."""
-        stored = self.record_book.stored.values()
-        revisions = [record.revision for record in stored]
-        return max([self.order_book.newest_revision, *revisions])
-
     def export_bad_targets(self) -> list[tuple[str, int]]:
         """Return service and identity of orders with a bad target, for peers."""
         return sorted(self.bad_targets)
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -102,6 +102,8 @@
         self.content_confirmed_at = -math.inf
         era.listeners.append(self.on_era_change)
         peers.on_position = self.on_peer_position
+        self.on_lost: Callable[[], None] = _do_nothing
+        self.on_regained: Callable[[], None] = _do_nothing
         peers.on_confirmation = self.on_peer_confirmation
 
     async def run(self) -> None:
@@ -265,11 +267,13 @@
         if self.reachable:
             self.reachable = False
             log_change("store lost", kind=fault.kind, detail=fault.detail)
+            self.on_lost()
 
     def _note_success(self) -> None:
         if not self.reachable:
             self.reachable = True
             log_change("store regained")
+            self.on_regained()
 
 
 async def _wait_for(event: asyncio.Event, seconds: float) -> bool:
@@ -283,4 +287,4 @@
 
 
 def _do_nothing() -> None:
-    """Do nothing; the default action after a read."""
+    """Do nothing; the default action."""
