--- a/tests/support/bill_walk.py
+++ b/tests/support/bill_walk.py
@@ -23,8 +23,7 @@
 class BillWalk:
     """Three daemons, of which each holds the bills of both others.
 
-    ``answered`` are the bills whose answers have ended. Bills reach both holders unless
-    their datagram is lost; then the next round has them.
+    ``answered`` are the bills whose answers have ended. No datagram is lost.
     """
 
     def __init__(self, seed):
