--- a/bench/fleet_day.py
+++ b/bench/fleet_day.py
@@ -54,6 +54,7 @@
     RELOAD = "reload"
     STORE_OUTAGE = "store_outage"
     LOST_REPLIES = "lost_replies"
+    DRILL = "drill"
     REVOKE = "revoke"
     DRAIN = "drain"
 
@@ -81,7 +82,10 @@
 
 
 class PlannedFault(pydantic.BaseModel):
-    """A fault at a time; ``on`` names the daemon, worker or link that it affects."""
+    """A fault at a time; ``on`` names the daemon, worker or link that it affects.
+
+    A drill returns the store from a copy of ``copy_seconds`` before.
+    """
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
@@ -89,6 +93,7 @@
     kind: FaultKind
     on: str = ""
     seconds: float = pydantic.Field(1.0, gt=0)
+    copy_seconds: float = pydantic.Field(5.0, ge=0, le=20)
     answers: list[Fault] = []
 
     def inject(self, faults: FaultInjector) -> Coroutine[None, None, None]:
@@ -105,6 +110,7 @@
             FaultKind.RELOAD: lambda: faults.reload(self.on),
             FaultKind.STORE_OUTAGE: lambda: faults.store_outage(self.seconds),
             FaultKind.LOST_REPLIES: faults.lost_replies,
+            FaultKind.DRILL: lambda: faults.drill(self.seconds, self.copy_seconds),
             FaultKind.REVOKE: faults.revoke,
             FaultKind.DRAIN: lambda: faults.drain(self.on),
         }
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import signal
 import time
 
@@ -17,6 +18,9 @@
 READY_TIMEOUT_SECONDS = 30.0
 SILENCE_SECONDS = 4.0
 LOST_REPLY_COUNT = 4
+REWRITE_SECONDS = 1.5
+# Keys of the operator and of the workers, who write them again after a drill.
+REWRITTEN_PREFIXES = ("op/", "servers/")
 
 
 class FaultRecord:
@@ -84,6 +88,27 @@
             await asyncio.sleep(seconds)
             self.site.store.down = False
 
+    async def drill(self, seconds: float, copy_seconds: float) -> None:
+        """Take the store away and return it from an older copy.
+
+        The copy is ``copy_seconds`` old when the store goes away. The operator and the
+        workers write again what is lost of theirs, within `REWRITE_SECONDS`.
+        """
+        store = self.site.store
+        with Disturbance(self.record, seconds + REWRITE_SECONDS):
+            store.down = True
+            await asyncio.sleep(seconds)
+            lost = store.rewind(seconds + copy_seconds)
+            store.down = False
+            await asyncio.sleep(REWRITE_SECONDS)
+            for key, item in lost.items():
+                if not key.startswith(REWRITTEN_PREFIXES):
+                    continue
+                if item is None:
+                    store.remove(key)
+                else:
+                    store.put_bytes(key, base64.b64decode(item.value))
+
     async def lost_replies(self) -> None:
         """Drop the replies to the store's next calls, which still take effect."""
         with Disturbance(self.record, 1.0):
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from collections.abc import Coroutine
+from functools import partial
 from pathlib import Path
 
 from absl import app as absl_app
@@ -32,12 +33,23 @@
 # Peers write a killed daemon's bills once it has been gone for 12 s.
 SETTLE_SECONDS = 16.0
 FAULT_GAP_SECONDS = 0.8
+# Age of the copies that the store returns from.
+MAXIMUM_COPY_SECONDS = 8.0
+# Drills among the twelve other kinds of faults.
+DRILL_WEIGHT = 3
 
 
 class Soak:
-    """One run of the soak test with one seed."""
+    """One run of the soak test with one seed.
 
-    def __init__(self, *, seed: int, seconds: float, folder: Path):
+    With ``drills`` the store also returns from older copies; without, the draw of a
+    seed is the same as before there were drills.
+    """
+
+    def __init__(
+        self, *, seed: int, seconds: float, folder: Path, drills: bool = False
+    ):
+        self.drills = drills
         self.random = random.Random(seed)
         self.seconds = seconds
         self.site = FleetSite(folder=folder)
@@ -125,6 +137,10 @@
             lambda: faults.revoke(),
             lambda: self._drain(worker),
         ]
+        if self.drills:
+            copy_seconds = MAXIMUM_COPY_SECONDS * rng.random()
+            drill = partial(faults.drill, short_seconds, copy_seconds)
+            injections += [drill] * DRILL_WEIGHT
         return rng.choice(injections)()
 
     async def _drain(self, worker: str) -> None:
@@ -133,10 +149,10 @@
             await self.faults.drain(worker)
 
 
-def run_seed(seed: int, seconds: float) -> list[str]:
+def run_seed(seed: int, seconds: float, *, drills: bool) -> list[str]:
     """Run one seed, print a summary and return the violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed=seed, seconds=seconds, folder=folder)
+    soak = Soak(seed=seed, seconds=seconds, folder=folder, drills=drills)
     violations = asyncio.run(soak.run())
     answered = sum(sent.status == 200 for sent in soak.sent)
     print(
@@ -154,7 +170,7 @@
     failed = [
         seed
         for seed in range(first, first + FLAGS.seeds)
-        if run_seed(seed, FLAGS.seconds)
+        if run_seed(seed, FLAGS.seconds, drills=FLAGS.drills)
     ]
     print(f"{FLAGS.seeds} seeds, {len(failed)} with violations: {failed}")
     raise SystemExit(1 if failed else 0)
@@ -163,5 +179,6 @@
 if __name__ == "__main__":
     flags.DEFINE_integer("seed", None, "First seed; the time of day if none is given.")
     flags.DEFINE_integer("seeds", 1, "How many seeds to run, one after the other.")
+    flags.DEFINE_bool("drills", False, "Whether the store returns from older copies.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -102,14 +102,19 @@
             self.revision += 1
             self._record({"Key": key, "Rev": self.revision, "Removed": True})
 
-    def rewind(self, seconds: float) -> None:
+    def rewind(self, seconds: float) -> dict[str, Item | None]:
         """Return to the copy of some seconds ago and raise the era.
 
         Changes and leases since then are gone, and their revisions are given out again.
+        The result maps each key that has changed since to its item before the return,
+        ``None`` if it had been removed.
         """
+        lost: dict[str, Item | None] = {}
         since = time.monotonic() - seconds
         while self.undo and self.undo[-1].at >= since:
             undo = self.undo.pop()
+            if undo.key:
+                lost.setdefault(undo.key, self.items.get(undo.key))
             self.revision = undo.revision
             self.leases.discard(undo.lease)
             if undo.item is not None:
@@ -119,6 +124,7 @@
         self.era += 1
         self.history = [e for e in self.history if e["Rev"] <= self.revision]
         self.changed.set()
+        return lost
 
     def _keep_undo(self, *, key: str = "", lease: int = 0) -> None:
         now = time.monotonic()
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -13,6 +13,14 @@
     assert sum(sent.status == 200 for sent in soak.sent) > 50
 
 
+def test_no_guarantee_is_violated_while_the_store_returns_from_older_copies(tmp_path):
+    """Guards against bills, credentials or configurations lost with the store."""
+    soak = Soak(seed=5, seconds=4.0, folder=tmp_path, drills=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert soak.site.store.era > 1
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
 def test_checks_detect_each_planted_violation(tmp_path):
     """Each guarantee that does not depend on elapsed time is violated once."""
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
