Send kept bills to peers that become holders and before the exit

A daemon now sends the bills that it keeps to each peer that becomes a holder, and once more before it exits.

The test fails without it (the ledger stays empty).

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -160,7 +160,7 @@
         all_bills_written = await self.parts.bill_flusher.flush_before_exit(
             seconds=write_timeout
         )
-        self.parts.peer_socket.send_bill(self.parts.bills.copies())
+        self.parts.bill_flusher.share_all()
         for task in self.tasks:
             task.cancel()
         await self.parts.callers.stop()
--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -65,6 +65,7 @@
         self.last_flush_succeeded = False
         self.random = random.Random(seed)
         self.delay_seconds = 0.0
+        self.known_holders: set[str] = set()
         poller.on_lost = self.on_store_lost
         poller.on_regained = self.on_store_regained
 
@@ -122,8 +123,23 @@
             holders = self.peers.alive_holder_incarnations()
             if previous and holders != previous:
                 self.flush_requested.set()
+            self.share_with_new_holders(holders)
             previous = holders
 
+    def share_with_new_holders(self, holders: list[str]) -> None:
+        """Send all bills that are kept, once a peer became a holder.
+
+        The holders before it may all stop, and the store may lose what was written.
+        """
+        if not self.known_holders.issuperset(holders):
+            self.share_all()
+        self.known_holders.update(holders)
+
+    def share_all(self) -> None:
+        """Send all bills that are kept to the holders."""
+        for copied in self.bills.all_copies():
+            self.bills.on_bill(copied)
+
     async def run_recovery(self) -> None:
         """Write the bills of peers that have stopped, until cancelled."""
         while True:
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -121,6 +121,14 @@
         """
         blocks = {block.sequence: block.bills for block in self.blocks}
         blocks[self.sequence] = self.open_bills
+        return self._split(blocks)
+
+    def all_copies(self) -> list[CopiedBills]:
+        """Return the retained and the unwritten bills in the same way."""
+        blocks = {block.sequence: block.bills for block in self.retained.values()}
+        return [*self._split(blocks), *self.unwritten_copies()]
+
+    def _split(self, blocks: dict[int, dict[str, BillRow]]) -> list[CopiedBills]:
         parts = []
         for sequence, unwritten in blocks.items():
             bills = list(unwritten.items())
--- a/tests/forwarding/test_bill_eras.py
+++ b/tests/forwarding/test_bill_eras.py
@@ -288,3 +288,27 @@
     walk.run(500)
     assert walk.drills > 5
     assert walk.deaths >= 1
+
+
+def test_a_peer_that_becomes_a_holder_gets_the_written_bills():
+    """Bills were lost whose owner and earlier holders had stopped before a drill."""
+    source, clock, (first, second) = fleet()
+    source.copy()
+    run_request(first, "a1")
+    flush(first)
+
+    delivered = []
+
+    def deliver(copied):
+        delivered.append(copied)
+        second.peers.apply(first.peers.build_bill_copy(copied))
+
+    first.bills.on_bill = deliver
+    first.bill_flusher.share_with_new_holders(["d2-1"])
+    assert len(delivered) == 1
+    first.bill_flusher.share_with_new_holders(["d2-1"])
+    assert len(delivered) == 1
+    drill(source, second)
+    clock.now += 6.0
+    recover(second)
+    assert sorted(billed(source)) == ["a1"]
