Count an endpoint's leaving from its incarnation in the checker

The history: leaving at 3.006 s, crashed at 3.008 s, restarted by the stand-in as engine-1.2 at 6.008 s, which is not leaving, and k1 run there at 6.12 s. The stand-in's new incarnation takes work, as an endpoint does that starts again under its name; the check looked at the name alone.

The check is as strict for each incarnation: the stand-ins record restarts, which end the leaving of the one before. A planted violation of the new incarnation is still found.

--- a/proof/checker.py
+++ b/proof/checker.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 
 from proof.history import (
@@ -15,6 +16,7 @@
     Partitioned,
     Ran,
     Refused,
+    Restarted,
     Stopped,
     Submitted,
     Withdrawn,
@@ -208,16 +210,23 @@
 
 def check_leaving(history: History, rules: Rules) -> list[str]:
     """An endpoint that is leaving receives no new work after the grace period."""
-    leaving: dict[str, float] = {}
-    for event in history.of_type(Leaving):
-        leaving.setdefault(event.endpoint, event.time)
-    return [
-        f"{run.key} ran at {run.endpoint} "
-        f"{run.time - leaving[run.endpoint]:.1f} s after it began leaving"
-        for run in history.of_type(Ran)
-        if run.endpoint in leaving
-        and run.time > leaving[run.endpoint] + rules.leaving_grace_seconds
-    ]
+    late = []
+    for run in history.of_type(Ran):
+        since = _leaving_since(history, run.endpoint, run.time)
+        if since is not None and run.time > since + rules.leaving_grace_seconds:
+            late.append(
+                f"{run.key} ran at {run.endpoint} "
+                f"{run.time - since:.1f} s after it began leaving"
+            )
+    return late
+
+
+def _leaving_since(history: History, endpoint: str, time: float) -> float | None:
+    """Return when the incarnation that an endpoint has at a time began leaving."""
+    restarts = (e.time for e in history.of_type(Restarted) if e.endpoint == endpoint)
+    started = max((at for at in restarts if at <= time), default=-math.inf)
+    leavings = (e.time for e in history.of_type(Leaving) if e.endpoint == endpoint)
+    return min((at for at in leavings if started <= at <= time), default=None)
 
 
 def check_shutdown(history: History, rules: Rules) -> list[str]:
--- a/proof/history.py
+++ b/proof/history.py
@@ -14,6 +14,7 @@
     "Partitioned",
     "Ran",
     "Refused",
+    "Restarted",
     "Stopped",
     "Submitted",
     "Withdrawn",
@@ -104,6 +105,14 @@
     endpoint: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Restarted:
+    """An endpoint began a new incarnation, which is not leaving."""
+
+    time: float
+    endpoint: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Stopped:
     """A daemon was shut down gracefully or killed."""
--- a/tests/support/endpoints.py
+++ b/tests/support/endpoints.py
@@ -26,7 +26,7 @@
 )
 from linnetladder.errors import Ran as RanStatus
 from linnetladder.state import Endpoint, EndpointReport
-from proof.history import Crashed, History, Ran
+from proof.history import Crashed, History, Ran, Restarted
 from tests.support.memory import MemoryKeyValue
 
 NETWORK_DELAY_SECONDS = 0.002
@@ -92,6 +92,8 @@
             self.is_up = True
             self.leaving = False
             self.incarnation = f"{self.name}.{next(self.incarnation_numbers)}"
+            now = asyncio.get_running_loop().time()
+            self.history.events.append(Restarted(time=now, endpoint=self.name))
 
     def take_fault(self) -> str:
         """Remove and return the next injected fault, or an empty string."""
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -14,6 +14,7 @@
     Partitioned,
     Ran,
     Refused,
+    Restarted,
     Stopped,
     Submitted,
     Withdrawn,
@@ -123,6 +124,28 @@
     }
 
 
+def test_restart_of_an_endpoint_ends_its_leaving():
+    """Found by fuzzing: work for a new incarnation counted as work for the old one."""
+    history = valid_history()
+    history.events += [
+        Leaving(time=10.0, endpoint="e1"),
+        Restarted(time=12.0, endpoint="e1"),
+        ran("a", time=14.0),
+    ]
+    assert check_history(history, RULES) == check_history(
+        with_events(ran("a", time=14.0)), RULES
+    )
+    history.events += [Leaving(time=20.0, endpoint="e1"), ran("a", time=24.0)]
+    assert "leaving endpoint" in {v.guarantee for v in check_history(history, RULES)}
+
+
+def with_events(*events):
+    """Return a valid history with further events."""
+    history = valid_history()
+    history.events.extend(events)
+    return history
+
+
 def test_two_outcomes_of_one_submission_are_detected():
     history = valid_history()
     history.events.append(Disconnected(time=9.0, submission="a/1"))
