Don't trust the older copy before the operator has written again

A revocation that no daemon had read before the store returned from an older copy is unknown to all, and reads of the copy confirmed the configuration before it. Reads that begin within 2 s of the change of era now confirm nothing, unless they return a newer version.

--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -19,6 +19,8 @@
 STALE_RETRY_SECONDS = 0.3
 # By then every peer has been heard from, and with it the newest version that it knows.
 ERA_DOUBT_SECONDS = 3.0
+# Time in which the operator writes again what the store has lost.
+OPERATOR_REWRITE_SECONDS = 2.0
 
 
 class TableInForce:
@@ -40,6 +42,7 @@
         self.confirmed_at = -math.inf
         self.confirmed_before_era = -math.inf
         self.era_began_at = clock.monotonic()
+        self.rewrite_expected_until = -math.inf
 
     def confirm_read(self, table: RoutingTable | None, *, began: float) -> bool:
         """Record a read of the store and return whether a new table came into force.
@@ -50,8 +53,11 @@
             self.era_began_at = self.clock.monotonic()
         self.version_read = table.version if table is not None else 0
         self.newest_version_known = max(self.newest_version_known, self.version_read)
+        is_newer = table is not None and self._is_newer(table)
+        if is_newer:
+            self.rewrite_expected_until = -math.inf
         self.confirm(began)
-        if table is None or not self._is_newer(table):
+        if not is_newer:
             return False
         previous_version = self.table.version if self.table is not None else 0
         self.table = table
@@ -68,8 +74,11 @@
     def confirm(self, since: float) -> None:
         """Record that the content last read was current at a time.
 
-        It confirms the table in force unless a newer version is known.
+        It confirms the table in force unless a newer version is known, or the store may
+        have lost one that the operator will write again.
         """
+        if since < self.rewrite_expected_until:
+            return
         if self.version_read >= self.newest_version_known:
             self.confirmed_at = max(self.confirmed_at, since)
 
@@ -93,6 +102,7 @@
         """Record that the store returned from an older copy."""
         self.confirmed_before_era = self.confirmed_at
         self.era_began_at = self.clock.monotonic()
+        self.rewrite_expected_until = self.era_began_at + OPERATOR_REWRITE_SECONDS
 
     def age(self) -> float:
         """Return the seconds since the table was last confirmed."""
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -349,3 +349,28 @@
     assert started.read()
     started.peers.apply(peer.peers.build())
     assert started.in_force.refuse_stale() is not None
+
+
+def test_an_older_copy_confirms_no_credential_before_the_operator_has_written_again():
+    """Guards against a revocation that no daemon had read before the store lost it."""
+    daemon = ready_daemon()
+    confirmed_at = daemon.in_force.confirmed_at
+    daemon.clock.now += 1.0
+    daemon.source.era = 2
+    for _ in range(3):
+        assert daemon.read()
+        assert daemon.in_force.confirmed_at == confirmed_at
+        daemon.clock.now += 0.6
+    daemon.clock.now += 0.4
+    assert daemon.read()
+    assert daemon.in_force.confirmed_at == daemon.clock.now
+
+
+def test_a_newer_version_of_a_new_era_is_confirmed_at_once():
+    """Guards against refusals after the operator has written again."""
+    daemon = ready_daemon()
+    daemon.clock.now += 1.0
+    daemon.source.era = 2
+    daemon.source.table = table(version=6)
+    assert daemon.read()
+    assert daemon.in_force.confirmed_at == daemon.clock.now
