Record the limits that endpoints name on their requests

An answer's limit is decoded in the platform's adapter; a daemon logs a change of it, names it in the request's line and counts attempts at endpoints that have named one. Nothing is decided by it yet.

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -29,6 +29,7 @@
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
 from linnetladder.forwarding.coordination.urgency import urgency
@@ -84,6 +85,7 @@
         crashes: CrashLog,
         ejector: Ejector,
         quarantine: Quarantine,
+        limits: RequestLimits,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -97,6 +99,7 @@
         self.crashes = crashes
         self.ejector = ejector
         self.quarantine = quarantine
+        self.limits = limits
         self.clock = clock
         self.metrics = metrics
 
@@ -214,6 +217,8 @@
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
         prompt = request.head.prompt
         tokens = prompt.input_tokens if prompt is not None else 0
+        if self.limits.limit_of(endpoint) is not None:
+            self.metrics.count("limited_attempts")
         load = self.loads.begin(endpoint, model=model, tokens=tokens)
         request.endpoints_tried.append(endpoint.name)
         ran_before = request.ran
@@ -236,6 +241,7 @@
             waited = self.clock.monotonic() - load.started
             request.history.append(f"{endpoint.name}/{model}=unanswered@{waited:.3f}")
             raise
+        self.limits.learn_answer(endpoint, exchange.head, sent_at=load.started)
         if exchange.head.not_run or exchange.head.misdirected:
             request.ran = ran_before
             request.attempts -= 1
@@ -325,6 +331,8 @@
     ) -> None:
         status = exchange.head.status
         request.history.append(f"{endpoint.name}/{model}={status}@{seconds:.3f}")
+        if exchange.head.request_limit is not None:
+            request.history.append(f"limit={exchange.head.request_limit:g}")
         self.metrics.count("attempts", label=f"status_{status // 100}xx")
         self.metrics.record("first_byte_seconds", seconds)
         if exchange.head.closes_connection:
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -28,6 +28,7 @@
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
@@ -80,6 +81,7 @@
     poller: StorePoller
     background: BackgroundTasks
     quarantine: Quarantine
+    limits: RequestLimits
     selection: Selection
     sender: Sender
     forwarder: Forwarder
@@ -186,6 +188,7 @@
     quarantine = Quarantine(
         calls=calls, background=background, clock=clock, metrics=metrics
     )
+    limits = RequestLimits(clock=clock, metrics=metrics)
     sender = Sender(
         calls=calls,
         selection=selection,
@@ -197,6 +200,7 @@
         crashes=crashes,
         ejector=Ejector(clock=clock),
         quarantine=quarantine,
+        limits=limits,
         clock=clock,
         metrics=metrics,
     )
@@ -229,6 +233,7 @@
         poller=poller,
         background=background,
         quarantine=quarantine,
+        limits=limits,
         selection=selection,
         sender=sender,
         forwarder=forwarder,
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -70,6 +70,10 @@
     ``sealed`` is set if the head carries the endpoint's digest as its seal.
     ``confidence`` is the model's confidence in its response, 0 to 100. ``length`` is
     the declared length of the body in bytes. ``headers`` holds the headers to forward.
+
+    ``request_limit`` is the number of requests a second that the endpoint takes from
+    all daemons together, ``None`` if it names none. ``names_request_limit`` is also set
+    if the limit that it names can't be read.
     """
 
     status: int
@@ -81,6 +85,8 @@
     closes_connection: bool
     length: int | None
     headers: tuple[tuple[str, str], ...]
+    request_limit: float | None = None
+    names_request_limit: bool = False
 
 
 class CallerCodec(abc.ABC):
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -1,5 +1,6 @@
 """Codecs for the platform's headers of requests and responses."""
 
+import math
 from collections.abc import Mapping
 
 from linnetladder.forwarding.protocol import (
@@ -27,6 +28,8 @@
 SERVER_SEAL = "Linnetladder-Server-Seal"
 URGENCY_CLASS = "Linnetladder-Urgency-Class"
 CONFIDENCE = "Linnetladder-Confidence"
+# Requests a second that the worker takes from all daemons together.
+SERVER_LIMIT = "Server-Limit"
 BEARER_SCHEME = "Bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
@@ -130,6 +133,8 @@
             misdirected=status == MISDIRECTED_STATUS,
             sealed=SERVER_SEAL in headers,
             confidence=_parse_number(headers.get(CONFIDENCE)),
+            request_limit=_parse_limit(headers.get(SERVER_LIMIT)),
+            names_request_limit=SERVER_LIMIT in headers,
             closes_connection="close" in headers.get("Connection", "").lower(),
             length=int(length) if length.isdigit() else None,
             headers=tuple(
@@ -177,6 +182,14 @@
         return None
 
 
+def _parse_limit(value: str | None) -> float | None:
+    """Return a limit in requests a second, ``None`` if there is no valid one."""
+    number = _parse_number(value)
+    if number is None or not math.isfinite(number) or number < 0:
+        return None
+    return number
+
+
 def _parse_prompt(tokens: str | None, prefix: str | None) -> Prompt | None:
     if tokens is None:
         return None
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -48,6 +48,10 @@
     "refused": Family("Requests refused", "kind"),
     "refused_ran": Family("Requests refused, by whether they ran", "ran"),
     "attempts": Family("Attempts sent to endpoints", "outcome"),
+    "limited_attempts": Family(
+        "Attempts sent to endpoints that had named a limit on their requests"
+    ),
+    "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "retries": Family("Attempts after the first"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
--- a/linnetladder/telemetry/timelines.py
+++ b/linnetladder/telemetry/timelines.py
@@ -22,6 +22,8 @@
         "endpoint leaves",
         "endpoint left out",
         "endpoint is back",
+        "endpoint limits requests",
+        "endpoint lifts its limit",
         "entry may have lapsed",
     )
 )
@@ -34,7 +36,7 @@
     ("unknown_path", "unknown_credential", "missing_credential")
 )
 ATTEMPT_PATTERN = re.compile(r"(?P<endpoint>[^/=\s]+)(?:/[^=]*)?=(?P<outcome>\S+)")
-NON_ENDPOINT_PATTERN = re.compile(r"^(confidence|pace)=")
+NON_ENDPOINT_PATTERN = re.compile(r"^(confidence|pace|limit)=")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -438,6 +438,30 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("value", "limit", "named"),
+    [
+        ("1.3", 1.3, True),
+        ("0.25", 0.25, True),
+        ("0", 0.0, True),
+        ("1200", 1200.0, True),
+        ("-1", None, True),
+        ("nan", None, True),
+        ("inf", None, True),
+        ("few", None, True),
+        ("", None, True),
+        (None, None, False),
+    ],
+)
+def test_limit_on_requests_is_decoded_and_invalid_ones_are_told(value, limit, named):
+    """Guards against endpoints whose limit on requests goes unnoticed."""
+    headers = {"Linnetladder-Attempt-Id": "a1"}
+    if value is not None:
+        headers["Server-Limit"] = value
+    answer = PlatformEndpointCodec().decode_response_head(200, headers)
+    assert (answer.request_limit, answer.names_request_limit) == (limit, named)
+
+
 def test_fetch_request_head_has_no_prompt():
     assert head("/fetch/1").prompt is None
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -159,7 +159,8 @@
     """The scripted result of one call to an endpoint.
 
     ``fault`` is raised instead of a response; ``cut_after`` truncates the response
-    after that many chunks; ``seconds`` is how long the call takes.
+    after that many chunks; ``seconds`` is how long the call takes. ``limit`` is the
+    limit on requests that the endpoint names.
     """
 
     status: int = 200
@@ -170,6 +171,7 @@
     fault: CallFault | None = None
     cut_after: int | None = None
     seconds: float = 0.0
+    limit: float | None = None
 
 
 class ScriptedExchange(Exchange):
@@ -187,6 +189,8 @@
                 closes_connection=False,
                 length=None,
                 headers=(("Seal", "x"),),
+                request_limit=script.limit,
+                names_request_limit=script.limit is not None,
             )
         )
         self.script = script
