--- /dev/null
+++ b/tests/support/limited_fleet.py
@@ -0,0 +1,213 @@
+"""A fleet of daemons before endpoints that name limits on their requests.
+
+Time is virtual and the same for all. Reports travel between the daemons without delay,
+unless the two are cut off from each other.
+"""
+
+import asyncio
+import collections
+import random
+
+import looptime
+
+from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.protocol.daemon_messages import (
+    decode_message,
+    encode_message,
+)
+from linnetladder.state import Clock
+from tests.support.forwarding import (
+    LocalDaemon,
+    MemorySource,
+    RecordedReply,
+    Script,
+    ScriptedExchange,
+    head,
+    report,
+    table,
+)
+
+REPORT_INTERVAL_SECONDS = 0.4
+READ_INTERVAL_SECONDS = 1.0
+# From the arrival of a request at an endpoint to the first byte of its answer.
+ANSWER_SECONDS = 0.05
+SECRET = b"secret"
+
+
+class LimitedCalls:
+    """Calls of one daemon to the endpoints of a fleet, which name their limits."""
+
+    def __init__(self, *, fleet, daemon, life):
+        self.fleet = fleet
+        self.identity = f"{daemon}#{life}"
+
+    async def open(self, call):
+        fleet, began = self.fleet, self.fleet.now
+        await asyncio.sleep(ANSWER_SECONDS)
+        limit = fleet.limits.get(call.instance)
+        fleet.arrivals[call.instance].append(
+            Arrival(
+                time=began,
+                daemon=self.identity,
+                told_at=fleet.now if limit is not None else None,
+            )
+        )
+        script = Script(limit=limit, confidence=fleet.confidence)
+        return ScriptedExchange(script=script, attempt_id=call.request.head.attempt_id)
+
+    def close_idle_connections(self, address):
+        """Do nothing: these calls keep no connections."""
+
+
+class LimitedFleet:
+    """Daemons, endpoints of the service ``engines``, and the requests of callers.
+
+    ``skew`` is the largest difference of a daemon's Unix time from the true one, in
+    seconds. ``cut`` holds the daemons that no report reaches or leaves, and that can't
+    read the store. ``reports`` is whether daemons report to each other at all.
+    """
+
+    def __init__(self, *, daemons, endpoints, seed=1, skew=0.0, reports=True):
+        self.loop = looptime.new_event_loop()
+        self.random = random.Random(seed)
+        self.source = MemorySource(table=table())
+        self.skew = skew
+        self.reports = reports
+        self.confidence = 90.0
+        self.limits = {}
+        self.histories = collections.defaultdict(LimitHistory)
+        self.arrivals = collections.defaultdict(list)
+        self.replies = []
+        self.cut = set()
+        self.daemons = {}
+        self.lives = collections.Counter()
+        self.serial = 0
+        for number in range(endpoints):
+            self.add_endpoint(f"engine-{number + 1}")
+        for number in range(daemons):
+            self.add_daemon(f"daemon-{number + 1}")
+
+    @property
+    def now(self):
+        return self.loop.time()
+
+    def add_endpoint(self, name):
+        self.source.endpoints[name] = report(name, capacity=64)
+
+    def remove_endpoint(self, name):
+        del self.source.endpoints[name]
+
+    def add_daemon(self, name):
+        """Start a daemon, or start one again."""
+        self.lives[name] += 1
+        life = self.lives[name]
+        clock = SkewedClock(self.loop, self.random.uniform(-self.skew, self.skew))
+        daemon = LocalDaemon(
+            name=name, incarnation=f"{name}-{life}", source=self.source, clock=clock
+        )
+        daemon.sender.calls = LimitedCalls(fleet=self, daemon=name, life=life)
+        daemon.bill_flusher.ensure_durable = _return_at_once
+        self.source.daemons[name] = DaemonAddress(
+            instance=name,
+            incarnation=f"{name}-{life}",
+            failure_domain="east",
+            host=name,
+            port=1,
+        )
+        self.daemons[name] = daemon
+
+    def name_limit(self, endpoint, limit):
+        """Make an endpoint name a limit from now on, or none."""
+        self.limits[endpoint] = limit
+        self.histories[endpoint].name(self.now, limit)
+
+    def run(self, *, seconds, per_second, events=()):
+        """Send requests at a rate while ``events`` take place: seconds and actions."""
+        try:
+            self.loop.run_until_complete(self._run(seconds, per_second, events))
+        finally:
+            self.loop.close()
+
+    def violations(self):
+        """Return the violations of limits, by an independent check."""
+        return [
+            line
+            for name, history in self.histories.items()
+            for line in find_limit_violations(name, self.arrivals[name], history)
+        ]
+
+    def received(self, endpoint, first, last):
+        """Return how many requests an endpoint got in a period."""
+        return sum(first < a.time <= last for a in self.arrivals[endpoint])
+
+    async def _run(self, seconds, per_second, events):
+        for daemon in self.daemons.values():
+            assert await daemon.poller.read_once()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._read(seconds))
+            if self.reports:
+                tasks.create_task(self._exchange_reports(seconds))
+            for delay, action in events:
+                tasks.create_task(self._act(delay, action))
+            while self.now < seconds:
+                tasks.create_task(self._request())
+                await asyncio.sleep(self.random.expovariate(per_second))
+
+    async def _act(self, delay, action):
+        await asyncio.sleep(delay)
+        action()
+
+    async def _request(self):
+        self.serial += 1
+        daemon = self.random.choice(list(self.daemons.values()))
+        reply = RecordedReply()
+        self.replies.append(reply)
+        await daemon.forwarder.answer(
+            head(attempt_id=f"a{self.serial}", session=f"s{self.serial % 40}"),
+            b"",
+            received=daemon.clock.monotonic(),
+            reply=reply,
+        )
+
+    async def _read(self, seconds):
+        while self.now < seconds:
+            await asyncio.sleep(READ_INTERVAL_SECONDS)
+            for name, daemon in self.daemons.items():
+                if name not in self.cut:
+                    assert await daemon.poller.read_once()
+
+    async def _exchange_reports(self, seconds):
+        while self.now < seconds:
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+            for name, daemon in self.daemons.items():
+                if name not in self.cut:
+                    self.report(daemon)
+
+    def report(self, daemon):
+        """Send a daemon's report to the receivers of a round."""
+        receivers = daemon.peers.receivers()
+        datagram = encode_message(daemon.peers.build(receivers), secret=SECRET)
+        message = decode_message(datagram, secret=SECRET)
+        for receiver in receivers:
+            daemon.peers.record_sent(receiver)
+            if receiver.instance in self.daemons and receiver.instance not in self.cut:
+                self.daemons[receiver.instance].peers.apply(message)
+
+
+class SkewedClock(Clock):
+    """An event loop's clock, whose Unix time is off by some seconds."""
+
+    def __init__(self, loop, skew):
+        self.loop = loop
+        self.skew = skew
+
+    def monotonic(self):
+        return self.loop.time()
+
+    def unix(self):
+        return 1_700_000_000.0 + self.loop.time() + self.skew
+
+
+async def _return_at_once(*, seconds):
+    return True
