Send limited endpoints only the requests they take from all daemons

Cause: no daemon read the limit, so an endpoint with one looked like any other.

A limit of all daemons together is now kept by permits that fall due by Unix time and go round the daemons in turns, without messages for them. What is known of limits travels in the reports to peers. Requests go to another endpoint, wait for a permit that is due within half of the time to their objective, or are refused at once with the time of the next one.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -261,10 +261,16 @@
             self.metrics.count("escalations_skipped")
             request.history.append("no budget left")
             return False
+        larger_model = self._requested_model(request, step.position)
+        request.endpoints_tried.remove(attempt.endpoint.name)
+        if not self.sender.can_send_now(request, larger_model):
+            request.endpoints_tried.append(attempt.endpoint.name)
+            self.metrics.count("escalations_skipped")
+            request.history.append("no endpoint takes more now")
+            return False
         self.metrics.count("escalations")
         state.position = step.position
         self.sender.close(request, attempt, None)
-        request.endpoints_tried.remove(attempt.endpoint.name)
         return True
 
     async def _relay_events(
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -22,6 +22,10 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.report_news import ReportNews
+from linnetladder.forwarding.coordination.request_limits import (
+    LIMIT_ROW_BYTES,
+    RequestLimits,
+)
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress
@@ -50,6 +54,8 @@
 # Share of a report kept for rows beside news, and share of rows kept for outcomes.
 MINIMUM_ROWS_SHARE = 0.6
 MINIMUM_OUTCOMES_SHARE = 0.8
+# Share of a report that limits of endpoints may take beside rows.
+LIMITS_SHARE = 0.3
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -58,6 +64,10 @@
 # For this long after a change of era, peers that the store doesn't list are kept if
 # they were heard from within the same time: their registrations may be lost.
 PEER_GRACE_SECONDS = 4.0
+# A daemon that is no longer listed shares limits for this long after its last report.
+# In large fleets reports of a peer come less often: the time for each daemon.
+MEMBER_TTL_SECONDS = 5.0
+MEMBER_TTL_SECONDS_PER_DAEMON = 0.1
 # With two holders in other failure domains, bills survive the loss of an instance or of
 # a failure domain.
 BILL_HOLDERS = 2
@@ -86,6 +96,7 @@
         loads: EndpointLoads,
         outcomes: Outcomes,
         crashes: CrashLog,
+        limits: RequestLimits,
         rollouts: RolloutController,
         bills: BillBuffer,
         bill_replicas: BillReplicas,
@@ -101,6 +112,7 @@
         self.loads = loads
         self.outcomes = outcomes
         self.crashes = crashes
+        self.limits = limits
         self.rollouts = rollouts
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -165,6 +177,21 @@
             and not status.draining
         )
 
+    def members(self) -> set[str]:
+        """Return the instances of the daemons that share the limits of endpoints.
+
+        These are the known peers, and those that are not listed but were heard from: a
+        daemon that only the store has lost sight of still sends requests.
+        """
+        ttl = max(MEMBER_TTL_SECONDS, len(self.peers) * MEMBER_TTL_SECONDS_PER_DAEMON)
+        since = self.clock.monotonic() - ttl
+        heard = {
+            instance
+            for instance, status in self.peer_status.items()
+            if status.received_at >= since and not status.draining
+        }
+        return heard | {peer.instance for peer in self.peers} | {self.instance}
+
     def receivers(self) -> list[DaemonAddress]:
         """Return the peers that the next report goes to, the most urgent ones first.
 
@@ -269,6 +296,11 @@
         reserved = room * MINIMUM_ROWS_SHARE if with_rows else 0.0
         news = self.news.select(maximum_bytes=room - reserved)
         room -= news.size
+        limits = self.limits.export(
+            maximum_bytes=room * (LIMITS_SHARE if with_rows else 1.0),
+            news_only=not with_rows,
+        )
+        room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
         if with_rows:
             loads, outcomes, size = self._rows(room)
@@ -285,6 +317,7 @@
             reading=self.snapshots.digest,
             echoes=echoes,
             reads=self.directory.read_ages(),
+            limits=limits,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -408,6 +441,7 @@
         for fingerprint, endpoint, age in report.crashes:
             self.crashes.learn(fingerprint, endpoint, age=age)
         self.rollouts.add_bad_targets(report.bad_targets)
+        self.limits.learn_report(report.limits)
         if report.reads is not None:
             self.directory.learn_reads(peer, *report.reads)
         departures = self.table.departures
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -13,6 +13,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.state import Clock, Endpoint
 
@@ -56,12 +57,14 @@
         directory: EndpointDirectory,
         loads: EndpointLoads,
         outcomes: Outcomes,
+        limits: RequestLimits,
         clock: Clock,
         own_domain: str,
     ):
         self.directory = directory
         self.loads = loads
         self.outcomes = outcomes
+        self.limits = limits
         self.clock = clock
         self.own_domain = own_domain
 
@@ -75,9 +78,14 @@
         return min(candidates, key=self._relative_load)
 
     def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
-        """Return the untried endpoints that may run the request.
+        """Return the untried endpoints that the request may be sent to now."""
+        return [e for e in self.eligible(inputs) if self.limits.may_send(e)]
 
-        Ejected endpoints are returned only if no other untried endpoint is left.
+    def eligible(self, inputs: SelectionInputs) -> list[Endpoint]:
+        """Return the untried endpoints that may run the request, now or later.
+
+        A limit on requests may delay them. Ejected endpoints are returned only if no
+        other untried endpoint is left.
         """
         pool = self.directory.pool(inputs.service)
         if pool is None:
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -5,6 +5,7 @@
 endpoint, within the route's maximum of attempts and the shared retry budget.
 """
 
+import asyncio
 import dataclasses
 import functools
 
@@ -53,6 +54,8 @@
 MINIMUM_PROBE_SECONDS = 0.1
 # No attempt is sent with less time than this before the deadline.
 MINIMUM_ATTEMPT_SECONDS = 0.01
+# Share of the time to its objective that a request may wait for an endpoint's permit.
+PERMIT_WAIT_SHARE = 0.5
 # A silent endpoint is not given up for a successor that would have less time than this.
 MINIMUM_SUCCESSOR_SECONDS = 0.2
 
@@ -112,9 +115,9 @@
             refusal = self._refuse_attempt(request, last_fault)
             if refusal is not None:
                 return Failure(refusal)
-            endpoint = self.selection.choose(self.selection_inputs(request, model))
+            endpoint = await self._choose(request, model)
             if endpoint is None:
-                return Failure(_no_endpoint_refusal(request, last_fault))
+                return Failure(self._no_endpoint_refusal(request, model, last_fault))
             is_retry = request.times_sent > 0
             if is_retry and not self._spend_retry(request):
                 return Failure(_budget_spent_refusal(request, last_fault))
@@ -128,7 +131,60 @@
                 continue
             if attempt is not None:
                 return Success(attempt)
-        return Failure(_no_endpoint_refusal(request, last_fault))
+        return Failure(self._no_endpoint_refusal(request, model, last_fault))
+
+    def can_send_now(self, request: ForwardRequest, model: str) -> bool:
+        """Return whether an attempt could be sent at once."""
+        return bool(self.selection.candidates(self.selection_inputs(request, model)))
+
+    async def _choose(self, request: ForwardRequest, model: str) -> Endpoint | None:
+        """Return an endpoint that may be sent to, or ``None`` if there is none in time.
+
+        If all are at the limits that they named, wait for the next permit that leaves
+        enough time for an answer.
+        """
+        latest = self.clock.monotonic() + self._longest_permit_wait(request)
+        while True:
+            inputs = self.selection_inputs(request, model)
+            endpoint = self.selection.choose(inputs)
+            if endpoint is not None:
+                self.limits.take(endpoint)
+                return endpoint
+            within = latest - self.clock.monotonic()
+            endpoint = self._first_permitted(inputs)
+            if endpoint is None:
+                return None
+            limit = self.limits.limit_of(endpoint)
+            seconds = self.limits.reserve(endpoint, within=within)
+            if seconds is None:
+                return None
+            self.metrics.count("permit_waits")
+            request.history.append(f"{endpoint.name}=limit waited {seconds:.3f}")
+            await asyncio.sleep(seconds)
+            # The wait may have outlasted the endpoint or the limit.
+            unchanged = self.limits.limit_of(endpoint) == limit
+            inputs = self.selection_inputs(request, model)
+            if unchanged and endpoint in self.selection.eligible(inputs):
+                return endpoint
+
+    def _first_permitted(self, inputs: SelectionInputs) -> Endpoint | None:
+        """Return the endpoint that may be sent to first."""
+        return min(
+            self.selection.eligible(inputs),
+            key=self.limits.seconds_until_next,
+            default=None,
+        )
+
+    def _longest_permit_wait(self, request: ForwardRequest) -> float:
+        """Return for how many seconds a request may wait for a permit.
+
+        A stream that has begun may use time until its deadline, other requests until
+        their objective, less a share that is kept for the answer.
+        """
+        end = request.deadline
+        if not request.events:
+            end = min(end, request.received + request.route.objective_seconds)
+        return (end - self.clock.monotonic()) * PERMIT_WAIT_SHARE
 
     def selection_inputs(self, request: ForwardRequest, model: str) -> SelectionInputs:
         """Return the inputs of the endpoint selection for a request."""
@@ -387,6 +443,31 @@
                 request=request.head.attempt_id,
             )
 
+    def _no_endpoint_refusal(
+        self, request: ForwardRequest, model: str, last_fault: CallFault | None
+    ) -> Refusal:
+        """Return the refusal of a request that can be sent to no endpoint in time."""
+        kind = ErrorKind.NO_ENDPOINT
+        detail = f"no endpoint of service {request.service!r} takes the request"
+        seconds = 0.0
+        endpoint = self._first_permitted(self.selection_inputs(request, model))
+        if endpoint is not None:
+            seconds = self.limits.seconds_until_next(endpoint)
+        if seconds > 0:
+            kind = ErrorKind.OVERLOADED
+            detail = (
+                f"all endpoints of service {request.service!r} are at the limits on "
+                f"requests that they named; the next permit is due in {seconds:.2f} s"
+            )
+        if last_fault is not None:
+            detail += f"; the last attempt failed: {last_fault.detail}"
+        return _refusal(
+            request,
+            kind,
+            detail,
+            retry_after_seconds=max(seconds, RETRY_AFTER_SECONDS),
+        )
+
     def _eject_unreachable(self, endpoint: Endpoint) -> None:
         self.calls.close_idle_connections(endpoint.address)
         self.quarantine.eject(endpoint)
@@ -435,22 +516,19 @@
     return f"{model}/{prompt.session}"
 
 
-def _refusal(request: ForwardRequest, kind: ErrorKind, detail: str) -> Refusal:
+def _refusal(
+    request: ForwardRequest,
+    kind: ErrorKind,
+    detail: str,
+    *,
+    retry_after_seconds: float = RETRY_AFTER_SECONDS,
+) -> Refusal:
     ran = Ran.UNKNOWN if request.ran else Ran.NO
     if not request.ran and kind is ErrorKind.ENDPOINT_FAILED:
         kind = ErrorKind.OVERLOADED
     if request.ran and kind in (ErrorKind.NO_ENDPOINT, ErrorKind.OVERLOADED):
         kind = ErrorKind.ENDPOINT_FAILED
-    return Refusal(kind, detail, ran, retry_after_seconds=RETRY_AFTER_SECONDS)
-
-
-def _no_endpoint_refusal(
-    request: ForwardRequest, last_fault: CallFault | None
-) -> Refusal:
-    detail = f"no endpoint of service {request.service!r} takes the request"
-    if last_fault is not None:
-        detail += f"; the last attempt failed: {last_fault.detail}"
-    return _refusal(request, ErrorKind.NO_ENDPOINT, detail)
+    return Refusal(kind, detail, ran, retry_after_seconds=retry_after_seconds)
 
 
 def _budget_spent_refusal(
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -19,6 +19,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import (
@@ -74,6 +75,7 @@
         peers: PeerGossip,
         snapshots: SharedSnapshots,
         budget: RetryBudget,
+        limits: RequestLimits,
         address: DaemonAddress,
         clock: Clock,
         metrics: Metrics,
@@ -88,6 +90,7 @@
         self.peers = peers
         self.snapshots = snapshots
         self.budget = budget
+        self.limits = limits
         self.address = address
         self.clock = clock
         self.metrics = metrics
@@ -174,6 +177,7 @@
         self.peers.update_daemons(snapshot.daemons)
         self.position = self.peers.position = max(self.position, snapshot.position)
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
+        self.limits.update_members(self.peers.members())
         self.peers.loads.daemons = self.budget.daemons
         self.peers.outcomes.daemons = self.budget.daemons
         self._note_success()
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -105,6 +105,9 @@
     crashes = CrashLog(clock=clock)
     directory = EndpointDirectory(table=table, loads=loads, clock=clock)
     budget = RetryBudget(settings=holder, clock=clock)
+    limits = RequestLimits(
+        instance=settings.instance, table=table, clock=clock, metrics=metrics
+    )
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -135,6 +138,7 @@
         loads=loads,
         outcomes=outcomes,
         crashes=crashes,
+        limits=limits,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -153,6 +157,7 @@
         peers=peers,
         snapshots=snapshots,
         budget=budget,
+        limits=limits,
         address=DaemonAddress(
             instance=settings.instance,
             incarnation=incarnation,
@@ -182,13 +187,13 @@
         directory=directory,
         loads=loads,
         outcomes=outcomes,
+        limits=limits,
         clock=clock,
         own_domain=settings.failure_domain,
     )
     quarantine = Quarantine(
         calls=calls, background=background, clock=clock, metrics=metrics
     )
-    limits = RequestLimits(clock=clock, metrics=metrics)
     sender = Sender(
         calls=calls,
         selection=selection,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -10,6 +10,7 @@
 import dataclasses
 import hashlib
 import hmac
+import typing
 import zlib
 
 import orjson
@@ -32,6 +33,8 @@
 AGE_UNITS_PER_SECOND = 10
 READ_AGE_UNITS_PER_SECOND = 100
 UNITS_PER_COUNT = 100
+UNITS_PER_REQUEST = 1_000
+LIMIT_AGE_UNITS_PER_SECOND = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
 
@@ -64,6 +67,8 @@
       seconds
     * ``bad_targets``: service, revision of the order whose target version is bad
     * ``leaving``: endpoint, incarnation
+    * ``limits``: endpoint, incarnation, limit on its requests a second or ``None``,
+      age in seconds
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -82,6 +87,9 @@
     reading: int = 0
     echoes: list[tuple[int, int]] = dataclasses.field(default_factory=list)
     reads: tuple[float, float] | None = None
+    limits: list[tuple[str, str, float | None, float]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -120,9 +128,16 @@
     list[tuple[int, int]],
     tuple[int, int] | None,
 ]
+# Endpoint, incarnation, limit, age.
+_LimitRow = tuple[str, str, int | None, pydantic.NonNegativeInt]
 # The fields of a message in their order.
+_MessageArray = tuple[
+    str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None
+]
+# Limits follow only where there are some, so that messages without any can be read by
+# daemons of versions that know none.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
-    tuple[str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None]
+    _MessageArray | tuple[*typing.get_args(_MessageArray), list[_LimitRow]]
 )
 
 
@@ -137,6 +152,8 @@
         _report_array(message.report) if message.report is not None else None,
         _copied_fields(message.copied_bills) if message.copied_bills else None,
     )
+    if message.report is not None and message.report.limits:
+        array += (_limit_rows(message.report.limits),)
     content = zlib.compress(orjson.dumps(array, option=orjson.OPT_NON_STR_KEYS))
     return _sign(content, secret) + content
 
@@ -151,14 +168,17 @@
         plain = zlib.decompressobj().decompress(content, MAXIMUM_DATAGRAM_BYTES * 10)
         array = _MESSAGE_ADAPTER.validate_json(plain)
         instance, incarnation, sequence, position, version, *contents = array
-        report, copied_bills = contents
+        report, copied_bills, *limits = contents
+        report = _report(report) if report is not None else None
+        if report is not None and limits:
+            report.limits = _limits(limits[0])
         return DaemonMessage(
             instance=instance,
             incarnation=incarnation,
             sequence=sequence,
             position=Position(*position),
             configuration_version=version,
-            report=_report(report) if report is not None else None,
+            report=report,
             copied_bills=copied_bills,
         )
     except (zlib.error, pydantic.ValidationError, IndexError):
@@ -246,6 +266,34 @@
     )
 
 
+def _limit_rows(
+    limits: list[tuple[str, str, float | None, float]],
+) -> list[tuple[str, str, int | None, int]]:
+    return [
+        (
+            name,
+            incarnation,
+            None if per_second is None else round(per_second * UNITS_PER_REQUEST),
+            max(round(age * LIMIT_AGE_UNITS_PER_SECOND), 0),
+        )
+        for name, incarnation, per_second, age in limits
+    ]
+
+
+def _limits(
+    rows: list[tuple[str, str, int | None, int]],
+) -> list[tuple[str, str, float | None, float]]:
+    return [
+        (
+            name,
+            incarnation,
+            None if units is None else units / UNITS_PER_REQUEST,
+            age / LIMIT_AGE_UNITS_PER_SECOND,
+        )
+        for name, incarnation, units, age in rows
+    ]
+
+
 def _count_units(counts: tuple[float, ...]) -> list[int]:
     units = [round(count * UNITS_PER_COUNT) for count in counts]
     while units and units[-1] == 0:
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -51,6 +51,7 @@
     "limited_attempts": Family(
         "Attempts sent to endpoints that had named a limit on their requests"
     ),
+    "permit_waits": Family("Requests that waited for an endpoint's permit"),
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "retries": Family("Attempts after the first"),
     "escalations": Family("Answers replaced by one of a better version"),
@@ -69,7 +70,9 @@
     "bills_unsecured": Family("Answers that ended before their bill was held or stood"),
     "bills_lost": Family("Bills dropped because too many waited"),
     "connections_closed": Family("Answers after which an endpoint closes"),
-    "escalations_skipped": Family("Escalations that the budget did not allow"),
+    "escalations_skipped": Family(
+        "Escalations that the budget or endpoints did not allow"
+    ),
     "rollout_writes": Family("Steps of roll-outs that were written or tried"),
     "log_lines_dropped": Family("Log lines left out for their rate or their reader"),
     "claims": Family("Claims of non-idempotent requests", "outcome"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from linnetladder.coordination import permit_schedule
 from linnetladder.forwarding.coordination import (
     bill_flushing,
     bill_replicas,
@@ -23,6 +24,7 @@
     poison,
     quarantine,
     report_news,
+    request_limits,
     rollout_orders,
     rollout_records,
     rollout_schedule,
@@ -41,6 +43,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
 from linnetladder.forwarding.coordination.rollout_records import RecordBook
 from linnetladder.forwarding.coordination.rollouts import RolloutController
@@ -263,6 +266,19 @@
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
     ("report_own_rows", outcomes, "OWN_ROWS_PER_GROUP", 0, "reports"),
     ("report_rotation", PeerGossip, "record_sent", always(None), "reports"),
+    ("limits_permits", RequestLimits, "may_send", always(True), "request_limits"),
+    ("limits_taken", RequestLimits, "take", always(True), "limited_fleet"),
+    ("limits_waits", sender, "PERMIT_WAIT_SHARE", 0.0, "request_limits"),
+    ("limits_reported", RequestLimits, "learn_report", always(None), "request_limits"),
+    ("limits_news", request_limits, "NEWS_SECONDS", -1.0, "request_limits"),
+    ("limits_unlisted", peer_gossip, "MEMBER_TTL_SECONDS", -1.0, "request_limits"),
+    ("limits_clock", request_limits, "CLOCK_STEP_SECONDS", 1e9, "request_limits"),
+    ("limits_escalation", Sender, "can_send_now", always(True), "request_limits"),
+    ("limits_expiry", permit_schedule, "LIFETIME_SECONDS", 9.0, "request_limits"),
+    ("limits_rate", permit_schedule, "MINIMUM_RATE", 9.0, "request_limits"),
+    ("limits_size", request_limits, "MAXIMUM_PER_SECOND", 1e300, "request_limits"),
+    ("limits_decimals", request_limits, "LIMIT_DECIMALS", 9, "request_limits"),
+    ("limits_lines", request_limits, "LOG_INTERVAL_SECONDS", 0.0, "request_limits"),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
