--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -4,6 +4,7 @@
 guaranteed.
 """
 
+import bisect
 import collections
 import dataclasses
 from typing import TYPE_CHECKING
@@ -11,12 +12,13 @@
 import orjson
 
 from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
+from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from standins.fleet_worker import expected_body
 
 if TYPE_CHECKING:
     from bench.fleet_faults import FaultRecord
 
-__all__ = ["SentRequest", "find_violations"]
+__all__ = ["SentRequest", "check_request_limits", "find_violations"]
 
 # A response with one of these statuses guarantees that the request did not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -64,6 +66,7 @@
     if timed:
         violations += _check_credentials(requests, record, runs)
         violations += _check_leaving(site, record)
+        violations += check_request_limits(site, requests, record)
     return violations
 
 
@@ -139,6 +142,33 @@
     return violations
 
 
+def check_request_limits(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that workers got no more requests than the limits that they named allow.
+
+    A daemon that was restarted or suspended is excused for that time, and must be told
+    a limit again after a restart.
+    """
+    daemons = {sent.attempt: sent.daemon for sent in requests}
+    excused: dict[str, list[tuple[float, float]]] = {}
+    violations = []
+    for worker in site.workers:
+        arrivals = []
+        for time, attempt in worker.arrivals:
+            daemon = daemons.get(attempt, "")
+            began = record.lives_began.get(daemon, [])
+            life = f"{daemon}#{bisect.bisect_right(began, time)}"
+            excused[life] = record.stopped.get(daemon, [])
+            told_at = worker.told_at.get(attempt)
+            arrivals.append(Arrival(time=time, daemon=life, told_at=told_at))
+        history = LimitHistory(worker.limit_changes)
+        violations += find_limit_violations(
+            worker.name, arrivals, history, excused=excused
+        )
+    return violations
+
+
 def _was_disturbed(record: "FaultRecord", first: float, last: float) -> bool:
     return any(began <= last and ended >= first for began, ended in record.disturbances)
 
--- a/bench/fleet_day.py
+++ b/bench/fleet_day.py
@@ -57,6 +57,7 @@
     DRILL = "drill"
     REVOKE = "revoke"
     DRAIN = "drain"
+    LIMIT = "limit"
 
 
 class Traffic(pydantic.BaseModel):
@@ -84,7 +85,8 @@
 class PlannedFault(pydantic.BaseModel):
     """A fault at a time; ``on`` names the daemon, worker or link that it affects.
 
-    A drill returns the store from a copy of ``copy_seconds`` before.
+    A drill returns the store from a copy of ``copy_seconds`` before. A worker names
+    each of its ``limits`` for ``seconds``.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid")
@@ -95,6 +97,7 @@
     seconds: float = pydantic.Field(1.0, gt=0)
     copy_seconds: float = pydantic.Field(5.0, ge=0, le=20)
     answers: list[Fault] = []
+    limits: list[float] = []
 
     def inject(self, faults: FaultInjector) -> Coroutine[None, None, None]:
         """Return a coroutine that injects the fault."""
@@ -113,6 +116,7 @@
             FaultKind.DRILL: lambda: faults.drill(self.seconds, self.copy_seconds),
             FaultKind.REVOKE: faults.revoke,
             FaultKind.DRAIN: lambda: faults.drain(self.on),
+            FaultKind.LIMIT: lambda: faults.limit(self.on, self.limits, self.seconds),
         }
         return injections[self.kind]()
 
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -28,7 +28,9 @@
 
     ``disturbances`` holds the start and end of unplanned faults. ``drained_at`` maps
     each draining worker, and ``stopping`` each stopping daemon, to when that began.
-    ``revoked_at`` is when the guest's credential was revoked, or 0.
+    ``revoked_at`` is when the guest's credential was revoked, or 0. ``stopped`` holds,
+    for each daemon, the periods in which it was restarted or suspended, and
+    ``lives_began`` the times at which its process was started again.
     """
 
     def __init__(self):
@@ -36,6 +38,8 @@
         self.drained_at: dict[str, float] = {}
         self.stopping: dict[str, float] = {}
         self.revoked_at = 0.0
+        self.stopped: dict[str, list[tuple[float, float]]] = {}
+        self.lives_began: dict[str, list[float]] = {}
 
 
 class FaultInjector:
@@ -44,6 +48,7 @@
     def __init__(self, *, site: FleetSite, record: FaultRecord):
         self.site = site
         self.record = record
+        self.limited: set[str] = set()
 
     async def worker_answers(self, worker: str, faults: list[Fault]) -> None:
         """Make a worker answer its next requests with the given faults."""
@@ -64,10 +69,13 @@
 
     async def pause(self, daemon: str, seconds: float) -> None:
         """Suspend a daemon's process for a time."""
+        began = time.monotonic()
         with Disturbance(self.record, seconds):
             self.site.process_manager.send(daemon, signal.SIGSTOP)
             await asyncio.sleep(seconds)
             self.site.process_manager.send(daemon, signal.SIGCONT)
+        periods = self.record.stopped.setdefault(daemon, [])
+        periods.append((began, time.monotonic()))
 
     async def kill(self, daemon: str) -> None:
         """Kill a daemon and start it again."""
@@ -121,6 +129,23 @@
             self.site.publish_configuration()
             self.record.revoked_at = time.monotonic()
 
+    async def limit(
+        self, worker: str, limits: list[float | None], seconds: float
+    ) -> None:
+        """Make a worker name limits one after the other, each for a time, then none.
+
+        Further calls do nothing while it does.
+        """
+        if worker in self.limited:
+            return
+        self.limited.add(worker)
+        target = self._worker(worker)
+        for limit in limits:
+            target.name_limit(limit)
+            await asyncio.sleep(seconds)
+        target.name_limit(None)
+        self.limited.discard(worker)
+
     async def drain(self, worker: str) -> None:
         """Make a worker announce that it is draining; further calls do nothing."""
         if worker not in self.record.drained_at:
@@ -137,7 +162,9 @@
             return
         began = self.record.stopping[name] = time.monotonic()
         await self.site.restart(name, signal_number)
+        self.record.lives_began.setdefault(name, []).append(time.monotonic())
         await wait_for(self.site.ready_url(name), seconds=READY_TIMEOUT_SECONDS)
+        self.record.stopped.setdefault(name, []).append((began, time.monotonic()))
         if unplanned:
             self.record.disturbances.append((began, time.monotonic()))
         del self.record.stopping[name]
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -37,19 +37,30 @@
 MAXIMUM_COPY_SECONDS = 8.0
 # Drills among the twelve other kinds of faults.
 DRILL_WEIGHT = 3
+# Limits that workers name, in requests a second; ``None`` lifts one.
+LIMITS = (0.4, 1.0, 3.0, 10.0, None)
+LIMIT_WEIGHT = 4
 
 
 class Soak:
     """One run of the soak test with one seed.
 
-    With ``drills`` the store also returns from older copies; without, the draw of a
-    seed is the same as before there were drills.
+    With ``drills`` the store also returns from older copies, and with ``limits``
+    workers name limits on their requests. Without them the draw of a seed is the same
+    as before there were any.
     """
 
     def __init__(
-        self, *, seed: int, seconds: float, folder: Path, drills: bool = False
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        drills: bool = False,
+        limits: bool = False,
     ):
         self.drills = drills
+        self.limits = limits
         self.random = random.Random(seed)
         self.seconds = seconds
         self.site = FleetSite(folder=folder)
@@ -141,6 +152,10 @@
             copy_seconds = MAXIMUM_COPY_SECONDS * rng.random()
             drill = partial(faults.drill, short_seconds, copy_seconds)
             injections += [drill] * DRILL_WEIGHT
+        if self.limits:
+            named = rng.choices(LIMITS, k=rng.randrange(1, 3))
+            limit = partial(faults.limit, worker, named, 3.5 + short_seconds)
+            injections += [limit] * LIMIT_WEIGHT
         return rng.choice(injections)()
 
     async def _drain(self, worker: str) -> None:
@@ -149,10 +164,10 @@
             await self.faults.drain(worker)
 
 
-def run_seed(seed: int, seconds: float, *, drills: bool) -> list[str]:
+def run_seed(seed: int, seconds: float, *, drills: bool, limits: bool) -> list[str]:
     """Run one seed, print a summary and return the violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed=seed, seconds=seconds, folder=folder, drills=drills)
+    soak = Soak(seed=seed, seconds=seconds, folder=folder, drills=drills, limits=limits)
     violations = asyncio.run(soak.run())
     answered = sum(sent.status == 200 for sent in soak.sent)
     print(
@@ -170,7 +185,7 @@
     failed = [
         seed
         for seed in range(first, first + FLAGS.seeds)
-        if run_seed(seed, FLAGS.seconds, drills=FLAGS.drills)
+        if run_seed(seed, FLAGS.seconds, drills=FLAGS.drills, limits=FLAGS.limits)
     ]
     print(f"{FLAGS.seeds} seeds, {len(failed)} with violations: {failed}")
     raise SystemExit(1 if failed else 0)
@@ -180,5 +195,6 @@
     flags.DEFINE_integer("seed", None, "First seed; the time of day if none is given.")
     flags.DEFINE_integer("seeds", 1, "How many seeds to run, one after the other.")
     flags.DEFINE_bool("drills", False, "Whether the store returns from older copies.")
+    flags.DEFINE_bool("limits", False, "Whether workers name limits on requests.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -2,7 +2,8 @@
 
 It registers in the store, runs a bounded number of requests at once, streams events
 that can be resumed, and records every run. ``faults`` is a queue of faults for the next
-requests: see `Fault`.
+requests: see `Fault`. It can name a limit on the requests that it takes a second, which
+it does not enforce.
 """
 
 import asyncio
@@ -82,6 +83,10 @@
         self.started_at_ms = int(time.time() * 1000)
         self.faults: collections.deque[Fault] = collections.deque()
         self.runs: list[dict] = []
+        self.limit: float | None = None
+        self.limit_changes: list[tuple[float, float | None]] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.told_at: dict[str, float] = {}
         self.advertised = ""
         self.address = ""
         self.runner: web.ServerRunner | None = None
@@ -121,12 +126,18 @@
         self.state = "draining"
         self.register()
 
+    def name_limit(self, limit: float | None) -> None:
+        """Name a limit in all answers from now on, or none."""
+        self.limit = limit
+        self.limit_changes.append((time.monotonic(), limit))
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request, subject to the next fault in the queue."""
         body = await request.read()
         attempt_id = request.headers.get("Linnetladder-Attempt-Id", "")
         if request.headers.get("Linnetladder-Expect-Instance") != self.name:
-            return self._reply(421, attempt_id, b"")
+            return self._misdirected(attempt_id)
+        self.arrivals.append((time.monotonic(), attempt_id))
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.SHED or self.running >= self.slots:
             headers = {"Linnetladder-Not-Run": "1"}
@@ -214,10 +225,20 @@
 
     def _headers(self, attempt_id: str) -> dict[str, str]:
         seal = hashlib.sha256(f"{self.name}{attempt_id}".encode()).hexdigest()[:16]
-        return {
+        headers = {
             "Linnetladder-Attempt-Id": attempt_id,
             "Linnetladder-Server-Seal": seal,
         }
+        if self.limit is not None:
+            headers["Server-Limit"] = f"{self.limit:g}"
+            self.told_at.setdefault(attempt_id, time.monotonic())
+        return headers
+
+    def _misdirected(self, attempt_id: str) -> web.Response:
+        """Answer a request for another worker, about which this one can't say more."""
+        return web.Response(
+            status=421, headers={"Linnetladder-Attempt-Id": attempt_id}, body=b""
+        )
 
     def _reply(
         self,
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
-from bench.fleet_checks import SentRequest, find_violations
+import pytest
+
+from bench.fleet_checks import SentRequest, check_request_limits, find_violations
 from bench.fleet_soak import Soak
+from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from standins.fleet_worker import expected_body
 
 
@@ -21,6 +24,50 @@
     assert sum(sent.status == 200 for sent in soak.sent) > 50
 
 
+def test_limits_that_workers_name_are_kept_while_daemons_and_stores_fail(tmp_path):
+    """Guards against workers that get more requests than the limits they named."""
+    soak = Soak(seed=8, seconds=8.0, folder=tmp_path, limits=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert any(worker.limit_changes for worker in soak.site.workers)
+    assert check_request_limits(soak.site, soak.sent, soak.record) == []
+
+
+def test_check_detects_more_requests_than_a_limit_allows(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    worker = soak.site.add_unstarted_worker()
+    worker.limit_changes = [(100.0, 1.0), (120.0, None)]
+    for number in range(40):
+        add_request(soak, worker, f"a{number}", route="fetch", runs=0, status=200)
+        worker.arrivals.append((100.0 + number / 4, f"a{number}"))
+    assert check_request_limits(soak.site, soak.sent, soak.record) == []
+    worker.told_at["a0"] = 100.1
+    (violation,) = check_request_limits(soak.site, soak.sent, soak.record)
+    assert "16 requests in 4 s" in violation
+    soak.record.stopped["daemon-1"] = [(100.0, 110.0)]
+    assert check_request_limits(soak.site, soak.sent, soak.record) == []
+    soak.record.stopped.clear()
+    soak.record.lives_began["daemon-1"] = [102.0]
+    assert check_request_limits(soak.site, soak.sent, soak.record) == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "rate", "kept"),
+    [
+        ([(100.0, 2.0)], 2.9, True),
+        ([(100.0, 2.0)], 4.5, False),
+        ([(100.0, 8.0), (106.0, 1.0)], 4.5, False),
+        ([(100.0, 1.0), (106.0, 8.0)], 1.0, True),
+        ([(100.0, 1.0), (102.0, None)], 50.0, True),
+    ],
+)
+def test_the_allowance_follows_the_limits_that_were_named(changes, rate, kept):
+    arrivals = [
+        Arrival(time=100.0 + n / rate, daemon="d", told_at=100.2 if n == 0 else None)
+        for n in range(int(12 * rate))
+    ]
+    assert (find_limit_violations("w", arrivals, LimitHistory(changes)) == []) is kept
+
+
 def test_checks_detect_each_planted_violation(tmp_path):
     """Each guarantee that does not depend on elapsed time is violated once."""
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
