Pass copies of the bills of stopped daemons on to new holders

Cause: only an owner sends what it keeps to a new holder. A holder kept copies for 30 s and passed them on to nobody, so the bills of a stopped daemon had a copy less with each restart.

A daemon that gets a new holder now also sends it the copies whose owner has ended or has sent nothing for 1.3 s. Messages have the same format: the owner's incarnation is named in place of the sender's. A daemon ignores copies of its own bills.

The new test failed before (no bill instead of one).

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -81,6 +81,7 @@
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
     shared_secret.on_change = partial(setattr, peer_socket, "secret")
     core.bills.on_bill = peer_socket.send_bill
+    core.bill_replicas.on_copy = peer_socket.send_copies_of
     core.poller.on_read = peer_socket.send_soon
     core.crashes.on_crash = peer_socket.send_soon
     core.directory.on_leaving = peer_socket.send_soon
--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -127,7 +127,7 @@
             previous = holders
 
     def share_with_new_holders(self, holders: list[str]) -> None:
-        """Send all bills that are kept, once a peer became a holder.
+        """Send all bills and copies that are kept, once a peer became a holder.
 
         The holders before it may all stop, and the store may lose what was written.
         """
@@ -136,9 +136,10 @@
         self.known_holders.update(holders)
 
     def share_all(self) -> None:
-        """Send all bills that are kept to the holders."""
+        """Send all bills that are kept to the holders, and those of stopped peers."""
         for copied in self.bills.all_copies():
             self.bills.on_bill(copied)
+        self.bill_replicas.share_orphans()
 
     async def run_recovery(self) -> None:
         """Write the bills of peers that have stopped, until cancelled."""
--- a/linnetladder/forwarding/coordination/bill_replicas.py
+++ b/linnetladder/forwarding/coordination/bill_replicas.py
@@ -3,14 +3,20 @@
 A copy is kept for `RETENTION_SECONDS` after its block was written, since the store may
 return from an older copy. When its era rises, all copies count as unwritten until their
 owner reports them written in the new era or, if it has stopped, a holder has written
-them again.
+them again. Copies of an owner that has stopped are passed on to new holders, since
+those that have them may stop too.
 """
 
 import dataclasses
+from collections.abc import Callable
 
 import orjson
 
-from linnetladder.forwarding.coordination.bills import RETENTION_SECONDS, BillRow
+from linnetladder.forwarding.coordination.bills import (
+    RETENTION_SECONDS,
+    BillRow,
+    split_blocks,
+)
 from linnetladder.forwarding.coordination.sources import DaemonAddress, OperatorSource
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
@@ -23,6 +29,9 @@
 # taken to be stopped. If it was only disconnected it writes its bills as well, and they
 # still count once.
 ORPHAN_TIMEOUT_SECONDS = 5.0
+# An owner that has sent nothing for this long does not send its bills to new holders
+# itself. It sends some with each report.
+SILENT_OWNER_SECONDS = 1.3
 # Limit for each peer. Beyond it the oldest block is dropped, written ones first.
 MAXIMUM_REPLICA_BILLS = 20_000
 
@@ -102,6 +111,7 @@
         self.metrics = metrics
         self.held: dict[str, ReplicaBlocks] = {}
         self.next_copy_number = 1
+        self.on_copy: Callable[[str, CopiedBills], None] = _ignore
 
     def apply(self, incarnation: str, copied: CopiedBills) -> None:
         """Add a peer's bills and record which of its blocks are written.
@@ -142,6 +152,26 @@
         if held is not None:
             held.ended = True
 
+    def orphan_copies(self) -> list[tuple[str, CopiedBills]]:
+        """Return the copies whose owners send none themselves, with the owners.
+
+        They count as unwritten at those who receive them.
+        """
+        since = self.clock.monotonic() - SILENT_OWNER_SECONDS
+        return [
+            (owner, CopiedBills(written=0, blocks=part))
+            for owner, held in self.held.items()
+            if held.ended or held.last_seen < since
+            for part in split_blocks(
+                {sequence: block.bills for sequence, block in held.blocks.items()}
+            )
+        ]
+
+    def share_orphans(self) -> None:
+        """Send the copies of stopped owners to this daemon's holders."""
+        for owner, copied in self.orphan_copies():
+            self.on_copy(owner, copied)
+
     async def write_all(self) -> bool:
         """Write all copies before this daemon stops.
 
@@ -201,3 +231,7 @@
         self.metrics.count("bill_blocks_recovered")
         log_change("bills of a stopped peer written", count=len(bills))
         return True
+
+
+def _ignore(owner: str, copied: CopiedBills) -> None:
+    """Do nothing; the default until a transport sends copies to peers."""
--- a/linnetladder/forwarding/coordination/bills.py
+++ b/linnetladder/forwarding/coordination/bills.py
@@ -23,7 +23,13 @@
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change
 
-__all__ = ["RETENTION_SECONDS", "BillBuffer", "BillRow", "merge_blocks"]
+__all__ = [
+    "RETENTION_SECONDS",
+    "BillBuffer",
+    "BillRow",
+    "merge_blocks",
+    "split_blocks",
+]
 
 MAXIMUM_BLOCK_BILLS = 4_000
 MAXIMUM_UNWRITTEN_BILLS = 200_000
@@ -121,21 +127,13 @@
         """
         blocks = {block.sequence: block.bills for block in self.blocks}
         blocks[self.sequence] = self.open_bills
-        return self._split(blocks)
+        return [self._copied(part) for part in split_blocks(blocks)]
 
     def all_copies(self) -> list[CopiedBills]:
         """Return the retained and the unwritten bills in the same way."""
         blocks = {block.sequence: block.bills for block in self.retained.values()}
-        return [*self._split(blocks), *self.unwritten_copies()]
-
-    def _split(self, blocks: dict[int, dict[str, BillRow]]) -> list[CopiedBills]:
-        parts = []
-        for sequence, unwritten in blocks.items():
-            bills = list(unwritten.items())
-            for start in range(0, len(bills), MAXIMUM_MESSAGE_BILLS):
-                part = dict(bills[start : start + MAXIMUM_MESSAGE_BILLS])
-                parts.append(self._copied({sequence: part}))
-        return parts[-MAXIMUM_COPY_MESSAGES:]
+        retained = [self._copied(part) for part in split_blocks(blocks)]
+        return [*retained, *self.unwritten_copies()]
 
     def _copied(self, blocks: dict[int, dict[str, BillRow]]) -> CopiedBills:
         return CopiedBills(
@@ -243,6 +241,19 @@
     """Do nothing; the default until a transport sends bills to peers."""
 
 
+def split_blocks(
+    blocks: dict[int, dict[str, BillRow]],
+) -> list[dict[int, dict[str, BillRow]]]:
+    """Return the bills in parts that fit into one message each, the latest ones."""
+    parts = []
+    for sequence, bills_by_attempt in blocks.items():
+        bills = list(bills_by_attempt.items())
+        for start in range(0, len(bills), MAXIMUM_MESSAGE_BILLS):
+            part = dict(bills[start : start + MAXIMUM_MESSAGE_BILLS])
+            parts.append({sequence: part})
+    return parts[-MAXIMUM_COPY_MESSAGES:]
+
+
 def merge_blocks(blocks: list[bytes]) -> dict[str, BillRow]:
     """Return bills by attempt id; one that is in several blocks is returned once."""
     bills: dict[str, BillRow] = {}
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -380,9 +380,14 @@
             return None
         return group_name(endpoint.service, version_of(endpoint))
 
-    def build_bill_copy(self, copied: CopiedBills) -> DaemonMessage:
-        """Return a message with bills and without a report."""
-        return self._message(copied_bills=copied)
+    def build_bill_copy(self, copied: CopiedBills, *, owner: str = "") -> DaemonMessage:
+        """Return a message with bills and without a report.
+
+        ``owner`` is the incarnation whose bills they are, by default this daemon's.
+        """
+        message = self._message(copied_bills=copied)
+        message.incarnation = owner or message.incarnation
+        return message
 
     def apply(self, message: DaemonMessage) -> None:
         """Apply a peer's message.
@@ -392,7 +397,8 @@
         """
         if message.instance == self.instance:
             return
-        if message.copied_bills is not None:
+        is_own = message.incarnation == self.incarnation
+        if message.copied_bills is not None and not is_own:
             self.bill_replicas.apply(message.incarnation, message.copied_bills)
             self.bill_owners[message.instance] = self.clock.monotonic()
         self.on_position(message.position, message.configuration_version)
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -189,9 +189,13 @@
 
     def send_bill(self, copied: CopiedBills) -> None:
         """Send copies of bills to the peers that keep this daemon's bills."""
+        self.send_copies_of("", copied)
+
+    def send_copies_of(self, owner: str, copied: CopiedBills) -> None:
+        """Send copies of the bills of another incarnation to the same peers."""
         if self.transport is None or not self.secret:
             return
-        gossip = self.gossip.build_bill_copy(copied)
+        gossip = self.gossip.build_bill_copy(copied, owner=owner)
         datagram = encode_message(gossip, secret=self.secret)
         for holder in self.gossip.bill_holders():
             self._send_to(holder, datagram)
--- a/tests/forwarding/test_bill_eras.py
+++ b/tests/forwarding/test_bill_eras.py
@@ -312,3 +312,50 @@
     clock.now += 6.0
     recover(second)
     assert sorted(billed(source)) == ["a1"]
+
+
+def test_bills_of_a_killed_daemon_survive_the_holder_that_wrote_them():
+    """Every daemon that had the bills was killed in turn; a drill took their block."""
+    source, clock, (first, second) = fleet()
+    source.copy()
+    run_request(first, "a1")
+    send_report(first, second)
+    again = ready_daemon(name="d1", incarnation="d1-2", source=source, clock=clock)
+    again.peers.update_daemons((address("d1", incarnation="d1-2"), address("d2")))
+    send_report(again, second)
+    recover(second, "d2")
+    assert sorted(billed(source)) == ["a1"]
+    second.bill_replicas.on_copy = lambda owner, copied: again.peers.apply(
+        second.peers.build_bill_copy(copied, owner=owner)
+    )
+    second.bill_flusher.share_with_new_holders(["d1-2"])
+    drill(source, again)
+    assert billed(source) == {}
+    clock.now += 6
+    listed = (address("d1", incarnation="d1-2"),)
+    asyncio.run(again.bill_replicas.recover_orphans(listed))
+    assert sorted(billed(source)) == ["a1"]
+
+
+def test_copies_of_a_daemon_that_sends_its_bills_itself_are_not_passed_on():
+    """Each holder would send all it holds whenever any daemon starts."""
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    send_report(first, second)
+    assert second.bill_replicas.orphan_copies() == []
+    clock.now += 1.0
+    assert second.bill_replicas.orphan_copies() == []
+    clock.now += 1.0
+    ((owner, copied),) = second.bill_replicas.orphan_copies()
+    assert (owner, list(copied.blocks[1])) == ("d1-1", ["a1"])
+
+
+def test_a_daemon_holds_no_copies_of_its_own_bills():
+    """A holder that has missed a daemon's reports may send it its own bills."""
+    source, clock, (first, second) = fleet()
+    run_request(first, "a1")
+    send_report(first, second)
+    clock.now += 2.0
+    ((owner, copied),) = second.bill_replicas.orphan_copies()
+    first.peers.apply(second.peers.build_bill_copy(copied, owner=owner))
+    assert first.bill_replicas.held == {}
