Understand the secret before and fetch the new one when the store is back

A failed check is now repeated when the store is regained, and for 30 s a daemon also understands the secret before; a peer that signs with it is answered with it.

The new tests fail without either.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import secrets
-from functools import partial
 
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.store_era import StoreEra
@@ -79,7 +78,8 @@
     )
     peer_socket = PeerSocket(gossip=core.peers, metrics=metrics, settings=peer_settings)
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
-    shared_secret.on_change = partial(setattr, peer_socket, "secret")
+    shared_secret.on_change = peer_socket.use_secret
+    core.poller.regained_listeners.append(shared_secret.on_store_regained)
     core.bills.on_bill = peer_socket.send_bill
     core.bill_replicas.on_copy = peer_socket.send_copies_of
     core.poller.on_read = peer_socket.send_soon
--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -67,7 +67,7 @@
         self.delay_seconds = 0.0
         self.known_holders: set[str] = set()
         poller.on_lost = self.on_store_lost
-        poller.on_regained = self.on_store_regained
+        poller.regained_listeners.append(self.on_store_regained)
 
     def on_era(self, era: int) -> None:
         """Request a flush after a random delay, or at once if no peer holds copies."""
--- a/linnetladder/forwarding/coordination/shared_secret.py
+++ b/linnetladder/forwarding/coordination/shared_secret.py
@@ -7,6 +7,7 @@
 
 from linnetladder.forwarding.coordination.sources import OperatorSource
 from linnetladder.forwarding.coordination.store_era import StoreEra
+from linnetladder.telemetry import log_change
 
 __all__ = ["SharedSecret"]
 
@@ -21,12 +22,14 @@
 
     A change of the store's era may have lost it: then the secret in use is written
     again, unless another one is stored, which is adopted. ``on_change`` is called with
-    each secret.
+    each secret. A check that failed is repeated at once when the store is regained,
+    since daemons with different secrets don't understand each other.
     """
 
     def __init__(self, *, source: OperatorSource, era: StoreEra, seed: int):
         self.source = source
         self.value = b""
+        self.failed = False
         self.random = random.Random(seed)
         self.check_requested = asyncio.Event()
         self.on_change: Callable[[bytes], None] = _ignore
@@ -39,19 +42,30 @@
             if await self.fetch():
                 await self.check_requested.wait()
                 await asyncio.sleep(self.random.uniform(0, ERA_JITTER_SECONDS))
-            else:
-                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            try:
+                async with asyncio.timeout(RETRY_SECONDS):
+                    await self.check_requested.wait()
+            except TimeoutError:
+                pass
 
     async def fetch(self) -> bool:
         """Fetch the stored secret once and return whether that succeeded."""
         proposed = self.value.decode() or secrets.token_hex(SECRET_BYTES)
         read = await self.source.shared_secret(proposed)
         stored = read.value_or("").encode()
+        self.failed = not stored
         if stored and stored != self.value:
+            log_change("secret of daemons adopted", replaced=bool(self.value))
             self.value = stored
             self.on_change(stored)
         return bool(stored)
 
+    def on_store_regained(self) -> None:
+        """Repeat a check that failed."""
+        if self.failed:
+            self.check_requested.set()
+
     def _request_check(self, era: int) -> None:
         self.check_requested.set()
 
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -106,7 +106,7 @@
         era.listeners.append(self.on_era_change)
         peers.on_position = self.on_peer_position
         self.on_lost: Callable[[], None] = _do_nothing
-        self.on_regained: Callable[[], None] = _do_nothing
+        self.regained_listeners: list[Callable[[], None]] = []
         peers.on_confirmation = self.on_peer_confirmation
 
     async def run(self) -> None:
@@ -277,7 +277,8 @@
         if not self.reachable:
             self.reachable = True
             log_change("store regained")
-            self.on_regained()
+            for listener in self.regained_listeners:
+                listener()
 
 
 async def _wait_for(event: asyncio.Event, seconds: float) -> bool:
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -24,6 +24,7 @@
     "DaemonReport",
     "decode_message",
     "encode_message",
+    "sign_again",
 ]
 
 SIGNATURE_BYTES = 16
@@ -185,6 +186,12 @@
         return None
 
 
+def sign_again(datagram: bytes, *, secret: bytes) -> bytes:
+    """Return a signed datagram with its signature replaced by that of a secret."""
+    content = datagram[SIGNATURE_BYTES:]
+    return _sign(content, secret) + content
+
+
 def _copied_fields(copied: CopiedBills) -> dict:
     """Return the fields that differ from their defaults."""
     fields = {"written": copied.written, "blocks": copied.blocks}
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -1,6 +1,7 @@
 """Messages between daemons over UDP."""
 
 import asyncio
+import math
 
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
 from linnetladder.forwarding.coordination.peer_gossip import (
@@ -15,6 +16,7 @@
     DaemonMessage,
     decode_message,
     encode_message,
+    sign_again,
 )
 from linnetladder.telemetry import Metrics, log_failure
 
@@ -35,6 +37,9 @@
 # Growth of the ratio of estimated to encoded bytes for each report with room left.
 RATIO_GROWTH = 1.02
 MAXIMUM_RATIO = 1.5
+# A secret that was replaced is understood for this long, since a peer may not be able
+# to read the new one from the store yet.
+PREVIOUS_SECRET_SECONDS = 30.0
 # Reports that came out too large are built again, at most this often.
 MAXIMUM_REBUILDS = 2
 
@@ -42,7 +47,9 @@
 class PeerSocket(asyncio.DatagramProtocol):
     """Sends this daemon's messages to its peers and receives theirs.
 
-    ``secret`` signs the messages. Until it is set, none is sent or accepted. Reports
+    ``secret`` signs the messages. Until it is set, none is sent or accepted.
+    ``lagging`` holds the peers that still sign with the secret before; messages to them
+    are signed with that, too. Reports
     keep to a budget of bytes; each regular round takes what has been refilled since the
     last one, and a triggered round, which only carries news, some of the rest.
     """
@@ -61,9 +68,20 @@
         self.estimate_ratio = 1.0
         self.metrics = metrics
         self.secret = b""
+        self.previous_secret = b""
+        self.previous_until = -math.inf
+        self.lagging: set[str] = set()
         self.transport: asyncio.DatagramTransport | None = None
         self.send_requested = asyncio.Event()
 
+    def use_secret(self, secret: bytes) -> None:
+        """Sign messages with a secret; the one before is understood for a while."""
+        if self.secret and secret != self.secret:
+            self.previous_secret = self.secret
+            now = self.gossip.clock.monotonic()
+            self.previous_until = now + PREVIOUS_SECRET_SECONDS
+        self.secret = secret
+
     async def start(self, *, address: str, port: int) -> None:
         """Bind the socket; raise `OSError` if that fails."""
         loop = asyncio.get_running_loop()
@@ -80,7 +98,7 @@
     def datagram_received(self, data: bytes, addr) -> None:
         """Verify and process a peer's message."""
         self.metrics.count("peer_bytes", len(data), label="received")
-        gossip = decode_message(data, secret=self.secret) if self.secret else None
+        gossip = self._decode(data)
         if gossip is None:
             self.metrics.count("rejected_peers", label="news")
             return
@@ -89,6 +107,22 @@
         except Exception as error:
             log_failure("processing a peer message failed", error)
 
+    def _decode(self, data: bytes) -> DaemonMessage | None:
+        """Return a message signed with the secret or, for a while, the one before."""
+        if not self.secret:
+            return None
+        message = decode_message(data, secret=self.secret)
+        if message is not None:
+            self.lagging.discard(message.instance)
+        elif self._previous_is_valid():
+            message = decode_message(data, secret=self.previous_secret)
+            if message is not None:
+                self.lagging.add(message.instance)
+        return message
+
+    def _previous_is_valid(self) -> bool:
+        return self.gossip.clock.monotonic() < self.previous_until
+
     async def run(self) -> None:
         """Send messages until cancelled."""
         loop = asyncio.get_running_loop()
@@ -204,6 +238,8 @@
         if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
             self.metrics.count("peer_messages", label="too_large")
             return
+        if receiver.instance in self.lagging and self._previous_is_valid():
+            datagram = sign_again(datagram, secret=self.previous_secret)
         self.transport.sendto(datagram, (receiver.host, receiver.port))
         self.metrics.count("peer_messages", label="sent")
         self.metrics.count("peer_bytes", len(datagram), label="sent")
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -55,6 +55,7 @@
 from linnetladder.forwarding.protocol import daemon_messages
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 from linnetladder.forwarding.state import RolloutOrder
+from linnetladder.forwarding.transport import PeerSocket
 from linnetladder.platform import PlatformSource, source
 
 
@@ -262,6 +263,8 @@
         "platform",
     ),
     ("era_secret", SharedSecret, "_request_check", always(None), "platform"),
+    ("secret_regained", SharedSecret, "on_store_regained", always(None), "platform"),
+    ("secret_before", PeerSocket, "_previous_is_valid", always(False), "peer_gossip"),
     ("report_order", PeerGossip, "_accept_if_newer", always(True), "peer_gossip"),
     ("report_budget", ByteBudget, "spend", always(True), "reports"),
     ("report_news", report_news, "NEWS_SECONDS", -1.0, "reports"),
--- a/tests/forwarding/test_peer_gossip.py
+++ b/tests/forwarding/test_peer_gossip.py
@@ -7,6 +7,7 @@
     decode_message,
     encode_message,
 )
+from linnetladder.forwarding.transport import PeerSocket
 from tests.support.forwarding import LocalDaemon, ManualClock, head, ready_daemon
 
 SECRET = b"secret"
@@ -148,3 +149,64 @@
         clock.now += 1
     assert first.crashes.export() == []
     assert second.crashes.export() == []
+
+
+class Wire:
+    """Delivers datagrams to the sockets of their receivers at once."""
+
+    def __init__(self, sockets):
+        self.sockets = sockets
+
+    def sendto(self, data, addr):
+        self.sockets[addr[0]].datagram_received(data, addr)
+
+
+def connected_pair():
+    """Return two daemons on one clock, and their sockets."""
+    clock, sockets, daemons = ManualClock(), {}, []
+    for name in ("daemon-1", "daemon-2"):
+        daemon = ready_daemon(name=name, clock=clock)
+        daemon.peers.update_daemons(
+            tuple(
+                DaemonAddress(
+                    instance=other,
+                    incarnation=f"{other}-1",
+                    failure_domain="east",
+                    host=other,
+                    port=1,
+                )
+                for other in ("daemon-1", "daemon-2")
+            )
+        )
+        peer_socket = PeerSocket(gossip=daemon.peers, metrics=daemon.metrics)
+        peer_socket.transport = Wire(sockets)
+        peer_socket.use_secret(SECRET)
+        sockets[name] = peer_socket
+        daemons.append(daemon)
+    return clock, daemons, list(sockets.values())
+
+
+def test_a_daemon_that_lacks_the_new_secret_still_holds_bills():
+    """Guards against bills without a holder while a peer can't read the new secret.
+
+    The store returned without the secret, a daemon that started wrote another one, and
+    the store went away before all had read it.
+    """
+    clock, (first, second), (first_socket, second_socket) = connected_pair()
+    first.bills.on_bill = first_socket.send_bill
+    first_socket.use_secret(b"another")
+    second_socket.send_round(now=clock.now)
+    first.answer(head("/fetch/1", attempt_id="a1"))
+    (held,) = second.bill_replicas.held.values()
+    assert "a1" in held.blocks[1].bills
+    assert first.peers.alive_holder_incarnations() == ["daemon-2-1"]
+
+
+def test_a_replaced_secret_is_not_understood_for_ever():
+    """Guards against messages that are signed with a secret of long ago."""
+    clock, (first, second), (first_socket, second_socket) = connected_pair()
+    first_socket.use_secret(b"another")
+    clock.now += 31.0
+    second_socket.send_round(now=clock.now)
+    assert first.metrics.value("rejected_peers", label="news") == 1
+    assert first.peers.alive_holder_incarnations() == []
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -634,6 +634,30 @@
     run_with_store(scenario)
 
 
+def test_a_check_of_the_secret_that_failed_is_repeated_when_the_store_is_back():
+    """Guards against a daemon that no peer understands until its next retry.
+
+    Its bills had no holder meanwhile, and were lost with it.
+    """
+
+    async def scenario(server, store, source):
+        shared = SharedSecret(source=source, era=store.era, seed=1)
+        task = asyncio.ensure_future(shared.run())
+        await asyncio.sleep(0.1)
+        server.rewind(60.0)
+        server.put_bytes(SECRET_KEY, b"another")
+        await source.read()
+        server.down = True
+        await asyncio.sleep(0.6)
+        server.down = False
+        shared.on_store_regained()
+        await asyncio.sleep(0.1)
+        task.cancel()
+        assert shared.value == b"another"
+
+    run_with_store(scenario)
+
+
 def test_record_of_an_ended_era_is_not_written():
     """Guards against replacing a record whose revision was given out again."""
 
