Wait for a peer before an exit in a drill of the store

Callers were answered and not billed in the soak with drills.

Other exits are as before. The new test failed before.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -160,7 +160,9 @@
         all_bills_written = await self.parts.bill_flusher.flush_before_exit(
             seconds=write_timeout
         )
-        self.parts.bill_flusher.share_all()
+        await self.parts.bill_flusher.hand_over(
+            seconds=max(deadline - loop.time(), 0.0)
+        )
         for task in self.tasks:
             task.cancel()
         await self.parts.callers.stop()
--- a/linnetladder/forwarding/coordination/bill_flushing.py
+++ b/linnetladder/forwarding/coordination/bill_flushing.py
@@ -9,10 +9,11 @@
 """
 
 import asyncio
+import math
 import random
 
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
-from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.bills import RETENTION_SECONDS, BillBuffer
 from linnetladder.forwarding.coordination.peer_gossip import BILL_HOLDERS, PeerGossip
 from linnetladder.forwarding.coordination.store_polling import StorePoller
 from linnetladder.telemetry import Metrics, log_change
@@ -34,6 +35,8 @@
 # Longest time that an answer waits for its block. A write normally takes a few
 # milliseconds.
 DURABILITY_TIMEOUT_SECONDS = 0.15
+# Interval at which a daemon that exits looks for a peer that is alive.
+HAND_OVER_POLL_SECONDS = 0.05
 # Delay between the retries of the final flush before the daemon exits.
 FINAL_RETRY_SECONDS = 0.2
 # Further peers that hold bills while the store is lost, when no block can be written.
@@ -65,12 +68,14 @@
         self.last_flush_succeeded = False
         self.random = random.Random(seed)
         self.delay_seconds = 0.0
+        self.era_rose_at = -math.inf
         self.known_holders: set[str] = set()
         poller.on_lost = self.on_store_lost
         poller.regained_listeners.append(self.on_store_regained)
 
     def on_era(self, era: int) -> None:
         """Request a flush after a random delay, or at once if no peer holds copies."""
+        self.era_rose_at = self.peers.clock.monotonic()
         if self.peers.alive_holder_incarnations():
             self.delay_seconds = self.random.uniform(0, ERA_JITTER_SECONDS)
         self.flush_requested.set()
@@ -141,6 +146,25 @@
             self.bills.on_bill(copied)
         self.bill_replicas.share_orphans()
 
+    async def hand_over(self, *, seconds: float) -> None:
+        """Send all bills that are kept to the holders before this daemon exits.
+
+        While the store has just returned from an older copy, it may do so again and
+        lose what this daemon has written. If none of the peers is alive then, wait for
+        one for some seconds.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                while (
+                    self.peers.clock.monotonic() - self.era_rose_at < RETENTION_SECONDS
+                    and self.peers.peers
+                    and not self.peers.alive_holder_incarnations()
+                ):
+                    await asyncio.sleep(HAND_OVER_POLL_SECONDS)
+        except TimeoutError:
+            log_change("no peer took the bills over before the timeout")
+        self.share_all()
+
     async def run_recovery(self) -> None:
         """Write the bills of peers that have stopped, until cancelled."""
         while True:
--- a/tests/forwarding/test_bill_eras.py
+++ b/tests/forwarding/test_bill_eras.py
@@ -359,3 +359,32 @@
     ((owner, copied),) = second.bill_replicas.orphan_copies()
     first.peers.apply(second.peers.build_bill_copy(copied, owner=owner))
     assert first.bill_replicas.held == {}
+
+
+@pytest.mark.parametrize("drilled", [True, False])
+def test_a_daemon_that_exits_in_a_drill_waits_for_a_peer(drilled):
+    """The only daemon with the bills wrote them and exited; a second drill took them.
+
+    Its peers had started while the store was away and could not hear it yet.
+    """
+    source, clock, (first, second) = fleet()
+    source.copy()
+    run_request(first, "a1")
+    flush(first)
+    if drilled:
+        drill(source, first)
+    first.bills.on_bill = lambda copied: second.peers.apply(
+        first.peers.build_bill_copy(copied)
+    )
+    first.peers.peer_status.clear()
+
+    async def scenario():
+        handing = asyncio.ensure_future(first.bill_flusher.hand_over(seconds=2.0))
+        await asyncio.sleep(1.0)
+        assert handing.done() is not drilled
+        send_report(second, first)
+        await asyncio.sleep(0.1)
+        return handing.done()
+
+    assert run_virtual(scenario())
+    assert "d1-1" in second.bill_replicas.held
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -225,6 +225,7 @@
     ("bills_era", BillBuffer, "_copied", copy_of_any_era, "bill_eras"),
     ("bills_rechecked", BillBuffer, "recheck", always(None), "bill_eras"),
     ("copies_rewritten", BillReplicas, "restart", always(None), "bill_eras"),
+    ("bills_handed_over", bill_flushing, "RETENTION_SECONDS", -1.0, "bill_eras"),
     ("copies_passed_on", BillReplicas, "orphan_copies", always([]), "bill_eras"),
     ("copies_retained", bill_replicas, "RETENTION_SECONDS", -1.0, "bill_eras"),
     ("lapse_grace", directory, "LAPSE_GRACE_SECONDS", 0.0, "directory"),
