Register again as soon as the store is regained

Theirs failed while the store was away and were to be repeated 1 to 2 s later; the store was back for 0.9 s only. The new daemon knew no peer that could hold its bills and was killed 0.3 s after the store had gone away again.

A registration that failed is repeated within 0.3 s when the store is regained. The new test failed before.

--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -58,6 +58,8 @@
 # A registration that the store lost is written again within this time, at random;
 # one that failed is retried after this time or up to twice as long.
 REGISTRATION_RETRY_SECONDS = 1.0
+# Daemons that have regained the store register within this time, at random.
+REGISTRATION_JITTER_SECONDS = 0.3
 REGISTRATION_LEASE_SECONDS = 12.0
 
 
@@ -101,6 +103,7 @@
         self.reading = False
         self.read_requested = asyncio.Event()
         self.registration_lost = asyncio.Event()
+        self.registration_failed = False
         self.on_read: Callable[[], None] = _do_nothing
         self.content_confirmed_at = -math.inf
         era.listeners.append(self.on_era_change)
@@ -243,15 +246,19 @@
     async def run_registration(self) -> None:
         """Renew this daemon's registration until cancelled, except while it leaves.
 
-        After a change of era it is written again, after a short random time.
+        After a change of era it is written again, after a short random time; one that
+        failed, as soon as the store is regained.
         """
         while True:
             self.registration_lost.clear()
             registered = self.leaving or await self._register()
             if not registered:
-                await asyncio.sleep(
-                    REGISTRATION_RETRY_SECONDS + self._registration_delay()
-                )
+                self.registration_failed = True
+                delay = REGISTRATION_RETRY_SECONDS + self._registration_delay()
+                if await _wait_for(self.registration_lost, delay):
+                    jitter = self.random.uniform(0, REGISTRATION_JITTER_SECONDS)
+                    await asyncio.sleep(jitter)
+                self.registration_failed = False
             elif await _wait_for(self.registration_lost, REGISTRATION_RENEWAL_SECONDS):
                 await asyncio.sleep(self._registration_delay())
 
@@ -277,6 +284,8 @@
         if not self.reachable:
             self.reachable = True
             log_change("store regained")
+            if self.registration_failed:
+                self.registration_lost.set()
             for listener in self.regained_listeners:
                 listener()
 
--- a/tests/forwarding/test_store_era.py
+++ b/tests/forwarding/test_store_era.py
@@ -295,6 +295,29 @@
     assert sum(at < first + 0.1 for at in source.registered_at) < 20
 
 
+def test_a_registration_that_failed_is_repeated_when_the_store_is_regained():
+    """Guards against daemons that a newly started one can't find to hold its bills.
+
+    The registrations were lost with the store, which was back for less than a second.
+    """
+    source = MemorySource(table=table())
+
+    async def work():
+        daemon = LocalDaemon(name="daemon-1", source=source, clock=LoopClock())
+        await daemon.poller.read_once()
+        source.down = True
+        await daemon.poller.read_once()
+        task = asyncio.ensure_future(daemon.poller.run_registration())
+        await asyncio.sleep(0.1)
+        source.down = False
+        await daemon.poller.read_once()
+        await asyncio.sleep(0.4)
+        task.cancel()
+
+    run_on_virtual_time(work)
+    assert "daemon-1" in source.daemons
+
+
 def test_reads_after_a_change_of_era_are_soon_and_spread():
     """Guards against 66 reads at the moment at which the store returns."""
     source = MemorySource(table=table())
