Let the stand-in operator write its latest configuration after a drill

An operator does not take back its own newer version.

The operator's and the workers' latest documents are remembered and written again instead. The new test failed before: version 1 instead of 2.

--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import signal
 import time
 
@@ -100,7 +99,8 @@
         """Take the store away and return it from an older copy.
 
         The copy is ``copy_seconds`` old when the store goes away. The operator and the
-        workers write again what is lost of theirs, within `REWRITE_SECONDS`.
+        workers write again what is lost of theirs, within `REWRITE_SECONDS`, each its
+        latest version.
         """
         store = self.site.store
         with Disturbance(self.record, seconds + REWRITE_SECONDS):
@@ -112,10 +112,10 @@
             for key, item in lost.items():
                 if not key.startswith(REWRITTEN_PREFIXES):
                     continue
-                if item is None:
+                if key in store.documents:
+                    store.put_bytes(key, store.documents[key])
+                elif item is None:
                     store.remove(key)
-                else:
-                    store.put_bytes(key, base64.b64decode(item.value))
 
     async def lost_replies(self) -> None:
         """Drop the replies to the store's next calls, which still take effect."""
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -56,6 +56,8 @@
         self.era = 1
         self.undo: collections.deque[Undo] = collections.deque()
         self.items: dict[str, Item] = {}
+        # The latest documents of the operator and the workers, who remember them.
+        self.documents: dict[str, bytes] = {}
         self.revision = 1
         self.leases: set[int] = set()
         self.history: list[dict] = []
@@ -80,8 +82,9 @@
         await self.runner.cleanup()
 
     def put(self, key: str, document: dict) -> int:
-        """Write a document and return its revision."""
-        return self.put_bytes(key, orjson.dumps(document))
+        """Write a document of the operator or a worker and return its revision."""
+        self.documents[key] = orjson.dumps(document)
+        return self.put_bytes(key, self.documents[key])
 
     def put_bytes(self, key: str, value: bytes, *, lease: int = 0) -> int:
         """Write bytes and return their revision."""
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 import pytest
 
 from bench.fleet_checks import SentRequest, check_request_limits, find_violations
@@ -68,6 +69,26 @@
     assert (find_limit_violations("w", arrivals, LimitHistory(changes)) == []) is kept
 
 
+def test_the_operator_writes_its_latest_configuration_after_a_drill(tmp_path):
+    """The stand-in wrote an older one over a revocation made since the store's return.
+
+    Requests with the revoked credential then counted as violations of the daemons.
+    """
+
+    async def scenario():
+        soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+        soak.site.publish_configuration()
+        drilling = asyncio.ensure_future(soak.faults.drill(0.01, 5.0))
+        await asyncio.sleep(0.1)
+        await soak.faults.revoke()
+        await drilling
+        return orjson.loads(soak.site.store.value("op/config"))
+
+    document = asyncio.run(scenario())
+    assert document["Version"] == 2
+    assert "guest" not in [account["Name"] for account in document["Tenants"]]
+
+
 def test_checks_detect_each_planted_violation(tmp_path):
     """Each guarantee that does not depend on elapsed time is violated once."""
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
