--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -272,7 +272,7 @@
     ("report_own_rows", outcomes, "OWN_ROWS_PER_GROUP", 0, "reports"),
     ("report_rotation", PeerGossip, "record_sent", always(None), "reports"),
     ("limits_permits", RequestLimits, "may_send", always(True), "request_limits"),
-    ("limits_taken", RequestLimits, "take", always(True), "limited_fleet"),
+    ("limits_taken", RequestLimits, "take", always(True), "request_limits"),
     ("limits_waits", sender, "PERMIT_WAIT_SHARE", 0.0, "request_limits"),
     ("limits_reported", RequestLimits, "learn_report", always(None), "request_limits"),
     ("limits_news", request_limits, "NEWS_SECONDS", -1.0, "request_limits"),
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -77,6 +77,20 @@
     assert daemon.metrics.value("permit_waits") == 1
 
 
+def test_each_permit_is_used_for_one_request():
+    """Guards against several requests sent by one permit."""
+    daemon = limited_daemon(0.1)
+    assert not daemon.limits.may_send(daemon.table.endpoints["engine-1"])
+    daemon.clock.now += 10.5
+    assert daemon.read()
+    replies = [
+        daemon.answer(head(attempt_id=f"a{number}"), Script(limit=0.1))
+        for number in range(3)
+    ]
+    assert [reply.status for reply in replies] == [200, 503, 503]
+    assert len(daemon.calls.calls) == 1
+
+
 def test_a_refusal_names_the_time_of_the_next_permit():
     """Guards against callers that come back before the endpoint takes their request."""
     daemon = limited_daemon(1.0, peers=29)
