Keep to what endpoints say in answers: that they leave, or want a pause

Callers' requests went on to endpoints that had said in their answers that they would stop, until the registry said so too, and to endpoints that had turned a request away with a time to come back. Cause: no code read Server-Leaving, or Retry-After in an endpoint's answer (searched: 0 places).

Both are decoded once in the platform's codec. Leaving becomes the fact that a draining entry gives: bound to the incarnation, never unlearnt, told to peers. A pause binds the daemon that was told; after it requests return by slow start. EndpointAvailability asks all mechanisms that keep requests from an endpoint, for selection, for refusals, and once more when a call has its connection; a call that is withdrawn then costs no attempt and no retry. If all endpoints are paused, new requests are refused at once with the earliest return; begun streams wait for it.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -13,12 +13,23 @@
 
 from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
+from bench.notice_checks import (
+    AskedPause,
+    SentOn,
+    find_leaving_violations,
+    find_pause_violations,
+)
 from standins.fleet_worker import expected_body
 
 if TYPE_CHECKING:
     from bench.fleet_faults import FaultRecord
 
-__all__ = ["SentRequest", "check_request_limits", "find_violations"]
+__all__ = [
+    "SentRequest",
+    "check_notices",
+    "check_request_limits",
+    "find_violations",
+]
 
 # A response with one of these statuses guarantees that the request did not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -67,6 +78,7 @@
         violations += _check_credentials(requests, record, runs)
         violations += _check_leaving(site, record)
         violations += check_request_limits(site, requests, record)
+        violations += check_notices(site, requests, record)
     return violations
 
 
@@ -157,8 +169,7 @@
         arrivals = []
         for time, attempt in worker.arrivals:
             daemon = daemons.get(attempt, "")
-            began = record.lives_began.get(daemon, [])
-            life = f"{daemon}#{bisect.bisect_right(began, time)}"
+            life = _life_of(record, daemon, time)
             excused[life] = record.stopped.get(daemon, [])
             told_at = worker.told_at.get(attempt)
             arrivals.append(Arrival(time=time, daemon=life, told_at=told_at))
@@ -169,6 +180,60 @@
     return violations
 
 
+def check_notices(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that workers which leave or asked for a pause get no more requests.
+
+    A daemon that was restarted or suspended since is excused.
+    """
+    sent_by_attempt = {sent.attempt: sent for sent in requests}
+    violations = []
+    for worker in site.workers:
+        arrivals = [
+            SentOn(
+                time=time,
+                daemon=_life_of(record, sent.daemon, time),
+                sent_at=sent.time,
+                told_at=worker.leaving_told.get(attempt),
+                passed_on_at=sent.ended if sent.status else None,
+            )
+            for time, attempt in worker.arrivals
+            if (sent := sent_by_attempt.get(attempt)) is not None
+        ]
+        pauses = [
+            AskedPause(
+                time=time,
+                daemon=_life_of(record, sent.daemon, time),
+                seconds=seconds,
+            )
+            for time, attempt, seconds in worker.pauses_asked
+            if (sent := sent_by_attempt.get(attempt)) is not None
+        ]
+        excused = {
+            life: record.stopped.get(life.partition("#")[0], [])
+            for life in {arrival.daemon for arrival in arrivals}
+        }
+        cut = {life: excused[life] + record.disturbances for life in excused}
+        violations += find_leaving_violations(
+            worker.name,
+            arrivals,
+            drain_seconds=DRAIN_MILLISECONDS / 1000,
+            restarts=worker.restarts,
+            excused=excused,
+        )
+        violations += find_pause_violations(
+            worker.name, arrivals, pauses, restarts=worker.restarts, excused=cut
+        )
+    return violations
+
+
+def _life_of(record: "FaultRecord", daemon: str, time: float) -> str:
+    """Return the name of a daemon's process at a time."""
+    began = record.lives_began.get(daemon, [])
+    return f"{daemon}#{bisect.bisect_right(began, time)}"
+
+
 def _was_disturbed(record: "FaultRecord", first: float, last: float) -> bool:
     return any(began <= last and ended >= first for began, ended in record.disturbances)
 
--- a/bench/fleet_day.py
+++ b/bench/fleet_day.py
@@ -58,6 +58,8 @@
     REVOKE = "revoke"
     DRAIN = "drain"
     LIMIT = "limit"
+    PAUSE_REQUESTS = "pause_requests"
+    LEAVE = "leave"
 
 
 class Traffic(pydantic.BaseModel):
@@ -117,6 +119,10 @@
             FaultKind.REVOKE: faults.revoke,
             FaultKind.DRAIN: lambda: faults.drain(self.on),
             FaultKind.LIMIT: lambda: faults.limit(self.on, self.limits, self.seconds),
+            FaultKind.PAUSE_REQUESTS: lambda: faults.pause_requests(
+                self.on, self.seconds
+            ),
+            FaultKind.LEAVE: lambda: faults.leave(self.on, self.seconds),
         }
         return injections[self.kind]()
 
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -146,6 +146,30 @@
         target.name_limit(None)
         self.limited.discard(worker)
 
+    async def pause_requests(self, worker: str, seconds: float) -> None:
+        """Make a worker turn requests away and ask for a pause, for as long as that.
+
+        Further calls do nothing while it does.
+        """
+        target = self._worker(worker)
+        if target.pause_seconds is not None:
+            return
+        target.pause_seconds = seconds
+        await asyncio.sleep(seconds)
+        target.pause_seconds = None
+
+    async def leave(self, worker: str, seconds: float) -> None:
+        """Make a worker say that it leaves, then start it again under its name.
+
+        Its entry in the store says nothing of it. Further calls do nothing meanwhile.
+        """
+        target = self._worker(worker)
+        if target.leaving or worker in self.record.drained_at:
+            return
+        target.leaving = True
+        await asyncio.sleep(seconds)
+        target.restart()
+
     async def drain(self, worker: str) -> None:
         """Make a worker announce that it is draining; further calls do nothing."""
         if worker not in self.record.drained_at:
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -40,14 +40,19 @@
 # Limits that workers name, in requests a second; ``None`` lifts one.
 LIMITS = (0.4, 1.0, 3.0, 10.0, None)
 LIMIT_WEIGHT = 4
+# Seconds for which workers ask for a pause, and for which they say that they leave.
+PAUSES = (1.0, 2.5, 5.0)
+LEAVING_SECONDS = (3.0, 6.0)
+NOTICE_WEIGHT = 3
 
 
 class Soak:
     """One run of the soak test with one seed.
 
     With ``drills`` the store also returns from older copies, and with ``limits``
-    workers name limits on their requests. Without them the draw of a seed is the same
-    as before there were any.
+    workers name limits on their requests. With ``notices`` they ask for pauses, and say
+    in answers that they leave. Without them the draw of a seed is the same as before
+    there were any.
     """
 
     def __init__(
@@ -58,9 +63,11 @@
         folder: Path,
         drills: bool = False,
         limits: bool = False,
+        notices: bool = False,
     ):
         self.drills = drills
         self.limits = limits
+        self.notices = notices
         self.random = random.Random(seed)
         self.seconds = seconds
         self.site = FleetSite(folder=folder)
@@ -156,6 +163,10 @@
             named = rng.choices(LIMITS, k=rng.randrange(1, 3))
             limit = partial(faults.limit, worker, named, 3.5 + short_seconds)
             injections += [limit] * LIMIT_WEIGHT
+        if self.notices:
+            pause = partial(faults.pause_requests, worker, rng.choice(PAUSES))
+            leave = partial(faults.leave, worker, rng.choice(LEAVING_SECONDS))
+            injections += [pause, leave] * NOTICE_WEIGHT
         return rng.choice(injections)()
 
     async def _drain(self, worker: str) -> None:
@@ -164,10 +175,13 @@
             await self.faults.drain(worker)
 
 
-def run_seed(seed: int, seconds: float, *, drills: bool, limits: bool) -> list[str]:
-    """Run one seed, print a summary and return the violations."""
+def run_seed(seed: int, seconds: float, **extras: bool) -> list[str]:
+    """Run one seed, print a summary and return the violations.
+
+    ``extras`` are the optional kinds of faults of `Soak`.
+    """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed=seed, seconds=seconds, folder=folder, drills=drills, limits=limits)
+    soak = Soak(seed=seed, seconds=seconds, folder=folder, **extras)
     violations = asyncio.run(soak.run())
     answered = sum(sent.status == 200 for sent in soak.sent)
     print(
@@ -182,10 +196,15 @@
 def main(argv: list[str]) -> None:
     """Run the seeds that the flags name."""
     first = FLAGS.seed if FLAGS.seed is not None else int(time.time())
+    extras = {
+        "drills": FLAGS.drills,
+        "limits": FLAGS.limits,
+        "notices": FLAGS.notices,
+    }
     failed = [
         seed
         for seed in range(first, first + FLAGS.seeds)
-        if run_seed(seed, FLAGS.seconds, drills=FLAGS.drills, limits=FLAGS.limits)
+        if run_seed(seed, FLAGS.seconds, **extras)
     ]
     print(f"{FLAGS.seeds} seeds, {len(failed)} with violations: {failed}")
     raise SystemExit(1 if failed else 0)
@@ -196,5 +215,6 @@
     flags.DEFINE_integer("seeds", 1, "How many seeds to run, one after the other.")
     flags.DEFINE_bool("drills", False, "Whether the store returns from older copies.")
     flags.DEFINE_bool("limits", False, "Whether workers name limits on requests.")
+    flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- /dev/null
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -0,0 +1,120 @@
+"""Whether an endpoint may be sent to now, and if not, why and for how long.
+
+Several mechanisms keep requests from an endpoint: the registry, what it says of itself
+in answers, failed connections, failed answers and limits. They are asked in one place,
+so that every way a request can take to an endpoint keeps to all of them.
+"""
+
+import collections
+import dataclasses
+import enum
+import math
+from collections.abc import Iterable
+
+from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.request_limits import RequestLimits
+from linnetladder.state import Clock, Endpoint
+
+__all__ = ["EndpointAvailability", "Obstacle", "ObstacleReason", "describe_obstacles"]
+
+
+class ObstacleReason(enum.StrEnum):
+    """Why an endpoint is not sent to.
+
+    ``UNLISTED`` ends when the registry lists it again, ``LEAVING`` with a new
+    incarnation, ``PAUSED`` when the pause that it asked for is over, ``RETURNING`` with
+    the next answer after a pause, ``AT_LIMIT`` with the next permit of its limit,
+    ``UNREACHABLE`` when it accepts a connection, ``FAILING`` after a time.
+    """
+
+    UNLISTED = "unlisted"
+    LEAVING = "leaving"
+    PAUSED = "paused"
+    RETURNING = "returning"
+    AT_LIMIT = "at_limit"
+    UNREACHABLE = "unreachable"
+    FAILING = "failing"
+
+
+# An endpoint with one of these obstacles gets no request, even if it is the last one.
+EXCLUDING = frozenset(
+    (
+        ObstacleReason.UNLISTED,
+        ObstacleReason.LEAVING,
+        ObstacleReason.PAUSED,
+        ObstacleReason.RETURNING,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obstacle:
+    """What keeps requests from an endpoint.
+
+    ``seconds`` is the time until it ends, ``None`` if that is not known.
+    """
+
+    reason: ObstacleReason
+    seconds: float | None = None
+
+    @property
+    def excludes(self) -> bool:
+        """Whether no request may be sent, even if no other endpoint is left."""
+        return self.reason in EXCLUDING
+
+
+class EndpointAvailability:
+    """Asks each mechanism that keeps requests from endpoints."""
+
+    def __init__(self, *, limits: RequestLimits, pauses: EndpointPauses, clock: Clock):
+        self.limits = limits
+        self.pauses = pauses
+        self.clock = clock
+
+    def obstacle(self, endpoint: Endpoint) -> Obstacle | None:
+        """Return the strictest obstacle, ``None`` if a request may be sent now."""
+        if not endpoint.listed:
+            return Obstacle(ObstacleReason.UNLISTED)
+        if endpoint.leaving:
+            return Obstacle(ObstacleReason.LEAVING)
+        if not self.pauses.may_send(endpoint):
+            seconds = self.pauses.seconds_left(endpoint)
+            reason = ObstacleReason.PAUSED if seconds else ObstacleReason.RETURNING
+            return Obstacle(reason, seconds)
+        if not self.limits.may_send(endpoint):
+            seconds = self.limits.seconds_until_next(endpoint)
+            return Obstacle(ObstacleReason.AT_LIMIT, seconds)
+        if endpoint.ejected_until == math.inf:
+            return Obstacle(ObstacleReason.UNREACHABLE)
+        seconds = endpoint.ejected_until - self.clock.monotonic()
+        return Obstacle(ObstacleReason.FAILING, seconds) if seconds > 0 else None
+
+    def is_ejected(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is to be tried only if no other one is left."""
+        return endpoint.ejected_until > self.clock.monotonic()
+
+    def is_excluded(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get no request at present."""
+        obstacle = self.obstacle(endpoint)
+        return obstacle is not None and obstacle.excludes
+
+    def still_accepts(self, endpoint: Endpoint) -> bool:
+        """Return whether a request that was chosen for an endpoint may still be sent.
+
+        Opening a connection takes time, in which the endpoint may have asked for a
+        pause or begun to leave.
+        """
+        accepts = endpoint.listed and not endpoint.leaving
+        return accepts and not self.pauses.seconds_left(endpoint)
+
+
+def describe_obstacles(obstacles: Iterable[Obstacle | None]) -> str:
+    """Return the reasons with the number of endpoints that each keeps requests from.
+
+    Examples
+    --------
+    >>> describe_obstacles([None, Obstacle(ObstacleReason.LEAVING)])
+    'leaving 1'
+    """
+    counts = collections.Counter(o.reason for o in obstacles if o is not None)
+    return ", ".join(f"{reason} {count}" for reason, count in counts.items())
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -22,13 +22,15 @@
 
     ``CONNECT`` is a failed connection attempt; ``BROKEN`` a failure after the request
     may have been sent; ``SILENT`` an endpoint that sent nothing for too long;
-    ``INVALID`` a response to another request or without its seal.
+    ``INVALID`` a response to another request or without its seal; ``WITHDRAWN`` a call
+    that was not sent, because its endpoint accepts none any more.
     """
 
     CONNECT = "connect"
     BROKEN = "broken"
     SILENT = "silent"
     INVALID = "invalid"
+    WITHDRAWN = "withdrawn"
 
 
 class ProbeOutcome(enum.StrEnum):
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -10,12 +10,12 @@
 
 import xxhash
 
+from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
-from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.version_rule import VersionRule
-from linnetladder.state import Clock, Endpoint
+from linnetladder.state import Endpoint
 
 __all__ = ["Selection", "SelectionInputs"]
 
@@ -57,15 +57,13 @@
         directory: EndpointDirectory,
         loads: EndpointLoads,
         outcomes: Outcomes,
-        limits: RequestLimits,
-        clock: Clock,
+        availability: EndpointAvailability,
         own_domain: str,
     ):
         self.directory = directory
         self.loads = loads
         self.outcomes = outcomes
-        self.limits = limits
-        self.clock = clock
+        self.availability = availability
         self.own_domain = own_domain
 
     def choose(self, inputs: SelectionInputs) -> Endpoint | None:
@@ -79,7 +77,8 @@
 
     def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the untried endpoints that the request may be sent to now."""
-        return [e for e in self.eligible(inputs) if self.limits.may_send(e)]
+        limits = self.availability.limits
+        return [e for e in self.eligible(inputs) if limits.may_send(e)]
 
     def eligible(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the untried endpoints that may run the request, now or later.
@@ -87,23 +86,26 @@
         A limit on requests may delay them. Ejected endpoints are returned only if no
         other untried endpoint is left.
         """
-        pool = self.directory.pool(inputs.service)
-        if pool is None:
-            return []
-        now = self.clock.monotonic()
         usable = [
             endpoint
-            for endpoint in pool.endpoints
-            if endpoint.listed and not endpoint.leaving and inputs.rule.allows(endpoint)
+            for endpoint in self.allowed(inputs)
+            if not self.availability.is_excluded(endpoint)
         ]
-        healthy = [e for e in usable if now >= e.ejected_until] or usable
+        healthy = [e for e in usable if not self.availability.is_ejected(e)] or usable
         untried = [e for e in healthy if e.name not in inputs.tried_endpoints]
         return untried or [e for e in usable if e.name not in inputs.tried_endpoints]
 
+    def allowed(self, inputs: SelectionInputs) -> list[Endpoint]:
+        """Return the endpoints that the version rule allows, available or not."""
+        pool = self.directory.pool(inputs.service)
+        if pool is None:
+            return []
+        return [e for e in pool.endpoints if inputs.rule.allows(e)]
+
     def has_healthy_candidate(self, inputs: SelectionInputs) -> bool:
         """Return whether an untried endpoint that is not ejected may be sent to."""
-        now = self.clock.monotonic()
-        return any(now >= e.ejected_until for e in self.candidates(inputs))
+        candidates = self.candidates(inputs)
+        return any(not self.availability.is_ejected(e) for e in candidates)
 
     def shortest_wait(self, inputs: SelectionInputs) -> float:
         """Return the shortest backlog of any candidate, in seconds."""
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -13,6 +13,11 @@
 
 from linnetladder.coordination.attempts.ejection import Ejector
 from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.availability import (
+    EndpointAvailability,
+    ObstacleReason,
+    describe_obstacles,
+)
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import (
     CallFault,
@@ -30,7 +35,6 @@
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
-from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
 from linnetladder.forwarding.coordination.urgency import urgency
@@ -56,6 +60,11 @@
 MINIMUM_ATTEMPT_SECONDS = 0.01
 # Share of the time to its objective that a request may wait for an endpoint's permit.
 PERMIT_WAIT_SHARE = 0.5
+# A stream that waits for endpoints to return after their pause looks this often.
+RETURN_CHECK_SECONDS = 0.05
+PAUSE_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.RETURNING))
+# Obstacles that end at a known time, at which callers may come back.
+TIMED_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.AT_LIMIT))
 # A silent endpoint is not given up for a successor that would have less time than this.
 MINIMUM_SUCCESSOR_SECONDS = 0.2
 
@@ -88,7 +97,7 @@
         crashes: CrashLog,
         ejector: Ejector,
         quarantine: Quarantine,
-        limits: RequestLimits,
+        availability: EndpointAvailability,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -102,7 +111,9 @@
         self.crashes = crashes
         self.ejector = ejector
         self.quarantine = quarantine
-        self.limits = limits
+        self.availability = availability
+        self.limits = availability.limits
+        self.pauses = availability.pauses
         self.clock = clock
         self.metrics = metrics
 
@@ -141,7 +152,8 @@
         """Return an endpoint that may be sent to, or ``None`` if there is none in time.
 
         If all are at the limits that they named, wait for the next permit that leaves
-        enough time for an answer.
+        enough time for an answer. A stream that has begun also waits until a pause is
+        over, since its caller can't come back later.
         """
         latest = self.clock.monotonic() + self._longest_permit_wait(request)
         while True:
@@ -153,7 +165,13 @@
             within = latest - self.clock.monotonic()
             endpoint = self._first_permitted(inputs)
             if endpoint is None:
-                return None
+                pause = None
+                if request.events:
+                    pause = self._seconds_until_pause_ends(inputs)
+                if pause is None or pause > within:
+                    return None
+                await asyncio.sleep(max(pause, RETURN_CHECK_SECONDS))
+                continue
             limit = self.limits.limit_of(endpoint)
             seconds = self.limits.reserve(endpoint, within=within)
             if seconds is None:
@@ -175,6 +193,16 @@
             default=None,
         )
 
+    def _seconds_until_pause_ends(self, inputs: SelectionInputs) -> float | None:
+        """Return the seconds until an untried endpoint's pause ends, if one has any."""
+        allowed = self.selection.allowed(inputs)
+        untried = [e for e in allowed if e.name not in inputs.tried_endpoints]
+        obstacles = map(self.availability.obstacle, untried)
+        return min(
+            (o.seconds for o in obstacles if o and o.reason in PAUSE_REASONS),
+            default=None,
+        )
+
     def _longest_permit_wait(self, request: ForwardRequest) -> float:
         """Return for how many seconds a request may wait for a permit.
 
@@ -276,6 +304,8 @@
         if self.limits.limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
         load = self.loads.begin(endpoint, model=model, tokens=tokens)
+        pause = self.pauses.begin(endpoint)
+        head = None
         request.endpoints_tried.append(endpoint.name)
         ran_before = request.ran
         request.attempts += 1
@@ -285,6 +315,7 @@
             exchange = await self.calls.open(
                 self._build_call(request, endpoint, model, resume_after)
             )
+            head = exchange.head
         except CallFault as fault:
             self.loads.end(endpoint, load)
             request.ran = ran_before or fault.may_have_run
@@ -297,6 +328,10 @@
             waited = self.clock.monotonic() - load.started
             request.history.append(f"{endpoint.name}/{model}=unanswered@{waited:.3f}")
             raise
+        finally:
+            self.pauses.end(pause, endpoint, head)
+        if exchange.head.leaving and not exchange.head.misdirected:
+            self.directory.mark_leaving(endpoint, reason="answer")
         self.limits.learn_answer(endpoint, exchange.head, sent_at=load.started)
         if exchange.head.not_run or exchange.head.misdirected:
             request.ran = ran_before
@@ -375,6 +410,7 @@
             silence_seconds=_silence_timeout_seconds(request),
             on_unreachable=functools.partial(self._eject_unreachable, endpoint),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
+            may_send=functools.partial(self.availability.still_accepts, endpoint),
         )
 
     def _record_response_head(
@@ -391,13 +427,18 @@
             request.history.append(f"limit={exchange.head.request_limit:g}")
         self.metrics.count("attempts", label=f"status_{status // 100}xx")
         self.metrics.record("first_byte_seconds", seconds)
+        if exchange.head.leaving:
+            request.history.append("leaving")
         if exchange.head.closes_connection:
             self.metrics.count("connections_closed")
 
     def _record_not_run(
         self, request: ForwardRequest, endpoint: Endpoint, exchange: Exchange
     ) -> None:
-        request.history.append(f"{endpoint.name}=not_run:{exchange.head.status}")
+        step = f"{endpoint.name}=not_run:{exchange.head.status}"
+        if exchange.head.pause_seconds is not None:
+            step += f" pause {exchange.head.pause_seconds:.3f}"
+        request.history.append(step)
         self.metrics.count("attempts", label="not_run")
         if exchange.head.misdirected:
             self.directory.mark_leaving(endpoint, reason="address taken over")
@@ -416,6 +457,8 @@
         """
         request.history.append(f"{endpoint.name}={fault.describe()}")
         self.metrics.count("attempts", label=fault.kind)
+        if fault.kind is CallFaultKind.WITHDRAWN:
+            return
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
         self.calls.close_idle_connections(endpoint.address)
@@ -449,15 +492,25 @@
         """Return the refusal of a request that can be sent to no endpoint in time."""
         kind = ErrorKind.NO_ENDPOINT
         detail = f"no endpoint of service {request.service!r} takes the request"
-        seconds = 0.0
-        endpoint = self._first_permitted(self.selection_inputs(request, model))
-        if endpoint is not None:
-            seconds = self.limits.seconds_until_next(endpoint)
+        inputs = self.selection_inputs(request, model)
+        allowed = self.selection.allowed(inputs)
+        obstacles = list(map(self.availability.obstacle, allowed))
+        if any(obstacles):
+            request.history.append(f"obstacles: {describe_obstacles(obstacles)}")
+        # The caller's next attempt may go to any endpoint, also to those tried now.
+        seconds = min(
+            (
+                obstacle.seconds if obstacle is not None else 0.0
+                for obstacle in obstacles
+                if obstacle is None or obstacle.reason in TIMED_REASONS
+            ),
+            default=0.0,
+        )
         if seconds > 0:
             kind = ErrorKind.OVERLOADED
             detail = (
-                f"all endpoints of service {request.service!r} are at the limits on "
-                f"requests that they named; the next permit is due in {seconds:.2f} s"
+                f"the endpoints of service {request.service!r} named limits or asked "
+                f"for pauses; the first one takes requests again in {seconds:.2f} s"
             )
         if last_fault is not None:
             detail += f"; the last attempt failed: {last_fault.detail}"
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -14,6 +14,7 @@
     TableInForce,
 )
 from linnetladder.forwarding.coordination.admission import AdmissionControl
+from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
 from linnetladder.forwarding.coordination.bills import BillBuffer
@@ -24,6 +25,7 @@
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
 )
+from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -82,6 +84,7 @@
     background: BackgroundTasks
     quarantine: Quarantine
     limits: RequestLimits
+    pauses: EndpointPauses
     selection: Selection
     sender: Sender
     forwarder: Forwarder
@@ -108,6 +111,10 @@
     limits = RequestLimits(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
+    pauses = EndpointPauses(
+        instance=settings.instance, table=table, clock=clock, metrics=metrics
+    )
+    availability = EndpointAvailability(limits=limits, pauses=pauses, clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -187,8 +194,7 @@
         directory=directory,
         loads=loads,
         outcomes=outcomes,
-        limits=limits,
-        clock=clock,
+        availability=availability,
         own_domain=settings.failure_domain,
     )
     quarantine = Quarantine(
@@ -205,7 +211,7 @@
         crashes=crashes,
         ejector=Ejector(clock=clock),
         quarantine=quarantine,
-        limits=limits,
+        availability=availability,
         clock=clock,
         metrics=metrics,
     )
@@ -239,6 +245,7 @@
         background=background,
         quarantine=quarantine,
         limits=limits,
+        pauses=pauses,
         selection=selection,
         sender=sender,
         forwarder=forwarder,
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -44,7 +44,8 @@
     case. Both are ``None`` for a request that can't be retried, whose answer must be
     awaited. ``on_unreachable`` is called when a probe failed. A silent endpoint is
     given up only if ``reserve_retry`` returns true: it reserves the attempt that
-    follows, unless none is allowed. By default one may always follow.
+    follows, unless none is allowed. By default one may always follow. ``may_send`` is
+    asked once there is a connection, right before the request is sent on it.
     """
 
     request: ForwardRequest
@@ -59,6 +60,7 @@
     silence_seconds: float | None = None
     on_unreachable: Callable[[], None] = _do_nothing
     reserve_retry: Callable[[], bool] = _always
+    may_send: Callable[[], bool] = _always
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,6 +76,10 @@
     ``request_limit`` is the number of requests a second that the endpoint takes from
     all daemons together, ``None`` if it names none. ``names_request_limit`` is also set
     if the limit that it names can't be read.
+
+    ``leaving`` is set if the endpoint says that it is about to stop.
+    ``pause_seconds`` is the time for which it wants no requests from this daemon,
+    ``None`` if it asks for no pause; ``names_pause`` is also set if that can't be read.
     """
 
     status: int
@@ -87,6 +93,9 @@
     headers: tuple[tuple[str, str], ...]
     request_limit: float | None = None
     names_request_limit: bool = False
+    leaving: bool = False
+    pause_seconds: float | None = None
+    names_pause: bool = False
 
 
 class CallerCodec(abc.ABC):
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -76,6 +76,20 @@
             CheckedResponseHandler, loop=asyncio.get_running_loop()
         )
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection; raise `WithdrawnCallError` if it may not be used."""
+        connection = await super().connect(req, traces, timeout)
+        monitor: SilenceMonitor = traces[0]._trace_config_ctx.trace_request_ctx
+        if not monitor.call.may_send():
+            connection.release()
+            raise WithdrawnCallError(f"{monitor.address} accepts no more requests")
+        return connection
+
     def _release(
         self, key, protocol: CheckedResponseHandler, *, should_close: bool = False
     ) -> None:
@@ -84,6 +98,10 @@
         super()._release(key, protocol, should_close=should_close)
 
 
+class WithdrawnCallError(Exception):
+    """A call was withdrawn after its connection was made, before it was sent."""
+
+
 class SilenceMonitor:
     """Probes the endpoint of a call that receives nothing, and may give it up.
 
@@ -280,6 +298,10 @@
             raise CallFault(
                 CallFaultKind.CONNECT, detail, may_have_run=False
             ) from error
+        except WithdrawnCallError as error:
+            raise CallFault(
+                CallFaultKind.WITHDRAWN, str(error), may_have_run=False
+            ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise CallFault(
                 CallFaultKind.BROKEN,
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -1,5 +1,6 @@
 """Codecs for the platform's headers of requests and responses."""
 
+import email.utils
 import math
 from collections.abc import Mapping
 
@@ -30,6 +31,11 @@
 CONFIDENCE = "Linnetladder-Confidence"
 # Requests a second that the worker takes from all daemons together.
 SERVER_LIMIT = "Server-Limit"
+# 1 from the time at which the worker knows that it will stop, in all its answers.
+SERVER_LEAVING = "Server-Leaving"
+# Beside 503: seconds in which the worker wants no requests from this daemon.
+RETRY_AFTER = "Retry-After"
+PAUSE_STATUS = 503
 BEARER_SCHEME = "Bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
@@ -126,6 +132,7 @@
     ) -> ResponseHead:
         """Return the head of a response."""
         length = headers.get("Content-Length", "")
+        names_pause = status == PAUSE_STATUS and RETRY_AFTER in headers
         return ResponseHead(
             status=status,
             attempt_id=headers.get(ATTEMPT_ID, ""),
@@ -135,6 +142,9 @@
             confidence=_parse_number(headers.get(CONFIDENCE)),
             request_limit=_parse_limit(headers.get(SERVER_LIMIT)),
             names_request_limit=SERVER_LIMIT in headers,
+            leaving=headers.get(SERVER_LEAVING, "0").strip() not in ("", "0"),
+            pause_seconds=_parse_pause(headers) if names_pause else None,
+            names_pause=names_pause,
             closes_connection="close" in headers.get("Connection", "").lower(),
             length=int(length) if length.isdigit() else None,
             headers=tuple(
@@ -190,6 +200,30 @@
     return number
 
 
+def _parse_pause(headers: Mapping[str, str]) -> float | None:
+    """Return the seconds of a pause, ``None`` if the value is not valid.
+
+    A date counts from the answer's own, since the clocks of the worker and of this
+    instance may differ.
+    """
+    value = headers[RETRY_AFTER].strip()
+    seconds = _parse_number(value)
+    if seconds is None:
+        seconds = _seconds_between(headers.get("Date", ""), value)
+    if seconds is None or not math.isfinite(seconds) or seconds < 0:
+        return None
+    return seconds
+
+
+def _seconds_between(first: str, last: str) -> float | None:
+    """Return the seconds between two dates, ``None`` if one is not valid."""
+    try:
+        began, ended = map(email.utils.parsedate_to_datetime, (first, last))
+        return (ended - began).total_seconds()
+    except (TypeError, ValueError):
+        return None
+
+
 def _parse_prompt(tokens: str | None, prefix: str | None) -> Prompt | None:
     if tokens is None:
         return None
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -53,6 +53,7 @@
     ),
     "permit_waits": Family("Requests that waited for an endpoint's permit"),
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
+    "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
     "retries": Family("Attempts after the first"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
--- a/linnetladder/telemetry/timelines.py
+++ b/linnetladder/telemetry/timelines.py
@@ -24,6 +24,7 @@
         "endpoint is back",
         "endpoint limits requests",
         "endpoint lifts its limit",
+        "endpoint asks for a pause",
         "entry may have lapsed",
     )
 )
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -3,7 +3,8 @@
 It registers in the store, runs a bounded number of requests at once, streams events
 that can be resumed, and records every run. ``faults`` is a queue of faults for the next
 requests: see `Fault`. It can name a limit on the requests that it takes a second, which
-it does not enforce.
+it does not enforce, say in its answers that it will stop, and turn requests away with a
+time to come back.
 """
 
 import asyncio
@@ -87,6 +88,11 @@
         self.limit_changes: list[tuple[float, float | None]] = []
         self.arrivals: list[tuple[float, str]] = []
         self.told_at: dict[str, float] = {}
+        self.leaving = False
+        self.leaving_told: dict[str, float] = {}
+        self.restarts: list[float] = []
+        self.pause_seconds: float | None = None
+        self.pauses_asked: list[tuple[float, str, float]] = []
         self.advertised = ""
         self.address = ""
         self.runner: web.ServerRunner | None = None
@@ -131,6 +137,15 @@
         self.limit = limit
         self.limit_changes.append((time.monotonic(), limit))
 
+    def restart(self) -> None:
+        """Start again under the same name, with nothing of the life before."""
+        self.started_at_ms = max(int(time.time() * 1000), self.started_at_ms + 1)
+        self.restarts.append(time.monotonic())
+        self.leaving = False
+        self.pause_seconds = None
+        self.state = "ready"
+        self.register()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request, subject to the next fault in the queue."""
         body = await request.read()
@@ -138,6 +153,8 @@
         if request.headers.get("Linnetladder-Expect-Instance") != self.name:
             return self._misdirected(attempt_id)
         self.arrivals.append((time.monotonic(), attempt_id))
+        if self.pause_seconds is not None:
+            return self._ask_for_pause(attempt_id, self.pause_seconds)
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.SHED or self.running >= self.slots:
             headers = {"Linnetladder-Not-Run": "1"}
@@ -232,8 +249,17 @@
         if self.limit is not None:
             headers["Server-Limit"] = f"{self.limit:g}"
             self.told_at.setdefault(attempt_id, time.monotonic())
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
+            self.leaving_told.setdefault(attempt_id, time.monotonic())
         return headers
 
+    def _ask_for_pause(self, attempt_id: str, seconds: float) -> web.Response:
+        """Turn a request away and ask for no others for some seconds."""
+        self.pauses_asked.append((time.monotonic(), attempt_id, seconds))
+        headers = {"Linnetladder-Not-Run": "1", "Retry-After": f"{seconds:g}"}
+        return self._reply(503, attempt_id, b"", headers)
+
     def _misdirected(self, attempt_id: str) -> web.Response:
         """Answer a request for another worker, about which this one can't say more."""
         return web.Response(
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+import aiohttp
 import pytest
 
 from linnetladder.coordination import permit_schedule
@@ -16,6 +17,7 @@
     bill_replicas,
     bills,
     directory,
+    endpoint_pauses,
     forwarder,
     in_force,
     outcomes,
@@ -33,12 +35,14 @@
     sender,
     store_polling,
 )
+from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
+from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -55,8 +59,8 @@
 from linnetladder.forwarding.protocol import daemon_messages
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 from linnetladder.forwarding.state import RolloutOrder
-from linnetladder.forwarding.transport import PeerSocket
-from linnetladder.platform import PlatformSource, source
+from linnetladder.forwarding.transport import PeerSocket, endpoint_calls
+from linnetladder.platform import PlatformSource, headers, source
 
 
 async def skip_wait(self):
@@ -139,6 +143,11 @@
     return True
 
 
+def any_pause(self, endpoint):
+    """Return a pause of any incarnation."""
+    return self.pauses.get(endpoint.name)
+
+
 MUTATIONS = [
     (
         "snapshots_echo",
@@ -284,6 +293,48 @@
     ("limits_size", request_limits, "MAXIMUM_PER_SECOND", 1e300, "request_limits"),
     ("limits_decimals", request_limits, "LIMIT_DECIMALS", 9, "request_limits"),
     ("limits_lines", request_limits, "LOG_INTERVAL_SECONDS", 0.0, "request_limits"),
+    ("leaving_read", headers, "SERVER_LEAVING", "X-None", "endpoint_notices"),
+    (
+        "leaving_kept",
+        EndpointDirectory,
+        "mark_leaving",
+        always(None),
+        "endpoint_notices",
+    ),
+    ("pauses_read", headers, "RETRY_AFTER", "X-None", "endpoint_notices"),
+    ("pauses_kept", EndpointPauses, "_record", always(None), "endpoint_notices"),
+    (
+        "pauses_exclude",
+        EndpointAvailability,
+        "is_excluded",
+        always(False),
+        "endpoint_notices",
+    ),
+    (
+        "pauses_on_connection",
+        EndpointAvailability,
+        "still_accepts",
+        always(True),
+        "endpoint_notices",
+    ),
+    ("pauses_incarnation", EndpointPauses, "_pause", any_pause, "endpoint_notices"),
+    ("pauses_slow_start", endpoint_pauses, "SLOW_START_END", 1, "endpoint_notices"),
+    (
+        "pauses_huge",
+        endpoint_pauses,
+        "MAXIMUM_PAUSE_SECONDS",
+        math.inf,
+        "endpoint_notices",
+    ),
+    ("pauses_waited", sender, "PAUSE_REASONS", frozenset(), "endpoint_notices"),
+    ("pauses_named", sender, "TIMED_REASONS", frozenset(), "endpoint_notices"),
+    (
+        "withdrawn_unsent",
+        endpoint_calls.CheckedConnector,
+        "connect",
+        aiohttp.TCPConnector.connect,
+        "transport",
+    ),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -5,7 +5,12 @@
 import orjson
 import pytest
 
-from bench.fleet_checks import SentRequest, check_request_limits, find_violations
+from bench.fleet_checks import (
+    SentRequest,
+    check_notices,
+    check_request_limits,
+    find_violations,
+)
 from bench.fleet_soak import Soak
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from standins.fleet_worker import expected_body
@@ -33,6 +38,32 @@
     assert check_request_limits(soak.site, soak.sent, soak.record) == []
 
 
+def test_workers_that_leave_or_ask_for_pauses_are_spared_while_daemons_fail(tmp_path):
+    """Guards against requests to workers that said in answers they want none."""
+    soak = Soak(seed=11, seconds=6.0, folder=tmp_path, notices=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert any(worker.pauses_asked for worker in soak.site.workers)
+    assert any(worker.leaving_told for worker in soak.site.workers)
+    assert check_notices(soak.site, soak.sent, soak.record) == []
+
+
+def test_check_detects_requests_to_workers_that_want_none(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    worker = soak.site.add_unstarted_worker()
+    for number in range(40):
+        add_request(soak, worker, f"a{number}", route="fetch", runs=0, status=200)
+        soak.sent[-1].time = soak.sent[-1].ended = 100.0 + number / 4
+        worker.arrivals.append((100.0 + number / 4, f"a{number}"))
+    assert check_notices(soak.site, soak.sent, soak.record) == []
+    worker.leaving_told["a0"] = 100.0
+    worker.pauses_asked.append((100.0, "a0", 3.0))
+    lines = check_notices(soak.site, soak.sent, soak.record)
+    assert any("said that it leaves" in line for line in lines)
+    assert any("10 requests" in line for line in lines)
+    soak.record.stopped["daemon-1"] = [(100.0, 110.0)]
+    assert check_notices(soak.site, soak.sent, soak.record) == []
+
+
 def test_check_detects_more_requests_than_a_limit_allows(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     worker = soak.site.add_unstarted_worker()
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -75,7 +75,15 @@
                 await writer.drain()
 
 
-def build_call(endpoint, attempt_id="a1", *, fresh=False, probe_after=None, limit=None):
+def build_call(
+    endpoint,
+    attempt_id="a1",
+    *,
+    fresh=False,
+    probe_after=None,
+    limit=None,
+    may_send=lambda: True,
+):
     request = ForwardRequest(
         head=head("/fetch/1", attempt_id=attempt_id, method="GET"),
         body=b"",
@@ -90,6 +98,7 @@
         configuration_version=1,
     )
     return EndpointCall(
+        may_send=may_send,
         request=request,
         instance="desk-1",
         address=endpoint.address,
@@ -198,6 +207,28 @@
     run_with_calls(work, [COMPLETE_ANSWER], [b""], [COMPLETE_ANSWER])
 
 
+@pytest.mark.parametrize("reused", [False, True], ids=["new", "reused"])
+def test_call_is_withdrawn_if_its_endpoint_accepts_none_once_connected(reused):
+    """Guards against requests that reach an endpoint which has begun to leave."""
+
+    async def work(calls, endpoint):
+        if reused:
+            exchange = await calls.open(build_call(endpoint))
+            await exchange.read()
+            exchange.close()
+        with pytest.raises(CallFault) as caught:
+            await calls.open(build_call(endpoint, "a2", may_send=lambda: False))
+        assert caught.value.kind is CallFaultKind.WITHDRAWN
+        assert not caught.value.may_have_run
+        await asyncio.sleep(0.05)
+        assert len(endpoint.requests) == reused
+        again = await calls.open(build_call(endpoint))
+        assert await again.read() == b"ok"
+        assert endpoint.connections == 1
+
+    run_with_calls(work, [COMPLETE_ANSWER], [COMPLETE_ANSWER])
+
+
 def test_refused_connection_is_a_fault_that_cannot_have_run():
     async def work(calls, endpoint):
         endpoint.server.close()
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -160,7 +160,8 @@
 
     ``fault`` is raised instead of a response; ``cut_after`` truncates the response
     after that many chunks; ``seconds`` is how long the call takes. ``limit`` is the
-    limit on requests that the endpoint names.
+    limit on requests that the endpoint names, ``leaving`` whether it says that it will
+    stop, and ``pause`` for how many seconds it wants no requests.
     """
 
     status: int = 200
@@ -172,6 +173,8 @@
     cut_after: int | None = None
     seconds: float = 0.0
     limit: float | None = None
+    leaving: bool = False
+    pause: float | None = None
 
 
 class ScriptedExchange(Exchange):
@@ -191,6 +194,9 @@
                 headers=(("Seal", "x"),),
                 request_limit=script.limit,
                 names_request_limit=script.limit is not None,
+                leaving=script.leaving,
+                pause_seconds=script.pause,
+                names_pause=script.pause is not None,
             )
         )
         self.script = script
@@ -443,6 +449,11 @@
         """Read the store once."""
         return asyncio.run(self.poller.read_once())
 
+    def availability_of(self, endpoint):
+        """Return the reason for which an endpoint is not sent to, or ``None``."""
+        obstacle = self.selection.availability.obstacle(endpoint)
+        return obstacle.reason if obstacle is not None else None
+
     def answer(self, request_head=None, *scripts, body=b"") -> RecordedReply:
         """Answer one request, with one script for each call to an endpoint."""
         self.calls.scripts = list(scripts)
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of daemons before endpoints that name limits on their requests.
+"""A fleet of daemons before endpoints that name limits, leave or ask for pauses.
 
 Time is virtual and the same for all. Reports travel between the daemons without delay.
 """
@@ -10,6 +10,12 @@
 import looptime
 
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
+from bench.notice_checks import (
+    AskedPause,
+    SentOn,
+    find_leaving_violations,
+    find_pause_violations,
+)
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.daemon_messages import (
     decode_message,
@@ -35,7 +41,7 @@
 
 
 class LimitedCalls:
-    """Calls of one daemon to the endpoints of a fleet, which name their limits."""
+    """Calls of one daemon to the endpoints of a fleet."""
 
     def __init__(self, *, fleet, daemon, life):
         self.fleet = fleet
@@ -52,7 +58,23 @@
                 told_at=fleet.now if limit is not None else None,
             )
         )
-        script = Script(limit=limit, confidence=fleet.confidence)
+        leaving = call.instance in fleet.leaving
+        fleet.sent_on[call.instance].append(
+            SentOn(
+                time=began,
+                daemon=self.identity,
+                sent_at=call.request.received,
+                told_at=fleet.now if leaving else None,
+                passed_on_at=fleet.now,
+            )
+        )
+        script = Script(limit=limit, confidence=fleet.confidence, leaving=leaving)
+        pause = fleet.pause_of(call.instance)
+        if pause is not None:
+            fleet.pauses[call.instance].append(
+                AskedPause(time=fleet.now, daemon=self.identity, seconds=pause)
+            )
+            script = Script(status=503, not_run=True, pause=pause, leaving=leaving)
         return ScriptedExchange(script=script, attempt_id=call.request.head.attempt_id)
 
     def close_idle_connections(self, address):
@@ -80,6 +102,11 @@
         self.replies = []
         self.waits = []
         self.cut = set()
+        self.leaving = set()
+        self.paused_until = {}
+        self.sent_on = collections.defaultdict(list)
+        self.pauses = collections.defaultdict(list)
+        self.restarts = collections.defaultdict(list)
         self.daemons = {}
         self.lives = collections.Counter()
         self.serial = 0
@@ -127,6 +154,18 @@
         incarnation = str(int(self.source.endpoints[name].incarnation) + 1)
         self.source.endpoints[name] = report(name, capacity=64, incarnation=incarnation)
         self.name_limit(name, None)
+        self.restarts[name].append(self.now)
+        self.leaving.discard(name)
+        self.paused_until.pop(name, None)
+
+    def pause(self, endpoint, seconds):
+        """Make an endpoint turn requests away until some seconds from now."""
+        self.paused_until[endpoint] = self.now + seconds
+
+    def pause_of(self, endpoint):
+        """Return for how many seconds an endpoint wants nothing, or ``None``."""
+        seconds = self.paused_until.get(endpoint, 0.0) - self.now
+        return seconds if seconds > 0 else None
 
     def name_limit(self, endpoint, limit):
         """Make an endpoint name a limit from now on, or none."""
@@ -148,6 +187,19 @@
             for line in find_limit_violations(name, self.arrivals[name], history)
         ]
 
+    def notice_violations(self, *, drain_seconds=0.3):
+        """Return the violations of what endpoints said, by an independent check."""
+        violations = []
+        for name, arrivals in self.sent_on.items():
+            restarts = self.restarts[name]
+            violations += find_leaving_violations(
+                name, arrivals, drain_seconds=drain_seconds, restarts=restarts
+            )
+            violations += find_pause_violations(
+                name, arrivals, self.pauses[name], restarts=restarts
+            )
+        return violations
+
     def received(self, endpoint, first, last):
         """Return how many requests an endpoint got in a period."""
         return sum(first < a.time <= last for a in self.arrivals[endpoint])
