Send a prompt to where its first token is expected first

Cause: a prompt stayed at the endpoint of its shared part until that one's backlog was 0.35 s longer than the shortest, whether the part had 40 tokens or 17,000 and whatever the model.

The expected time to read the part again now decides, by its length and the model's measured speed. A daemon remembers where it sent a part, and counts as backlog only what an endpoint is expected to read. Beyond the three endpoints that the hash prefers another 0.5 s is needed, so that daemons which know little of the load keep a part at few.

--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -1,11 +1,15 @@
 """Selection of the endpoint for an attempt.
 
-A prompt goes to the endpoint that rendezvous hashing assigns to its last shared part,
-unless that endpoint's backlog is long. Each part thus stays in one endpoint's cache
-without any communication between daemons. Requests without a prompt go to the endpoint
-with the fewest requests in flight relative to its capacity.
+A prompt goes to the endpoint where its first token is expected first: one that holds
+the prompt's shared part need not read that again. Rendezvous hashing assigns each part
+to an endpoint without any communication between daemons; a daemon also remembers to
+which others it sent a part.
+
+Requests without a prompt go to the endpoint with the fewest requests in flight relative
+to its capacity.
 """
 
+import collections
 import dataclasses
 
 import xxhash
@@ -15,13 +19,18 @@
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.version_rule import VersionRule
-from linnetladder.state import Endpoint
+from linnetladder.state import Clock, Endpoint
 
 __all__ = ["Selection", "SelectionInputs"]
 
-# A prompt goes to another endpoint if the backlog at the one of its shared part exceeds
-# the shortest by more than this, which is about the time to prefill the part again.
-AFFINITY_BACKLOG_SECONDS = 0.35
+# Endpoints that the hash of a shared part prefers. Others cost an addition to the wait,
+# so that in large fleets a part is read by few, and the daemons, whose knowledge of the
+# load lags, don't all send to the endpoint that looks idle.
+PREFERRED_ENDPOINTS = 3
+DISTANT_PENALTY_SECONDS = 0.5
+# An endpoint is expected to hold a shared part that was sent to it for this long.
+HELD_SECONDS = 30.0
+MAXIMUM_REMEMBERED_PARTS = 4096
 # Expected addition to a prompt's wait for each request in flight.
 IN_FLIGHT_WAIT_SECONDS = 0.004
 # Addition to the wait at an endpoint without a free slot.
@@ -37,13 +46,14 @@
     """Inputs of a selection.
 
     ``affinity`` identifies the model and the prompt's shared part; it is empty if the
-    prompt has none. ``tried_endpoints`` are the names of the endpoints that the request
-    was sent to.
+    prompt has none. ``shared_seconds`` is the expected time to prefill that part.
+    ``tried_endpoints`` are the names of the endpoints that the request was sent to.
     """
 
     service: str
     rule: VersionRule
     affinity: str
+    shared_seconds: float
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
 
@@ -58,13 +68,18 @@
         loads: EndpointLoads,
         outcomes: Outcomes,
         availability: EndpointAvailability,
+        clock: Clock,
         own_domain: str,
     ):
         self.directory = directory
         self.loads = loads
         self.outcomes = outcomes
         self.availability = availability
+        self.clock = clock
         self.own_domain = own_domain
+        self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
+            collections.OrderedDict()
+        )
 
     def choose(self, inputs: SelectionInputs) -> Endpoint | None:
         """Return the endpoint for an attempt, or ``None`` if there is none."""
@@ -72,7 +87,7 @@
         if not candidates:
             return None
         if inputs.has_prompt:
-            return self._choose_for_prompt(candidates, inputs.affinity)
+            return self._choose_for_prompt(candidates, inputs)
         return min(candidates, key=self._relative_load)
 
     def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
@@ -112,16 +127,45 @@
         waits = [self.loads.backlog_of(e) for e in self.candidates(inputs)]
         return min(waits, default=0.0)
 
-    def _choose_for_prompt(self, candidates: list[Endpoint], affinity: str) -> Endpoint:
-        waits = {e.name: self._prompt_wait(e) for e in candidates}
-        shortest = min(waits.values())
-        if not affinity:
-            return min(candidates, key=lambda e: waits[e.name])
-        ranked = sorted(candidates, key=lambda e: _rendezvous_hash(affinity, e.name))
-        for endpoint in ranked:
-            if waits[endpoint.name] <= shortest + AFFINITY_BACKLOG_SECONDS:
-                return endpoint
-        return ranked[0]
+    def has_sent_shared_part(self, inputs: SelectionInputs, endpoint: Endpoint) -> bool:
+        """Return whether this daemon sent the prompt's shared part there lately."""
+        return (endpoint.name, endpoint.incarnation) in self._holders(inputs.affinity)
+
+    def note_sent(self, inputs: SelectionInputs, endpoint: Endpoint) -> None:
+        """Remember that a prompt's shared part is sent to an endpoint."""
+        if not inputs.affinity:
+            return
+        holders = self.holders.setdefault(inputs.affinity, {})
+        holders[(endpoint.name, endpoint.incarnation)] = self.clock.monotonic()
+        self.holders.move_to_end(inputs.affinity)
+        if len(self.holders) > MAXIMUM_REMEMBERED_PARTS:
+            self.holders.popitem(last=False)
+
+    def _holders(self, affinity: str) -> set[tuple[str, str]]:
+        """Return the endpoints, by name and incarnation, that got a part lately."""
+        since = self.clock.monotonic() - HELD_SECONDS
+        sent = self.holders.get(affinity, {})
+        return {holder for holder, sent_at in sent.items() if sent_at >= since}
+
+    def _choose_for_prompt(
+        self, candidates: list[Endpoint], inputs: SelectionInputs
+    ) -> Endpoint:
+        ranked = self._ranked(candidates, inputs.affinity)
+        holders = self._holders(inputs.affinity)
+        if not any((e.name, e.incarnation) in holders for e in ranked):
+            holders = {(ranked[0].name, ranked[0].incarnation)}
+        seconds: dict[str, float] = {}
+        for rank, endpoint in enumerate(ranked):
+            expected = self._prompt_wait(endpoint)
+            if (endpoint.name, endpoint.incarnation) not in holders:
+                expected += inputs.shared_seconds
+                if rank >= PREFERRED_ENDPOINTS:
+                    expected += DISTANT_PENALTY_SECONDS
+            seconds[endpoint.name] = expected
+        return min(ranked, key=lambda endpoint: seconds[endpoint.name])
+
+    def _ranked(self, candidates: list[Endpoint], affinity: str) -> list[Endpoint]:
+        return sorted(candidates, key=lambda e: _rendezvous_hash(affinity, e.name))
 
     def _prompt_wait(self, endpoint: Endpoint) -> float:
         in_flight = self.loads.in_flight_of(endpoint)
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -222,10 +222,38 @@
             service=request.service,
             rule=self.rollouts.rule_for(request.service, session),
             affinity=_affinity(request, model),
+            shared_seconds=self._shared_seconds(request, model),
             has_prompt=prompt is not None,
             tried_endpoints=tuple(request.endpoints_tried),
         )
 
+    def _shared_seconds(self, request: ForwardRequest, model: str) -> float:
+        """Return the expected time to prefill the shared part of a prompt."""
+        prompt = request.head.prompt
+        tokens = prompt.session_tokens if prompt is not None else 0
+        return tokens * self.loads.token_seconds(model)
+
+    def begin_load(
+        self, request: ForwardRequest, endpoint: Endpoint, model: str
+    ) -> RequestLoad:
+        """Record that a request is sent to an endpoint, and what it has to read."""
+        inputs = self.selection_inputs(request, model)
+        tokens = self._unread_tokens(request, inputs, endpoint)
+        self.selection.note_sent(inputs, endpoint)
+        return self.loads.begin(endpoint, model=model, tokens=tokens)
+
+    def _unread_tokens(
+        self, request: ForwardRequest, inputs: SelectionInputs, endpoint: Endpoint
+    ) -> int:
+        """Return the prompt tokens that an endpoint is expected to prefill."""
+        prompt = request.head.prompt
+        if prompt is None:
+            return 0
+        tokens = prompt.input_tokens - prompt.common_tokens
+        if self.selection.has_sent_shared_part(inputs, endpoint):
+            tokens -= prompt.session_tokens
+        return max(tokens, 0)
+
     def may_retry(self, request: ForwardRequest) -> bool:
         """Return whether the request may run once more, apart from the retry budget."""
         if request.ran and not request.route.retryable:
@@ -299,11 +327,9 @@
         resume_after: str,
     ) -> Attempt | None:
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
-        prompt = request.head.prompt
-        tokens = prompt.input_tokens if prompt is not None else 0
         if self.limits.limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
-        load = self.loads.begin(endpoint, model=model, tokens=tokens)
+        load = self.begin_load(request, endpoint, model)
         pause = self.pauses.begin(endpoint)
         head = None
         request.endpoints_tried.append(endpoint.name)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -195,6 +195,7 @@
         loads=loads,
         outcomes=outcomes,
         availability=availability,
+        clock=clock,
         own_domain=settings.failure_domain,
     )
     quarantine = Quarantine(
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -37,6 +37,16 @@
             return ""
         return self.parts[-2].part_id if len(self.parts) > 1 else self.parts[0].part_id
 
+    @property
+    def session_tokens(self) -> int:
+        """The tokens of the part that a session's requests share."""
+        return self.parts[-2].tokens if len(self.parts) > 1 else 0
+
+    @property
+    def common_tokens(self) -> int:
+        """The tokens before that part, which requests of many sessions share."""
+        return sum(part.tokens for part in self.parts[:-2])
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestHead:
