Bound the bytes without end that endpoints send

An endpoint that answered with informational answers, blank lines, a chunk extension or the digits of a chunk's size without end held a call until its deadline, at most of a core (probe over loopback before: none of the four had ended after 3 s; headers, a header line, junk and trailers end within 0.01 s by the library's limits). A body without end that is relayed whole, or one endless event, was kept in memory until the deadline.

Cause: the library limits a head and its fields, but not what precedes it, nor the framing of chunks. The connection now counts what is no body and drops it beyond 64 KiB and 16 bytes for each byte of the body; bodies that are relayed whole end at 16 MiB and events at 1 MiB. The call fails as broken: it is counted, retried within the budget, and leaves its endpoint out after three in a row. Peers', callers' and the store's connections were not looked at.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -38,6 +38,8 @@
 # Escalations leave this many retries of the budget for failed attempts.
 ESCALATION_RESERVE_RETRIES = 3.0
 SERVER_ERROR_STATUS = 500
+# An event that is longer is taken for one without end.
+MAXIMUM_EVENT_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,6 +295,8 @@
                 if event.event_id is not None:
                     state.last_event_id = event.event_id
                 new_events.append(event.content)
+            if len(splitter.buffer) > MAXIMUM_EVENT_BYTES:
+                raise _endless_event_fault()
             if not new_events:
                 continue
             request.events += len(new_events)
@@ -424,6 +428,12 @@
     )
 
 
+def _endless_event_fault() -> CallFault:
+    """Return the fault for an event that exceeds its bound."""
+    detail = f"an event exceeds {MAXIMUM_EVENT_BYTES} bytes"
+    return CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
+
+
 def _truncated_event_fault() -> CallFault:
     """Return the fault for a stream that ended in the middle of an event."""
     detail = "the stream ended within an event"
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -3,6 +3,9 @@
 A connection is closed instead of returned to the pool after unsolicited bytes, an
 answer to another request or a truncated body. An answer without a length is complete
 only if its connection was closed in order and not reset.
+
+Bytes that are no body, such as informational answers or the framing of chunks, and
+bodies that are held in memory are bounded, since an endpoint may send them without end.
 """
 
 import asyncio
@@ -37,21 +40,34 @@
 # A request that must not be sent twice only reuses a connection that was idle for less.
 FRESH_KEEPALIVE_SECONDS = 1.0
 READ_BUFFER_BYTES = 256 * 1024
+# Bytes of an answer that are no body: its head with all informational answers before
+# it, and the framing of chunks, for which more is allowed as the body grows.
+MAXIMUM_FRAMING_BYTES = 64 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 16
+# Bodies that are relayed only once they are complete.
+MAXIMUM_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 TCP_USER_TIMEOUT_MILLISECONDS = 4_000
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 class CheckedResponseHandler(ResponseHandler):
-    """Records whether the connection was reset; closes it on unsolicited bytes."""
+    """Records whether the connection was reset; closes it on unsolicited bytes.
+
+    It is also closed if an answer's framing exceeds its bound. ``received_bytes`` and
+    ``body_bytes`` count those of the current answer.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.was_reset = False
         self.idle = True
+        self.received_bytes = 0
+        self.body_bytes = 0
 
     def set_response_params(self, **options: object) -> None:
         """Mark the connection as awaiting an answer."""
         self.idle = False
+        self.received_bytes = self.body_bytes = 0
         super().set_response_params(**options)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -65,6 +81,21 @@
             self.close()
             return
         super().data_received(data)
+        self.received_bytes += len(data)
+        if self._payload is not None:
+            self.body_bytes = self._payload.total_bytes
+        framing = self.received_bytes - self.body_bytes
+        allowed = self.body_bytes * FRAMING_BYTES_PER_BODY_BYTE + MAXIMUM_FRAMING_BYTES
+        if framing > allowed:
+            self._abort(aiohttp.ClientPayloadError(f"{framing} bytes are no body"))
+
+    def _abort(self, error: aiohttp.ClientPayloadError) -> None:
+        """Fail the current answer and drop its connection."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
 
 class CheckedConnector(aiohttp.TCPConnector):
@@ -194,7 +225,13 @@
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        return b"".join([data async for data in self.chunks()])
+        body = bytearray()
+        async for data in self.chunks():
+            body += data
+            if len(body) > MAXIMUM_BUFFERED_BODY_BYTES:
+                detail = f"the body exceeds {MAXIMUM_BUFFERED_BODY_BYTES} bytes"
+                raise CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
+        return bytes(body)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks of the body as they arrive."""
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -328,6 +328,14 @@
     ),
     ("pauses_waited", sender, "PAUSE_REASONS", frozenset(), "endpoint_notices"),
     ("pauses_named", sender, "TIMED_REASONS", frozenset(), "endpoint_notices"),
+    (
+        "endless_framing",
+        endpoint_calls,
+        "MAXIMUM_FRAMING_BYTES",
+        math.inf,
+        "endless_bytes",
+    ),
+    ("endless_events", forwarder, "MAXIMUM_EVENT_BYTES", math.inf, "endless_bytes"),
     (
         "withdrawn_unsent",
         endpoint_calls.CheckedConnector,
