--- a/linnetladder/forwarding/coordination/endpoint_pauses.py
+++ b/linnetladder/forwarding/coordination/endpoint_pauses.py
@@ -16,7 +16,8 @@
 
 __all__ = ["EndpointPauses", "Pause"]
 
-# A longer pause is cut to this: whoever asks for days hardly means this process.
+# A longer pause is cut to this, so that a wrong value does not exclude an endpoint for
+# as long as the daemon runs.
 MAXIMUM_PAUSE_SECONDS = 3_600.0
 # Each daemon returns up to this share of a pause later than asked, at most so many
 # seconds, since all daemons may have been asked for the same pause.
@@ -78,7 +79,9 @@
             pause.unanswered += 1
         return pause
 
-    def end(self, pause: Pause | None, endpoint: Endpoint, head: ResponseHead | None):
+    def end(
+        self, pause: Pause | None, endpoint: Endpoint, head: ResponseHead | None
+    ) -> None:
         """Record the answer to a request, ``None`` if it got none."""
         if pause is not None:
             pause.unanswered -= 1
