--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -115,7 +115,8 @@
 def test_an_event_without_end_breaks_off_at_its_endpoint_and_goes_on_at_another():
     """Guards against a stream whose event fills the memory of the daemon."""
     daemon = ready_daemon()
-    endless = Script(chunks=(b"id: 1\ndata: ",) + (b"a" * 400_000,) * 4)
+    # The event ends only beyond the bound, so without one it would be relayed.
+    endless = Script(chunks=(b"id: 1\ndata: ", *(b"a" * 400_000,) * 4, b"\n\n"))
     reply = daemon.answer(None, endless, Script())
     assert (reply.status, reply.complete) == (200, True)
     first, second = (call.instance for call in daemon.calls.calls)
