Log the shared parts of prompts and the events before a stream broke off

The lines of the incident of crashing prompts name only the last part but one of a prompt, so they can't tell which part the requests share that crashed endpoints, nor whether an attempt had begun its answer.

--- a/linnetladder/forwarding/coordination/reporting.py
+++ b/linnetladder/forwarding/coordination/reporting.py
@@ -115,5 +115,6 @@
         prompt = request.head.prompt
         if prompt is not None:
             fields["session"] = prompt.session
+            fields["parts"] = [part.part_id for part in prompt.shared_parts]
             fields["tokens"] = [prompt.input_tokens, prompt.output_tokens]
         log_request(event, low_priority=low_priority, **fields, **event_fields)
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -71,13 +71,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Attempt:
-    """An attempt whose response has begun; `Sender.close` ends it."""
+    """An attempt whose response has begun; `Sender.close` ends it.
+
+    ``events`` is the number of events of its stream that have arrived.
+    """
 
     endpoint: Endpoint
     load: RequestLoad
     exchange: Exchange
     model: str
     pace: PaceMeter = dataclasses.field(default_factory=PaceMeter)
+    events: int = 0
     closed: bool = False
 
 
@@ -317,6 +321,8 @@
     ) -> None:
         """Record that a response broke off after it had begun."""
         self.close(request, attempt, AttemptOutcome.BROKEN)
+        if request.route.kind is RequestKind.STREAMING:
+            request.history.append(f"events={attempt.events}")
         await self._record_fault(request, attempt.endpoint, fault, already_counted=True)
 
     async def _send(
@@ -383,6 +389,7 @@
         self, request: ForwardRequest, attempt: Attempt, events: int
     ) -> None:
         """Record events that arrived together, to measure the stream's pace."""
+        attempt.events += events
         self._record_pace(
             request, attempt, attempt.pace.add_events(self.clock.monotonic(), events)
         )
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -30,6 +30,11 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have too, in order."""
+        return self.parts[:-1]
+
     @property
     def session(self) -> str:
         """The id of the part that a session's requests share; ``""`` without parts."""
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -149,3 +149,18 @@
     assert line["attempts"] == [f"{endpoint_name}/=unanswered@0.400"]
     assert line["ran"]
     assert line["kind"] == "deadline_exceeded"
+
+
+def test_the_log_tells_the_shared_parts_and_how_far_each_broken_stream_came(
+    monkeypatch,
+):
+    """Without them a line does not say what requests that crash endpoints share."""
+    lines = []
+    monkeypatch.setattr(
+        reporting, "log_request", lambda event, **fields: lines.append(fields)
+    )
+    daemon = ready_daemon()
+    daemon.answer(head("/draft/1", session="s7"), Script(cut_after=1))
+    (line,) = lines
+    assert line["parts"] == ["s7"]
+    assert "events=1" in line["attempts"]
