--- /dev/null
+++ b/tests/support/crashing_fleet.py
@@ -0,0 +1,334 @@
+"""A fleet of daemons before endpoints that crash on prompts with certain parts.
+
+Time is virtual and the same for all. Reports travel over links that lose some, within
+the daemons' budget of bytes.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+import looptime
+
+from bench.crash_checks import (
+    CRASHES,
+    PromptRun,
+    SoundRequest,
+    find_crash_violations,
+    find_unserved_violations,
+)
+from linnetladder.forwarding.coordination.calls import ProbeOutcome
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.state import Prompt, PromptPart
+from linnetladder.forwarding.transport import PeerSocket
+from linnetladder.state import Clock
+from tests.support.forwarding import (
+    LocalDaemon,
+    MemorySource,
+    RecordedReply,
+    Script,
+    ScriptedExchange,
+    broken,
+    head,
+    report,
+    table,
+)
+
+READ_INTERVAL_SECONDS = 1.0
+CONTACT_SECONDS = 3.0
+DOMAINS = ("east", "west", "north")
+# The time to the first byte, from event to event, and from the head to a crash.
+ANSWER_SECONDS = 0.05
+EVENT_SECONDS = 0.04
+CRASH_SECONDS = 0.06
+EVENTS = 10
+CONNECT_SECONDS = 0.002
+# A crashed endpoint refuses connections for this long, then it is listed anew.
+RESTART_SECONDS = 3.0
+NETWORK_SECONDS = 0.005
+LOSS = 0.02
+SECRET = b"secret"
+# A caller sends a request that failed once more.
+CALLER_ATTEMPTS = 2
+COMMON_PARTS = ("style-1", "style-2")
+
+
+class CrashingExchange(ScriptedExchange):
+    """A stream that ends when its endpoint crashes, and may crash it."""
+
+    def __init__(self, *, fleet, endpoint, call, run):
+        super().__init__(script=Script(), attempt_id=call.request.head.attempt_id)
+        self.fleet = fleet
+        self.endpoint = endpoint
+        self.first_event = int(call.resume_after or 0) + 1
+        self.run = run
+
+    async def chunks(self):
+        if self.run is not None:
+            await asyncio.sleep(CRASH_SECONDS)
+            if self.endpoint not in self.fleet.down:
+                self.fleet.crash(self.endpoint, self.run)
+        for number in range(self.first_event, EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            if self.endpoint in self.fleet.down:
+                raise broken()
+            yield f"id: {number}\ndata: x\n\n".encode()
+
+
+class CrashingCalls:
+    """Calls of one daemon to the endpoints of a fleet."""
+
+    def __init__(self, *, fleet, daemon):
+        self.fleet = fleet
+        self.daemon = daemon
+
+    async def open(self, call):
+        fleet = self.fleet
+        await asyncio.sleep(CONNECT_SECONDS)
+        if call.instance in fleet.down:
+            raise broken(kind="connect", ran=False)
+        parts = tuple(p.part_id for p in call.request.head.prompt.shared_parts)
+        run = PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts)
+        fleet.runs.append(run)
+        await asyncio.sleep(ANSWER_SECONDS)
+        if call.instance in fleet.down:
+            raise broken()
+        crashes = bool(fleet.crashing_parts & set(parts))
+        return CrashingExchange(
+            fleet=fleet,
+            endpoint=call.instance,
+            call=call,
+            run=len(fleet.runs) - 1 if crashes else None,
+        )
+
+    async def probe(self, address):
+        await asyncio.sleep(CONNECT_SECONDS)
+        if address in self.fleet.down:
+            return ProbeOutcome.REFUSED
+        return ProbeOutcome.ACCEPTED
+
+    async def is_reachable(self, address):
+        return await self.probe(address) is ProbeOutcome.ACCEPTED
+
+    def close_idle_connections(self, address):
+        """Do nothing: these calls keep no connections."""
+
+
+class CrashingFleet:
+    """Daemons, endpoints of the service ``engines``, and the requests of callers."""
+
+    def __init__(self, *, daemons, endpoints, seed=1):
+        self.loop = looptime.new_event_loop()
+        self.random = random.Random(seed)
+        self.source = MemorySource(table=table())
+        self.crashing_parts = set()
+        self.down = set()
+        self.runs = []
+        self.sound = []
+        self.excused = collections.defaultdict(list)
+        self.serial = 0
+        self.daemons = {}
+        self.sockets = {}
+        self.lives = collections.Counter()
+        self.tasks = {}
+        for number in range(endpoints):
+            self.list_endpoint(f"engine-{number + 1}")
+        for number in range(daemons):
+            self.add_daemon(f"daemon-{number + 1}")
+
+    @property
+    def now(self):
+        return self.loop.time()
+
+    def list_endpoint(self, name):
+        """List an endpoint whose address is its name."""
+        self.source.endpoints[name] = report(name, capacity=64, address=name)
+
+    def add_daemon(self, name):
+        """Start a daemon, or start one again that remembers nothing."""
+        self.lives[name] += 1
+        incarnation = f"{name}-{self.lives[name]}"
+        daemon = LocalDaemon(
+            name=name,
+            incarnation=incarnation,
+            source=self.source,
+            clock=FleetClock(self.loop),
+        )
+        calls = CrashingCalls(fleet=self, daemon=name)
+        daemon.sender.calls = daemon.quarantine.calls = calls
+        daemon.bill_flusher.ensure_durable = _return_at_once
+        number = len(self.source.daemons)
+        self.source.daemons.setdefault(
+            name,
+            DaemonAddress(
+                instance=name,
+                incarnation=incarnation,
+                failure_domain=DOMAINS[number % len(DOMAINS)],
+                host=name,
+                port=1,
+            ),
+        )
+        peer_socket = PeerSocket(gossip=daemon.peers, metrics=daemon.metrics)
+        peer_socket.secret = SECRET
+        peer_socket.transport = FleetLink(fleet=self)
+        daemon.crashes.on_crash = peer_socket.send_soon
+        daemon.directory.on_leaving = peer_socket.send_soon
+        daemon.peers.on_news = peer_socket.send_soon
+        self.daemons[name] = daemon
+        self.sockets[name] = peer_socket
+
+    async def restart_daemon(self, name):
+        """Start a daemon again, which has lost all that it knew."""
+        self.excused[name].append((self.now, self.now))
+        for task in self.tasks[name]:
+            task.cancel()
+        self.add_daemon(name)
+        await self._start(name)
+
+    def crash(self, endpoint, run):
+        """End an endpoint on a request; it comes back under another name."""
+        self.runs[run] = dataclasses.replace(self.runs[run], crashed_at=self.now)
+        self.down.add(endpoint)
+        self.loop.call_later(RESTART_SECONDS, self._bring_back, endpoint)
+
+    def _bring_back(self, endpoint):
+        self.source.endpoints.pop(endpoint, None)
+        name, _, life = endpoint.partition("#")
+        self.list_endpoint(f"{name}#{int(life or 1) + 1}")
+
+    def run(self, *, seconds, per_second, events=()):
+        """Send sound requests at a rate while ``events`` take place.
+
+        An event is a number of seconds and a function, which may be a coroutine's.
+        """
+        try:
+            self.loop.run_until_complete(self._run(seconds, per_second, events))
+        finally:
+            self.loop.close()
+
+    def send_crashing(self, part, *, per_second, seconds):
+        """Return a coroutine that sends requests with a part that crashes endpoints."""
+        self.crashing_parts.add(part)
+        return self._send_crashing(part, per_second, seconds)
+
+    def crash_violations(self):
+        """Return the violations by requests that crash endpoints."""
+        return find_crash_violations(
+            self.runs,
+            crashing_parts=self.crashing_parts,
+            notice_seconds=CONTACT_SECONDS,
+            excused=self.excused,
+        )
+
+    def unserved_violations(self, *, before):
+        """Return the violations by sound requests that were not served."""
+        crashes = sorted(r.crashed_at for r in self.runs if r.crashed_at is not None)
+        last = crashes[:CRASHES][-1]
+        return find_unserved_violations(
+            self.sound, before=before, since=last + 2 * CONTACT_SECONDS
+        )
+
+    async def _run(self, seconds, per_second, events):
+        for name in list(self.daemons):
+            await self._start(name)
+        tasks = [asyncio.create_task(self._act(*event)) for event in events]
+        while self.now < seconds:
+            session = f"s{self.random.randrange(60)}"
+            tasks.append(asyncio.create_task(self._send_sound(session)))
+            await asyncio.sleep(self.random.expovariate(per_second))
+        await asyncio.gather(*tasks)
+        ending = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in ending:
+            task.cancel()
+        await asyncio.gather(*ending, return_exceptions=True)
+
+    async def _act(self, delay, action):
+        await asyncio.sleep(delay)
+        result = action()
+        if asyncio.iscoroutine(result):
+            await result
+
+    async def _start(self, name):
+        daemon = self.daemons[name]
+        assert await daemon.poller.read_once()
+        await asyncio.sleep(0.4 * self.random.random() / len(self.daemons))
+        self.tasks[name] = [
+            asyncio.create_task(self.sockets[name].run()),
+            asyncio.create_task(self._read(daemon)),
+        ]
+
+    async def _read(self, daemon):
+        while True:
+            await asyncio.sleep(READ_INTERVAL_SECONDS)
+            assert await daemon.poller.read_once()
+
+    async def _send_sound(self, session):
+        common = COMMON_PARTS[len(session) % 2]
+        began = self.now
+        served = await self._attempt((common, session))
+        self.sound.append(SoundRequest(sent_at=began, served=served))
+
+    async def _send_crashing(self, part, per_second, seconds):
+        tasks = []
+        until = self.now + seconds
+        while self.now < until:
+            tasks.append(asyncio.create_task(self._send_until_answered(part)))
+            await asyncio.sleep(self.random.expovariate(per_second))
+        await asyncio.gather(*tasks)
+
+    async def _send_until_answered(self, part):
+        self.serial += 1
+        body = str(self.serial).encode()
+        for _ in range(CALLER_ATTEMPTS):
+            if await self._attempt((COMMON_PARTS[0], part), body=body):
+                return
+            await asyncio.sleep(0.2)
+
+    async def _attempt(self, shared, *, body=b""):
+        self.serial += 1
+        daemon = self.random.choice(list(self.daemons.values()))
+        parts = [PromptPart(part, 400) for part in shared]
+        parts.append(PromptPart(f"own-{self.serial}", 200))
+        prompt = Prompt(input_tokens=1000, output_tokens=80, parts=tuple(parts))
+        reply = RecordedReply()
+        await daemon.forwarder.answer(
+            head(attempt_id=f"a{self.serial}", prompt=prompt),
+            body or str(self.serial).encode(),
+            received=daemon.clock.monotonic(),
+            reply=reply,
+        )
+        return reply.status == 200 and reply.complete
+
+
+class FleetLink(asyncio.DatagramTransport):
+    """Delivers datagrams between the daemons of a fleet, and loses some."""
+
+    def __init__(self, *, fleet):
+        super().__init__()
+        self.fleet = fleet
+
+    def sendto(self, data, addr=None):
+        if self.fleet.random.random() < LOSS:
+            return
+        self.fleet.loop.call_later(NETWORK_SECONDS, self._deliver, data, addr[0])
+
+    def _deliver(self, data, name):
+        self.fleet.sockets[name].datagram_received(data, ())
+
+
+class FleetClock(Clock):
+    """An event loop's clock."""
+
+    def __init__(self, loop):
+        self.loop = loop
+
+    def monotonic(self):
+        return self.loop.time()
+
+    def unix(self):
+        return 1_700_000_000.0 + self.loop.time()
+
+
+async def _return_at_once(*, seconds):
+    return True
