Attribute crashes to the request that caused them in the fleet of tests

A crash was recorded for the latest request that had reached any endpoint, so some crashes were put down to sound requests.

--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -89,8 +89,10 @@
         if call.instance in fleet.down:
             raise broken(kind="connect", ran=False)
         parts = tuple(p.part_id for p in call.request.head.prompt.shared_parts)
-        run = PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts)
-        fleet.runs.append(run)
+        run = len(fleet.runs)
+        fleet.runs.append(
+            PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts)
+        )
         await asyncio.sleep(ANSWER_SECONDS)
         if call.instance in fleet.down:
             raise broken()
@@ -99,7 +101,7 @@
             fleet=fleet,
             endpoint=call.instance,
             call=call,
-            run=len(fleet.runs) - 1 if crashes else None,
+            run=run if crashes else None,
         )
 
     async def probe(self, address):
