Don't send a stream that crashed two endpoints to a third one

Callers of such a stream got 502 after a third endpoint had ended under it; the others in flight there lost their answers.

Cause: the record of crashes was only asked after a fault of the same call of Sender.open. A stream that breaks off after its head begins a new call, without a fault yet.

It is asked before each attempt now, except for a stream whose events the caller has begun to receive. The test fails without the change: three calls instead of two.

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -570,13 +570,18 @@
                 last_fault.detail if last_fault is not None else "all attempts are used"
             )
             return _refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
-        poison = (
-            self.crashes.refuse(request.fingerprint) if last_fault is not None else None
-        )
+        poison = self._refuse_crashing(request)
         if poison is not None and request.ran:
             return _refusal(request, ErrorKind.ENDPOINT_FAILED, poison.detail)
         return poison
 
+    def _refuse_crashing(self, request: ForwardRequest) -> Refusal | None:
+        """Return a refusal if the request is known to crash endpoints.
+
+        A stream that has begun is not stopped for what it may have crashed.
+        """
+        return None if request.events else self.crashes.refuse(request.fingerprint)
+
 
 def _probe_after_seconds(request: ForwardRequest) -> float | None:
     """Return the seconds of silence after which an endpoint is probed."""
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -110,6 +110,14 @@
     assert len(daemon.calls.calls) == calls_sent
 
 
+# Guards against a third endpoint for a stream that crashed two after its head.
+def test_a_stream_that_crashed_two_endpoints_after_its_head_is_not_sent_again():
+    daemon = ready_daemon()
+    daemon.calls.reachable = False
+    daemon.answer(head("/draft/1"), *[Script(cut_after=0)] * 3)
+    assert len(daemon.calls.calls) == 2
+
+
 def test_a_lost_response_of_a_reachable_endpoint_is_not_a_crash():
     daemon = ready_daemon()
     daemon.answer(head("/fetch/1"), Script(fault=broken()), Script(fault=broken()))
