Refuse parts of prompts that crash endpoints, at all daemons

Cause: a crash was put down to the request as a whole, by the fingerprint of its content. Each new request with the part began without a crash against it. Late news is ruled out: all daemons knew each crash within half a second, and the requests came three seconds apart.

A crash now makes suspects of the shared parts of the prompts that were in flight, too. Answers clear suspects, and the fewest parts that explain the crashes are refused, before each attempt. Daemons tell each other what they found; a record in the store outlasts a restart of all.

Ten mutations are noticed by a test.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -106,6 +106,7 @@
         await self.parts.poller.read_once()
         self._start_task(self.parts.poller.run())
         self._start_task(self.parts.poller.run_registration())
+        self._start_task(self.parts.crash_records.run())
         self._start_task(self.parts.poller.run_rollouts())
         self._start_task(self.parts.bill_flusher.run_flushes())
         self._start_task(self.parts.bill_flusher.run_recovery())
--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -6,7 +6,7 @@
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.in_force import TableInForce
-from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.poison import CrashLog, part_suspects
 from linnetladder.forwarding.state import (
     ClientAccount,
     ForwardRequest,
@@ -56,7 +56,7 @@
         request = self._build_request(
             head, body, received, route, account, table.version
         )
-        poison = self.crashes.refuse(request.fingerprint)
+        poison = self.crashes.refuse(request.suspects)
         if poison is not None:
             return Failure(poison)
         self.budget.count_request(request.service)
@@ -107,4 +107,5 @@
             priority=priority,
             fingerprint=digest.hexdigest(),
             configuration_version=version,
+            part_suspects=part_suspects(prompt),
         )
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -33,6 +33,7 @@
     CopiedBills,
     DaemonMessage,
     DaemonReport,
+    PartFinding,
 )
 from linnetladder.forwarding.state import Position
 from linnetladder.state import Clock, EndpointTable
@@ -54,6 +55,9 @@
 # Share of a report kept for rows beside news, and share of rows kept for outcomes.
 MINIMUM_ROWS_SHARE = 0.6
 MINIMUM_OUTCOMES_SHARE = 0.8
+# Upper estimate of the compressed bytes of a finding, and the most in one report.
+FINDING_BYTES = 20
+MAXIMUM_FINDINGS = 8
 # Share of a report that limits of endpoints may take beside rows.
 LIMITS_SHARE = 0.3
 # A holder sends reports to the daemons whose bills it holds. After this time without
@@ -126,6 +130,7 @@
         self.bill_owners: dict[str, float] = {}
         self.sequence = itertools.count(1)
         self.news = ReportNews(table=table, crashes=crashes, clock=clock)
+        self.findings_sent = 0
         self.sent_order = itertools.count(1)
         self.last_sent: dict[str, int] = {}
         self.peer_status: dict[str, PeerStatus] = {}
@@ -292,7 +297,9 @@
         report of news only.
         """
         echoes = self.snapshots.echoes(receivers)
+        findings = self._findings()
         room = maximum_bytes - REPORT_HEADER_BYTES - ECHO_BYTES * len(echoes)
+        room -= len(findings) * FINDING_BYTES
         reserved = room * MINIMUM_ROWS_SHARE if with_rows else 0.0
         news = self.news.select(maximum_bytes=room - reserved)
         room -= news.size
@@ -318,11 +325,21 @@
             echoes=echoes,
             reads=self.directory.read_ages(),
             limits=limits,
+            findings=findings,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
         return message
 
+    def _findings(self) -> list[PartFinding]:
+        """Return the findings on parts of prompts, by turns if there are many."""
+        findings = self.crashes.export_findings()
+        if len(findings) <= MAXIMUM_FINDINGS:
+            return findings
+        first = self.findings_sent % len(findings)
+        self.findings_sent += MAXIMUM_FINDINGS
+        return (findings[first:] + findings[:first])[:MAXIMUM_FINDINGS]
+
     def _rows(
         self, maximum_bytes: float
     ) -> tuple[list[tuple[str, int, float]], list[tuple], float]:
@@ -444,8 +461,10 @@
             self.loads.learn(peer, loads_by_endpoint)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
-        for fingerprint, endpoint, age in report.crashes:
-            self.crashes.learn(fingerprint, endpoint, age=age)
+        for suspect, endpoint, age in report.crashes:
+            self.crashes.learn(suspect, endpoint, age=age)
+        for finding in report.findings:
+            self.crashes.learn_finding(finding)
         self.rollouts.add_bad_targets(report.bad_targets)
         self.limits.learn_report(report.limits)
         if report.reads is not None:
--- a/linnetladder/forwarding/coordination/report_news.py
+++ b/linnetladder/forwarding/coordination/report_news.py
@@ -7,7 +7,7 @@
 import dataclasses
 import itertools
 
-from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.poison import CrashLog, is_part
 from linnetladder.state import Clock, EndpointTable
 
 __all__ = ["CRASH_BYTES", "LEAVING_BYTES", "NewsSelection", "ReportNews"]
@@ -18,7 +18,10 @@
 MAXIMUM_OLD_LEAVING = 64
 # Upper estimates of the compressed bytes of an entry.
 CRASH_BYTES = 45
+PART_CRASH_BYTES = 25
 LEAVING_BYTES = 20
+# Crashes of a whole request that count as much as one of a part.
+PART_WEIGHT = 2
 # Counts of forgotten entries are dropped beyond this many.
 MAXIMUM_TIMES_SENT = 10_000
 
@@ -54,10 +57,10 @@
     def _select(
         self, maximum_bytes: float, entries: list[tuple[tuple[str, str], float | None]]
     ) -> NewsSelection:
-        entries.sort(key=lambda entry: self.times_sent.get(entry[0], 0))
+        entries.sort(key=lambda entry: self._sending_rank(entry[0]))
         selection = NewsSelection()
         for key, age in entries:
-            size = LEAVING_BYTES if age is None else CRASH_BYTES
+            size = _entry_bytes(key, age)
             if selection.size + size > maximum_bytes:
                 break
             selection.size += size
@@ -68,11 +71,23 @@
                 selection.crashes.append((*key, age))
         return selection
 
+    def _sending_rank(self, key: tuple[str, str]) -> float:
+        """Return how often an entry was sent, less for a suspect of many crashes.
+
+        When an endpoint crashes, all requests in flight there are suspects. The one
+        that caused it is among those that were in flight at others, too. Parts of
+        prompts go first, since they are fewer and make more requests crash endpoints.
+        """
+        weight = max(self.crashes.crashes(key[0]), 1)
+        if is_part(key[0]):
+            weight *= PART_WEIGHT
+        return self.times_sent.get(key, 0) / weight**2
+
     def _entries(self, *, news: bool) -> list[tuple[tuple[str, str], float | None]]:
         """Return keys of entries with their age, or ``None`` for a leaving endpoint."""
         crashes = [
-            ((fingerprint, endpoint), age)
-            for fingerprint, endpoint, age in self.crashes.export()
+            ((suspect, endpoint), age)
+            for suspect, endpoint, age in self.crashes.export()
             if (age <= NEWS_SECONDS) == news
         ]
         self._note_departures()
@@ -101,3 +116,9 @@
             self.times_sent = {
                 key: times for key, times in self.times_sent.items() if key in known
             }
+
+
+def _entry_bytes(key: tuple[str, str], age: float | None) -> int:
+    if age is None:
+        return LEAVING_BYTES
+    return PART_CRASH_BYTES if is_part(key[0]) else CRASH_BYTES
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 
 from returns.result import Failure, Result, Success
 
@@ -65,6 +66,9 @@
 PAUSE_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.RETURNING))
 # Obstacles that end at a known time, at which callers may come back.
 TIMED_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.AT_LIMIT))
+# A stream that broke off later than this after its first event did not crash its
+# endpoint by what its prompt contains.
+CRASH_AFTER_FIRST_EVENT_SECONDS = 1.0
 # A silent endpoint is not given up for a successor that would have less time than this.
 MINIMUM_SUCCESSOR_SECONDS = 0.2
 
@@ -73,7 +77,8 @@
 class Attempt:
     """An attempt whose response has begun; `Sender.close` ends it.
 
-    ``events`` is the number of events of its stream that have arrived.
+    ``events`` is the number of events of its stream that have arrived, the first of
+    them at ``first_event_at``.
     """
 
     endpoint: Endpoint
@@ -82,6 +87,7 @@
     model: str
     pace: PaceMeter = dataclasses.field(default_factory=PaceMeter)
     events: int = 0
+    first_event_at: float = math.inf
     closed: bool = False
 
 
@@ -272,7 +278,7 @@
         remaining = request.deadline - self.clock.monotonic()
         if remaining < MINIMUM_SUCCESSOR_SECONDS or not self.may_retry(request):
             return False
-        if self.crashes.refuse(request.fingerprint) is not None:
+        if self._refuse_crashing(request) is not None:
             return False
         inputs = self.selection_inputs(request, model)
         if not self.selection.has_healthy_candidate(inputs):
@@ -315,6 +321,8 @@
         self.outcomes.add(attempt.endpoint.name, request.route.name, outcome)
         if outcome is not AttemptOutcome.BROKEN:
             self.ejector.succeeded(attempt.endpoint)
+        if attempt.exchange.head.succeeded and outcome is AttemptOutcome.GOOD:
+            self.crashes.learn_answer(request.suspects)
 
     async def record_broken_response(
         self, request: ForwardRequest, attempt: Attempt, fault: CallFault
@@ -323,7 +331,14 @@
         self.close(request, attempt, AttemptOutcome.BROKEN)
         if request.route.kind is RequestKind.STREAMING:
             request.history.append(f"events={attempt.events}")
-        await self._record_fault(request, attempt.endpoint, fault, already_counted=True)
+        streamed = self.clock.monotonic() - attempt.first_event_at
+        await self._record_fault(
+            request,
+            attempt.endpoint,
+            fault,
+            already_counted=True,
+            with_parts=streamed <= CRASH_AFTER_FIRST_EVENT_SECONDS,
+        )
 
     async def _send(
         self,
@@ -389,10 +404,10 @@
         self, request: ForwardRequest, attempt: Attempt, events: int
     ) -> None:
         """Record events that arrived together, to measure the stream's pace."""
+        now = self.clock.monotonic()
         attempt.events += events
-        self._record_pace(
-            request, attempt, attempt.pace.add_events(self.clock.monotonic(), events)
-        )
+        attempt.first_event_at = min(attempt.first_event_at, now)
+        self._record_pace(request, attempt, attempt.pace.add_events(now, events))
 
     def record_stream_end(self, request: ForwardRequest, attempt: Attempt) -> None:
         """Record that a stream is complete; the pace of a short one is measured now."""
@@ -443,7 +458,7 @@
             silence_seconds=_silence_timeout_seconds(request),
             on_unreachable=functools.partial(self._eject_unreachable, endpoint),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
-            may_send=functools.partial(self.availability.still_accepts, endpoint),
+            may_send=functools.partial(self._may_send, request, endpoint),
         )
 
     def _record_response_head(
@@ -483,10 +498,12 @@
         fault: CallFault,
         *,
         already_counted: bool = False,
+        with_parts: bool = True,
     ) -> None:
         """Record a failed call, and a crash if it left the endpoint unreachable.
 
-        ``already_counted`` is set if the attempt's outcome has been counted before.
+        ``already_counted`` is set if the attempt's outcome has been counted before,
+        ``with_parts`` if parts of the prompt may have caused a crash.
         """
         request.history.append(f"{endpoint.name}={fault.describe()}")
         self.metrics.count("attempts", label=fault.kind)
@@ -504,7 +521,7 @@
             refused = probe is ProbeOutcome.REFUSED
             if refused and fault.kind is CallFaultKind.BROKEN:
                 name = f"{endpoint.name}:{endpoint.incarnation}"
-                self.crashes.learn(request.fingerprint, name)
+                self.crashes.record_crash(request, name, with_parts=with_parts)
         if dead:
             self.quarantine.eject(endpoint)
             return
@@ -578,9 +595,16 @@
     def _refuse_crashing(self, request: ForwardRequest) -> Refusal | None:
         """Return a refusal if the request is known to crash endpoints.
 
-        A stream that has begun is not stopped for what it may have crashed.
+        A stream that has begun is not stopped for what it may have crashed as a whole.
         """
-        return None if request.events else self.crashes.refuse(request.fingerprint)
+        suspects = request.part_suspects if request.events else request.suspects
+        return self.crashes.refuse(suspects)
+
+    def _may_send(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+        """Return whether a call may be sent now that its connection is made."""
+        if self._refuse_crashing(request) is not None:
+            return False
+        return self.availability.still_accepts(endpoint)
 
 
 def _probe_after_seconds(request: ForwardRequest) -> float | None:
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -7,6 +7,7 @@
 
 from linnetladder.coordination.platform import PlatformFault
 from linnetladder.forwarding.state import (
+    CrashingPart,
     Position,
     RolloutOrder,
     RolloutRecord,
@@ -40,6 +41,7 @@
     records: tuple[RolloutRecord, ...]
     endpoints: tuple[EndpointReport, ...]
     daemons: tuple[DaemonAddress, ...]
+    crashing_parts: tuple[CrashingPart, ...] = ()
     era: int = 0
 
     @property
@@ -85,6 +87,21 @@
     ) -> Result[bool, PlatformFault]:
         """Create a block of bills of a daemon; return false if it already existed."""
 
+    @abc.abstractmethod
+    async def write_crashing_part(
+        self, record: CrashingPart, *, seconds: float
+    ) -> Result[bool, PlatformFault]:
+        """Record for a number of seconds that a part of prompts crashes endpoints.
+
+        Return false if it was already recorded.
+        """
+
+    @abc.abstractmethod
+    async def delete_crashing_part(
+        self, record: CrashingPart
+    ) -> Result[bool, PlatformFault]:
+        """Delete a record that was read; return false if it has changed since."""
+
     @abc.abstractmethod
     async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
         """Return the secret that all daemons share, creating it if there is none."""
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -16,6 +16,7 @@
 
 from linnetladder.coordination.platform import PlatformFault
 from linnetladder.forwarding.coordination.budget import RetryBudget
+from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
@@ -78,6 +79,7 @@
         snapshots: SharedSnapshots,
         budget: RetryBudget,
         limits: RequestLimits,
+        crash_records: CrashRecords,
         address: DaemonAddress,
         clock: Clock,
         metrics: Metrics,
@@ -93,6 +95,7 @@
         self.snapshots = snapshots
         self.budget = budget
         self.limits = limits
+        self.crash_records = crash_records
         self.address = address
         self.clock = clock
         self.metrics = metrics
@@ -177,6 +180,7 @@
         self.directory.apply(
             snapshot.endpoints, interval=self.read_interval(), era=snapshot.era
         )
+        self.crash_records.update(snapshot.crashing_parts)
         self.peers.update_daemons(snapshot.daemons)
         self.position = self.peers.position = max(self.position, snapshot.position)
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -21,6 +21,7 @@
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import EndpointCalls
 from linnetladder.forwarding.coordination.canary_analysis import CanaryAnalysis
+from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
@@ -71,6 +72,7 @@
     loads: EndpointLoads
     outcomes: Outcomes
     crashes: CrashLog
+    crash_records: CrashRecords
     directory: EndpointDirectory
     budget: RetryBudget
     rollouts: RolloutController
@@ -106,6 +108,7 @@
     loads = EndpointLoads(clock=clock)
     outcomes = Outcomes(clock=clock)
     crashes = CrashLog(clock=clock)
+    crash_records = CrashRecords(source=source, crashes=crashes, clock=clock)
     directory = EndpointDirectory(table=table, loads=loads, clock=clock)
     budget = RetryBudget(settings=holder, clock=clock)
     limits = RequestLimits(
@@ -165,6 +168,7 @@
         snapshots=snapshots,
         budget=budget,
         limits=limits,
+        crash_records=crash_records,
         address=DaemonAddress(
             instance=settings.instance,
             incarnation=incarnation,
@@ -233,6 +237,7 @@
         loads=loads,
         outcomes=outcomes,
         crashes=crashes,
+        crash_records=crash_records,
         directory=directory,
         budget=budget,
         rollouts=rollouts,
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -97,6 +97,11 @@
     pause_seconds: float | None = None
     names_pause: bool = False
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status reports success."""
+        return 200 <= self.status < 300
+
 
 class CallerCodec(abc.ABC):
     """Decodes the heads of callers' requests."""
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -10,8 +10,10 @@
 import dataclasses
 import hashlib
 import hmac
+import math
 import typing
 import zlib
+from collections.abc import Sequence
 
 import orjson
 import pydantic
@@ -21,6 +23,7 @@
 __all__ = [
     "CopiedBills",
     "DaemonMessage",
+    "PartFinding",
     "DaemonReport",
     "decode_message",
     "encode_message",
@@ -56,6 +59,19 @@
     dropped: list[int] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartFinding:
+    """What is known of a part of prompts.
+
+    ``sound`` is true if a request with it was answered ``age`` seconds ago, and false
+    if it crashes endpoints and last did so ``age`` seconds ago.
+    """
+
+    part: str
+    sound: bool
+    age: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DaemonReport:
     """The state that one daemon reports; it replaces the previous report.
@@ -64,8 +80,7 @@
 
     * ``loads``: endpoint or group, requests in flight, backlog in seconds
     * ``outcomes``: endpoint or group, route, decayed counts of attempts by outcome
-    * ``crashes``: fingerprint of a request, endpoint that crashed on it, age in
-      seconds
+    * ``crashes``: a suspect, endpoint that crashed with it in flight, age in seconds
     * ``bad_targets``: service, revision of the order whose target version is bad
     * ``leaving``: endpoint, incarnation
     * ``limits``: endpoint, incarnation, limit on its requests a second or ``None``,
@@ -76,7 +91,8 @@
     ``echoes`` identifies the peers' reports that it had received when that content was
     last confirmed. ``reads`` gives the period in which the sender read the store, or
     had its content confirmed, without a gap: the seconds since it began and since the
-    last read. ``draining`` is set once the sender is shutting down.
+    last read. ``findings`` tells of parts of prompts that crash endpoints or don't.
+    ``draining`` is set once the sender is shutting down.
     """
 
     loads: list[tuple[str, int, float]] | None
@@ -91,6 +107,7 @@
     limits: list[tuple[str, str, float | None, float]] = dataclasses.field(
         default_factory=list
     )
+    findings: list[PartFinding] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -131,14 +148,18 @@
 ]
 # Endpoint, incarnation, limit, age.
 _LimitRow = tuple[str, str, int | None, pydantic.NonNegativeInt]
+# Part, whether it is sound, age.
+_FindingRow = tuple[str, bool, pydantic.NonNegativeInt]
 # The fields of a message in their order.
 _MessageArray = tuple[
     str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None
 ]
-# Limits follow only where there are some, so that messages without any can be read by
-# daemons of versions that know none.
+# Limits and findings follow only where there are some, so that messages without any can
+# be read by daemons of versions that know none.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
-    _MessageArray | tuple[*typing.get_args(_MessageArray), list[_LimitRow]]
+    _MessageArray
+    | tuple[*typing.get_args(_MessageArray), list[_LimitRow]]
+    | tuple[*typing.get_args(_MessageArray), list[_LimitRow], list[_FindingRow]]
 )
 
 
@@ -153,8 +174,8 @@
         _report_array(message.report) if message.report is not None else None,
         _copied_fields(message.copied_bills) if message.copied_bills else None,
     )
-    if message.report is not None and message.report.limits:
-        array += (_limit_rows(message.report.limits),)
+    if message.report is not None:
+        array += _optional_fields(message.report)
     content = zlib.compress(orjson.dumps(array, option=orjson.OPT_NON_STR_KEYS))
     return _sign(content, secret) + content
 
@@ -169,10 +190,10 @@
         plain = zlib.decompressobj().decompress(content, MAXIMUM_DATAGRAM_BYTES * 10)
         array = _MESSAGE_ADAPTER.validate_json(plain)
         instance, incarnation, sequence, position, version, *contents = array
-        report, copied_bills, *limits = contents
+        report, copied_bills, *optional_fields = contents
         report = _report(report) if report is not None else None
-        if report is not None and limits:
-            report.limits = _limits(limits[0])
+        if report is not None:
+            _add_optional_fields(report, *optional_fields)
         return DaemonMessage(
             instance=instance,
             incarnation=incarnation,
@@ -273,6 +294,32 @@
     )
 
 
+def _optional_fields(report: DaemonReport) -> tuple:
+    """Return the encoded limits and findings, as far as there are any."""
+    if report.findings:
+        return _limit_rows(report.limits), _finding_rows(report.findings)
+    return (_limit_rows(report.limits),) if report.limits else ()
+
+
+def _add_optional_fields(
+    report: DaemonReport,
+    limits: Sequence[_LimitRow] = (),
+    findings: Sequence[_FindingRow] = (),
+) -> None:
+    report.limits = _limits(limits)
+    report.findings = [
+        PartFinding(part, sound, age / AGE_UNITS_PER_SECOND)
+        for part, sound, age in findings
+    ]
+
+
+def _finding_rows(findings: list[PartFinding]) -> list[_FindingRow]:
+    """Return rows of findings; ages are rounded up, so that none gets younger."""
+    return [
+        (f.part, f.sound, math.ceil(f.age * AGE_UNITS_PER_SECOND)) for f in findings
+    ]
+
+
 def _limit_rows(
     limits: list[tuple[str, str, float | None, float]],
 ) -> list[tuple[str, str, int | None, int]]:
@@ -288,7 +335,7 @@
 
 
 def _limits(
-    rows: list[tuple[str, str, int | None, int]],
+    rows: Sequence[_LimitRow],
 ) -> list[tuple[str, str, float | None, float]]:
     return [
         (
--- a/linnetladder/forwarding/state/__init__.py
+++ b/linnetladder/forwarding/state/__init__.py
@@ -1,5 +1,6 @@
 """State of the forwarding daemon: routing tables, requests and rollouts."""
 
+from linnetladder.forwarding.state.crashes import CrashingPart
 from linnetladder.forwarding.state.positions import Position
 from linnetladder.forwarding.state.requests import (
     ForwardRequest,
@@ -28,6 +29,7 @@
 __all__ = [
     "CallerLimits",
     "ClientAccount",
+    "CrashingPart",
     "EngineSpec",
     "ForwardRequest",
     "Position",
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -81,7 +81,9 @@
     """An admitted request, with its limits and the progress of its attempts.
 
     ``received`` and ``deadline`` are in seconds of the daemon's monotonic clock.
-    ``deadline_source`` is ``caller`` or ``route``, whichever set the deadline. ``ran``
+    ``deadline_source`` is ``caller`` or ``route``, whichever set the deadline.
+    ``fingerprint`` identifies the request by its content, and ``part_suspects`` names
+    the parts of its prompt that other requests may share. ``ran``
     is set once an endpoint may have started to run the request. ``attempts`` counts the
     endpoints that may have run it, ``times_sent`` also those that reported that they
     did not. ``model`` is the model of the latest attempt and ``events`` the number of
@@ -100,6 +102,7 @@
     priority: int
     fingerprint: str
     configuration_version: int
+    part_suspects: tuple[str, ...] = ()
     attempts: int = 0
     times_sent: int = 0
     ran: bool = False
@@ -111,6 +114,11 @@
     endpoints_tried: list[str] = dataclasses.field(default_factory=list)
     history: list[str] = dataclasses.field(default_factory=list)
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What may crash an endpoint that runs the request, in whole or in part."""
+        return (*self.part_suspects, self.fingerprint)
+
     @property
     def account_name(self) -> str:
         """The client account's name; ``""`` on a public route."""
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -406,8 +406,7 @@
             response.close()
             detail = f"{call.address} answered request {head.attempt_id!r} instead"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
-        success = 200 <= head.status < 300
-        if success and not (head.sealed and head.attempt_id):
+        if head.succeeded and not (head.sealed and head.attempt_id):
             response.close()
             detail = f"{call.address} sent a success without its seal"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -17,6 +17,7 @@
     StoreSnapshot,
 )
 from linnetladder.forwarding.state import (
+    CrashingPart,
     Position,
     RolloutOrder,
     RolloutPhase,
@@ -41,6 +42,7 @@
 SERVER_PREFIX = "servers/"
 RECORD_PREFIX = "router/rollouts/"
 DAEMON_PREFIX = "router/daemons/"
+CRASHING_PART_PREFIX = "router/crashing-parts/"
 # One range call returns all keys after this one: the operator's, the daemons' and the
 # workers' keys, in this order. Keys that sort before it are not needed.
 LIST_AFTER_KEY = "op"
@@ -49,6 +51,7 @@
 
 _RECORD_ADAPTER = pydantic.TypeAdapter(RolloutRecord)
 _DAEMON_ADAPTER = pydantic.TypeAdapter(DaemonAddress)
+_CRASHING_PART_ADAPTER = pydantic.TypeAdapter(CrashingPart)
 
 
 class PlatformSource(OperatorSource):
@@ -75,10 +78,7 @@
         listed = await self.store.list_prefix("", after=LIST_AFTER_KEY)
         if isinstance(listed, Failure):
             return listed
-        values_by_prefix: dict[str, list] = {
-            prefix: []
-            for prefix in (ORDER_PREFIX, RECORD_PREFIX, DAEMON_PREFIX, SERVER_PREFIX)
-        }
+        values_by_prefix: dict[str, list] = {prefix: [] for prefix in _DECODERS}
         era = self.store.era.current or 0
         if self.table_position.era != era:
             self.table = None
@@ -92,6 +92,7 @@
                 records=tuple(values_by_prefix[RECORD_PREFIX]),
                 endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
                 daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
+                crashing_parts=tuple(values_by_prefix[CRASHING_PART_PREFIX]),
                 era=era,
             )
         )
@@ -159,6 +160,30 @@
         )
         return written.map(lambda outcome: outcome.succeeded)
 
+    async def write_crashing_part(
+        self, record: CrashingPart, *, seconds: float
+    ) -> Result[bool, PlatformFault]:
+        """Create the record under a lease of its own."""
+        granted = await self.store.grant_lease(seconds=seconds)
+        if isinstance(granted, Failure):
+            return granted
+        key = CRASHING_PART_PREFIX + record.part
+        written = await self.store.transact(
+            conditions=(Condition(key),),
+            puts=(Put(key, orjson.dumps(record), granted.unwrap()),),
+        )
+        return written.map(lambda outcome: outcome.succeeded)
+
+    async def delete_crashing_part(
+        self, record: CrashingPart
+    ) -> Result[bool, PlatformFault]:
+        """Delete the record if it is still the one that was read."""
+        key = CRASHING_PART_PREFIX + record.part
+        deleted = await self.store.transact(
+            conditions=(Condition(key, record.revision),), deletes=(key,)
+        )
+        return deleted.map(lambda outcome: outcome.succeeded)
+
     async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
         """Return the stored secret; create it if there is none."""
         read = await self.store.get(SECRET_KEY)
@@ -220,9 +245,15 @@
 
 
 def _decode_record(record: Record) -> RolloutRecord:
-    fields = orjson.loads(record.value)
-    fields["revision"] = record.modify_revision
-    return _RECORD_ADAPTER.validate_python(fields)
+    return _RECORD_ADAPTER.validate_python(_fields_with_revision(record))
+
+
+def _decode_crashing_part(record: Record) -> CrashingPart:
+    return _CRASHING_PART_ADAPTER.validate_python(_fields_with_revision(record))
+
+
+def _fields_with_revision(record: Record) -> dict:
+    return {**orjson.loads(record.value), "revision": record.modify_revision}
 
 
 def _decode_server(record: Record) -> EndpointReport:
@@ -240,6 +271,7 @@
     RECORD_PREFIX: _decode_record,
     SERVER_PREFIX: _decode_server,
     DAEMON_PREFIX: _decode_daemon,
+    CRASHING_PART_PREFIX: _decode_crashing_part,
 }
 
 _OPERATOR_STATES = {
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -41,12 +41,14 @@
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
 from linnetladder.forwarding.coordination.rollout_records import RecordBook
@@ -73,6 +75,7 @@
 
 
 ERA_ROLLOUTS = "store_eras_rollouts"
+CRASHING = "crashing_prompts"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -113,6 +116,11 @@
     self.bills.update(bills)
 
 
+def all_crashes(self, suspect):
+    """Count all crashes against a suspect, whatever else explains them."""
+    return set(self.crash_times.get(suspect, ()))
+
+
 def mean_gap(self):
     self.measured = True
     return sum(self.gaps) / len(self.gaps)
@@ -250,6 +258,16 @@
     ("retry_budget", RetryBudget, "spend", always(True), "attempts"),
     ("retry_limits", Sender, "may_retry", always(True), "attempts"),
     ("poison", poison, "CRASHES_BEFORE_REFUSAL", 99, "attempts"),
+    ("poison_parts", poison, "CRASHES_BEFORE_PART_REFUSAL", 99, CRASHING),
+    ("poison_before_call", Sender, "_refuse_crashing", always(None), CRASHING),
+    ("poison_expiry", poison, "PART_EXPIRY_SECONDS", 20.0, CRASHING),
+    ("poison_answers", CrashLog, "_is_refuted", always(False), CRASHING),
+    ("poison_clearance", CrashLog, "_tell_cleared", always(None), CRASHING),
+    ("poison_explained", CrashLog, "_unexplained_endpoints", all_crashes, CRASHING),
+    ("poison_whole", CrashLog, "_is_one_request", always(False), CRASHING),
+    ("poison_late", sender, "CRASH_AFTER_FIRST_EVENT_SECONDS", 60.0, CRASHING),
+    ("poison_findings", PeerGossip, "_findings", always([]), CRASHING),
+    ("poison_records", CrashRecords, "update", always(None), CRASHING),
     ("escalation_reserve", forwarder, "ESCALATION_RESERVE_RETRIES", -99.0, "streams"),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -216,7 +216,7 @@
         daemon = LocalDaemon(name=f"daemon-{number}", source=source, clock=clock)
         assert await daemon.poller.read_once()
         fail_everywhere(daemon, seed=number)
-        daemon.crashes.crashes_by_fingerprint.clear()
+        daemon.crashes.crash_times.clear()
         peer_socket = connect(daemon)
         peer_socket.transport = LossyLink(sockets=sockets, draw=draw)
         sockets[f"daemon-{number}"] = peer_socket
@@ -264,6 +264,44 @@
         assert all(daemon.table.endpoints[name].leaving for name in leaving)
 
 
+async def spread_crashes(*, fleet, limit):
+    """Return the seconds until all daemons refuse a part that crashed three endpoints.
+
+    Each crash is seen by another daemon, with many other requests in flight there.
+    """
+    daemons, tasks = await start_fleet(fleet)
+    await asyncio.sleep(0.8)
+    began = asyncio.get_running_loop().time()
+    for crash in range(3):
+        log, endpoint = daemons[crash * (fleet // 3)].crashes, f"crashed-{crash}:1"
+        for serial in range(32):
+            log.learn(f"{crash * 1000 + serial:032x}", endpoint)
+        for serial in range(12):
+            log.learn(f"p1-{crash * 1000 + serial:016x}", endpoint)
+        log.learn("p1-bad", endpoint)
+    seconds = 0.0
+    while seconds < limit and not all(d.crashes.refuse(("p1-bad",)) for d in daemons):
+        await asyncio.sleep(0.05)
+        seconds = asyncio.get_running_loop().time() - began
+    for task in tasks:
+        task.cancel()
+    return seconds
+
+
+# Guards against crashing prompts that some daemons still send on, since the rows of
+# what else was in flight fill the reports.
+@pytest.mark.parametrize("fleet", [6, 66])
+def test_a_crashing_part_is_refused_everywhere_within_two_seconds_with_loss(fleet):
+    loop = looptime.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        seconds = loop.run_until_complete(spread_crashes(fleet=fleet, limit=2.0))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+    assert seconds < 2.0
+
+
 async def spread_limits(seconds, *, fleet, limited):
     """Let one daemon of a failing fleet be told limits; return all after a time."""
     daemons, tasks = await start_fleet(fleet)
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/crashing_fleet.py
@@ -90,9 +90,7 @@
             raise broken(kind="connect", ran=False)
         parts = tuple(p.part_id for p in call.request.head.prompt.shared_parts)
         run = len(fleet.runs)
-        fleet.runs.append(
-            PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts)
-        )
+        fleet.runs.append(PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts))
         await asyncio.sleep(ANSWER_SECONDS)
         if call.instance in fleet.down:
             raise broken()
@@ -209,10 +207,16 @@
         finally:
             self.loop.close()
 
-    def send_crashing(self, part, *, per_second, seconds):
-        """Return a coroutine that sends requests with a part that crashes endpoints."""
+    def send_crashing(self, part, *, per_second, seconds, sessions=()):
+        """Return a coroutine that sends requests with a part that crashes endpoints.
+
+        It comes first in their prompts if ``sessions`` are given, one of which follows,
+        and last of the shared parts otherwise.
+        """
         self.crashing_parts.add(part)
-        return self._send_crashing(part, per_second, seconds)
+        prompts = [(part, session) for session in sessions]
+        prompts = prompts or [(COMMON_PARTS[0], part)]
+        return self._send_crashing(prompts, per_second, seconds)
 
     def crash_violations(self):
         """Return the violations by requests that crash endpoints."""
@@ -258,6 +262,7 @@
         self.tasks[name] = [
             asyncio.create_task(self.sockets[name].run()),
             asyncio.create_task(self._read(daemon)),
+            asyncio.create_task(daemon.crash_records.run()),
         ]
 
     async def _read(self, daemon):
@@ -271,19 +276,20 @@
         served = await self._attempt((common, session))
         self.sound.append(SoundRequest(sent_at=began, served=served))
 
-    async def _send_crashing(self, part, per_second, seconds):
+    async def _send_crashing(self, prompts, per_second, seconds):
         tasks = []
         until = self.now + seconds
         while self.now < until:
-            tasks.append(asyncio.create_task(self._send_until_answered(part)))
+            shared = self.random.choice(prompts)
+            tasks.append(asyncio.create_task(self._send_until_answered(shared)))
             await asyncio.sleep(self.random.expovariate(per_second))
         await asyncio.gather(*tasks)
 
-    async def _send_until_answered(self, part):
+    async def _send_until_answered(self, shared):
         self.serial += 1
         body = str(self.serial).encode()
         for _ in range(CALLER_ATTEMPTS):
-            if await self._attempt((COMMON_PARTS[0], part), body=body):
+            if await self._attempt(shared, body=body):
                 return
             await asyncio.sleep(0.2)
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -298,6 +298,7 @@
         self.endpoints = {}
         self.daemons = {}
         self.blocks = {}
+        self.crashing_parts = {}
         self.revision = 100
         self.era = 1
         self.down = False
@@ -328,6 +329,7 @@
                 records=tuple(self.records.values()),
                 endpoints=tuple(self.endpoints.values()),
                 daemons=tuple(self.daemons.values()),
+                crashing_parts=tuple(self.crashing_parts.values()),
                 era=self.era,
             )
         )
@@ -364,6 +366,22 @@
         self.blocks.setdefault((incarnation, name), content)
         return self.reply(created)
 
+    async def write_crashing_part(self, record, *, seconds):
+        if self.down:
+            return self.fault()
+        self.revision += 1
+        stored = dataclasses.replace(record, revision=self.revision)
+        created = self.crashing_parts.setdefault(record.part, stored) is stored
+        return self.reply(created)
+
+    async def delete_crashing_part(self, record):
+        if self.down:
+            return self.fault()
+        if self.crashing_parts.get(record.part) != record:
+            return self.reply(False)
+        del self.crashing_parts[record.part]
+        return self.reply(True)
+
     async def shared_secret(self, proposed):
         return Success("secret")
 
@@ -396,6 +414,14 @@
         )
         return self.observe(answer)
 
+    async def write_crashing_part(self, record, *, seconds):
+        return self.observe(
+            await self.source.write_crashing_part(record, seconds=seconds)
+        )
+
+    async def delete_crashing_part(self, record):
+        return self.observe(await self.source.delete_crashing_part(record))
+
     async def shared_secret(self, proposed):
         return self.observe(await self.source.shared_secret(proposed))
 
