Let workers crash on parts of prompts in the soak, judged by an independent check

Stand-in workers end their connections and refuse new ones for two seconds when they begin an answer on a part. Two parts come in series, overlapping each other and the other faults. The check follows the platform's rule from what workers recorded; a planted violation is found.

--- a/bench/fleet_callers.py
+++ b/bench/fleet_callers.py
@@ -27,11 +27,11 @@
     sent: SentRequest,
     *,
     front_url: str,
-    shared_prefix: str,
+    shared_parts: tuple[str, ...],
 ) -> None:
     """Send one request and record its response.
 
-    Streams with the same ``shared_prefix`` share the first 400 tokens of their prompt.
+    The prompts of streams begin with the ``shared_parts``, of 400 tokens each.
     """
     key = REVOKED_KEY if sent.account == "guest" else ACCOUNTS[sent.account]
     headers = {
@@ -42,9 +42,10 @@
     }
     if sent.route == "stream":
         headers["Linnetladder-Model"] = "*"
-        headers["Linnetladder-Token-Counts"] = "500,20"
-        headers["Linnetladder-Prompt-Prefix"] = (
-            f"{shared_prefix}:400,{sent.attempt}:100"
+        tokens = 400 * len(shared_parts) + 100
+        headers["Linnetladder-Token-Counts"] = f"{tokens},20"
+        headers["Linnetladder-Prompt-Prefix"] = ",".join(
+            [f"{part}:400" for part in shared_parts] + [f"{sent.attempt}:100"]
         )
     url = f"{front_url}/{sent.route}/{sent.attempt}"
     try:
--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from bench.crash_checks import PromptRun, find_crash_violations
 from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.notice_checks import (
@@ -26,6 +27,7 @@
 
 __all__ = [
     "SentRequest",
+    "check_crashing_parts",
     "check_notices",
     "check_request_limits",
     "find_violations",
@@ -79,6 +81,7 @@
         violations += _check_leaving(site, record)
         violations += check_request_limits(site, requests, record)
         violations += check_notices(site, requests, record)
+        violations += check_crashing_parts(site, requests, record)
     return violations
 
 
@@ -228,6 +231,34 @@
     return violations
 
 
+def check_crashing_parts(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that parts of prompts that crash workers soon reach no more of them.
+
+    A daemon that was restarted or suspended is excused for that time.
+    """
+    daemons = {sent.attempt: sent.daemon for sent in requests}
+    runs = []
+    for worker in site.workers:
+        crashed_at = {attempt: time for time, attempt in worker.crashes}
+        runs += [
+            PromptRun(
+                sent_at=run["time"],
+                daemon=daemons.get(run["attempt"], ""),
+                parts=run["parts"],
+                crashed_at=crashed_at.get(run["attempt"]),
+            )
+            for run in worker.runs
+        ]
+    return find_crash_violations(
+        runs,
+        crashing_parts=record.crashing_parts,
+        notice_seconds=CONTACT_SECONDS,
+        excused=record.stopped,
+    )
+
+
 def _life_of(record: "FaultRecord", daemon: str, time: float) -> str:
     """Return the name of a daemon's process at a time."""
     began = record.lives_began.get(daemon, [])
--- a/bench/fleet_day.py
+++ b/bench/fleet_day.py
@@ -217,7 +217,7 @@
             session,
             sent,
             front_url=self.site.front_url(sent.daemon),
-            shared_prefix=shared_prefix,
+            shared_parts=(shared_prefix,),
         )
 
     async def _inject_fault(self, fault: PlannedFault) -> None:
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -30,6 +30,7 @@
     ``revoked_at`` is when the guest's credential was revoked, or 0. ``stopped`` holds,
     for each daemon, the periods in which it was restarted or suspended, and
     ``lives_began`` the times at which its process was started again.
+    ``crashing_parts`` are the parts of prompts on which workers crash.
     """
 
     def __init__(self):
@@ -39,6 +40,7 @@
         self.revoked_at = 0.0
         self.stopped: dict[str, list[tuple[float, float]]] = {}
         self.lives_began: dict[str, list[float]] = {}
+        self.crashing_parts: set[str] = set()
 
 
 class FaultInjector:
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -24,6 +24,8 @@
 HOST = "api.example"
 MODELS = ("small", "middle", "large")
 HEARTBEAT_INTERVAL_SECONDS = 0.6
+# A worker that crashed starts again after this time.
+WORKER_RESTART_SECONDS = 2.0
 
 ROUTES = {
     "stream": {"Kind": "streaming", "Sizes": list(MODELS), "CanResume": True},
@@ -48,7 +50,8 @@
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
         self.relays: dict[str, Relay] = {}
-        self.relay_servers: list[asyncio.Server] = []
+        self.relay_servers: dict[str, asyncio.Server] = {}
+        self.restart_tasks: set[asyncio.Task] = set()
         self.daemon_names = [f"daemon-{number}" for number in range(1, daemons + 1)]
         self.ports = {
             name: {listener: free_port() for listener in ("front", "ready", "peer")}
@@ -81,7 +84,9 @@
         """Stop all daemons and stand-ins."""
         await asyncio.to_thread(self.process_manager.stop)
         self.heartbeat_task.cancel()
-        for server in self.relay_servers:
+        for task in self.restart_tasks:
+            task.cancel()
+        for server in self.relay_servers.values():
             server.close()
         for worker in self.workers:
             await worker.stop()
@@ -128,22 +133,41 @@
         """Return the records of all requests that workers ran."""
         return [run for worker in self.workers for run in worker.runs]
 
+    def crash_worker(self, name: str) -> None:
+        """End a worker's connections and refuse new ones until it starts again."""
+        self.relay_servers[name].close()
+        self.relays[name].cut()
+        task = asyncio.ensure_future(self._restart_worker(name))
+        self.restart_tasks.add(task)
+        task.add_done_callback(self.restart_tasks.discard)
+
+    async def _restart_worker(self, name: str) -> None:
+        await asyncio.sleep(WORKER_RESTART_SECONDS)
+        worker = next(worker for worker in self.workers if worker.name == name)
+        self.relays[name].is_cut = False
+        await self._listen(name, int(worker.advertised.rpartition(":")[2]))
+        worker.restart()
+
     async def _start_worker(self, name: str, service: str) -> None:
         worker = FleetWorker(name=name, service=service, store=self.store)
         await worker.start()
         port = await self._start_relay(name, int(worker.address.rpartition(":")[2]))
         worker.advertised = f"127.0.0.1:{port}"
+        worker.on_crash = self.crash_worker
         worker.register()
         self.workers.append(worker)
 
     async def _start_relay(self, name: str, to_port: int) -> int:
         port = free_port()
-        relay = Relay(host="127.0.0.1", port=to_port)
-        server = await asyncio.start_server(relay.handle, "127.0.0.1", port)
-        self.relays[name] = relay
-        self.relay_servers.append(server)
+        self.relays[name] = Relay(host="127.0.0.1", port=to_port)
+        await self._listen(name, port)
         return port
 
+    async def _listen(self, name: str, port: int) -> None:
+        self.relay_servers[name] = await asyncio.start_server(
+            self.relays[name].handle, "127.0.0.1", port
+        )
+
     async def _send_heartbeats(self) -> None:
         while True:
             for worker in self.workers:
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -44,6 +44,9 @@
 PAUSES = (1.0, 2.5, 5.0)
 LEAVING_SECONDS = (3.0, 6.0)
 NOTICE_WEIGHT = 3
+# A part of all prompts, and the time from one request with a crashing part to the next.
+COMMON_PART = "style"
+CRASHING_GAP_SECONDS = 0.3
 
 
 class Soak:
@@ -51,8 +54,8 @@
 
     With ``drills`` the store also returns from older copies, and with ``limits``
     workers name limits on their requests. With ``notices`` they ask for pauses, and say
-    in answers that they leave. Without them the draw of a seed is the same as before
-    there were any.
+    in answers that they leave. With ``crashes`` they crash on some parts of prompts.
+    Without them the draw of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -64,10 +67,12 @@
         drills: bool = False,
         limits: bool = False,
         notices: bool = False,
+        crashes: bool = False,
     ):
         self.drills = drills
         self.limits = limits
         self.notices = notices
+        self.crashes = crashes
         self.random = random.Random(seed)
         self.seconds = seconds
         self.site = FleetSite(folder=folder)
@@ -94,6 +99,9 @@
                 for number in range(CLIENTS):
                     tasks.create_task(self._client(number))
                 tasks.create_task(self._inject_faults())
+                if self.crashes:
+                    tasks.create_task(self._send_crashing("bad-1", 0.1))
+                    tasks.create_task(self._send_crashing("bad-2", 0.4))
             await asyncio.sleep(SETTLE_SECONDS)
         finally:
             await self.site.stop()
@@ -107,20 +115,45 @@
                 sent = self._draw_request(rng, number)
                 front_url = self.site.front_url(sent.daemon)
                 await send(
-                    session, sent, front_url=front_url, shared_prefix=f"s{number}"
+                    session,
+                    sent,
+                    front_url=front_url,
+                    shared_parts=(COMMON_PART, f"s{number}"),
                 )
                 await asyncio.sleep(MAXIMUM_PAUSE_SECONDS * rng.random())
 
+    async def _send_crashing(self, part: str, delay_share: float) -> None:
+        """Send requests with a part that crashes workers, in a part of the run."""
+        self.record.crashing_parts.add(part)
+        await asyncio.sleep(delay_share * self.seconds)
+        for worker in self.site.workers:
+            worker.crashing_parts.add(part)
+        rng = random.Random(part)
+        async with open_session() as session:
+            while time.monotonic() < self.end_time:
+                sent = self._add_request(rng, "stream", "studio")
+                front_url = self.site.front_url(sent.daemon)
+                await send(
+                    session, sent, front_url=front_url, shared_parts=(COMMON_PART, part)
+                )
+                await asyncio.sleep(CRASHING_GAP_SECONDS * rng.random())
+
     def _draw_request(self, rng: random.Random, number: int) -> SentRequest:
-        self.serial += 1
         route = rng.choice(tuple(ROUTES))
         account = rng.choice(tuple(ACCOUNTS))
-        revoked = rng.random() < REVOKED_SHARE
+        if rng.random() < REVOKED_SHARE:
+            account = "guest"
+        return self._add_request(rng, route, account, number)
+
+    def _add_request(
+        self, rng: random.Random, route: str, account: str, number: int = CLIENTS
+    ) -> SentRequest:
+        self.serial += 1
         sent = SentRequest(
             attempt=f"r{number}-{self.serial}",
             route=route,
             daemon=rng.choice(self.site.daemon_names),
-            account="guest" if revoked else account,
+            account=account,
             time=time.monotonic(),
         )
         self.sent.append(sent)
@@ -200,6 +233,7 @@
         "drills": FLAGS.drills,
         "limits": FLAGS.limits,
         "notices": FLAGS.notices,
+        "crashes": FLAGS.crashes,
     }
     failed = [
         seed
@@ -216,5 +250,6 @@
     flags.DEFINE_bool("drills", False, "Whether the store returns from older copies.")
     flags.DEFINE_bool("limits", False, "Whether workers name limits on requests.")
     flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
+    flags.DEFINE_bool("crashes", False, "Whether workers crash on parts of prompts.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -3,8 +3,8 @@
 It registers in the store, runs a bounded number of requests at once, streams events
 that can be resumed, and records every run. ``faults`` is a queue of faults for the next
 requests: see `Fault`. It can name a limit on the requests that it takes a second, which
-it does not enforce, say in its answers that it will stop, and turn requests away with a
-time to come back.
+it does not enforce, say in its answers that it will stop, turn requests away with a
+time to come back, and crash when it begins an answer on certain parts of prompts.
 """
 
 import asyncio
@@ -12,12 +12,13 @@
 import enum
 import hashlib
 import time
+from collections.abc import Callable, Mapping
 
 from aiohttp import ClientConnectionResetError, web
 
 from standins.fleet_store import FleetStore
 
-__all__ = ["Fault", "FleetWorker", "expected_body"]
+__all__ = ["Fault", "FleetWorker", "expected_body", "shared_parts"]
 
 EVENT_INTERVAL_SECONDS = 0.01
 WORK_SECONDS = 0.01
@@ -52,6 +53,12 @@
     return b"".join(_event(attempt_id, number) for number in range(1, events + 1))
 
 
+def shared_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt but the last."""
+    parts = headers.get("Linnetladder-Prompt-Prefix", "").split(",")
+    return tuple(part.partition(":")[0] for part in parts[:-1])
+
+
 def _event(attempt_id: str, number: int) -> bytes:
     return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
 
@@ -93,6 +100,9 @@
         self.restarts: list[float] = []
         self.pause_seconds: float | None = None
         self.pauses_asked: list[tuple[float, str, float]] = []
+        self.crashing_parts: set[str] = set()
+        self.crashes: list[tuple[float, str]] = []
+        self.on_crash: Callable[[str], None] = _ignore
         self.advertised = ""
         self.address = ""
         self.runner: web.ServerRunner | None = None
@@ -213,6 +223,10 @@
         answer = web.StreamResponse(headers=self._headers(attempt_id))
         answer.headers["Linnetladder-Confidence"] = str(_confidence(attempt_id))
         await answer.prepare(request)
+        if self.crashing_parts & set(shared_parts(request.headers)):
+            self.crashes.append((time.monotonic(), attempt_id))
+            self.on_crash(self.name)
+            return answer
         after = int(request.headers.get("Last-Event-Id") or 0)
         for number in range(after + 1, EVENT_COUNT + 1):
             content = _event(attempt_id, number)
@@ -237,6 +251,7 @@
                 "tenant": request.headers.get("Linnetladder-Tenant", ""),
                 "key": request.headers.get("Authorization", ""),
                 "draining": self.state == "draining",
+                "parts": shared_parts(request.headers),
             }
         )
 
@@ -280,5 +295,9 @@
         )
 
 
+def _ignore(worker: str) -> None:
+    """Do nothing; the default action on a crash."""
+
+
 def _confidence(attempt_id: str) -> int:
     return int(hashlib.sha256(attempt_id.encode()).hexdigest()[:4], 16) % 101
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -7,6 +7,7 @@
 
 from bench.fleet_checks import (
     SentRequest,
+    check_crashing_parts,
     check_notices,
     check_request_limits,
     find_violations,
@@ -47,6 +48,31 @@
     assert check_notices(soak.site, soak.sent, soak.record) == []
 
 
+def test_workers_crash_few_times_on_a_part_while_daemons_and_stores_fail(tmp_path):
+    """Guards against prompts that crash one worker after the other."""
+    soak = Soak(seed=13, seconds=10.0, folder=tmp_path, crashes=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert sum(len(worker.crashes) for worker in soak.site.workers) >= 3
+    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+
+
+def test_check_detects_workers_that_crash_on_and_on(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    soak.record.crashing_parts.add("bad")
+    worker = soak.site.add_unstarted_worker()
+    for number in range(9):
+        add_request(soak, worker, f"a{number}", route="stream", runs=1, status=502)
+        worker.runs[-1].update(time=100.0 + 2 * number, parts=("style", "bad"))
+        worker.crashes.append((100.1 + 2 * number, f"a{number}"))
+    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+    add_request(soak, worker, "a9", route="stream", runs=1, status=502)
+    worker.runs[-1].update(time=118.0, parts=("style", "bad"))
+    (violation,) = check_crashing_parts(soak.site, soak.sent, soak.record)
+    assert "part bad: 4 requests" in violation
+    soak.record.stopped["daemon-1"] = [(117.0, 119.0)]
+    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+
+
 def test_check_detects_requests_to_workers_that_want_none(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     worker = soak.site.add_unstarted_worker()
