Log whether an attempt that ended with its request had a connection

In the incident of cut-off instances the lines of most requests to the desks say unanswered, which does not tell a silent endpoint from one that could not be reached.

--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -358,10 +358,9 @@
         request.attempts += 1
         request.times_sent += 1
         request.ran = True
+        call = self._build_call(request, endpoint, model, resume_after)
         try:
-            exchange = await self.calls.open(
-                self._build_call(request, endpoint, model, resume_after)
-            )
+            exchange = await self.calls.open(call)
             head = exchange.head
         except CallFault as fault:
             self.loads.end(endpoint, load)
@@ -373,7 +372,8 @@
         except BaseException:
             self.loads.end(endpoint, load)
             waited = self.clock.monotonic() - load.started
-            request.history.append(f"{endpoint.name}/{model}=unanswered@{waited:.3f}")
+            state = "unanswered" if call.connected else "unconnected"
+            request.history.append(f"{endpoint.name}/{model}={state}@{waited:.3f}")
             raise
         finally:
             self.pauses.end(pause, endpoint, head)
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -46,6 +46,7 @@
     given up only if ``reserve_retry`` returns true: it reserves the attempt that
     follows, unless none is allowed. By default one may always follow. ``may_send`` is
     asked once there is a connection, right before the request is sent on it.
+    ``connected`` is set when that has been asked.
     """
 
     request: ForwardRequest
@@ -61,6 +62,7 @@
     on_unreachable: Callable[[], None] = _do_nothing
     reserve_retry: Callable[[], bool] = _always
     may_send: Callable[[], bool] = _always
+    connected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -119,6 +119,7 @@
         if not monitor.call.may_send():
             connection.release()
             raise WithdrawnCallError(f"{monitor.address} accepts no more requests")
+        monitor.call.connected = True
         return connection
 
     def _release(
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -229,6 +229,23 @@
     run_with_calls(work, [COMPLETE_ANSWER], [COMPLETE_ANSWER])
 
 
+def test_a_call_that_waits_for_its_connection_is_not_connected():
+    """An attempt that ends with its request is only known by that to be unsent."""
+
+    async def work(calls, endpoint):
+        call = build_call(endpoint)
+        opening = asyncio.ensure_future(calls.open(call))
+        await asyncio.sleep(0)
+        opening.cancel()
+        await asyncio.gather(opening, return_exceptions=True)
+        assert not call.connected
+        call = build_call(endpoint)
+        (await calls.open(call)).close()
+        assert call.connected
+
+    run_with_calls(work, [COMPLETE_ANSWER])
+
+
 def test_refused_connection_is_a_fault_that_cannot_have_run():
     async def work(calls, endpoint):
         endpoint.server.close()
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -230,6 +230,7 @@
 
     async def open(self, call):
         self.calls.append(call)
+        call.connected = True
         script = self.scripts.pop(0) if self.scripts else Script()
         self.clock.now += script.seconds
         await asyncio.sleep(0)
