--- a/tests/forwarding/test_crashing_fleet.py
+++ b/tests/forwarding/test_crashing_fleet.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from tests.support.crashing_fleet import CrashingFleet
+from tests.support.endpoint_fleet import EndpointFleet
 
 
 # Guards against new requests that crash an endpoint each, because of what they share.
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_part_that_crashed_five_endpoints_reaches_no_more_of_them(seed):
-    fleet = CrashingFleet(daemons=6, endpoints=5, seed=seed)
+    fleet = EndpointFleet(daemons=6, endpoints=5, seed=seed)
     fleet.run(
         seconds=25.0,
         per_second=15.0,
@@ -22,7 +22,7 @@
 
 # Guards against a first part that is known only by the sessions that follow it.
 def test_a_first_part_that_crashes_endpoints_is_found_whatever_follows_it():
-    fleet = CrashingFleet(daemons=6, endpoints=5)
+    fleet = EndpointFleet(daemons=6, endpoints=5)
     sessions = [f"s{number}" for number in range(60)]
     fleet.run(
         seconds=15.0,
@@ -42,7 +42,7 @@
 
 # Guards against daemons that start again and know nothing of parts found before.
 def test_daemons_that_start_again_one_by_one_still_refuse_the_part():
-    fleet = CrashingFleet(daemons=6, endpoints=5)
+    fleet = EndpointFleet(daemons=6, endpoints=5)
     restarts = [
         (9.0 + number, lambda number=number: fleet.restart_daemon(f"daemon-{number}"))
         for number in range(1, 7)
--- a/tests/support/crashing_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -1,4 +1,6 @@
-"""A fleet of daemons before endpoints that crash on prompts with certain parts.
+"""A fleet of daemons before endpoints that crash on certain parts of prompts.
+
+Daemons may be cut off from all endpoints for a time.
 
 Time is virtual and the same for all. Reports travel over links that lose some, within
 the daemons' budget of bytes.
@@ -18,6 +20,7 @@
     find_crash_violations,
     find_unserved_violations,
 )
+from bench.partition_checks import Cut, FirstAttempt, find_partition_violations
 from linnetladder.forwarding.coordination.calls import ProbeOutcome
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.state import Prompt, PromptPart
@@ -44,6 +47,7 @@
 CRASH_SECONDS = 0.06
 EVENTS = 10
 CONNECT_SECONDS = 0.002
+TIME_OUT_SECONDS = 0.4
 # A crashed endpoint refuses connections for this long, then it is listed anew.
 RESTART_SECONDS = 3.0
 NETWORK_SECONDS = 0.005
@@ -51,10 +55,12 @@
 SECRET = b"secret"
 # A caller sends a request that failed once more.
 CALLER_ATTEMPTS = 2
+DESKS = 4
+DESK_PATHS = ("/fetch/1", "/save/1")
 COMMON_PARTS = ("style-1", "style-2")
 
 
-class CrashingExchange(ScriptedExchange):
+class FleetExchange(ScriptedExchange):
     """A stream that ends when its endpoint crashes, and may crash it."""
 
     def __init__(self, *, fleet, endpoint, call, run):
@@ -76,7 +82,7 @@
             yield f"id: {number}\ndata: x\n\n".encode()
 
 
-class CrashingCalls:
+class FleetCalls:
     """Calls of one daemon to the endpoints of a fleet."""
 
     def __init__(self, *, fleet, daemon):
@@ -85,17 +91,18 @@
 
     async def open(self, call):
         fleet = self.fleet
-        await asyncio.sleep(CONNECT_SECONDS)
-        if call.instance in fleet.down:
+        if not await self._connects(call.instance):
             raise broken(kind="connect", ran=False)
-        parts = tuple(p.part_id for p in call.request.head.prompt.shared_parts)
+        call.connected = True
+        prompt = call.request.head.prompt
+        parts = tuple(p.part_id for p in prompt.shared_parts) if prompt else ()
         run = len(fleet.runs)
         fleet.runs.append(PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts))
         await asyncio.sleep(ANSWER_SECONDS)
         if call.instance in fleet.down:
             raise broken()
         crashes = bool(fleet.crashing_parts & set(parts))
-        return CrashingExchange(
+        return FleetExchange(
             fleet=fleet,
             endpoint=call.instance,
             call=call,
@@ -103,10 +110,17 @@
         )
 
     async def probe(self, address):
-        await asyncio.sleep(CONNECT_SECONDS)
-        if address in self.fleet.down:
-            return ProbeOutcome.REFUSED
-        return ProbeOutcome.ACCEPTED
+        if await self._connects(address):
+            return ProbeOutcome.ACCEPTED
+        hangs = self.daemon in self.fleet.cut and not self.fleet.refuses
+        return ProbeOutcome.TIMED_OUT if hangs else ProbeOutcome.REFUSED
+
+    async def _connects(self, endpoint):
+        """Return whether an endpoint is connected to, after the time that takes."""
+        cut = self.daemon in self.fleet.cut
+        hangs = cut and not self.fleet.refuses
+        await asyncio.sleep(TIME_OUT_SECONDS if hangs else CONNECT_SECONDS)
+        return not cut and endpoint not in self.fleet.down
 
     async def is_reachable(self, address):
         return await self.probe(address) is ProbeOutcome.ACCEPTED
@@ -115,10 +129,10 @@
         """Do nothing: these calls keep no connections."""
 
 
-class CrashingFleet:
+class EndpointFleet:
     """Daemons, endpoints of the service ``engines``, and the requests of callers."""
 
-    def __init__(self, *, daemons, endpoints, seed=1):
+    def __init__(self, *, daemons, endpoints, desk_share=0.0, seed=1):
         self.loop = looptime.new_event_loop()
         self.random = random.Random(seed)
         self.source = MemorySource(table=table())
@@ -126,7 +140,12 @@
         self.down = set()
         self.runs = []
         self.sound = []
+        self.desk_share = desk_share
         self.excused = collections.defaultdict(list)
+        self.cut = set()
+        self.cuts = []
+        self.refuses = False
+        self.first_attempts = []
         self.serial = 0
         self.daemons = {}
         self.sockets = {}
@@ -134,6 +153,8 @@
         self.tasks = {}
         for number in range(endpoints):
             self.list_endpoint(f"engine-{number + 1}")
+        for number in range(DESKS):
+            self.list_endpoint(f"desk-{number + 1}")
         for number in range(daemons):
             self.add_daemon(f"daemon-{number + 1}")
 
@@ -143,7 +164,10 @@
 
     def list_endpoint(self, name):
         """List an endpoint whose address is its name."""
-        self.source.endpoints[name] = report(name, capacity=64, address=name)
+        service = "desk" if name.startswith("desk") else "engines"
+        self.source.endpoints[name] = report(
+            name, service=service, capacity=64, address=name
+        )
 
     def add_daemon(self, name):
         """Start a daemon, or start one again that remembers nothing."""
@@ -155,7 +179,7 @@
             source=self.source,
             clock=FleetClock(self.loop),
         )
-        calls = CrashingCalls(fleet=self, daemon=name)
+        calls = FleetCalls(fleet=self, daemon=name)
         daemon.sender.calls = daemon.quarantine.calls = calls
         daemon.bill_flusher.ensure_durable = _return_at_once
         number = len(self.source.daemons)
@@ -186,6 +210,17 @@
         self.add_daemon(name)
         await self._start(name)
 
+    async def cut_off(self, daemons, seconds, *, refuses=False):
+        """Cut daemons off from all endpoints for some seconds.
+
+        Their connections hang, or are refused.
+        """
+        began, self.refuses = self.now, refuses
+        self.cut.update(daemons)
+        await asyncio.sleep(seconds)
+        self.cut.difference_update(daemons)
+        self.cuts.append(Cut(began=began, ended=self.now, daemons=daemons))
+
     def crash(self, endpoint, run):
         """End an endpoint on a request; it comes back under another name."""
         self.runs[run] = dataclasses.replace(self.runs[run], crashed_at=self.now)
@@ -235,13 +270,20 @@
             self.sound, before=before, since=last + 2 * CONTACT_SECONDS
         )
 
+    def partition_violations(self):
+        """Return the violations by daemons that were cut off from endpoints."""
+        return find_partition_violations(
+            self.first_attempts, self.cuts, notice_seconds=CONTACT_SECONDS
+        )
+
     async def _run(self, seconds, per_second, events):
         for name in list(self.daemons):
             await self._start(name)
         tasks = [asyncio.create_task(self._act(*event)) for event in events]
         while self.now < seconds:
-            session = f"s{self.random.randrange(60)}"
-            tasks.append(asyncio.create_task(self._send_sound(session)))
+            to_desk = self.random.random() < self.desk_share
+            send = self._send_to_desk if to_desk else self._send_sound
+            tasks.append(asyncio.create_task(send()))
             await asyncio.sleep(self.random.expovariate(per_second))
         await asyncio.gather(*tasks)
         ending = asyncio.all_tasks() - {asyncio.current_task()}
@@ -270,7 +312,8 @@
             await asyncio.sleep(READ_INTERVAL_SECONDS)
             assert await daemon.poller.read_once()
 
-    async def _send_sound(self, session):
+    async def _send_sound(self):
+        session = f"s{self.random.randrange(60)}"
         common = COMMON_PARTS[len(session) % 2]
         began = self.now
         served = await self._attempt((common, session))
@@ -293,20 +336,32 @@
                 return
             await asyncio.sleep(0.2)
 
+    async def _send_to_desk(self):
+        self.serial += 1
+        path = self.random.choice(DESK_PATHS)
+        request = head(path, attempt_id=f"a{self.serial}", deadline_seconds=1.0)
+        await self._answer(request, str(self.serial).encode())
+
     async def _attempt(self, shared, *, body=b""):
         self.serial += 1
-        daemon = self.random.choice(list(self.daemons.values()))
         parts = [PromptPart(part, 400) for part in shared]
         parts.append(PromptPart(f"own-{self.serial}", 200))
         prompt = Prompt(input_tokens=1000, output_tokens=80, parts=tuple(parts))
-        reply = RecordedReply()
-        await daemon.forwarder.answer(
-            head(attempt_id=f"a{self.serial}", prompt=prompt),
-            body or str(self.serial).encode(),
-            received=daemon.clock.monotonic(),
-            reply=reply,
+        request = head(attempt_id=f"a{self.serial}", prompt=prompt)
+        return await self._answer(request, body or str(self.serial).encode())
+
+    async def _answer(self, request, body):
+        """Send a request to any daemon and return whether it was answered."""
+        name = self.random.choice(list(self.daemons))
+        reply, began = RecordedReply(), self.now
+        await self.daemons[name].forwarder.answer(
+            request, body, received=began, reply=reply
+        )
+        served = reply.status == 200 and reply.complete
+        self.first_attempts.append(
+            FirstAttempt(sent_at=began, daemon=name, served=served)
         )
-        return reply.status == 200 and reply.complete
+        return served
 
 
 class FleetLink(asyncio.DatagramTransport):
