Reach endpoints through peers where a daemon can't reach them itself

A call is now passed on by a peer if no endpoint is reached directly. The daemon that has the caller's request still decides everything about it. An endpoint counts as crashed only if a peer can't connect to it either.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -16,6 +16,7 @@
     ForwardingServer,
     HttpEndpointCalls,
     PeerSocket,
+    RelayServer,
 )
 from linnetladder.platform import (
     PlatformCallerCodec,
@@ -41,6 +42,7 @@
     calls: HttpEndpointCalls
     callers: ForwardingServer
     peer_socket: PeerSocket
+    relay_server: RelayServer
     shared_secret: SharedSecret
 
 
@@ -78,7 +80,13 @@
     )
     peer_socket = PeerSocket(gossip=core.peers, metrics=metrics, settings=peer_settings)
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
-    shared_secret.on_change = peer_socket.use_secret
+    relay_server = RelayServer(control=core.relay_control, peer_socket=peer_socket)
+
+    def use_secret(secret: bytes) -> None:
+        peer_socket.use_secret(secret)
+        calls.relay_secret = secret
+
+    shared_secret.on_change = use_secret
     core.poller.regained_listeners.append(shared_secret.on_store_regained)
     core.bills.on_bill = peer_socket.send_bill
     core.bill_replicas.on_copy = peer_socket.send_copies_of
@@ -100,5 +108,6 @@
         calls=calls,
         callers=callers,
         peer_socket=peer_socket,
+        relay_server=relay_server,
         shared_secret=shared_secret,
     )
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -103,6 +103,9 @@
         await self.parts.peer_socket.start(
             address=settings.address, port=settings.peer_ports[0]
         )
+        await self.parts.relay_server.start(
+            address=settings.address, port=settings.peer_ports[0]
+        )
         await self.parts.poller.read_once()
         self._start_task(self.parts.poller.run())
         self._start_task(self.parts.poller.run_registration())
@@ -145,6 +148,7 @@
         )
         self.leaving = True
         self.parts.poller.leaving = self.parts.callers.leaving = True
+        self.parts.relay_server.leaving = True
         self.parts.peers.draining = True
         self.parts.peer_socket.send_soon()
         log_change("draining", in_flight=self.parts.callers.active_requests)
@@ -153,10 +157,10 @@
             if loop.time() >= notice_end:
                 if not self.parts.callers.refusing:
                     self.parts.callers.refuse_new_requests()
-                if self.parts.callers.active_requests == 0:
+                if self._active_requests() == 0:
                     break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        unfinished = self.parts.callers.active_requests
+        unfinished = self._active_requests()
         write_timeout = max(deadline - loop.time(), 0.0) + FINAL_BILL_WRITE_SECONDS
         all_bills_written = await self.parts.bill_flusher.flush_before_exit(
             seconds=write_timeout
@@ -167,6 +171,7 @@
         for task in self.tasks:
             task.cancel()
         await self.parts.callers.stop()
+        await self.parts.relay_server.stop()
         await self.ready_server.stop()
         self.parts.peer_socket.stop()
         await self.parts.background.drain(seconds=0.0)
@@ -174,6 +179,10 @@
         await self.parts.store.close()
         log_change("stopped", unfinished=unfinished, bills_written=all_bills_written)
 
+    def _active_requests(self) -> int:
+        """Return the requests of callers and calls of peers that are in progress."""
+        return self.parts.callers.active_requests + self.parts.relay_server.active_calls
+
     def unready_reasons(self) -> list[str]:
         """Return why the daemon is not ready; empty when it is."""
         reasons = []
--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.state import Clock, Endpoint
 
@@ -66,9 +67,17 @@
 class EndpointAvailability:
     """Asks each mechanism that keeps requests from endpoints."""
 
-    def __init__(self, *, limits: RequestLimits, pauses: EndpointPauses, clock: Clock):
+    def __init__(
+        self,
+        *,
+        limits: RequestLimits,
+        pauses: EndpointPauses,
+        paths: PeerPaths,
+        clock: Clock,
+    ):
         self.limits = limits
         self.pauses = pauses
+        self.paths = paths
         self.clock = clock
 
     def obstacle(self, endpoint: Endpoint) -> Obstacle | None:
@@ -84,7 +93,7 @@
         if not self.limits.may_send(endpoint):
             seconds = self.limits.seconds_until_next(endpoint)
             return Obstacle(ObstacleReason.AT_LIMIT, seconds)
-        if endpoint.ejected_until == math.inf:
+        if self.is_unreachable(endpoint):
             return Obstacle(ObstacleReason.UNREACHABLE)
         seconds = endpoint.ejected_until - self.clock.monotonic()
         return Obstacle(ObstacleReason.FAILING, seconds) if seconds > 0 else None
@@ -93,6 +102,14 @@
         """Return whether an endpoint is to be tried only if no other one is left."""
         return endpoint.ejected_until > self.clock.monotonic()
 
+    def is_unreachable(self, endpoint: Endpoint) -> bool:
+        """Return whether this daemon can't connect to an endpoint itself."""
+        return endpoint.ejected_until == math.inf
+
+    def is_reached_by_peers(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is reached through a peer and not directly."""
+        return self.is_unreachable(endpoint) and self.paths.may_reach(endpoint)
+
     def is_excluded(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get no request at present."""
         obstacle = self.obstacle(endpoint)
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -6,6 +6,7 @@
 
 from linnetladder.errors import Refusal
 from linnetladder.forwarding.protocol import EndpointCall, ResponseHead
+from linnetladder.forwarding.protocol.relaying import RelayedCall
 
 __all__ = [
     "CallFault",
@@ -46,7 +47,9 @@
 
     ``may_have_run`` is false only if the request was certainly not sent. ``probe`` is
     the outcome of the probe for which a silent endpoint was given up, ``None`` if it
-    was given up for the length of the silence.
+    was given up for the length of the silence. ``peer_failed`` is set if a peer that
+    was to pass the call on could not. ``relay`` is the address of that peer, empty for
+    a call that was sent directly.
     """
 
     def __init__(
@@ -56,12 +59,15 @@
         *,
         may_have_run: bool,
         probe: ProbeOutcome | None = None,
+        peer_failed: bool = False,
     ):
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
         self.may_have_run = may_have_run
         self.probe = probe
+        self.peer_failed = peer_failed
+        self.relay = ""
 
     def describe(self) -> str:
         """Return the kind, and for a silent endpoint what it was given up for."""
@@ -96,10 +102,18 @@
     async def open(self, call: EndpointCall) -> Exchange:
         """Send a call and return once its response begins; raise `CallFault`."""
 
+    @abc.abstractmethod
+    async def relay(self, call: RelayedCall) -> Exchange:
+        """Pass a peer's call on, as `open` sends this daemon's own."""
+
     @abc.abstractmethod
     async def probe(self, address: str) -> ProbeOutcome:
         """Open a connection to an address that is expected to accept it."""
 
+    @abc.abstractmethod
+    async def probe_through(self, relay: str, instance: str) -> ProbeOutcome | None:
+        """Let a peer open a connection; return ``None`` if the peer does not answer."""
+
     @abc.abstractmethod
     async def is_reachable(self, address: str) -> bool:
         """Return whether an address that was unreachable accepts a connection again."""
--- /dev/null
+++ b/linnetladder/forwarding/coordination/peer_paths.py
@@ -0,0 +1,91 @@
+"""Peers through which endpoints are reached that this daemon can't reach itself.
+
+A daemon may be cut off from endpoints while its callers and its peers reach it. It
+still decides everything about its requests; a peer only passes a call on.
+"""
+
+import math
+
+import xxhash
+
+from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.state import Clock, Endpoint
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["PeerPaths"]
+
+# A peer that did not answer, or that reaches no endpoint of a service itself.
+PEER_EXPIRY_SECONDS = 2.0
+# An endpoint that a peer couldn't reach either.
+ENDPOINT_EXPIRY_SECONDS = 1.0
+# The use of peers is logged again after a pause of this length.
+LOG_INTERVAL_SECONDS = 10.0
+
+
+class PeerPaths:
+    """Chooses peers, and remembers which of them and which endpoints failed lately."""
+
+    def __init__(self, *, peers: PeerGossip, clock: Clock, metrics: Metrics):
+        self.peers = peers
+        self.clock = clock
+        self.metrics = metrics
+        self.failed_peers: dict[str, float] = {}
+        self.failed_endpoints: dict[tuple[str, str], float] = {}
+        self.used_at = -math.inf
+
+    def may_reach(self, endpoint: Endpoint) -> bool:
+        """Return whether a peer may reach an endpoint that this daemon can't."""
+        key = (endpoint.name, endpoint.incarnation)
+        failed_at = self.failed_endpoints.get(key, -math.inf)
+        if self.clock.monotonic() - failed_at < ENDPOINT_EXPIRY_SECONDS:
+            return False
+        return any(self._is_usable(peer) for peer in self.peers.peers)
+
+    def choose(self, key: str) -> DaemonAddress | None:
+        """Return a peer, another one for each request by its key, or ``None``."""
+        return max(
+            filter(self._is_usable, self.peers.peers),
+            key=lambda peer: xxhash.xxh32_intdigest(f"{key}\0{peer.instance}".encode()),
+            default=None,
+        )
+
+    def note_used(self, peer: DaemonAddress, endpoint: Endpoint) -> None:
+        """Count a call that goes through a peer."""
+        self.metrics.count("relayed_calls", label="sent")
+        now = self.clock.monotonic()
+        if now - self.used_at >= LOG_INTERVAL_SECONDS:
+            log_change(
+                "endpoints reached through peers",
+                endpoint=endpoint.name,
+                peer=peer.instance,
+            )
+        self.used_at = now
+
+    def peer_failed(self, peer: DaemonAddress) -> None:
+        """Record that a peer did not pass a call on."""
+        self._forget_expired()
+        self.failed_peers[peer.instance] = self.clock.monotonic()
+
+    def endpoint_failed(self, endpoint: Endpoint) -> None:
+        """Record that a peer could not reach an endpoint."""
+        self._forget_expired()
+        key = (endpoint.name, endpoint.incarnation)
+        self.failed_endpoints[key] = self.clock.monotonic()
+
+    def _is_usable(self, peer: DaemonAddress) -> bool:
+        failed_at = self.failed_peers.get(peer.instance, -math.inf)
+        if self.clock.monotonic() - failed_at < PEER_EXPIRY_SECONDS:
+            return False
+        status = self.peers.peer_status.get(peer.instance)
+        return status is None or not status.draining
+
+    def _forget_expired(self) -> None:
+        now = self.clock.monotonic()
+        for failures, expiry in (
+            (self.failed_peers, PEER_EXPIRY_SECONDS),
+            (self.failed_endpoints, ENDPOINT_EXPIRY_SECONDS),
+        ):
+            for key, failed_at in list(failures.items()):
+                if now - failed_at >= expiry:
+                    del failures[key]
--- /dev/null
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -0,0 +1,92 @@
+"""Calls of peers that this daemon passes on to endpoints."""
+
+import functools
+
+from linnetladder.forwarding.coordination.availability import EndpointAvailability
+from linnetladder.forwarding.coordination.calls import (
+    CallFault,
+    CallFaultKind,
+    EndpointCalls,
+    Exchange,
+    ProbeOutcome,
+)
+from linnetladder.forwarding.coordination.directory import EndpointDirectory
+from linnetladder.forwarding.protocol.relaying import RelayedCall
+from linnetladder.state import Endpoint, EndpointTable
+from linnetladder.telemetry import Metrics
+
+__all__ = ["CutOffError", "RelayControl"]
+
+
+class CutOffError(Exception):
+    """This daemon reaches no endpoint of the service itself."""
+
+
+class RelayControl:
+    """Decides which calls of peers are passed on, and learns from the answers.
+
+    The peer has decided what to send, and bills it. This daemon holds it to what it
+    was told itself: that endpoints leave, or want nothing from it for a time. Calls are
+    sent to endpoints only, so none is relayed twice.
+    """
+
+    def __init__(
+        self,
+        *,
+        calls: EndpointCalls,
+        table: EndpointTable,
+        directory: EndpointDirectory,
+        availability: EndpointAvailability,
+        metrics: Metrics,
+    ):
+        self.calls = calls
+        self.table = table
+        self.directory = directory
+        self.availability = availability
+        self.metrics = metrics
+
+    async def open(self, call: RelayedCall) -> Exchange:
+        """Pass a call on and return once its answer begins.
+
+        Raise `CallFault`, or `CutOffError` if no endpoint can be reached. A call to an
+        endpoint that takes nothing now is withdrawn.
+        """
+        endpoint = self._find(call)
+        call.address = endpoint.address
+        call.may_send = functools.partial(self.availability.still_accepts, endpoint)
+        pause = self.availability.pauses.begin(endpoint)
+        head = None
+        try:
+            exchange = await self.calls.relay(call)
+            head = exchange.head
+        finally:
+            self.availability.pauses.end(pause, endpoint, head)
+        if head.leaving and not head.misdirected:
+            self.directory.mark_leaving(endpoint, reason="answer")
+        self.metrics.count("relayed_calls", label="served")
+        return exchange
+
+    async def probe(self, instance: str) -> ProbeOutcome | None:
+        """Return whether an endpoint accepts connections, ``None`` if it is unknown."""
+        endpoint = self.table.endpoints.get(instance)
+        return await self.calls.probe(endpoint.address) if endpoint else None
+
+    def _find(self, call: RelayedCall) -> Endpoint:
+        """Return the endpoint of a call, if one may be sent to it now."""
+        endpoint = self.table.endpoints.get(call.instance)
+        if endpoint is None:
+            raise self._refused(call, CallFaultKind.WITHDRAWN, "is not known here")
+        if self.availability.is_unreachable(endpoint):
+            pool = self.directory.pool(endpoint.service)
+            if all(map(self.availability.is_unreachable, pool.endpoints)):
+                raise CutOffError
+            raise self._refused(call, CallFaultKind.CONNECT, "is unreachable")
+        if self.availability.is_excluded(endpoint):
+            raise self._refused(call, CallFaultKind.WITHDRAWN, "takes no requests")
+        return endpoint
+
+    def _refused(
+        self, call: RelayedCall, kind: CallFaultKind, reason: str
+    ) -> CallFault:
+        self.metrics.count("relayed_calls", label="refused")
+        return CallFault(kind, f"{call.instance} {reason}", may_have_run=False)
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -98,17 +98,21 @@
     def eligible(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the untried endpoints that may run the request, now or later.
 
-        A limit on requests may delay them. Ejected endpoints are returned only if no
-        other untried endpoint is left.
+        A limit on requests may delay them. Only if no other untried endpoint is left,
+        those are returned that a peer may reach, and after them other ejected ones.
         """
         usable = [
             endpoint
             for endpoint in self.allowed(inputs)
             if not self.availability.is_excluded(endpoint)
         ]
-        healthy = [e for e in usable if not self.availability.is_ejected(e)] or usable
-        untried = [e for e in healthy if e.name not in inputs.tried_endpoints]
-        return untried or [e for e in usable if e.name not in inputs.tried_endpoints]
+        untried = [e for e in usable if e.name not in inputs.tried_endpoints]
+        healthy = [e for e in untried if not self.availability.is_ejected(e)]
+        return (
+            healthy
+            or list(filter(self.availability.is_reached_by_peers, untried))
+            or untried
+        )
 
     def allowed(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the endpoints that the version rule allows, available or not."""
@@ -118,9 +122,15 @@
         return [e for e in pool.endpoints if inputs.rule.allows(e)]
 
     def has_healthy_candidate(self, inputs: SelectionInputs) -> bool:
-        """Return whether an untried endpoint that is not ejected may be sent to."""
-        candidates = self.candidates(inputs)
-        return any(not self.availability.is_ejected(e) for e in candidates)
+        """Return whether an untried endpoint may be sent to that is not ejected.
+
+        One that is reached through a peer counts, too.
+        """
+        return any(
+            self.availability.is_reached_by_peers(endpoint)
+            or not self.availability.is_ejected(endpoint)
+            for endpoint in self.candidates(inputs)
+        )
 
     def shortest_wait(self, inputs: SelectionInputs) -> float:
         """Return the shortest backlog of any candidate, in seconds."""
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -27,6 +27,7 @@
     Exchange,
     ProbeOutcome,
 )
+from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
@@ -38,6 +39,7 @@
 from linnetladder.forwarding.coordination.quarantine import Quarantine
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
+from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.coordination.urgency import urgency
 from linnetladder.forwarding.protocol import EndpointCall
 from linnetladder.forwarding.state import ForwardRequest, RequestKind
@@ -77,8 +79,8 @@
 class Attempt:
     """An attempt whose response has begun; `Sender.close` ends it.
 
-    ``events`` is the number of events of its stream that have arrived, the first of
-    them at ``first_event_at``.
+    ``peer`` is the daemon that passes it on, if there is one. ``events`` is the number
+    of events of its stream that have arrived, the first of them at ``first_event_at``.
     """
 
     endpoint: Endpoint
@@ -86,6 +88,7 @@
     exchange: Exchange
     model: str
     pace: PaceMeter = dataclasses.field(default_factory=PaceMeter)
+    peer: DaemonAddress | None = None
     events: int = 0
     first_event_at: float = math.inf
     closed: bool = False
@@ -107,6 +110,7 @@
         crashes: CrashLog,
         ejector: Ejector,
         quarantine: Quarantine,
+        confirmation: CrashConfirmation,
         availability: EndpointAvailability,
         clock: Clock,
         metrics: Metrics,
@@ -121,7 +125,9 @@
         self.crashes = crashes
         self.ejector = ejector
         self.quarantine = quarantine
+        self.confirmation = confirmation
         self.availability = availability
+        self.paths = availability.paths
         self.limits = availability.limits
         self.pauses = availability.pauses
         self.clock = clock
@@ -149,6 +155,8 @@
                 if is_retry and not fault.may_have_run:
                     self._refund_retry(request)
                 await self._record_fault(request, endpoint, fault)
+                if self._may_try_through_peer(endpoint, fault):
+                    request.endpoints_tried.remove(endpoint.name)
                 continue
             if attempt is not None:
                 return Success(attempt)
@@ -331,6 +339,8 @@
         self.close(request, attempt, AttemptOutcome.BROKEN)
         if request.route.kind is RequestKind.STREAMING:
             request.history.append(f"events={attempt.events}")
+        if attempt.peer is not None:
+            fault.relay = attempt.peer.tcp_address
         streamed = self.clock.monotonic() - attempt.first_event_at
         await self._record_fault(
             request,
@@ -350,6 +360,7 @@
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
         if self.limits.limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
+        peer = self._peer_for(request, endpoint)
         load = self.begin_load(request, endpoint, model)
         pause = self.pauses.begin(endpoint)
         head = None
@@ -358,7 +369,7 @@
         request.attempts += 1
         request.times_sent += 1
         request.ran = True
-        call = self._build_call(request, endpoint, model, resume_after)
+        call = self._build_call(request, endpoint, model, resume_after, peer)
         try:
             exchange = await self.calls.open(call)
             head = exchange.head
@@ -368,6 +379,8 @@
             if not fault.may_have_run:
                 request.attempts -= 1
                 request.times_sent -= 1
+            fault.relay = call.relay
+            self._record_path_fault(request, endpoint, peer, fault)
             raise
         except BaseException:
             self.loads.end(endpoint, load)
@@ -398,6 +411,7 @@
             load=load,
             exchange=exchange,
             model=model,
+            peer=peer,
         )
 
     def record_events(
@@ -439,6 +453,7 @@
         endpoint: Endpoint,
         model: str,
         resume_after: str,
+        peer: DaemonAddress | None,
     ) -> EndpointCall:
         prompt = request.head.prompt
         tokens = prompt.input_tokens if prompt is not None else 0
@@ -456,7 +471,8 @@
             fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
             probe_after_seconds=_probe_after_seconds(request),
             silence_seconds=_silence_timeout_seconds(request),
-            on_unreachable=functools.partial(self._eject_unreachable, endpoint),
+            relay=peer.tcp_address if peer is not None else "",
+            on_unreachable=functools.partial(self._eject_unreachable, endpoint, peer),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
             may_send=functools.partial(self._may_send, request, endpoint),
         )
@@ -509,6 +525,9 @@
         self.metrics.count("attempts", label=fault.kind)
         if fault.kind is CallFaultKind.WITHDRAWN:
             return
+        if fault.relay:
+            await self._record_relayed_fault(request, endpoint, fault, with_parts)
+            return
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
         self.calls.close_idle_connections(endpoint.address)
@@ -520,8 +539,9 @@
             # A time-out may be due to the network; an ended process refuses.
             refused = probe is ProbeOutcome.REFUSED
             if refused and fault.kind is CallFaultKind.BROKEN:
-                name = f"{endpoint.name}:{endpoint.incarnation}"
-                self.crashes.record_crash(request, name, with_parts=with_parts)
+                self.quarantine.eject(endpoint)
+                if await self.confirmation.confirm(endpoint):
+                    self._record_crash(request, endpoint, with_parts)
         if dead:
             self.quarantine.eject(endpoint)
             return
@@ -536,6 +556,35 @@
                 request=request.head.attempt_id,
             )
 
+    async def _record_relayed_fault(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        fault: CallFault,
+        with_parts: bool,
+    ) -> None:
+        """Record a crash that a peer confirms.
+
+        What else failed may be the peer, and is not put down to the endpoint.
+        """
+        if fault.kind is not CallFaultKind.BROKEN or not fault.may_have_run:
+            return
+        probe = await self.calls.probe_through(fault.relay, endpoint.name)
+        if probe is ProbeOutcome.REFUSED:
+            self._record_crash(request, endpoint, with_parts)
+
+    def _record_crash(
+        self, request: ForwardRequest, endpoint: Endpoint, with_parts: bool
+    ) -> None:
+        name = f"{endpoint.name}:{endpoint.incarnation}"
+        self.crashes.record_crash(request, name, with_parts=with_parts)
+
+    def _may_try_through_peer(self, endpoint: Endpoint, fault: CallFault) -> bool:
+        """Return whether an endpoint that could not be connected to may be reached."""
+        if fault.relay or fault.kind is not CallFaultKind.CONNECT:
+            return False
+        return self.availability.is_reached_by_peers(endpoint)
+
     def _no_endpoint_refusal(
         self, request: ForwardRequest, model: str, last_fault: CallFault | None
     ) -> Refusal:
@@ -571,7 +620,39 @@
             retry_after_seconds=max(seconds, RETRY_AFTER_SECONDS),
         )
 
-    def _eject_unreachable(self, endpoint: Endpoint) -> None:
+    def _peer_for(
+        self, request: ForwardRequest, endpoint: Endpoint
+    ) -> DaemonAddress | None:
+        """Return the peer to send through, ``None`` to send directly."""
+        if not self.availability.is_reached_by_peers(endpoint):
+            return None
+        peer = self.paths.choose(request.head.attempt_id)
+        self.paths.note_used(peer, endpoint)
+        request.history.append(f"via {peer.instance}")
+        return peer
+
+    def _record_path_fault(
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        peer: DaemonAddress | None,
+        fault: CallFault,
+    ) -> None:
+        """Record that a peer, or an endpoint through a peer, could not be reached."""
+        if peer is None or fault.may_have_run:
+            return
+        if fault.peer_failed:
+            self.paths.peer_failed(peer)
+            request.endpoints_tried.remove(endpoint.name)
+        else:
+            self.paths.endpoint_failed(endpoint)
+
+    def _eject_unreachable(
+        self, endpoint: Endpoint, peer: DaemonAddress | None = None
+    ) -> None:
+        if peer is not None:
+            self.paths.peer_failed(peer)
+            return
         self.calls.close_idle_connections(endpoint.address)
         self.quarantine.eject(endpoint)
 
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -28,6 +28,11 @@
     host: str
     port: int
 
+    @property
+    def tcp_address(self) -> str:
+        """The address at which the daemon passes on calls of its peers."""
+        return f"{self.host}:{self.port}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreSnapshot:
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -21,6 +21,7 @@
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import EndpointCalls
 from linnetladder.forwarding.coordination.canary_analysis import CanaryAnalysis
+from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
@@ -29,8 +30,10 @@
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
+from linnetladder.forwarding.coordination.relaying import RelayControl
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
@@ -87,6 +90,8 @@
     quarantine: Quarantine
     limits: RequestLimits
     pauses: EndpointPauses
+    paths: PeerPaths
+    relay_control: RelayControl
     selection: Selection
     sender: Sender
     forwarder: Forwarder
@@ -117,7 +122,6 @@
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
-    availability = EndpointAvailability(limits=limits, pauses=pauses, clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -157,6 +161,10 @@
         clock=clock,
         metrics=metrics,
     )
+    paths = PeerPaths(peers=peers, clock=clock, metrics=metrics)
+    availability = EndpointAvailability(
+        limits=limits, pauses=pauses, paths=paths, clock=clock
+    )
     in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
         source=source,
@@ -203,7 +211,7 @@
         own_domain=settings.failure_domain,
     )
     quarantine = Quarantine(
-        calls=calls, background=background, clock=clock, metrics=metrics
+        table=table, calls=calls, background=background, clock=clock, metrics=metrics
     )
     sender = Sender(
         calls=calls,
@@ -216,10 +224,18 @@
         crashes=crashes,
         ejector=Ejector(clock=clock),
         quarantine=quarantine,
+        confirmation=CrashConfirmation(calls=calls, paths=paths, clock=clock),
         availability=availability,
         clock=clock,
         metrics=metrics,
     )
+    relay_control = RelayControl(
+        calls=calls,
+        table=table,
+        directory=directory,
+        availability=availability,
+        metrics=metrics,
+    )
     forwarder = Forwarder(
         admission=AdmissionControl(in_force=in_force, budget=budget, crashes=crashes),
         in_force=in_force,
@@ -252,6 +268,8 @@
         quarantine=quarantine,
         limits=limits,
         pauses=pauses,
+        paths=paths,
+        relay_control=relay_control,
         selection=selection,
         sender=sender,
         forwarder=forwarder,
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -47,6 +47,9 @@
     follows, unless none is allowed. By default one may always follow. ``may_send`` is
     asked once there is a connection, right before the request is sent on it.
     ``connected`` is set when that has been asked.
+
+    ``relay`` is the address of a peer that passes the call on to the endpoint, empty
+    for a call that is sent there directly.
     """
 
     request: ForwardRequest
@@ -63,6 +66,7 @@
     reserve_retry: Callable[[], bool] = _always
     may_send: Callable[[], bool] = _always
     connected: bool = False
+    relay: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -31,6 +31,11 @@
     EndpointCodec,
     ResponseHead,
 )
+from linnetladder.forwarding.protocol.relaying import (
+    RelayedCall,
+    RelayFault,
+    build_relay_headers,
+)
 from linnetladder.telemetry import Metrics
 
 __all__ = ["HttpEndpointCalls"]
@@ -47,6 +52,8 @@
 # Bodies that are relayed only once they are complete.
 MAXIMUM_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 TCP_USER_TIMEOUT_MILLISECONDS = 4_000
+# The longest time that a peer may take to probe an endpoint.
+PEER_PROBE_SECONDS = 0.6
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -142,10 +149,10 @@
     the event loop's time at which the request was sent, ``None`` before that.
     """
 
-    def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall):
+    def __init__(self, *, calls: "HttpEndpointCalls", call: EndpointCall | RelayedCall):
         self.calls = calls
         self.call = call
-        self.address = call.address
+        self.address = call.relay or call.address
         self.loop = asyncio.get_running_loop()
         self.probe_after = call.probe_after_seconds
         self.limit = call.silence_seconds
@@ -282,10 +289,11 @@
 
 
 class HttpEndpointCalls(EndpointCalls):
-    """Calls endpoints at their ``IP:port`` addresses.
+    """Calls endpoints at their ``IP:port`` addresses, directly or through peers.
 
     ``last_activity`` maps an address to the event loop's time when it last sent
     something or accepted a probe. ``connect_timeout`` is shared by calls and probes.
+    ``relay_secret`` signs calls that go through a peer.
     """
 
     def __init__(self, *, codec: EndpointCodec, metrics: Metrics):
@@ -293,27 +301,69 @@
         self.metrics = metrics
         self.last_activity: dict[str, float] = {}
         self.connect_timeout = ConnectTimeout()
+        self.relay_secret = b""
         self.loop = asyncio.get_running_loop()
         self.pooled_session = self._build_session(keepalive_timeout=KEEPALIVE_SECONDS)
         self.fresh_session = self._build_session(
             keepalive_timeout=FRESH_KEEPALIVE_SECONDS
         )
+        self.peer_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, socket_factory=_build_socket)
+        )
 
     async def close(self) -> None:
         """Close all connections."""
         await self.pooled_session.close()
         await self.fresh_session.close()
+        await self.peer_session.close()
 
     async def open(self, call: EndpointCall) -> Exchange:
         """Send a call and return once the head of its answer has arrived."""
         head = call.request.head
+        headers = self.codec.build_call_headers(call)
+        if call.relay:
+            headers += build_relay_headers(
+                secret=self.relay_secret,
+                instance=call.instance,
+                attempt_id=head.attempt_id,
+            )
+        return await self._open(
+            call,
+            method=head.method,
+            target=head.target,
+            headers=headers,
+            body=call.request.body,
+            attempt_id=head.attempt_id,
+        )
+
+    async def relay(self, call: RelayedCall) -> Exchange:
+        """Pass a peer's call on and return once the head of its answer has arrived."""
+        return await self._open(
+            call,
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            attempt_id=call.attempt_id,
+        )
+
+    async def _open(
+        self,
+        call: EndpointCall | RelayedCall,
+        *,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        attempt_id: str,
+    ) -> Exchange:
         session = self.fresh_session if call.fresh_connection else self.pooled_session
         monitor = SilenceMonitor(calls=self, call=call)
         sending = session.request(
-            head.method,
-            URL(f"http://{call.address}{head.target}", encoded=True),
-            data=call.request.body or None,
-            headers=self.codec.build_call_headers(call),
+            method,
+            URL(f"http://{monitor.address}{target}", encoded=True),
+            data=body or None,
+            headers=headers,
             skip_auto_headers=SUPPRESSED_HEADERS,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
@@ -332,9 +382,12 @@
                 self.connect_timeout.timed_out(
                     started=monitor.started_at, now=monitor.loop.time()
                 )
-            detail = f"can't connect to {call.address}: {error}"
+            detail = f"can't connect to {monitor.address}: {error}"
             raise CallFault(
-                CallFaultKind.CONNECT, detail, may_have_run=False
+                CallFaultKind.CONNECT,
+                detail,
+                may_have_run=False,
+                peer_failed=bool(call.relay),
             ) from error
         except WithdrawnCallError as error:
             raise CallFault(
@@ -343,11 +396,13 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise CallFault(
                 CallFaultKind.BROKEN,
-                f"{call.address} broke off: {error!r}",
+                f"{monitor.address} broke off: {error!r}",
                 may_have_run=True,
             ) from error
         monitor.record_activity()
-        return self._check_head(call, response, monitor)
+        if call.relay:
+            _check_relayed(call, response)
+        return self._check_head(attempt_id, response, monitor)
 
     async def is_reachable(self, address: str) -> bool:
         """Return whether an address accepts a new connection, which is closed again.
@@ -369,6 +424,21 @@
             self.last_activity[address] = self.loop.time()
         return outcome
 
+    async def probe_through(self, relay: str, instance: str) -> ProbeOutcome | None:
+        """Let a peer probe an endpoint; return ``None`` if it can't tell."""
+        headers = build_relay_headers(
+            secret=self.relay_secret, instance=instance, probe_only=True
+        )
+        try:
+            async with (
+                asyncio.timeout(PEER_PROBE_SECONDS),
+                self.peer_session.get(f"http://{relay}/", headers=headers) as response,
+            ):
+                return ProbeOutcome(await response.text())
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            self.metrics.count("relayed_calls", label="probe_failed")
+            return None
+
     async def _open_and_close(self, address: str) -> ProbeOutcome:
         host, _, port = address.rpartition(":")
         started = self.loop.time()
@@ -396,20 +466,19 @@
 
     def _check_head(
         self,
-        call: EndpointCall,
+        attempt_id: str,
         response: aiohttp.ClientResponse,
         monitor: SilenceMonitor,
     ) -> HttpExchange:
         """Return the exchange; raise `CallFault` for a foreign or unsealed answer."""
         head = self.codec.decode_response_head(response.status, response.headers)
-        expected_id = call.request.head.attempt_id
-        if head.attempt_id and head.attempt_id != expected_id:
+        if head.attempt_id and head.attempt_id != attempt_id:
             response.close()
-            detail = f"{call.address} answered request {head.attempt_id!r} instead"
+            detail = f"{monitor.address} answered request {head.attempt_id!r} instead"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
         if head.succeeded and not (head.sealed and head.attempt_id):
             response.close()
-            detail = f"{call.address} sent a success without its seal"
+            detail = f"{monitor.address} sent a success without its seal"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
         return HttpExchange(head=head, response=response, monitor=monitor)
 
@@ -463,6 +532,20 @@
                 protocol.close()
 
 
+def _check_relayed(call: EndpointCall, response: aiohttp.ClientResponse) -> None:
+    """Raise the fault with which a relayed call ended, if its peer reports one."""
+    fault = RelayFault.from_headers(response.headers)
+    if fault is None:
+        return
+    response.close()
+    raise CallFault(
+        CallFaultKind(fault.kind),
+        f"the peer at {call.relay} reports: {fault.kind} at {call.instance}",
+        may_have_run=fault.may_have_run,
+        peer_failed=fault.cut_off,
+    )
+
+
 def _truncated_answer_fault(error: Exception) -> CallFault:
     return CallFault(
         CallFaultKind.BROKEN, f"the answer was cut: {error!r}", may_have_run=True
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -120,6 +120,13 @@
                 self.lagging.add(message.instance)
         return message
 
+    def accepted_secrets(self) -> tuple[bytes, ...]:
+        """Return the secret and, for a while, the one before."""
+        if not self.secret:
+            return ()
+        previous = (self.previous_secret,) if self._previous_is_valid() else ()
+        return (self.secret, *previous)
+
     def _previous_is_valid(self) -> bool:
         return self.gossip.clock.monotonic() < self.previous_until
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -55,6 +55,7 @@
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
     "retries": Family("Attempts after the first"),
+    "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
     "stream_resumes": Family("Streams resumed after their connection broke"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -41,6 +41,7 @@
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
@@ -48,6 +49,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
@@ -58,10 +60,14 @@
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.store_era import StoreEra
-from linnetladder.forwarding.protocol import daemon_messages
+from linnetladder.forwarding.protocol import daemon_messages, relaying
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 from linnetladder.forwarding.state import RolloutOrder
-from linnetladder.forwarding.transport import PeerSocket, endpoint_calls
+from linnetladder.forwarding.transport import (
+    PeerSocket,
+    endpoint_calls,
+    relay_server,
+)
 from linnetladder.platform import PlatformSource, headers, source
 
 
@@ -76,6 +82,8 @@
 
 ERA_ROLLOUTS = "store_eras_rollouts"
 CRASHING = "crashing_prompts"
+CUT = "cut_off_daemons"
+RELAYING = "relaying"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -121,6 +129,23 @@
     return set(self.crash_times.get(suspect, ()))
 
 
+def through_peers(self, inputs):
+    """Return endpoints that are reached through peers before all others."""
+    usable = [e for e in self.allowed(inputs) if e.name not in inputs.tried_endpoints]
+    return sorted(usable, key=lambda e: not self.availability.is_unreachable(e))[:1]
+
+
+async def blame_endpoint(self, request, endpoint, fault, with_parts):
+    """Put a failure on the way through a peer down to the endpoint."""
+    fault.relay = ""
+    await self._record_fault(request, endpoint, fault)
+
+
+async def confirm_always(self, endpoint):
+    """Take each endpoint that refuses connections for crashed."""
+    return True
+
+
 def mean_gap(self):
     self.measured = True
     return sum(self.gaps) / len(self.gaps)
@@ -268,6 +293,17 @@
     ("poison_late", sender, "CRASH_AFTER_FIRST_EVENT_SECONDS", 60.0, CRASHING),
     ("poison_findings", PeerGossip, "_findings", always([]), CRASHING),
     ("poison_records", CrashRecords, "update", always(None), CRASHING),
+    ("peer_paths", EndpointAvailability, "is_reached_by_peers", always(False), CUT),
+    ("peer_paths_first", Selection, "eligible", through_peers, CUT),
+    ("peer_failures", PeerPaths, "peer_failed", always(None), CUT),
+    ("peer_endpoints", PeerPaths, "endpoint_failed", always(None), CUT),
+    ("peer_draining", PeerPaths, "_is_usable", always(True), CUT),
+    ("peer_at_once", Sender, "_may_try_through_peer", always(False), CUT),
+    ("peer_blame", Sender, "_record_relayed_fault", blame_endpoint, CUT),
+    ("peer_confirmation", CrashConfirmation, "confirm", confirm_always, CUT),
+    ("check_others", quarantine.Quarantine, "_check_others_soon", always(None), CUT),
+    ("relay_signature", relaying, "_sign", always("x"), CUT),
+    ("relay_headers", relay_server, "RELAY_HEADERS", frozenset(), RELAYING),
     ("escalation_reserve", forwarder, "ESCALATION_RESERVE_RETRIES", -99.0, "streams"),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -22,7 +22,9 @@
 )
 from bench.partition_checks import Cut, FirstAttempt, find_partition_violations
 from linnetladder.forwarding.coordination.calls import ProbeOutcome
+from linnetladder.forwarding.coordination.relaying import CutOffError
 from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.protocol.relaying import RelayedCall
 from linnetladder.forwarding.state import Prompt, PromptPart
 from linnetladder.forwarding.transport import PeerSocket
 from linnetladder.state import Clock
@@ -90,6 +92,30 @@
         self.daemon = daemon
 
     async def open(self, call):
+        if not call.relay:
+            return await self._send(call)
+        await asyncio.sleep(NETWORK_SECONDS)
+        relayed = RelayedCall(
+            method=call.request.head.method,
+            target=call.request.head.target,
+            instance=call.instance,
+            attempt_id=call.request.head.attempt_id,
+            headers=[],
+        )
+        self.fleet.relayed[relayed.attempt_id] = call
+        try:
+            return await self._peer(call.relay).relay_control.open(relayed)
+        except CutOffError as error:
+            raise broken(kind="connect", ran=False, peer_failed=True) from error
+
+    async def relay(self, call):
+        assert call.may_send()
+        return await self._send(self.fleet.relayed[call.attempt_id])
+
+    def _peer(self, address):
+        return self.fleet.daemons[address.partition(":")[0]]
+
+    async def _send(self, call):
         fleet = self.fleet
         if not await self._connects(call.instance):
             raise broken(kind="connect", ran=False)
@@ -122,6 +148,9 @@
         await asyncio.sleep(TIME_OUT_SECONDS if hangs else CONNECT_SECONDS)
         return not cut and endpoint not in self.fleet.down
 
+    async def probe_through(self, relay, address):
+        return await self._peer(relay).sender.calls.probe(address)
+
     async def is_reachable(self, address):
         return await self.probe(address) is ProbeOutcome.ACCEPTED
 
@@ -146,6 +175,7 @@
         self.cuts = []
         self.refuses = False
         self.first_attempts = []
+        self.relayed = {}
         self.serial = 0
         self.daemons = {}
         self.sockets = {}
@@ -181,6 +211,7 @@
         )
         calls = FleetCalls(fleet=self, daemon=name)
         daemon.sender.calls = daemon.quarantine.calls = calls
+        daemon.relay_control.calls = daemon.sender.confirmation.calls = calls
         daemon.bill_flusher.ensure_durable = _return_at_once
         number = len(self.source.daemons)
         self.source.daemons.setdefault(
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -245,6 +245,12 @@
     async def probe(self, address):
         return ProbeOutcome.ACCEPTED if self.reachable else ProbeOutcome.REFUSED
 
+    async def relay(self, call):
+        raise NotImplementedError
+
+    async def probe_through(self, relay, address):
+        return await self.probe(address)
+
     async def is_reachable(self, address):
         return self.reachable
 
@@ -507,9 +513,10 @@
     return daemon
 
 
-def broken(*, ran=True, kind=CallFaultKind.BROKEN) -> CallFault:
+def broken(*, ran=True, kind=CallFaultKind.BROKEN, peer_failed=False) -> CallFault:
     """Return the fault of a call that failed before its response began."""
-    return CallFault(kind, "broken off", may_have_run=ran)
+    kind = CallFaultKind(kind)
+    return CallFault(kind, "broken off", may_have_run=ran, peer_failed=peer_failed)
 
 
 def cut() -> CallFault:
