Send brittle endpoints no more than they have slots for

An endpoint that says in its answers that it is brittle falls over if all daemons together make it turn more requests away in a second than it names. Nothing read that: each daemon tried its luck at full endpoints, and one after the other with each request.

The slots of a brittle endpoint are divided among the daemons, in the turns of request limits; beyond its part a daemon sends only while most of the endpoint is known to be free. Calls that are passed on for peers learn and keep to the same. Six mutations are noticed.

--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -11,9 +11,11 @@
 import math
 from collections.abc import Iterable
 
+from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
+from linnetladder.forwarding.protocol import ResponseHead
 from linnetladder.state import Clock, Endpoint
 
 __all__ = ["EndpointAvailability", "Obstacle", "ObstacleReason", "describe_obstacles"]
@@ -24,7 +26,8 @@
 
     ``UNLISTED`` ends when the registry lists it again, ``LEAVING`` with a new
     incarnation, ``PAUSED`` when the pause that it asked for is over, ``RETURNING`` with
-    the next answer after a pause, ``AT_LIMIT`` with the next permit of its limit,
+    the next answer after a pause, ``FULL`` once a brittle endpoint has room again,
+    ``AT_LIMIT`` with the next permit of its limit,
     ``UNREACHABLE`` when it accepts a connection, ``FAILING`` after a time.
     """
 
@@ -32,6 +35,7 @@
     LEAVING = "leaving"
     PAUSED = "paused"
     RETURNING = "returning"
+    FULL = "full"
     AT_LIMIT = "at_limit"
     UNREACHABLE = "unreachable"
     FAILING = "failing"
@@ -44,6 +48,7 @@
         ObstacleReason.LEAVING,
         ObstacleReason.PAUSED,
         ObstacleReason.RETURNING,
+        ObstacleReason.FULL,
     )
 )
 
@@ -72,14 +77,23 @@
         *,
         limits: RequestLimits,
         pauses: EndpointPauses,
+        brittleness: Brittleness,
         paths: PeerPaths,
         clock: Clock,
     ):
         self.limits = limits
         self.pauses = pauses
+        self.brittleness = brittleness
         self.paths = paths
         self.clock = clock
 
+    def learn_answer(
+        self, endpoint: Endpoint, head: ResponseHead, *, sent_at: float
+    ) -> None:
+        """Record what an answer says of its endpoint's limit and brittleness."""
+        self.limits.learn_answer(endpoint, head, sent_at=sent_at)
+        self.brittleness.learn_answer(endpoint, head, sent_at=sent_at)
+
     def obstacle(self, endpoint: Endpoint) -> Obstacle | None:
         """Return the strictest obstacle, ``None`` if a request may be sent now."""
         if not endpoint.listed:
@@ -90,6 +104,9 @@
             seconds = self.pauses.seconds_left(endpoint)
             reason = ObstacleReason.PAUSED if seconds else ObstacleReason.RETURNING
             return Obstacle(reason, seconds)
+        seconds = self.brittleness.seconds_until_room(endpoint)
+        if seconds > 0:
+            return Obstacle(ObstacleReason.FULL, seconds)
         if not self.limits.may_send(endpoint):
             seconds = self.limits.seconds_until_next(endpoint)
             return Obstacle(ObstacleReason.AT_LIMIT, seconds)
--- a/linnetladder/forwarding/coordination/relaying.py
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -55,6 +55,7 @@
         call.address = endpoint.address
         call.may_send = functools.partial(self.availability.still_accepts, endpoint)
         pause = self.availability.pauses.begin(endpoint)
+        sent_at = self.availability.clock.monotonic()
         head = None
         try:
             exchange = await self.calls.relay(call)
@@ -63,6 +64,7 @@
             self.availability.pauses.end(pause, endpoint, head)
         if head.leaving and not head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
+        self.availability.learn_answer(endpoint, head, sent_at=sent_at)
         self.metrics.count("relayed_calls", label="served")
         return exchange
 
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -65,9 +65,13 @@
 PERMIT_WAIT_SHARE = 0.5
 # A stream that waits for endpoints to return after their pause looks this often.
 RETURN_CHECK_SECONDS = 0.05
-PAUSE_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.RETURNING))
+PAUSE_REASONS = frozenset(
+    (ObstacleReason.PAUSED, ObstacleReason.RETURNING, ObstacleReason.FULL)
+)
 # Obstacles that end at a known time, at which callers may come back.
-TIMED_REASONS = frozenset((ObstacleReason.PAUSED, ObstacleReason.AT_LIMIT))
+TIMED_REASONS = frozenset(
+    (ObstacleReason.PAUSED, ObstacleReason.FULL, ObstacleReason.AT_LIMIT)
+)
 # A stream that broke off later than this after its first event did not crash its
 # endpoint by what its prompt contains.
 CRASH_AFTER_FIRST_EVENT_SECONDS = 1.0
@@ -392,7 +396,7 @@
             self.pauses.end(pause, endpoint, head)
         if exchange.head.leaving and not exchange.head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
-        self.limits.learn_answer(endpoint, exchange.head, sent_at=load.started)
+        self.availability.learn_answer(endpoint, exchange.head, sent_at=load.started)
         if exchange.head.not_run or exchange.head.misdirected:
             request.ran = ran_before
             request.attempts -= 1
@@ -608,8 +612,9 @@
         if seconds > 0:
             kind = ErrorKind.OVERLOADED
             detail = (
-                f"the endpoints of service {request.service!r} named limits or asked "
-                f"for pauses; the first one takes requests again in {seconds:.2f} s"
+                f"the endpoints of service {request.service!r} named limits, asked for "
+                f"pauses or are brittle and full; the first one takes requests again "
+                f"in {seconds:.2f} s"
             )
         if last_fault is not None:
             detail += f"; the last attempt failed: {last_fault.detail}"
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -18,6 +18,7 @@
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
 from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import EndpointCalls
 from linnetladder.forwarding.coordination.canary_analysis import CanaryAnalysis
@@ -163,7 +164,17 @@
     )
     paths = PeerPaths(peers=peers, clock=clock, metrics=metrics)
     availability = EndpointAvailability(
-        limits=limits, pauses=pauses, paths=paths, clock=clock
+        limits=limits,
+        pauses=pauses,
+        brittleness=Brittleness(
+            limits=limits,
+            table=table,
+            loads=loads,
+            clock=clock,
+            metrics=metrics,
+        ),
+        paths=paths,
+        clock=clock,
     )
     in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -86,6 +86,8 @@
     ``leaving`` is set if the endpoint says that it is about to stop.
     ``pause_seconds`` is the time for which it wants no requests from this daemon,
     ``None`` if it asks for no pause; ``names_pause`` is also set if that can't be read.
+    ``brittle_limit`` is the number of requests that it can turn away in a second for
+    want of room without falling over, ``None`` unless it says that it is brittle.
     """
 
     status: int
@@ -102,6 +104,7 @@
     leaving: bool = False
     pause_seconds: float | None = None
     names_pause: bool = False
+    brittle_limit: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -31,6 +31,8 @@
 CONFIDENCE = "Linnetladder-Confidence"
 # Requests a second that the worker takes from all daemons together.
 SERVER_LIMIT = "Server-Limit"
+# Requests that the worker can turn away in a second without falling over.
+SERVER_BRITTLE = "Server-Brittle"
 # 1 from the time at which the worker knows that it will stop, in all its answers.
 SERVER_LEAVING = "Server-Leaving"
 # Beside 503: seconds in which the worker wants no requests from this daemon.
@@ -142,6 +144,7 @@
             confidence=_parse_number(headers.get(CONFIDENCE)),
             request_limit=_parse_limit(headers.get(SERVER_LIMIT)),
             names_request_limit=SERVER_LIMIT in headers,
+            brittle_limit=_parse_limit(headers.get(SERVER_BRITTLE)),
             leaving=headers.get(SERVER_LEAVING, "0").strip() not in ("", "0"),
             pause_seconds=_parse_pause(headers) if names_pause else None,
             names_pause=names_pause,
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -55,6 +55,7 @@
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
     "retries": Family("Attempts after the first"),
+    "brittle_rejections": Family("Requests that brittle endpoints turned away"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -16,6 +16,7 @@
     bill_flushing,
     bill_replicas,
     bills,
+    brittleness,
     directory,
     endpoint_pauses,
     forwarder,
@@ -39,6 +40,7 @@
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
 from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
@@ -83,6 +85,7 @@
 ERA_ROLLOUTS = "store_eras_rollouts"
 CRASHING = "crashing_prompts"
 CUT = "cut_off_daemons"
+BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
 
 revision_alone = property(lambda self: self.revision)
@@ -304,6 +307,12 @@
     ("check_others", quarantine.Quarantine, "_check_others_soon", always(None), CUT),
     ("relay_signature", relaying, "_sign", always("x"), CUT),
     ("relay_headers", relay_server, "RELAY_HEADERS", frozenset(), RELAYING),
+    ("brittle_full", Brittleness, "seconds_until_room", always(0.0), BRITTLE),
+    ("brittle_slots", Brittleness, "_own_slots", always(2), BRITTLE),
+    ("brittle_free", brittleness, "FREE_LOAD", 0.0, BRITTLE),
+    ("brittle_check", brittleness, "ROOM_CHECK_SECONDS", 0.0, BRITTLE),
+    ("brittle_expiry", brittleness, "SERVICE_EXPIRY_SECONDS", 60.0, BRITTLE),
+    ("brittle_header", headers, "SERVER_BRITTLE", "Unknown", BRITTLE),
     ("escalation_reserve", forwarder, "ESCALATION_RESERVE_RETRIES", -99.0, "streams"),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of daemons before endpoints that crash on certain parts of prompts.
 
-Daemons may be cut off from all endpoints for a time.
+Daemons may be cut off from all endpoints for a time. Engines may be brittle: they let
+no request wait, and fall over if they turn too many away.
 
 Time is virtual and the same for all. Reports travel over links that lose some, within
 the daemons' budget of bytes.
@@ -9,6 +10,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 
 import looptime
@@ -54,6 +56,8 @@
 RESTART_SECONDS = 3.0
 NETWORK_SECONDS = 0.005
 LOSS = 0.02
+# Requests that an endpoint lets wait beside those that it runs.
+WAITING = 4
 SECRET = b"secret"
 # A caller sends a request that failed once more.
 CALLER_ATTEMPTS = 2
@@ -66,7 +70,10 @@
     """A stream that ends when its endpoint crashes, and may crash it."""
 
     def __init__(self, *, fleet, endpoint, call, run):
-        super().__init__(script=Script(), attempt_id=call.request.head.attempt_id)
+        super().__init__(
+            script=Script(brittle=fleet.brittle),
+            attempt_id=call.request.head.attempt_id,
+        )
         self.fleet = fleet
         self.endpoint = endpoint
         self.first_event = int(call.resume_after or 0) + 1
@@ -83,6 +90,11 @@
                 raise broken()
             yield f"id: {number}\ndata: x\n\n".encode()
 
+    def close(self):
+        if not self.closed:
+            self.fleet.leave(self.endpoint)
+        super().close()
+
 
 class FleetCalls:
     """Calls of one daemon to the endpoints of a fleet."""
@@ -124,8 +136,14 @@
         parts = tuple(p.part_id for p in prompt.shared_parts) if prompt else ()
         run = len(fleet.runs)
         fleet.runs.append(PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts))
+        if not fleet.admit(call.instance):
+            return ScriptedExchange(
+                script=Script(status=503, not_run=True, brittle=fleet.brittle),
+                attempt_id=call.request.head.attempt_id,
+            )
         await asyncio.sleep(ANSWER_SECONDS)
         if call.instance in fleet.down:
+            fleet.leave(call.instance)
             raise broken()
         crashes = bool(fleet.crashing_parts & set(parts))
         return FleetExchange(
@@ -161,7 +179,7 @@
 class EndpointFleet:
     """Daemons, endpoints of the service ``engines``, and the requests of callers."""
 
-    def __init__(self, *, daemons, endpoints, desk_share=0.0, seed=1):
+    def __init__(self, *, daemons, endpoints, slots=64, desk_share=0.0, seed=1):
         self.loop = looptime.new_event_loop()
         self.random = random.Random(seed)
         self.source = MemorySource(table=table())
@@ -175,6 +193,12 @@
         self.cuts = []
         self.refuses = False
         self.first_attempts = []
+        self.slots = slots
+        self.brittle = None
+        self.brittle_from = math.inf
+        self.running = collections.Counter()
+        self.turned_away = collections.defaultdict(list)
+        self.falls = []
         self.relayed = {}
         self.serial = 0
         self.daemons = {}
@@ -196,7 +220,7 @@
         """List an endpoint whose address is its name."""
         service = "desk" if name.startswith("desk") else "engines"
         self.source.endpoints[name] = report(
-            name, service=service, capacity=64, address=name
+            name, service=service, capacity=self.slots, address=name
         )
 
     def add_daemon(self, name):
@@ -252,9 +276,42 @@
         self.cut.difference_update(daemons)
         self.cuts.append(Cut(began=began, ended=self.now, daemons=daemons))
 
+    def admit(self, endpoint):
+        """Return whether an endpoint has room for a request, and count it there.
+
+        One that has to turn too many away falls over.
+        """
+        if endpoint.startswith("desk"):
+            return True
+        is_brittle = self.now >= self.brittle_from
+        waiting = 0 if is_brittle else WAITING
+        if self.running[endpoint] < self.slots + waiting:
+            self.running[endpoint] += 1
+            return True
+        recent = self.turned_away[endpoint]
+        recent.append(self.now)
+        if is_brittle and endpoint not in self.down:
+            recent[:] = [time for time in recent if time > self.now - 1.0]
+            if len(recent) > self.brittle:
+                self.falls.append(self.now)
+                self._end(endpoint)
+        return False
+
+    def leave(self, endpoint):
+        """Count the end of a request at an endpoint."""
+        self.running[endpoint] -= 1
+
+    def become_brittle(self, limit):
+        """Let the engines say that they are brittle, and be so some time later."""
+        self.brittle = limit
+        self.brittle_from = self.now + CONTACT_SECONDS
+
     def crash(self, endpoint, run):
         """End an endpoint on a request; it comes back under another name."""
         self.runs[run] = dataclasses.replace(self.runs[run], crashed_at=self.now)
+        self._end(endpoint)
+
+    def _end(self, endpoint):
         self.down.add(endpoint)
         self.loop.call_later(RESTART_SECONDS, self._bring_back, endpoint)
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -161,7 +161,8 @@
     ``fault`` is raised instead of a response; ``cut_after`` truncates the response
     after that many chunks; ``seconds`` is how long the call takes. ``limit`` is the
     limit on requests that the endpoint names, ``leaving`` whether it says that it will
-    stop, and ``pause`` for how many seconds it wants no requests.
+    stop, ``pause`` for how many seconds it wants no requests, and ``brittle`` how many
+    requests it can turn away in a second.
     """
 
     status: int = 200
@@ -175,6 +176,7 @@
     limit: float | None = None
     leaving: bool = False
     pause: float | None = None
+    brittle: float | None = None
 
 
 class ScriptedExchange(Exchange):
@@ -197,6 +199,7 @@
                 leaving=script.leaving,
                 pause_seconds=script.pause,
                 names_pause=script.pause is not None,
+                brittle_limit=script.brittle,
             )
         )
         self.script = script
