Don't complete the roll-out of a version in doubt

Cause: suspicion holds a roll-out back before the ramp and before the full phase, but not before its last step. Nothing can be taken back after that step.

The new test fails without the change, and a mutation is noticed.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -60,6 +60,8 @@
 # Log likelihood ratio from which a target is held in its phase until there are more
 # answers.
 HOLD_EVIDENCE = 1.5
+# Log likelihood ratio from which a target is not completed, since that can't be undone.
+COMPLETION_EVIDENCE = 3.0
 # Fraction of the order's duration after which a held target is rolled back.
 HOLD_LATEST_FRACTION = 0.74
 # In the ramp phase the target gives this many answers within a second or two while the
@@ -208,7 +210,11 @@
 
     def _is_suspect(self, order: RolloutOrder) -> bool:
         """Return whether the evidence on any route is enough to hold the target."""
-        return any(f.evidence >= HOLD_EVIDENCE for f in self.analysis.findings(order))
+        return self._has_evidence(order, HOLD_EVIDENCE)
+
+    def _has_evidence(self, order: RolloutOrder, threshold: float) -> bool:
+        """Return whether the evidence on any route reaches a threshold."""
+        return any(f.evidence >= threshold for f in self.analysis.findings(order))
 
     def _has_too_few_answers(self, order: RolloutOrder) -> bool:
         """Return whether a target has too few answers to show whether it is slow."""
@@ -268,7 +274,7 @@
         if self.schedule.share(order, record) >= 1.0 and self._may_complete(
             order, record
         ):
-            return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
+            return self._complete(order, record)
         return None
 
     def _awaits_restoration(self) -> bool:
@@ -309,6 +315,15 @@
             record, phase=RolloutPhase.FULL, full_unix=self._activation_time()
         )
 
+    def _complete(
+        self, order: RolloutOrder, record: RolloutRecord
+    ) -> RolloutRecord | None:
+        """Return the last step, after which the old version's endpoints are stopped."""
+        if self._has_evidence(order, COMPLETION_EVIDENCE):
+            elapsed = self.schedule.seconds_since(order, record.ordered_unix)
+            return self._hold_or_roll_back(order, record, elapsed)
+        return dataclasses.replace(record, phase=RolloutPhase.COMPLETE)
+
     def _activation_time(self) -> float:
         """Return the Unix time by which all daemons have read a step written now."""
         return round(self.clock.unix() + ACTIVATION_DELAY_SECONDS, 3)
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -285,6 +285,7 @@
     ("absence_margin", in_force, "ABSENCE_MARGIN_SECONDS", -60.0, "admission"),
     ("retry_budget", RetryBudget, "spend", always(True), "attempts"),
     ("retry_limits", Sender, "may_retry", always(True), "attempts"),
+    ("completion", rollouts, "COMPLETION_EVIDENCE", 1e9, "rollouts"),
     ("poison", poison, "CRASHES_BEFORE_REFUSAL", 99, "attempts"),
     ("poison_parts", poison, "CRASHES_BEFORE_PART_REFUSAL", 99, CRASHING),
     ("poison_before_call", Sender, "_refuse_crashing", always(None), CRASHING),
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from linnetladder.forwarding.coordination import rollouts
 from linnetladder.forwarding.coordination.directory import version_of
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
 from linnetladder.forwarding.state import RolloutOrder, RolloutPhase
@@ -477,3 +478,30 @@
         advance(clock, daemons, 0.5)
     assert source.records["engines"].phase is RolloutPhase.ROLLED_BACK
     assert RolloutPhase.FULL not in source.writes
+
+
+# Guards against a slow version that is completed in spite of the evidence against it.
+@pytest.mark.parametrize(
+    ("slowdown", "phase"),
+    [(3.2, RolloutPhase.ROLLED_BACK), (1.0, RolloutPhase.COMPLETE)],
+)
+def test_a_version_in_doubt_is_not_completed(fleet, monkeypatch, slowdown, phase):
+    source, clock, daemons = fleet
+    monkeypatch.setattr(rollouts, "ROLLBACK_EVIDENCE", 1e9)
+    daemon = daemons[0]
+    draw = random.Random(1)
+    while source.records.get("engines") is None or (
+        source.records["engines"].phase
+        not in (RolloutPhase.COMPLETE, RolloutPhase.ROLLED_BACK)
+    ):
+        advance(clock, daemons, 0.5)
+        record = source.records.get("engines")
+        if record is None or record.phase is not RolloutPhase.FULL:
+            continue
+        for name, factor in (("old-1", 1.0), ("new-1", slowdown), ("new-2", slowdown)):
+            daemon.outcomes.add(name, "draft", AttemptOutcome.GOOD)
+            seconds = 0.05 * factor * draw.uniform(0.7, 1.4)
+            learn = name.startswith("old")
+            daemon.outcomes.add_duration(name, "draft", "small", seconds, learn=learn)
+    assert source.records["engines"].phase is phase
+    assert clock.now - 1000.0 < DURATION_SECONDS
