Cut daemons off from all workers in the soak, judged by an independent check

Each daemon reaches each worker by a relay of its own, at an address that the store shows to that daemon alone. New connections are refused; open ones are reset or live on. A planted violation is found.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -20,6 +20,7 @@
     find_leaving_violations,
     find_pause_violations,
 )
+from bench.partition_checks import FirstAttempt, find_partition_violations
 from standins.fleet_worker import expected_body
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     "SentRequest",
     "check_crashing_parts",
     "check_notices",
+    "check_partitions",
     "check_request_limits",
     "find_violations",
 ]
@@ -82,6 +84,7 @@
         violations += check_request_limits(site, requests, record)
         violations += check_notices(site, requests, record)
         violations += check_crashing_parts(site, requests, record)
+        violations += check_partitions(requests, record)
     return violations
 
 
@@ -259,6 +262,26 @@
     )
 
 
+def check_partitions(requests: list[SentRequest], record: "FaultRecord") -> list[str]:
+    """Check that daemons which are cut off from all workers serve their callers.
+
+    Requests at daemons that were restarted or suspended, and those with a revoked
+    credential, are left out.
+    """
+    attempts = [
+        FirstAttempt(sent_at=sent.time, daemon=sent.daemon, served=sent.status == 200)
+        for sent in requests
+        if sent.account != "guest"
+        and not any(
+            began - CONTACT_SECONDS <= sent.time <= ended + CONTACT_SECONDS
+            for began, ended in record.stopped.get(sent.daemon, ())
+        )
+    ]
+    return find_partition_violations(
+        attempts, record.cuts, notice_seconds=CONTACT_SECONDS
+    )
+
+
 def _life_of(record: "FaultRecord", daemon: str, time: float) -> str:
     """Return the name of a daemon's process at a time."""
     began = record.lives_began.get(daemon, [])
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -9,6 +9,7 @@
 import time
 
 from bench.fleet_site import FleetSite
+from bench.partition_checks import Cut
 from bench.processes import wait_for
 from standins.fleet_worker import Fault
 
@@ -30,7 +31,8 @@
     ``revoked_at`` is when the guest's credential was revoked, or 0. ``stopped`` holds,
     for each daemon, the periods in which it was restarted or suspended, and
     ``lives_began`` the times at which its process was started again.
-    ``crashing_parts`` are the parts of prompts on which workers crash.
+    ``crashing_parts`` are the parts of prompts on which workers crash, and ``cuts`` the
+    periods in which daemons were cut off from all workers.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self.stopped: dict[str, list[tuple[float, float]]] = {}
         self.lives_began: dict[str, list[float]] = {}
         self.crashing_parts: set[str] = set()
+        self.cuts: list[Cut] = []
 
 
 class FaultInjector:
@@ -50,6 +53,7 @@
         self.site = site
         self.record = record
         self.limited: set[str] = set()
+        self.partitioned = False
 
     async def worker_answers(self, worker: str, faults: list[Fault]) -> None:
         """Make a worker answer its next requests with the given faults."""
@@ -68,6 +72,29 @@
             await asyncio.sleep(seconds)
             relay.is_cut = False
 
+    async def partition(
+        self, daemons: list[str], seconds: float, *, resets: bool
+    ) -> None:
+        """Cut daemons off from all workers; further calls do nothing meanwhile.
+
+        New connections are refused. Open ones are reset, or live on.
+        """
+        if self.partitioned:
+            return
+        self.partitioned = True
+        began = time.monotonic()
+        links = [link for name in daemons for link in self.site.own_links_of(name)]
+        for link in links:
+            self.site.refuse_connections(link)
+            if resets:
+                self.site.relays[link].cut()
+        await asyncio.sleep(seconds)
+        for link in links:
+            await self.site.accept_connections(link)
+        cut = Cut(began=began, ended=time.monotonic(), daemons=tuple(daemons))
+        self.record.cuts.append(cut)
+        self.partitioned = False
+
     async def pause(self, daemon: str, seconds: float) -> None:
         """Suspend a daemon's process for a time."""
         began = time.monotonic()
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -35,7 +35,10 @@
 
 
 class FleetSite:
-    """The store, the workers and the daemons of one run."""
+    """The store, the workers and the daemons of one run.
+
+    With ``own_links`` each daemon reaches each worker by a relay of its own.
+    """
 
     def __init__(
         self,
@@ -43,13 +46,16 @@
         folder: Path,
         daemons: int = 3,
         variables: dict[str, str] | None = None,
+        own_links: bool = False,
     ):
         self.folder = folder
         self.variables = variables or {}
+        self.own_links = own_links
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
         self.relays: dict[str, Relay] = {}
+        self.relay_ports: dict[str, int] = {}
         self.relay_servers: dict[str, asyncio.Server] = {}
         self.restart_tasks: set[asyncio.Task] = set()
         self.daemon_names = [f"daemon-{number}" for number in range(1, daemons + 1)]
@@ -73,6 +79,8 @@
             await self._start_worker(name, service)
         self.publish_configuration()
         for name in self.daemon_names:
+            if self.own_links:
+                address = await self._start_own_links(name)
             port = await self._start_relay(
                 f"store-{name}", int(address.rpartition(":")[2])
             )
@@ -133,9 +141,31 @@
         """Return the records of all requests that workers ran."""
         return [run for worker in self.workers for run in worker.runs]
 
+    async def _start_own_links(self, daemon: str) -> str:
+        """Return the address of the store for a daemon with links of its own."""
+        addresses = {}
+        for worker in self.workers:
+            port = int(worker.address.rpartition(":")[2])
+            port = await self._start_relay(f"{worker.name}/{daemon}", port)
+            addresses[worker.name] = f"127.0.0.1:{port}"
+        return await self.store.start(worker_addresses=addresses)
+
+    def own_links_of(self, daemon: str) -> list[str]:
+        """Return the names of a daemon's links to the workers."""
+        return [name for name in self.relays if name.endswith(f"/{daemon}")]
+
+    def refuse_connections(self, link: str) -> None:
+        """Refuse new connections on a link; open ones live on."""
+        self.relay_servers[link].close()
+
+    async def accept_connections(self, link: str) -> None:
+        """Accept connections on a link again, which may have been cut."""
+        self.relays[link].is_cut = False
+        await self._listen(link, self.relay_ports[link])
+
     def crash_worker(self, name: str) -> None:
         """End a worker's connections and refuse new ones until it starts again."""
-        self.relay_servers[name].close()
+        self.refuse_connections(name)
         self.relays[name].cut()
         task = asyncio.ensure_future(self._restart_worker(name))
         self.restart_tasks.add(task)
@@ -144,8 +174,7 @@
     async def _restart_worker(self, name: str) -> None:
         await asyncio.sleep(WORKER_RESTART_SECONDS)
         worker = next(worker for worker in self.workers if worker.name == name)
-        self.relays[name].is_cut = False
-        await self._listen(name, int(worker.advertised.rpartition(":")[2]))
+        await self.accept_connections(name)
         worker.restart()
 
     async def _start_worker(self, name: str, service: str) -> None:
@@ -160,6 +189,7 @@
     async def _start_relay(self, name: str, to_port: int) -> int:
         port = free_port()
         self.relays[name] = Relay(host="127.0.0.1", port=to_port)
+        self.relay_ports[name] = port
         await self._listen(name, port)
         return port
 
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -47,6 +47,9 @@
 # A part of all prompts, and the time from one request with a crashing part to the next.
 COMMON_PART = "style"
 CRASHING_GAP_SECONDS = 0.3
+# A partition, as shares of the run.
+PARTITION_BEGINS = 0.1
+PARTITION_SHARE = 0.7
 
 
 class Soak:
@@ -55,7 +58,8 @@
     With ``drills`` the store also returns from older copies, and with ``limits``
     workers name limits on their requests. With ``notices`` they ask for pauses, and say
     in answers that they leave. With ``crashes`` they crash on some parts of prompts.
-    Without them the draw of a seed is the same as before there were any.
+    With ``partitions`` some daemons are cut off from all workers for a time. Without
+    them the draw of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -68,14 +72,16 @@
         limits: bool = False,
         notices: bool = False,
         crashes: bool = False,
+        partitions: bool = False,
     ):
         self.drills = drills
         self.limits = limits
         self.notices = notices
         self.crashes = crashes
+        self.partitions = partitions
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.site = FleetSite(folder=folder)
+        self.site = FleetSite(folder=folder, own_links=partitions)
         self.sent: list[SentRequest] = []
         self.record = FaultRecord()
         self.faults = FaultInjector(site=self.site, record=self.record)
@@ -99,6 +105,8 @@
                 for number in range(CLIENTS):
                     tasks.create_task(self._client(number))
                 tasks.create_task(self._inject_faults())
+                if self.partitions:
+                    tasks.create_task(self._partition())
                 if self.crashes:
                     tasks.create_task(self._send_crashing("bad-1", 0.1))
                     tasks.create_task(self._send_crashing("bad-2", 0.4))
@@ -122,6 +130,15 @@
                 )
                 await asyncio.sleep(MAXIMUM_PAUSE_SECONDS * rng.random())
 
+    async def _partition(self) -> None:
+        """Cut one or two daemons off from the workers, in the middle of the run."""
+        rng = random.Random(self.random.random())
+        await asyncio.sleep(PARTITION_BEGINS * self.seconds)
+        daemons = rng.sample(self.site.daemon_names, rng.choice((1, 2)))
+        await self.faults.partition(
+            daemons, PARTITION_SHARE * self.seconds, resets=rng.random() < 0.5
+        )
+
     async def _send_crashing(self, part: str, delay_share: float) -> None:
         """Send requests with a part that crashes workers, in a part of the run."""
         self.record.crashing_parts.add(part)
@@ -234,6 +251,7 @@
         "limits": FLAGS.limits,
         "notices": FLAGS.notices,
         "crashes": FLAGS.crashes,
+        "partitions": FLAGS.partitions,
     }
     failed = [
         seed
@@ -251,5 +269,6 @@
     flags.DEFINE_bool("limits", False, "Whether workers name limits on requests.")
     flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
     flags.DEFINE_bool("crashes", False, "Whether workers crash on parts of prompts.")
+    flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -21,6 +21,7 @@
 
 PAGE_ITEMS = 500
 # Copies older than this can't be returned to.
+WORKER_PREFIX = "servers/"
 COPY_RETENTION_SECONDS = 30.0
 ERA_HEADER = "Store-Era"
 
@@ -66,20 +67,32 @@
         self.returned_keys: list[list[str]] = []
         self.changed = asyncio.Event()
         self.down = False
-        self.runner: web.ServerRunner | None = None
+        self.runners: list[web.ServerRunner] = []
 
-    async def start(self, *, port: int = 0) -> str:
-        """Listen on loopback and return ``IP:port``."""
-        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None))
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", port)
+    async def start(
+        self, *, port: int = 0, worker_addresses: dict[str, str] | None = None
+    ) -> str:
+        """Listen on loopback and return ``IP:port``.
+
+        Callers at this address see the workers that ``worker_addresses`` names at other
+        addresses than the workers have registered.
+        """
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            return await self.handle(request, worker_addresses or {})
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None))
+        self.runners.append(runner)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", port)
         await site.start()
-        bound_port = self.runner.addresses[0][1]
+        bound_port = runner.addresses[0][1]
         return f"127.0.0.1:{bound_port}"
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self.runner.cleanup()
+        for runner in self.runners:
+            await runner.cleanup()
 
     def put(self, key: str, document: dict) -> int:
         """Write a document of the operator or a worker and return its revision."""
@@ -149,7 +162,9 @@
         for key in [key for key, item in self.items.items() if item.lease]:
             self.remove(key)
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(
+        self, request: web.BaseRequest, worker_addresses: dict[str, str]
+    ) -> web.Response:
         """Handle one call, subject to the next fault in the queue."""
         name, _, argument = request.path.removeprefix("/-/").partition("/")
         self.calls[name] += 1
@@ -160,6 +175,9 @@
         content = await request.read()
         body = orjson.loads(content) if content else {}
         status, answer = await self._answer(name, argument, request.query, body)
+        if worker_addresses:
+            for entry in answer.get("Entries", ()):
+                _replace_address(entry, worker_addresses)
         headers = {ERA_HEADER: str(self.era)}
         if fault == "lost_reply":
             request.transport.close()
@@ -257,3 +275,12 @@
     def _record(self, event: dict) -> None:
         self.history.append(event)
         self.changed.set()
+
+
+def _replace_address(entry: dict, addresses: dict[str, str]) -> None:
+    """Replace the address in a worker's entry, if another one is given."""
+    address = addresses.get(entry["Key"].removeprefix(WORKER_PREFIX))
+    if address is not None:
+        document = orjson.loads(base64.b64decode(entry["Value"]))
+        content = orjson.dumps({**document, "Address": address})
+        entry["Value"] = base64.b64encode(content).decode()
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -9,11 +9,13 @@
     SentRequest,
     check_crashing_parts,
     check_notices,
+    check_partitions,
     check_request_limits,
     find_violations,
 )
 from bench.fleet_soak import Soak
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
+from bench.partition_checks import Cut
 from standins.fleet_worker import expected_body
 
 
@@ -56,6 +58,29 @@
     assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
 
 
+def test_daemons_that_are_cut_off_from_workers_serve_callers(tmp_path):
+    """Guards against daemons that refuse what their peers could send to workers."""
+    soak = Soak(seed=17, seconds=12.0, folder=tmp_path, partitions=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert soak.record.cuts
+    assert check_partitions(soak.sent, soak.record) == []
+
+
+def test_check_detects_daemons_that_serve_far_less_than_others(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    worker = soak.site.add_unstarted_worker()
+    soak.record.cuts.append(Cut(began=100.0, ended=120.0, daemons=("daemon-1",)))
+    for number in range(40):
+        status = 503 if number % 2 else 200
+        add_request(soak, worker, f"a{number}", route="fetch", runs=1, status=status)
+        soak.sent[-1].time = 104.0 + number / 4
+        soak.sent[-1].daemon = f"daemon-{1 + (number + 1) % 2}"
+    (violation,) = check_partitions(soak.sent, soak.record)
+    assert "0 of 20 first attempts were served, 20 of 20 elsewhere" in violation
+    soak.record.stopped["daemon-1"] = [(104.0, 112.0)]
+    assert check_partitions(soak.sent, soak.record) == []
+
+
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     soak.record.crashing_parts.add("bad")
