Ask another peer for an endpoint that one peer can't reach

Cause: the answer of one peer, which was cut off as well, excluded the endpoint through all peers. That peer did not say that it reached no endpoint, since it counted one that leaves as reached.

What a peer can't reach is now kept for that peer and endpoint, and the same request goes through another one; three peers that can't reach an endpoint exclude it. Endpoints that take no requests don't count as reached. The new tests fail without the change; the one that expected one peer's answer to exclude an endpoint now expects that of all peers that were asked.

--- a/linnetladder/forwarding/coordination/crash_confirmation.py
+++ b/linnetladder/forwarding/coordination/crash_confirmation.py
@@ -39,7 +39,7 @@
         return await asyncio.shield(answer)
 
     async def _ask(self, endpoint: Endpoint) -> bool:
-        peer = self.paths.choose(endpoint.name)
+        peer = self.paths.choose(endpoint.name, endpoint)
         if peer is None:
             return True
         outcome = await self.calls.probe_through(peer.tcp_address, endpoint.name)
--- a/linnetladder/forwarding/coordination/peer_paths.py
+++ b/linnetladder/forwarding/coordination/peer_paths.py
@@ -19,33 +19,50 @@
 PEER_EXPIRY_SECONDS = 2.0
 # An endpoint that a peer couldn't reach either.
 ENDPOINT_EXPIRY_SECONDS = 1.0
+# An endpoint that so many peers couldn't reach is taken for down. Some of them may be
+# cut off like this daemon.
+PEERS_PER_ENDPOINT = 3
 # The use of peers is logged again after a pause of this length.
 LOG_INTERVAL_SECONDS = 10.0
 
 
 class PeerPaths:
-    """Chooses peers, and remembers which of them and which endpoints failed lately."""
+    """Chooses peers, and remembers what failed lately.
+
+    ``failed_peers`` holds the peers that passed nothing on, and ``failed_endpoints``
+    for each endpoint the peers that couldn't reach it, with the times.
+    """
 
     def __init__(self, *, peers: PeerGossip, clock: Clock, metrics: Metrics):
         self.peers = peers
         self.clock = clock
         self.metrics = metrics
         self.failed_peers: dict[str, float] = {}
-        self.failed_endpoints: dict[tuple[str, str], float] = {}
+        self.failed_endpoints: dict[tuple[str, str], dict[str, float]] = {}
         self.used_at = -math.inf
 
     def may_reach(self, endpoint: Endpoint) -> bool:
         """Return whether a peer may reach an endpoint that this daemon can't."""
-        key = (endpoint.name, endpoint.incarnation)
-        failed_at = self.failed_endpoints.get(key, -math.inf)
-        if self.clock.monotonic() - failed_at < ENDPOINT_EXPIRY_SECONDS:
+        failed = self._peers_without(endpoint)
+        if len(failed) >= PEERS_PER_ENDPOINT:
             return False
-        return any(self._is_usable(peer) for peer in self.peers.peers)
+        return any(
+            self._is_usable(peer) and peer.instance not in failed
+            for peer in self.peers.peers
+        )
 
-    def choose(self, key: str) -> DaemonAddress | None:
-        """Return a peer, another one for each request by its key, or ``None``."""
+    def choose(self, key: str, endpoint: Endpoint) -> DaemonAddress | None:
+        """Return a peer that may reach an endpoint, or ``None``.
+
+        Requests with different keys go through different peers.
+        """
+        failed = self._peers_without(endpoint)
         return max(
-            filter(self._is_usable, self.peers.peers),
+            (
+                peer
+                for peer in self.peers.peers
+                if self._is_usable(peer) and peer.instance not in failed
+            ),
             key=lambda peer: xxhash.xxh32_intdigest(f"{key}\0{peer.instance}".encode()),
             default=None,
         )
@@ -67,11 +84,19 @@
         self._forget_expired()
         self.failed_peers[peer.instance] = self.clock.monotonic()
 
-    def endpoint_failed(self, endpoint: Endpoint) -> None:
+    def endpoint_failed(self, peer: DaemonAddress, endpoint: Endpoint) -> None:
         """Record that a peer could not reach an endpoint."""
         self._forget_expired()
         key = (endpoint.name, endpoint.incarnation)
-        self.failed_endpoints[key] = self.clock.monotonic()
+        failures = self.failed_endpoints.setdefault(key, {})
+        failures[peer.instance] = self.clock.monotonic()
+
+    def _peers_without(self, endpoint: Endpoint) -> set[str]:
+        """Return the peers that lately couldn't reach an endpoint."""
+        key = (endpoint.name, endpoint.incarnation)
+        since = self.clock.monotonic() - ENDPOINT_EXPIRY_SECONDS
+        failures = self.failed_endpoints.get(key, {})
+        return {peer for peer, failed_at in failures.items() if failed_at > since}
 
     def _is_usable(self, peer: DaemonAddress) -> bool:
         failed_at = self.failed_peers.get(peer.instance, -math.inf)
@@ -82,10 +107,9 @@
 
     def _forget_expired(self) -> None:
         now = self.clock.monotonic()
-        for failures, expiry in (
-            (self.failed_peers, PEER_EXPIRY_SECONDS),
-            (self.failed_endpoints, ENDPOINT_EXPIRY_SECONDS),
-        ):
-            for key, failed_at in list(failures.items()):
-                if now - failed_at >= expiry:
-                    del failures[key]
+        for instance, failed_at in list(self.failed_peers.items()):
+            if now - failed_at >= PEER_EXPIRY_SECONDS:
+                del self.failed_peers[instance]
+        for key, failures in list(self.failed_endpoints.items()):
+            if now - max(failures.values()) >= ENDPOINT_EXPIRY_SECONDS:
+                del self.failed_endpoints[key]
--- a/linnetladder/forwarding/coordination/relaying.py
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -79,14 +79,21 @@
         if endpoint is None:
             raise self._refused(call, CallFaultKind.WITHDRAWN, "is not known here")
         if self.availability.is_unreachable(endpoint):
-            pool = self.directory.pool(endpoint.service)
-            if all(map(self.availability.is_unreachable, pool.endpoints)):
+            if not self._reaches_service(endpoint.service):
                 raise CutOffError
             raise self._refused(call, CallFaultKind.CONNECT, "is unreachable")
         if self.availability.is_excluded(endpoint):
             raise self._refused(call, CallFaultKind.WITHDRAWN, "takes no requests")
         return endpoint
 
+    def _reaches_service(self, service: str) -> bool:
+        """Return whether this daemon reaches an endpoint that takes requests."""
+        return any(
+            not self.availability.is_unreachable(endpoint)
+            for endpoint in self.directory.pool(service).endpoints
+            if not self.availability.is_excluded(endpoint)
+        )
+
     def _refused(
         self, call: RelayedCall, kind: CallFaultKind, reason: str
     ) -> CallFault:
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -631,7 +631,7 @@
         """Return the peer to send through, ``None`` to send directly."""
         if not self.availability.is_reached_by_peers(endpoint):
             return None
-        peer = self.paths.choose(request.head.attempt_id)
+        peer = self.paths.choose(request.head.attempt_id, endpoint)
         self.paths.note_used(peer, endpoint)
         request.history.append(f"via {peer.instance}")
         return peer
@@ -648,9 +648,10 @@
             return
         if fault.peer_failed:
             self.paths.peer_failed(peer)
-            request.endpoints_tried.remove(endpoint.name)
         else:
-            self.paths.endpoint_failed(endpoint)
+            self.paths.endpoint_failed(peer, endpoint)
+        if fault.peer_failed or self.availability.is_reached_by_peers(endpoint):
+            request.endpoints_tried.remove(endpoint.name)
 
     def _eject_unreachable(
         self, endpoint: Endpoint, peer: DaemonAddress | None = None
