--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -19,6 +19,7 @@
 SILENCE_SECONDS = 4.0
 LOST_REPLY_COUNT = 4
 REWRITE_SECONDS = 1.5
+STORE_LINK_PREFIX = "store-"
 # Keys of the operator and of the workers, who write them again after a drill.
 REWRITTEN_PREFIXES = ("op/", "servers/")
 
@@ -32,7 +33,9 @@
     for each daemon, the periods in which it was restarted or suspended, and
     ``lives_began`` the times at which its process was started again.
     ``crashing_parts`` are the parts of prompts on which workers crash, and ``cuts`` the
-    periods in which daemons were cut off from all workers.
+    periods in which daemons were cut off from all workers. ``store_faults`` holds, by
+    daemon, the periods in which the store or its link to it was disturbed, those of all
+    daemons under an empty name.
     """
 
     def __init__(self):
@@ -44,6 +47,7 @@
         self.lives_began: dict[str, list[float]] = {}
         self.crashing_parts: set[str] = set()
         self.cuts: list[Cut] = []
+        self.store_faults: dict[str, list[tuple[float, float]]] = {}
 
 
 class FaultInjector:
@@ -61,13 +65,13 @@
 
     async def silence(self, link: str) -> None:
         """Stop forwarding on the open connections of a link; new ones work."""
-        with Disturbance(self.record, SILENCE_SECONDS):
+        with self._link_disturbance(link, SILENCE_SECONDS):
             self.site.relays[link].silence()
 
     async def cut(self, link: str, seconds: float) -> None:
         """Drop a link's connections and refuse new ones for a time."""
         relay = self.site.relays[link]
-        with Disturbance(self.record, seconds):
+        with self._link_disturbance(link, seconds):
             relay.cut()
             await asyncio.sleep(seconds)
             relay.is_cut = False
@@ -119,7 +123,7 @@
 
     async def store_outage(self, seconds: float) -> None:
         """Make the store unavailable for a time."""
-        with Disturbance(self.record, seconds):
+        with Disturbance(self.record, seconds, store_of=""):
             self.site.store.down = True
             await asyncio.sleep(seconds)
             self.site.store.down = False
@@ -132,7 +136,7 @@
         latest version.
         """
         store = self.site.store
-        with Disturbance(self.record, seconds + REWRITE_SECONDS):
+        with Disturbance(self.record, seconds + REWRITE_SECONDS, store_of=""):
             store.down = True
             await asyncio.sleep(seconds)
             lost = store.rewind(seconds + copy_seconds)
@@ -148,7 +152,7 @@
 
     async def lost_replies(self) -> None:
         """Drop the replies to the store's next calls, which still take effect."""
-        with Disturbance(self.record, 1.0):
+        with Disturbance(self.record, 1.0, store_of=""):
             self.site.store.faults.extend(["lost_reply"] * LOST_REPLY_COUNT)
 
     async def revoke(self) -> None:
@@ -205,6 +209,11 @@
             self.record.drained_at[worker] = time.monotonic()
             self._worker(worker).drain()
 
+    def _link_disturbance(self, link: str, seconds: float) -> "Disturbance":
+        is_store = link.startswith(STORE_LINK_PREFIX)
+        store_of = link.removeprefix(STORE_LINK_PREFIX) if is_store else None
+        return Disturbance(self.record, seconds, store_of=store_of)
+
     def _worker(self, name: str):
         return next(worker for worker in self.site.workers if worker.name == name)
 
@@ -227,17 +236,27 @@
     """Records the period of an unplanned fault.
 
     The expected period is recorded on entry, so that effects that outlast the block are
-    covered; the actual period is recorded on exit.
+    covered; the actual period is recorded on exit. ``store_of`` names the daemon whose
+    link to the store is disturbed, or is empty if the store itself is.
     """
 
-    def __init__(self, record: FaultRecord, seconds: float):
+    def __init__(
+        self, record: FaultRecord, seconds: float, *, store_of: str | None = None
+    ):
         self.record = record
         self.seconds = seconds
+        self.store_of = store_of
         self.began = 0.0
 
     def __enter__(self) -> None:
         self.began = time.monotonic()
-        self.record.disturbances.append((self.began, self.began + self.seconds))
+        self._add(self.began + self.seconds)
 
     def __exit__(self, *exception: object) -> None:
-        self.record.disturbances.append((self.began, time.monotonic()))
+        self._add(time.monotonic())
+
+    def _add(self, ended: float) -> None:
+        self.record.disturbances.append((self.began, ended))
+        if self.store_of is not None:
+            periods = self.record.store_faults.setdefault(self.store_of, [])
+            periods.append((self.began, ended))
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -77,6 +77,11 @@
         soak.sent[-1].daemon = f"daemon-{1 + (number + 1) % 2}"
     (violation,) = check_partitions(soak.sent, soak.record)
     assert "0 of 20 first attempts were served, 20 of 20 elsewhere" in violation
+    soak.record.store_faults["daemon-2"] = [(90.0, 100.0)]
+    assert len(check_partitions(soak.sent, soak.record)) == 1
+    soak.record.store_faults[""] = [(104.0, 112.0)]
+    assert check_partitions(soak.sent, soak.record) == []
+    soak.record.store_faults.clear()
     soak.record.stopped["daemon-1"] = [(104.0, 112.0)]
     assert check_partitions(soak.sent, soak.record) == []
 
