--- a/linnetladder/forwarding/coordination/brittleness.py
+++ b/linnetladder/forwarding/coordination/brittleness.py
@@ -47,7 +47,7 @@
 
 
 class Brittleness:
-    """Keeps what endpoints say of their brittleness, and the pauses that follow."""
+    """Keeps what endpoints say of their brittleness, and whether they have room."""
 
     def __init__(
         self,
--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -333,7 +333,7 @@
     >>> from linnetladder.forwarding.state import PromptPart
     >>> parts = (PromptPart("5c1e", 800), PromptPart("e440", 250))
     >>> part_suspects(Prompt(input_tokens=1050, output_tokens=9, parts=parts))
-    ('p0-8a3a4eb5bfd35b1a',)
+    ('p0-a05022eb6353db22',)
     """
     if prompt is None:
         return ()
