Ask a peer again at once that has started again

A failure now counts only for the incarnation of the peer that was known when it happened. A test shows it: the peer is asked again after its first report of a new process, and not after another report of the same one.

--- a/linnetladder/forwarding/coordination/peer_paths.py
+++ b/linnetladder/forwarding/coordination/peer_paths.py
@@ -4,6 +4,7 @@
 still decides everything about its requests; a peer only passes a call on.
 """
 
+import dataclasses
 import math
 
 import xxhash
@@ -26,6 +27,14 @@
 LOG_INTERVAL_SECONDS = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """A peer that passed nothing on, with its incarnation if that was known."""
+
+    failed_at: float
+    incarnation: str | None
+
+
 class PeerPaths:
     """Chooses peers, and remembers what failed lately.
 
@@ -37,7 +46,7 @@
         self.peers = peers
         self.clock = clock
         self.metrics = metrics
-        self.failed_peers: dict[str, float] = {}
+        self.failed_peers: dict[str, PeerFailure] = {}
         self.failed_endpoints: dict[tuple[str, str], dict[str, float]] = {}
         self.used_at = -math.inf
 
@@ -82,7 +91,9 @@
     def peer_failed(self, peer: DaemonAddress) -> None:
         """Record that a peer did not pass a call on."""
         self._forget_expired()
-        self.failed_peers[peer.instance] = self.clock.monotonic()
+        self.failed_peers[peer.instance] = PeerFailure(
+            self.clock.monotonic(), self._incarnation_of(peer)
+        )
 
     def endpoint_failed(self, peer: DaemonAddress, endpoint: Endpoint) -> None:
         """Record that a peer could not reach an endpoint."""
@@ -99,16 +110,26 @@
         return {peer for peer, failed_at in failures.items() if failed_at > since}
 
     def _is_usable(self, peer: DaemonAddress) -> bool:
-        failed_at = self.failed_peers.get(peer.instance, -math.inf)
-        if self.clock.monotonic() - failed_at < PEER_EXPIRY_SECONDS:
+        failure = self.failed_peers.get(peer.instance)
+        if failure is not None and self._still_counts(failure, peer):
             return False
         status = self.peers.peer_status.get(peer.instance)
         return status is None or not status.draining
 
+    def _still_counts(self, failure: PeerFailure, peer: DaemonAddress) -> bool:
+        """Return whether a failure is recent and the peer has not started again."""
+        if self.clock.monotonic() - failure.failed_at >= PEER_EXPIRY_SECONDS:
+            return False
+        return self._incarnation_of(peer) == failure.incarnation
+
+    def _incarnation_of(self, peer: DaemonAddress) -> str | None:
+        status = self.peers.peer_status.get(peer.instance)
+        return status.incarnation if status is not None else None
+
     def _forget_expired(self) -> None:
         now = self.clock.monotonic()
-        for instance, failed_at in list(self.failed_peers.items()):
-            if now - failed_at >= PEER_EXPIRY_SECONDS:
+        for instance, failure in list(self.failed_peers.items()):
+            if now - failure.failed_at >= PEER_EXPIRY_SECONDS:
                 del self.failed_peers[instance]
         for key, failures in list(self.failed_endpoints.items()):
             if now - max(failures.values()) >= ENDPOINT_EXPIRY_SECONDS:
--- a/tests/forwarding/test_cut_off_daemons.py
+++ b/tests/forwarding/test_cut_off_daemons.py
@@ -74,6 +74,21 @@
     assert daemon.calls.calls[2].relay == second.relay
 
 
+# Guards against a peer that is left out as failed after it has started again.
+def test_a_peer_that_has_started_again_is_asked_at_once():
+    daemon = cut_off_daemon(peers=1)
+    daemon.peers.peer_status["peer-0"] = PeerStatus("first", 1, 0.0, draining=False)
+    daemon.answer(head("/save/1"), Script(fault=PEER_FAILED))
+    assert daemon.calls.calls[0].relay == "peer-0:1"
+    # Another report of the same process does not show that it passes calls on.
+    daemon.peers.peer_status["peer-0"] = PeerStatus("first", 2, 0.0, draining=False)
+    daemon.answer(head("/save/2", attempt_id="a2"))
+    assert daemon.calls.calls[-1].relay == ""
+    daemon.peers.peer_status["peer-0"] = PeerStatus("second", 1, 0.0, draining=False)
+    daemon.answer(head("/save/3", attempt_id="a3"))
+    assert daemon.calls.calls[-1].relay == "peer-0:1"
+
+
 # Guards against an endpoint that is given up since one peer is cut off from it, too.
 def test_an_endpoint_that_one_peer_can_not_reach_is_reached_through_another():
     daemon = cut_off_daemon()
