Let one daemon of a group read the store for the others

In failure domains of twenty and more daemons each daemon read the store itself every 1.1 to 1.75 s, and all of them after each change: reports between so many peers come too seldom to confirm a read in time.

Groups of up to ten daemons now have a reader. Members ask it at the same times and get the content of a read that began after they asked, so freshness is that of a read of their own. Without an answer within 0.3 s a member reads itself. Failure domains of fewer than eight daemons work as before.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -78,7 +78,12 @@
         clock=clock,
         metrics=metrics,
     )
-    peer_socket = PeerSocket(gossip=core.peers, metrics=metrics, settings=peer_settings)
+    peer_socket = PeerSocket(
+        gossip=core.peers,
+        metrics=metrics,
+        settings=peer_settings,
+        shared_reads=core.shared_reads,
+    )
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
     relay_server = RelayServer(control=core.relay_control, peer_socket=peer_socket)
 
--- /dev/null
+++ b/linnetladder/forwarding/coordination/shared_reads.py
@@ -0,0 +1,188 @@
+"""Reads of the store that a daemon makes for the others of its group.
+
+A member asks its reader and gets the content of a read that began after the request
+arrived, so the content is as fresh as that of a read of its own. The reader collects
+requests for a short time and answers them all from one read. A member whose reader
+fails or does not answer in time reads the store itself.
+"""
+
+import asyncio
+import dataclasses
+import secrets
+import zlib
+from collections.abc import Callable
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from linnetladder.coordination.background import BackgroundTasks
+from linnetladder.coordination.platform import PlatformFault
+from linnetladder.forwarding.coordination.read_groups import ReadGroups
+from linnetladder.forwarding.coordination.sources import (
+    DaemonAddress,
+    OperatorSource,
+    StoreSnapshot,
+)
+from linnetladder.forwarding.protocol.read_messages import ReadAnswer, ReadRequest
+from linnetladder.telemetry import Metrics, log_change
+
+__all__ = ["SharedReads"]
+
+# Time for which a reader collects requests, and within which a member gets an answer
+# from a reader that works; a read of the store takes some milliseconds.
+COLLECT_SECONDS = 0.06
+ANSWER_TIMEOUT_SECONDS = 0.3
+COMPRESSION_LEVEL = 1
+# Bounds what a small answer can expand to.
+MAXIMUM_CONTENT_BYTES = 8 * 1024 * 1024
+NONCE_BITS = 63
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeldContent:
+    """The content of the last read, of this daemon or of its reader."""
+
+    digest: int
+    snapshot: StoreSnapshot
+
+
+class SharedReads:
+    """Reads the store through the reader of this daemon's group, and as such a reader.
+
+    ``send`` sends a message to a host and port; it returns false if it can't.
+    """
+
+    def __init__(
+        self,
+        *,
+        source: OperatorSource,
+        groups: ReadGroups,
+        own_address: tuple[str, int],
+        background: BackgroundTasks,
+        metrics: Metrics,
+    ):
+        self.source = source
+        self.groups = groups
+        self.own_address = own_address
+        self.background = background
+        self.metrics = metrics
+        self.send: Callable[[ReadRequest | ReadAnswer, str, int], bool] = _send_nothing
+        self.held: HeldContent | None = None
+        self.requests: list[ReadRequest] = []
+        self.answers: dict[int, asyncio.Future[ReadAnswer]] = {}
+        self.failing = False
+
+    async def read(self) -> Result[StoreSnapshot, PlatformFault]:
+        """Return content that was current at some time after this call began."""
+        reader = self.groups.reader()
+        if reader is not None:
+            snapshot = await self._ask(reader)
+            if snapshot is not None:
+                self.metrics.count("shared_reads", label="received")
+                return Success(snapshot)
+        return await self._read_store()
+
+    def receive(self, message: ReadRequest | ReadAnswer) -> None:
+        """Process a message of a peer."""
+        if isinstance(message, ReadAnswer):
+            answer = self.answers.get(message.nonce)
+            if answer is not None and not answer.done():
+                answer.set_result(message)
+            return
+        self.requests.append(message)
+        if len(self.requests) == 1:
+            self.background.start(self._serve())
+
+    async def _serve(self) -> None:
+        await asyncio.sleep(COLLECT_SECONDS)
+        if self.requests:
+            await self._read_store()
+
+    async def _read_store(self) -> Result[StoreSnapshot, PlatformFault]:
+        """Read the store and answer the requests that came before that."""
+        requests, self.requests = self.requests, []
+        read = await self.source.read()
+        if isinstance(read, Failure):
+            for request in requests:
+                self._answer(request, ReadAnswer(nonce=request.nonce, digest=0))
+            return read
+        snapshot = read.unwrap()
+        if not requests and not self.groups.active:
+            return read
+        content = self.source.encode_last_read()
+        digest = xxhash.xxh64_intdigest(content)
+        self.held = HeldContent(digest=digest, snapshot=snapshot)
+        compressed = None
+        for request in requests:
+            answer = ReadAnswer(nonce=request.nonce, digest=digest)
+            if request.known != digest:
+                if compressed is None:
+                    compressed = zlib.compress(content, COMPRESSION_LEVEL)
+                answer = dataclasses.replace(answer, content=compressed)
+            self._answer(request, answer)
+        return read
+
+    def _answer(self, request: ReadRequest, answer: ReadAnswer) -> None:
+        if not self.send(answer, request.host, request.port):
+            # Too large for a datagram: the member reads the store itself.
+            refusal = ReadAnswer(nonce=request.nonce, digest=0)
+            self.send(refusal, request.host, request.port)
+        self.metrics.count("shared_reads", label="answered")
+
+    async def _ask(self, reader: DaemonAddress) -> StoreSnapshot | None:
+        """Return what the reader read, ``None`` if it gave no usable answer."""
+        held = self.held
+        host, port = self.own_address
+        request = ReadRequest(
+            nonce=secrets.randbits(NONCE_BITS),
+            known=held.digest if held is not None else 0,
+            host=host,
+            port=port,
+        )
+        answered = asyncio.get_running_loop().create_future()
+        self.answers[request.nonce] = answered
+        try:
+            if not self.send(request, reader.host, reader.port):
+                return None
+            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+                answer = await answered
+        except TimeoutError:
+            self._note_failure(reader, "no answer")
+            return None
+        finally:
+            del self.answers[request.nonce]
+        if not answer.digest:
+            self._note_failure(reader, "could not read or send the content")
+            return None
+        self.failing = False
+        if answer.content is None:
+            return held.snapshot if held and held.digest == answer.digest else None
+        return self._accept(answer)
+
+    def _accept(self, answer: ReadAnswer) -> StoreSnapshot | None:
+        """Return the decoded content of an answer, ``None`` if it is not valid."""
+        try:
+            content = zlib.decompressobj().decompress(
+                answer.content, MAXIMUM_CONTENT_BYTES
+            )
+            if xxhash.xxh64_intdigest(content) != answer.digest:
+                return None
+            snapshot = self.source.decode_read(content)
+        except (zlib.error, ValueError) as error:
+            log_change("content of a reader is not valid", error=str(error)[:300])
+            return None
+        if snapshot is not None:
+            self.held = HeldContent(digest=answer.digest, snapshot=snapshot)
+        return snapshot
+
+    def _note_failure(self, reader: DaemonAddress, reason: str) -> None:
+        self.groups.note_failure(reader)
+        self.metrics.count("shared_reads", label="failed")
+        if not self.failing:
+            self.failing = True
+            log_change("reads the store itself", reader=reader.instance, reason=reason)
+
+
+def _send_nothing(message: ReadRequest | ReadAnswer, host: str, port: int) -> bool:
+    """Send nothing; the default until a socket is open."""
+    return False
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -73,6 +73,17 @@
         order of that roll-out.
         """
 
+    @abc.abstractmethod
+    def encode_last_read(self) -> bytes:
+        """Return the content of the last read, for `decode_read` of a peer."""
+
+    @abc.abstractmethod
+    def decode_read(self, content: bytes) -> StoreSnapshot | None:
+        """Return what a peer read, ``None`` if it is of an era that has ended.
+
+        Raise `ValueError` if the content is not valid.
+        """
+
     @abc.abstractmethod
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
         """Write a roll-out's record if the stored revision is the record's.
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -20,8 +20,13 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
+from linnetladder.forwarding.coordination.read_groups import ReadGroups
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
+from linnetladder.forwarding.coordination.shared_reads import (
+    COLLECT_SECONDS,
+    SharedReads,
+)
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
@@ -42,6 +47,9 @@
 # Fraction of the interval by which a read may come earlier, chosen at random, so that
 # daemons read at different times.
 READ_JITTER = 0.4
+# Part of the interval between the reads of a group that is left for one that fails and
+# is followed by a read of the member's own.
+GROUP_READ_SECONDS = 0.4
 # A failed read is retried after the first delay, which then doubles up to the maximum.
 # The maximum does no harm: a machine counts as disconnected for three seconds anyway.
 FIRST_RETRY_SECONDS = 0.2
@@ -71,6 +79,8 @@
         self,
         *,
         source: OperatorSource,
+        shared_reads: SharedReads,
+        read_groups: ReadGroups,
         era: StoreEra,
         in_force: TableInForce,
         directory: EndpointDirectory,
@@ -86,6 +96,8 @@
         seed: int,
     ):
         self.source = source
+        self.shared_reads = shared_reads
+        self.read_groups = read_groups
         self.era = era
         self.position = Position(era=0, revision=0)
         self.in_force = in_force
@@ -122,7 +134,7 @@
             self.read_requested.clear()
             if await self.read_once():
                 self.on_read()
-                await self._wait_until_age(self._read_age())
+                await self._wait_until_due()
                 self.failures = 0
             else:
                 await asyncio.sleep(self._retry_delay())
@@ -133,6 +145,21 @@
         if self.position.era < (self.era.current or 0):
             await asyncio.sleep(self.random.uniform(0, ERA_READ_JITTER_SECONDS))
 
+    async def _wait_until_due(self) -> None:
+        """Wait until the store is to be read again, or a read is requested.
+
+        The daemons of a group read at the same times, so that one read serves all.
+        """
+        if not self.read_groups.active or not self.directory.is_settled:
+            await self._wait_until_age(self._read_age())
+            return
+        period = self.read_interval() - GROUP_READ_SECONDS
+        seconds = self.read_groups.seconds_until_turn(period, self.clock.unix)
+        if self.read_groups.reader() is None:
+            # The requests of the others arrive first.
+            seconds += COLLECT_SECONDS
+        await _wait_for(self.read_requested, seconds)
+
     async def _wait_until_age(self, age: float) -> None:
         """Wait until the last read reaches an age in seconds, or a read is requested.
 
@@ -194,7 +221,7 @@
         """Read the store and observe the era of the content."""
         self.reading = True
         try:
-            read = await self.source.read()
+            read = await self.shared_reads.read()
             if isinstance(read, Success) and read.unwrap().era:
                 self.era.observe(read.unwrap().era)
             return read
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -34,11 +34,13 @@
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
+from linnetladder.forwarding.coordination.read_groups import ReadGroups
 from linnetladder.forwarding.coordination.relaying import RelayControl
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.shared_reads import SharedReads
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sizing import ConfidenceCascade
 from linnetladder.forwarding.coordination.sources import (
@@ -84,6 +86,7 @@
     bill_replicas: BillReplicas
     bill_flusher: BillFlusher
     snapshots: SharedSnapshots
+    shared_reads: SharedReads
     peers: PeerGossip
     in_force: TableInForce
     poller: StorePoller
@@ -177,8 +180,24 @@
         clock=clock,
     )
     in_force = TableInForce(settings=holder, clock=clock)
+    background = BackgroundTasks()
+    read_groups = ReadGroups(
+        instance=settings.instance,
+        failure_domain=settings.failure_domain,
+        peers=peers,
+        clock=clock,
+    )
+    shared_reads = SharedReads(
+        source=source,
+        groups=read_groups,
+        own_address=(settings.address, settings.peer_ports[0]),
+        background=background,
+        metrics=metrics,
+    )
     poller = StorePoller(
         source=source,
+        shared_reads=shared_reads,
+        read_groups=read_groups,
         era=ports.era,
         in_force=in_force,
         directory=directory,
@@ -212,7 +231,6 @@
         bill_replicas.restart,
         bill_flusher.on_era,
     ]
-    background = BackgroundTasks()
     selection = Selection(
         directory=directory,
         loads=loads,
@@ -272,6 +290,7 @@
         bill_replicas=bill_replicas,
         bill_flusher=bill_flusher,
         snapshots=snapshots,
+        shared_reads=shared_reads,
         peers=peers,
         in_force=in_force,
         poller=poller,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -27,7 +27,9 @@
     "DaemonReport",
     "decode_message",
     "encode_message",
+    "sign",
     "sign_again",
+    "verify",
 ]
 
 SIGNATURE_BYTES = 16
@@ -177,13 +179,13 @@
     if message.report is not None:
         array += _optional_fields(message.report)
     content = zlib.compress(orjson.dumps(array, option=orjson.OPT_NON_STR_KEYS))
-    return _sign(content, secret) + content
+    return sign(content, secret) + content
 
 
 def decode_message(datagram: bytes, *, secret: bytes) -> DaemonMessage | None:
     """Return the message, or ``None`` if its signature or format is invalid."""
     signature, content = datagram[:SIGNATURE_BYTES], datagram[SIGNATURE_BYTES:]
-    if not hmac.compare_digest(signature, _sign(content, secret)):
+    if not hmac.compare_digest(signature, sign(content, secret)):
         return None
     try:
         # The limit bounds the memory that a small datagram can expand to.
@@ -210,7 +212,7 @@
 def sign_again(datagram: bytes, *, secret: bytes) -> bytes:
     """Return a signed datagram with its signature replaced by that of a secret."""
     content = datagram[SIGNATURE_BYTES:]
-    return _sign(content, secret) + content
+    return sign(content, secret) + content
 
 
 def _copied_fields(copied: CopiedBills) -> dict:
@@ -360,5 +362,14 @@
     return tuple(unit / UNITS_PER_COUNT for unit in units) + (0.0,) * missing
 
 
-def _sign(content: bytes, secret: bytes) -> bytes:
+def sign(content: bytes, secret: bytes) -> bytes:
+    """Return the signature of a datagram's content, which precedes it."""
     return hashlib.blake2s(content, key=secret, digest_size=SIGNATURE_BYTES).digest()
+
+
+def verify(datagram: bytes, secrets: Sequence[bytes]) -> bool:
+    """Return whether a datagram is signed with one of some secrets."""
+    signature, content = datagram[:SIGNATURE_BYTES], datagram[SIGNATURE_BYTES:]
+    return any(
+        hmac.compare_digest(signature, sign(content, secret)) for secret in secrets
+    )
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -8,6 +8,7 @@
     MAXIMUM_REPORT_BYTES,
     PeerGossip,
 )
+from linnetladder.forwarding.coordination.shared_reads import SharedReads
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.daemon_variables import PeerSettings
 from linnetladder.forwarding.protocol.daemon_messages import (
@@ -18,6 +19,12 @@
     encode_message,
     sign_again,
 )
+from linnetladder.forwarding.protocol.read_messages import (
+    ReadAnswer,
+    ReadRequest,
+    decode_read_message,
+    encode_read_message,
+)
 from linnetladder.telemetry import Metrics, log_failure
 
 __all__ = ["PeerSocket"]
@@ -60,8 +67,12 @@
         gossip: PeerGossip,
         metrics: Metrics,
         settings: PeerSettings | None = None,
+        shared_reads: SharedReads | None = None,
     ):
         self.gossip = gossip
+        self.shared_reads = shared_reads
+        if shared_reads is not None:
+            shared_reads.send = self.send_read_message
         settings = settings or PeerSettings()
         self.budget = ByteBudget(bytes_per_second=settings.report_bytes_per_second)
         self.round_bytes = settings.report_bytes_per_second * SEND_INTERVAL_SECONDS
@@ -98,6 +109,10 @@
     def datagram_received(self, data: bytes, addr) -> None:
         """Verify and process a peer's message."""
         self.metrics.count("peer_bytes", len(data), label="received")
+        read_message = decode_read_message(data, secrets=self.accepted_secrets())
+        if read_message is not None and self.shared_reads is not None:
+            self.shared_reads.receive(read_message)
+            return
         gossip = self._decode(data)
         if gossip is None:
             self.metrics.count("rejected_peers", label="news")
@@ -241,6 +256,19 @@
         for holder in self.gossip.bill_holders():
             self._send_to(holder, datagram)
 
+    def send_read_message(
+        self, message: ReadRequest | ReadAnswer, host: str, port: int
+    ) -> bool:
+        """Send a message on a shared read; return false if that is not possible."""
+        if self.transport is None or not self.secret:
+            return False
+        datagram = encode_read_message(message, secret=self.secret)
+        if datagram is None:
+            return False
+        self.transport.sendto(datagram, (host, port))
+        self.metrics.count("peer_bytes", len(datagram), label="sent")
+        return True
+
     def _send_to(self, receiver: DaemonAddress, datagram: bytes) -> None:
         if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
             self.metrics.count("peer_messages", label="too_large")
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -1,5 +1,7 @@
 """Access to the operator's and the daemons' keys in the platform's store."""
 
+from collections.abc import Iterable
+
 import orjson
 import pydantic
 from returns.result import Failure, Result, Success
@@ -51,6 +53,8 @@
 
 _RECORD_ADAPTER = pydantic.TypeAdapter(RolloutRecord)
 _DAEMON_ADAPTER = pydantic.TypeAdapter(DaemonAddress)
+# The era, and rows of a key, its value and its revisions.
+_CONTENT_ADAPTER = pydantic.TypeAdapter(tuple[int, list[tuple[str, str, int, int]]])
 _CRASHING_PART_ADAPTER = pydantic.TypeAdapter(CrashingPart)
 
 
@@ -72,29 +76,57 @@
         self.unreadable_revisions: dict[str, int] = {}
         self.table_position = Position(era=0, revision=0)
         self.decoded: dict[str, tuple[Position, object]] = {}
+        self.records: tuple[Record, ...] = ()
 
     async def read(self) -> Result[StoreSnapshot, PlatformFault]:
         """Read all keys after ``LIST_AFTER_KEY``, in one call if they fit on a page."""
         listed = await self.store.list_prefix("", after=LIST_AFTER_KEY)
         if isinstance(listed, Failure):
             return listed
+        self.records = listed.unwrap()
+        return Success(self._snapshot(self.records))
+
+    def encode_last_read(self) -> bytes:
+        """Return the era and the records of the last read as JSON."""
+        rows = [
+            (r.key, r.value.decode("latin-1"), r.create_revision, r.modify_revision)
+            for r in self.records
+        ]
+        return orjson.dumps((self.store.era.current or 0, rows))
+
+    def decode_read(self, content: bytes) -> StoreSnapshot | None:
+        """Return what a peer read, unless a newer era is known."""
+        era, rows = _CONTENT_ADAPTER.validate_json(content)
+        if era and not self.store.era.observe(era):
+            return None
+        records = (
+            Record(
+                key=key,
+                value=value.encode("latin-1"),
+                create_revision=created,
+                modify_revision=modified,
+            )
+            for key, value, created, modified in rows
+        )
+        return self._snapshot(records)
+
+    def _snapshot(self, records: Iterable[Record]) -> StoreSnapshot:
+        """Decode the records of one read; values that did not change are reused."""
         values_by_prefix: dict[str, list] = {prefix: [] for prefix in _DECODERS}
         era = self.store.era.current or 0
         if self.table_position.era != era:
             self.table = None
         previously_decoded, self.decoded = self.decoded, {}
-        for record in listed.unwrap():
+        for record in records:
             self._decode(record, values_by_prefix, previously_decoded)
-        return Success(
-            StoreSnapshot(
-                table=self.table,
-                orders=tuple(values_by_prefix[ORDER_PREFIX]),
-                records=tuple(values_by_prefix[RECORD_PREFIX]),
-                endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
-                daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
-                crashing_parts=tuple(values_by_prefix[CRASHING_PART_PREFIX]),
-                era=era,
-            )
+        return StoreSnapshot(
+            table=self.table,
+            orders=tuple(values_by_prefix[ORDER_PREFIX]),
+            records=tuple(values_by_prefix[RECORD_PREFIX]),
+            endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
+            daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
+            crashing_parts=tuple(values_by_prefix[CRASHING_PART_PREFIX]),
+            era=era,
         )
 
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -26,6 +26,7 @@
     peer_gossip,
     poison,
     quarantine,
+    read_groups,
     report_news,
     request_limits,
     rollout_orders,
@@ -34,6 +35,7 @@
     rollouts,
     selection,
     sender,
+    shared_reads,
     store_polling,
 )
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
@@ -53,6 +55,7 @@
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.read_groups import ReadGroups
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
 from linnetladder.forwarding.coordination.rollout_records import RecordBook
@@ -299,6 +302,11 @@
     ("poison_records", CrashRecords, "update", always(None), CRASHING),
     ("peer_paths", EndpointAvailability, "is_reached_by_peers", always(False), CUT),
     ("peer_paths_first", Selection, "eligible", through_peers, CUT),
+    ("peer_restarts", PeerPaths, "_still_counts", always(True), CUT),
+    ("read_groups", ReadGroups, "reader", always(None), "shared_reads"),
+    ("read_failures", ReadGroups, "note_failure", always(None), "shared_reads"),
+    ("read_timeout", shared_reads, "ANSWER_TIMEOUT_SECONDS", 5.0, "shared_reads"),
+    ("read_group_size", read_groups, "GROUP_SIZE", 99, "shared_reads"),
     ("peer_failures", PeerPaths, "peer_failed", always(None), CUT),
     ("peer_endpoints", PeerPaths, "endpoint_failed", always(None), CUT),
     ("peer_draining", PeerPaths, "_is_usable", always(True), CUT),
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -16,6 +16,7 @@
 
 from linnetladder.coordination.platform import FaultKind
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
+from linnetladder.forwarding.coordination.shared_snapshots import content_digest
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.daemon_variables import (
@@ -702,3 +703,33 @@
         assert (await source.write_rollout(again)).unwrap()
 
     run_with_store(scenario)
+
+
+def test_content_that_a_peer_read_decodes_like_a_read_of_the_daemons_own():
+    """Guards against members of a group that act on other content than their reader."""
+
+    async def scenario(server, store, source):
+        await source.register_daemon(
+            DaemonAddress(
+                instance="d1",
+                incarnation="i",
+                failure_domain="a",
+                host="10.0.0.1",
+                port=7000,
+            ),
+            seconds=8,
+        )
+        server.put("op/config", CONFIGURATION)
+        server.put("servers/w1", WORKER)
+        server.put_bytes("servers/w2", b"\xff\x00 no entry")
+        read = (await source.read()).unwrap()
+        content = source.encode_last_read()
+        member = PlatformSource(store=store, metrics=Metrics())
+        assert content_digest(member.decode_read(content)) == content_digest(read)
+        assert [e.name for e in read.endpoints] == ["w1"]
+        store.era.observe((store.era.current or 0) + 1)
+        assert member.decode_read(content) is None
+        with pytest.raises(ValueError):
+            member.decode_read(b"[1,2]")
+
+    run_with_store(scenario)
--- a/tests/forwarding/test_shared_snapshots.py
+++ b/tests/forwarding/test_shared_snapshots.py
@@ -250,7 +250,7 @@
     def disconnect_one(fleet):
         disconnected = fleet.daemons["daemon-0"]
         if asyncio.get_event_loop().time() > 5.0:
-            disconnected.poller.source = DownSource()
+            disconnected.shared_reads.source = DownSource()
         assert disconnected.in_force.age() <= disconnected.poller.read_interval() + 0.6
 
     run_fleet(connected=True, watch=disconnect_one)
@@ -276,7 +276,7 @@
     def disconnect_one_and_change(fleet):
         now = asyncio.get_event_loop().time()
         if now > 5.0:
-            fleet.daemons["daemon-0"].poller.source = source
+            fleet.daemons["daemon-0"].shared_reads.source = source
             fleet.source.table = table(version=2 + int(now))
 
     run_fleet(connected=True, watch=disconnect_one_and_change, seconds=24.0)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -14,6 +14,7 @@
     ProbeOutcome,
     Reply,
 )
+from linnetladder.forwarding.coordination.shared_snapshots import content_digest
 from linnetladder.forwarding.coordination.sources import (
     OperatorSource,
     StoreSnapshot,
@@ -315,6 +316,8 @@
         self.lose_replies = 0
         self.writes = []
         self.copies = []
+        self.last_read = None
+        self.contents = {}
 
     def copy(self):
         """Record a copy of the blocks and daemons that `rewind` may return to."""
@@ -332,17 +335,24 @@
     async def read(self):
         if self.down:
             return self.fault()
-        return Success(
-            StoreSnapshot(
-                table=self.table,
-                orders=tuple(self.orders.values()),
-                records=tuple(self.records.values()),
-                endpoints=tuple(self.endpoints.values()),
-                daemons=tuple(self.daemons.values()),
-                crashing_parts=tuple(self.crashing_parts.values()),
-                era=self.era,
-            )
+        self.last_read = StoreSnapshot(
+            table=self.table,
+            orders=tuple(self.orders.values()),
+            records=tuple(self.records.values()),
+            endpoints=tuple(self.endpoints.values()),
+            daemons=tuple(self.daemons.values()),
+            crashing_parts=tuple(self.crashing_parts.values()),
+            era=self.era,
         )
+        return Success(self.last_read)
+
+    def encode_last_read(self):
+        content = str(content_digest(self.last_read)).encode()
+        self.contents[content] = self.last_read
+        return content
+
+    def decode_read(self, content):
+        return self.contents[content]
 
     async def write_rollout(self, record):
         if self.down:
@@ -411,6 +421,12 @@
     async def read(self):
         return self.observe(await self.source.read())
 
+    def encode_last_read(self):
+        return self.source.encode_last_read()
+
+    def decode_read(self, content):
+        return self.source.decode_read(content)
+
     async def write_rollout(self, record):
         return self.observe(await self.source.write_rollout(record))
 
