Count the tokens in engines' memory when endpoints are chosen

Callers with long prompts saw streams stop in the middle while other engines had room: an engine whose KV cache is full preempts running requests. Only slots were counted, so an engine of 64 slots looked free although 25 prompts had filled its memory.

A request now occupies the tokens of its prompt and of its expected output, over all daemons, where the service names a capacity. An endpoint without enough free tokens counts like one without a free slot and stays a last resort. Reports carry the tokens in flight as rows among the loads, in at most a tenth of a report's rows. Daemons of the version before read these rows as an endpoint that does not exist. Reports without tokens are encoded as before.

In the test, nine requests of a third of an engine's memory each, of one session, go to three engines three by three; without the change they go to two of them, five and four.

--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -33,7 +33,8 @@
     """One request in flight at an endpoint.
 
     ``backlog`` is the expected prefill time in seconds, 0 after the first token.
-    ``started`` is in seconds of the daemon's clock.
+    ``started`` is in seconds of the daemon's clock. ``cache_tokens`` is what the
+    request occupies in the endpoint's KV cache until it ends.
     """
 
     endpoint: str
@@ -41,6 +42,7 @@
     tokens: int
     backlog: float
     started: float
+    cache_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,11 +50,13 @@
     """Requests in flight and backlog in seconds that a peer reported, by endpoint name.
 
     The name may be a group's, for endpoints left out of the report. ``received``
-    is the time of the report on this daemon's clock.
+    is the time of the report on this daemon's clock. ``tokens_by_endpoint`` are the
+    tokens that the requests in flight occupy.
     """
 
     received: float
     loads_by_endpoint: dict[str, tuple[int, float]]
+    tokens_by_endpoint: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class EndpointLoads:
@@ -61,19 +65,33 @@
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.backlog: dict[str, float] = {}
+        self.cache_tokens: dict[str, int] = {}
         self.peers: dict[str, PeerLoads] = {}
         self.totals: dict[str, tuple[int, float]] = {}
+        self.token_totals: dict[str, float] = {}
         self.totals_updated = -math.inf
         self.daemons = 1
         self.seconds_per_token: dict[str, float] = {}
 
-    def begin(self, endpoint: Endpoint, *, model: str, tokens: int) -> RequestLoad:
-        """Record that a request is sent to an endpoint."""
+    def begin(
+        self, endpoint: Endpoint, *, model: str, tokens: int, cache_tokens: int = 0
+    ) -> RequestLoad:
+        """Record that a request is sent to an endpoint.
+
+        ``tokens`` are those that it has to prefill.
+        """
         backlog = tokens * self.token_seconds(model)
         load = RequestLoad(
-            endpoint.name, model, tokens, backlog, self.clock.monotonic()
+            endpoint.name,
+            model,
+            tokens,
+            backlog,
+            self.clock.monotonic(),
+            cache_tokens,
         )
         endpoint.in_flight += 1
+        held = self.cache_tokens.get(endpoint.name, 0)
+        self.cache_tokens[endpoint.name] = held + cache_tokens
         self.backlog[endpoint.name] = self.backlog.get(endpoint.name, 0.0) + backlog
         return load
 
@@ -92,6 +110,12 @@
         """Record that a request at an endpoint has ended."""
         endpoint.in_flight -= 1
         self._subtract_backlog(load)
+        held = self.cache_tokens.get(endpoint.name, 0) - load.cache_tokens
+        if held > 0:
+            self.cache_tokens[endpoint.name] = held
+        else:
+            self.cache_tokens.pop(endpoint.name, None)
+        load.cache_tokens = 0
 
     def token_seconds(self, model: str) -> float:
         """Return the seconds that a model takes to prefill one prompt token."""
@@ -107,6 +131,12 @@
         others = self._peer_totals().get(endpoint.name, NO_LOAD)[0]
         return endpoint.in_flight + others
 
+    def cache_tokens_of(self, endpoint: Endpoint) -> float:
+        """Return the tokens that requests occupy at an endpoint, over all daemons."""
+        self._peer_totals()
+        own = self.cache_tokens.get(endpoint.name, 0)
+        return own + self.token_totals.get(endpoint.name, 0.0)
+
     def peers_in_flight_at_group(self, group: str) -> int:
         """Return the requests in flight that peers report for a group of endpoints.
 
@@ -114,9 +144,16 @@
         """
         return self._peer_totals().get(group, NO_LOAD)[0]
 
-    def learn(self, peer: str, loads_by_endpoint: dict[str, tuple[int, float]]) -> None:
+    def learn(
+        self,
+        peer: str,
+        loads_by_endpoint: dict[str, tuple[int, float]],
+        tokens_by_endpoint: dict[str, int] | None = None,
+    ) -> None:
         """Replace the loads reported by a peer."""
-        self.peers[peer] = PeerLoads(self.clock.monotonic(), loads_by_endpoint)
+        self.peers[peer] = PeerLoads(
+            self.clock.monotonic(), loads_by_endpoint, tokens_by_endpoint or {}
+        )
 
     def discard_backlog(self, endpoint: str) -> None:
         """Discard the backlog of an endpoint that was replaced."""
@@ -137,6 +174,7 @@
             self.daemons * PEER_LOAD_EXPIRY_SECONDS_PER_DAEMON,
         )
         sums: dict[str, tuple[int, float]] = {}
+        tokens: dict[str, int] = {}
         for peer, loads in list(self.peers.items()):
             if now - loads.received > expiry:
                 del self.peers[peer]
@@ -144,11 +182,14 @@
             for endpoint, (in_flight, backlog) in loads.loads_by_endpoint.items():
                 current = sums.get(endpoint, NO_LOAD)
                 sums[endpoint] = (current[0] + in_flight, current[1] + backlog)
+            for endpoint, held in loads.tokens_by_endpoint.items():
+                tokens[endpoint] = tokens.get(endpoint, 0) + held
         scale = max((self.daemons - 1) / max(len(self.peers), 1), 1.0)
         self.totals = {
             endpoint: (round(in_flight * scale), backlog * scale)
             for endpoint, (in_flight, backlog) in sums.items()
         }
+        self.token_totals = {name: held * scale for name, held in tokens.items()}
         return self.totals
 
     def _subtract_backlog(self, load: RequestLoad) -> None:
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -27,6 +27,7 @@
     RequestLimits,
 )
 from linnetladder.forwarding.coordination.rollouts import RolloutController
+from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.daemon_messages import (
@@ -60,6 +61,11 @@
 MAXIMUM_FINDINGS = 8
 # Share of a report that limits of endpoints may take beside rows.
 LIMITS_SHARE = 0.3
+# Upper estimate of the compressed bytes of a row of tokens, and the share of a report
+# that such rows may take. They are left out first: an endpoint that looks emptier than
+# it is costs less than one that looks failed.
+TOKEN_ROW_BYTES = 9
+TOKENS_SHARE = 0.1
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -101,6 +107,7 @@
         outcomes: Outcomes,
         crashes: CrashLog,
         limits: RequestLimits,
+        room: EndpointRoom,
         rollouts: RolloutController,
         bills: BillBuffer,
         bill_replicas: BillReplicas,
@@ -117,6 +124,7 @@
         self.outcomes = outcomes
         self.crashes = crashes
         self.limits = limits
+        self.room = room
         self.rollouts = rollouts
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -309,7 +317,10 @@
         )
         room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
+        tokens = []
         if with_rows:
+            tokens = self._token_rows(room * TOKENS_SHARE)
+            room -= len(tokens) * TOKEN_ROW_BYTES
             loads, outcomes, size = self._rows(room)
             old = self.news.select_old(maximum_bytes=room - size)
             news.crashes += old.crashes
@@ -326,6 +337,7 @@
             reads=self.directory.read_ages(),
             limits=limits,
             findings=findings,
+            tokens=tokens,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -370,6 +382,22 @@
         loads.sort(key=lambda load: load[1:], reverse=True)
         return loads
 
+    def _token_rows(self, maximum_bytes: float) -> list[tuple[str, int]]:
+        """Return the tokens in flight by endpoint, the most first.
+
+        Only endpoints whose service names a capacity in tokens have rows.
+        """
+        held = [
+            (name, tokens)
+            for name, tokens in self.loads.cache_tokens.items()
+            if (endpoint := self.table.endpoints.get(name)) is not None
+            and self.room.capacity_of(endpoint)
+        ]
+        held.sort(key=lambda row: row[1], reverse=True)
+        kept = held[: int(max(maximum_bytes, 0.0) // TOKEN_ROW_BYTES)]
+        self._count_rows("tokens_dropped", len(held) - len(kept))
+        return kept
+
     def _fold_loads(
         self, loads: list[tuple[str, int, float]], maximum_rows: int
     ) -> list[tuple[str, int, float]]:
@@ -458,7 +486,7 @@
             loads_by_endpoint = {
                 name: (count, backlog) for name, count, backlog in report.loads
             }
-            self.loads.learn(peer, loads_by_endpoint)
+            self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -18,6 +18,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
+from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.state import Clock, Endpoint
 
@@ -33,7 +34,7 @@
 MAXIMUM_REMEMBERED_PARTS = 4096
 # Expected addition to a prompt's wait for each request in flight.
 IN_FLIGHT_WAIT_SECONDS = 0.004
-# Addition to the wait at an endpoint without a free slot.
+# Addition to the wait at an endpoint without a free slot or enough free tokens.
 FULL_PENALTY_SECONDS = 2.0
 # Addition to the wait at an endpoint, times its share of bad attempts.
 BAD_SHARE_PENALTY_SECONDS = 1.5
@@ -48,6 +49,7 @@
     ``affinity`` identifies the model and the prompt's shared part; it is empty if the
     prompt has none. ``shared_seconds`` is the expected time to prefill that part.
     ``tried_endpoints`` are the names of the endpoints that the request was sent to.
+    ``cache_tokens`` is what the request occupies in the memory of an engine.
     """
 
     service: str
@@ -56,6 +58,7 @@
     shared_seconds: float
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
+    cache_tokens: int = 0
 
 
 class Selection:
@@ -68,6 +71,7 @@
         loads: EndpointLoads,
         outcomes: Outcomes,
         availability: EndpointAvailability,
+        room: EndpointRoom,
         clock: Clock,
         own_domain: str,
     ):
@@ -75,6 +79,7 @@
         self.loads = loads
         self.outcomes = outcomes
         self.availability = availability
+        self.room = room
         self.clock = clock
         self.own_domain = own_domain
         self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
@@ -166,7 +171,7 @@
             holders = {(ranked[0].name, ranked[0].incarnation)}
         seconds: dict[str, float] = {}
         for rank, endpoint in enumerate(ranked):
-            expected = self._prompt_wait(endpoint)
+            expected = self._prompt_wait(endpoint, inputs.cache_tokens)
             if (endpoint.name, endpoint.incarnation) not in holders:
                 expected += inputs.shared_seconds
                 if rank >= PREFERRED_ENDPOINTS:
@@ -177,11 +182,12 @@
     def _ranked(self, candidates: list[Endpoint], affinity: str) -> list[Endpoint]:
         return sorted(candidates, key=lambda e: _rendezvous_hash(affinity, e.name))
 
-    def _prompt_wait(self, endpoint: Endpoint) -> float:
+    def _prompt_wait(self, endpoint: Endpoint, cache_tokens: int) -> float:
         in_flight = self.loads.in_flight_of(endpoint)
         wait = self.loads.backlog_of(endpoint) + in_flight * IN_FLIGHT_WAIT_SECONDS
         wait += self.outcomes.failure_rate(endpoint.name) * BAD_SHARE_PENALTY_SECONDS
-        if in_flight >= endpoint.capacity:
+        fits = self.room.fits(endpoint, cache_tokens)
+        if in_flight >= endpoint.capacity or not fits:
             wait += FULL_PENALTY_SECONDS
         return wait
 
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -247,6 +247,7 @@
             shared_seconds=self._shared_seconds(request, model),
             has_prompt=prompt is not None,
             tried_endpoints=tuple(request.endpoints_tried),
+            cache_tokens=_cache_tokens(request),
         )
 
     def _shared_seconds(self, request: ForwardRequest, model: str) -> float:
@@ -262,7 +263,9 @@
         inputs = self.selection_inputs(request, model)
         tokens = self._unread_tokens(request, inputs, endpoint)
         self.selection.note_sent(inputs, endpoint)
-        return self.loads.begin(endpoint, model=model, tokens=tokens)
+        return self.loads.begin(
+            endpoint, model=model, tokens=tokens, cache_tokens=inputs.cache_tokens
+        )
 
     def _unread_tokens(
         self, request: ForwardRequest, inputs: SelectionInputs, endpoint: Endpoint
@@ -718,6 +721,12 @@
     return f"{model}/{prompt.session}"
 
 
+def _cache_tokens(request: ForwardRequest) -> int:
+    """Return the tokens that a request occupies in the memory of an engine."""
+    prompt = request.head.prompt
+    return prompt.input_tokens + prompt.output_tokens if prompt is not None else 0
+
+
 def _refusal(
     request: ForwardRequest,
     kind: ErrorKind,
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -37,6 +37,7 @@
 from linnetladder.forwarding.coordination.relaying import RelayControl
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
+from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
@@ -123,6 +124,8 @@
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
+    in_force = TableInForce(settings=holder, clock=clock)
+    room = EndpointRoom(in_force=in_force, loads=loads)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -154,6 +157,7 @@
         outcomes=outcomes,
         crashes=crashes,
         limits=limits,
+        room=room,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -176,7 +180,6 @@
         paths=paths,
         clock=clock,
     )
-    in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
         source=source,
         era=ports.era,
@@ -218,6 +221,7 @@
         loads=loads,
         outcomes=outcomes,
         availability=availability,
+        room=room,
         clock=clock,
         own_domain=settings.failure_domain,
     )
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -39,6 +39,10 @@
 UNITS_PER_COUNT = 100
 UNITS_PER_REQUEST = 1_000
 LIMIT_AGE_UNITS_PER_SECOND = 100
+# Name of the rows of loads that hold tokens in flight: the index of an endpoint and its
+# tokens follow. Daemons of versions that know no such rows read them as the load of an
+# endpoint that does not exist.
+TOKENS_ROW = "#tokens"
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
 
@@ -85,6 +89,8 @@
     * ``leaving``: endpoint, incarnation
     * ``limits``: endpoint, incarnation, limit on its requests a second or ``None``,
       age in seconds
+    * ``tokens``: endpoint, tokens that requests in flight occupy there; only in reports
+      with ``loads``
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -108,6 +114,7 @@
         default_factory=list
     )
     findings: list[PartFinding] = dataclasses.field(default_factory=list)
+    tokens: list[tuple[str, int]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -235,6 +242,9 @@
             (index(name), in_flight, round(backlog * BACKLOG_UNITS_PER_SECOND))
             for name, in_flight, backlog in loads
         ]
+        loads += [
+            (index(TOKENS_ROW), index(name), tokens) for name, tokens in report.tokens
+        ]
     outcomes = report.outcomes
     if outcomes is not None:
         outcomes = [
@@ -268,10 +278,17 @@
     if reads is not None:
         began, latest = reads
         reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
+    tokens = []
     if loads is not None:
+        tokens = [
+            (names[_index(endpoint)], held)
+            for name, endpoint, held in loads
+            if names[name] == TOKENS_ROW
+        ]
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
             for name, in_flight, backlog in loads
+            if names[name] != TOKENS_ROW
         ]
     if outcomes is not None:
         outcomes = [
@@ -291,9 +308,17 @@
         reading=reading,
         echoes=echoes,
         reads=reads,
+        tokens=tokens,
     )
 
 
+def _index(index: int) -> int:
+    """Return an index into the names; a negative one is of no daemon's making."""
+    if index < 0:
+        raise IndexError(index)
+    return index
+
+
 def _optional_fields(report: DaemonReport) -> tuple:
     """Return the encoded limits and findings, as far as there are any."""
     if report.findings:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -57,6 +57,7 @@
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
 from linnetladder.forwarding.coordination.rollout_records import RecordBook
 from linnetladder.forwarding.coordination.rollouts import RolloutController
+from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
@@ -184,6 +185,11 @@
     return self.pauses.get(endpoint.name)
 
 
+def load_without_tokens(self, request, endpoint, model):
+    """Record the load of a request as if it occupied no memory."""
+    return self.loads.begin(endpoint, model=model, tokens=0)
+
+
 MUTATIONS = [
     (
         "snapshots_echo",
@@ -407,6 +413,9 @@
         aiohttp.TCPConnector.connect,
         "transport",
     ),
+    ("room_selection", EndpointRoom, "fits", always(True), "room"),
+    ("room_reported", PeerGossip, "_token_rows", always([]), "room"),
+    ("room_in_use", Sender, "begin_load", load_without_tokens, "room"),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
