--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -38,6 +38,7 @@
 from linnetladder.forwarding.coordination.relaying import RelayControl
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollouts import RolloutController
+from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_reads import SharedReads
@@ -126,6 +127,8 @@
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
+    in_force = TableInForce(settings=holder, clock=clock)
+    room = EndpointRoom(in_force=in_force, loads=loads)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -157,6 +160,7 @@
         outcomes=outcomes,
         crashes=crashes,
         limits=limits,
+        room=room,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -179,7 +183,6 @@
         paths=paths,
         clock=clock,
     )
-    in_force = TableInForce(settings=holder, clock=clock)
     background = BackgroundTasks()
     read_groups = ReadGroups(
         instance=settings.instance,
@@ -236,6 +239,7 @@
         loads=loads,
         outcomes=outcomes,
         availability=availability,
+        room=room,
         clock=clock,
         own_domain=settings.failure_domain,
     )
