Escalate what gains most while engines are short; fall back when it fails

While engines were short of time, every doubtful answer that could still be in time was replaced by one of a larger model. This takes about ten times the engine time, so the wait grew for all callers. And a request whose doubtful answer was given up for a larger model ended as a 502 if that one then broke off, timed out or was refused.

EscalationGain ranks doubtful answers by their expected gain for each second of engine time, among the latest ones of their route. While the shortest wait is over a quarter of the objective (until it is below a tenth), only a share of the highest ranks goes on. The share falls smoothly with the wait, to none where the larger model would miss the objective. While engines have time left, decisions are unchanged.

When a larger model fails before its answer has begun, the smaller one is asked again, within the deadline, the route's attempts and the retry budget. After the larger model's first failure its last attempt is kept for that, and a silent larger model is given up while there is time for the smaller one. The request's history says "falls back to MODEL". With a maximum of two attempts no attempt is left for it.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -55,16 +55,27 @@
 class StreamState:
     """Progress of a stream that is relayed to its caller.
 
-    ``position`` is the index of the current model among the route's models.
+    ``position`` is the index of the current model among the route's models and
+    ``given_up`` that of the smaller model whose answer was given up for it.
+    ``fell_back`` is set once that one is asked again, first at the endpoints other than
+    ``given_up_endpoint``, which gave that answer.
     ``last_event_id`` is the id of the last complete event that was relayed, and
     ``begun`` is set once the response's head was sent.
     """
 
     position: int
+    given_up: int | None = None
+    given_up_endpoint: str = ""
+    fell_back: bool = False
     failed: FailedResponse | None = None
     last_event_id: int | None = None
     begun: bool = False
 
+    @property
+    def may_fall_back(self) -> bool:
+        """Whether a smaller model has answered that may be asked again."""
+        return self.given_up is not None and not (self.fell_back or self.begun)
+
 
 class Forwarder:
     """Admits requests, forwards them to endpoints, and relays the responses."""
@@ -204,15 +215,20 @@
                 request, model=model, resume_after=_resume_after(request, state)
             )
             if isinstance(opened, Failure):
+                if self._fall_back(request, state):
+                    continue
                 await self._end_failed_stream(request, reply, state, opened.failure())
                 return
             attempt = opened.unwrap()
+            asked = state.position
             try:
                 finished = await self._relay_attempt(request, reply, state, attempt)
             finally:
                 self.sender.close(request, attempt, None)
             if finished:
                 return
+            if state.position == asked:
+                self._fall_back(request, state)
 
     async def _relay_attempt(
         self,
@@ -248,9 +264,13 @@
         """
         if request.head.model != ANY_MODEL or not request.route.models:
             return False
+        if state.fell_back:
+            return False
         confidence = attempt.exchange.head.confidence
+        inputs = self._sizing_inputs(request)
+        inputs.holding_models = self.sender.holding_models(request)
         step = self.sizing.next_position(
-            self._sizing_inputs(request), position=state.position, confidence=confidence
+            inputs, position=state.position, confidence=confidence
         )
         request.history.append(f"confidence={confidence}:{step.reason}")
         if step.position is None:
@@ -271,10 +291,35 @@
             request.history.append("no endpoint takes more now")
             return False
         self.metrics.count("escalations")
+        state.given_up = state.position
+        state.given_up_endpoint = attempt.endpoint.name
         state.position = step.position
+        request.fallback_seconds = self.clock.monotonic() - attempt.load.started
         self.sender.close(request, attempt, None)
         return True
 
+    def _fall_back(self, request: ForwardRequest, state: StreamState) -> bool:
+        """Turn back to the model whose answer was given up for one that has failed.
+
+        Return false if there is none, or if the caller has got a part of the answer.
+        """
+        if not state.may_fall_back or not self.sender.may_retry(request):
+            return False
+        state.position = state.given_up
+        state.fell_back = True
+        request.fallback_seconds = None
+        model = self._requested_model(request, state.position)
+        # An endpoint that failed with the larger model is the last choice, as long as
+        # there are others.
+        tried = request.endpoints_tried
+        if state.given_up_endpoint in tried and not self.sender.can_send_now(
+            request, model
+        ):
+            tried.remove(state.given_up_endpoint)
+        request.history.append(f"falls back to {model}")
+        self.metrics.count("escalation_fallbacks")
+        return True
+
     async def _relay_events(
         self,
         request: ForwardRequest,
@@ -330,9 +375,8 @@
             await self.sender.record_broken_response(request, attempt, fault)
             return False
         self.sender.close(request, attempt, _outcome_for_status(head.status))
-        if head.status >= SERVER_ERROR_STATUS and self._may_retry_failed_response(
-            request
-        ):
+        may_be_better = head.status >= SERVER_ERROR_STATUS or state.may_fall_back
+        if may_be_better and self._may_retry_failed_response(request):
             state.failed = FailedResponse(head.status, head.headers, body)
             return False
         if state.begun:
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -141,6 +141,10 @@
         """Return whether this daemon sent the prompt's shared part there lately."""
         return (endpoint.name, endpoint.incarnation) in self._holders(inputs.affinity)
 
+    def is_held(self, affinity: str) -> bool:
+        """Return whether this daemon sent a shared part to any endpoint lately."""
+        return bool(affinity) and bool(self._holders(affinity))
+
     def note_sent(self, inputs: SelectionInputs, endpoint: Endpoint) -> None:
         """Remember that a prompt's shared part is sent to an endpoint."""
         if not inputs.affinity:
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -77,6 +77,11 @@
 CRASH_AFTER_FIRST_EVENT_SECONDS = 1.0
 # A silent endpoint is not given up for a successor that would have less time than this.
 MINIMUM_SUCCESSOR_SECONDS = 0.2
+# The time that is kept for a smaller model while a larger one is asked, relative to
+# the time of its first answer.
+FALLBACK_TIME_FACTOR = 2.0
+# At most this share of the time left is kept.
+MAXIMUM_FALLBACK_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -170,6 +175,14 @@
         """Return whether an attempt could be sent at once."""
         return bool(self.selection.candidates(self.selection_inputs(request, model)))
 
+    def holding_models(self, request: ForwardRequest) -> frozenset[str]:
+        """Return the models for which an endpoint got the session's part lately."""
+        return frozenset(
+            model
+            for model in request.route.models
+            if self.selection.is_held(_affinity(request, model))
+        )
+
     async def _choose(self, request: ForwardRequest, model: str) -> Endpoint | None:
         """Return an endpoint that may be sent to, or ``None`` if there is none in time.
 
@@ -474,13 +487,28 @@
             resume_after=resume_after,
             fresh_connection=request.route.kind is RequestKind.NON_IDEMPOTENT,
             probe_after_seconds=_probe_after_seconds(request),
-            silence_seconds=_silence_timeout_seconds(request),
+            silence_seconds=self._silence_timeout_seconds(request),
             relay=peer.tcp_address if peer is not None else "",
             on_unreachable=functools.partial(self._eject_unreachable, endpoint, peer),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
             may_send=functools.partial(self._may_send, request, endpoint),
         )
 
+    def _silence_timeout_seconds(self, request: ForwardRequest) -> float | None:
+        """Return the seconds of silence after which a live endpoint may be given up.
+
+        While a larger model is asked, time is left to ask the smaller one again.
+        """
+        if not request.route.retryable:
+            return None
+        limit = request.route.objective_seconds * SILENCE_TIMEOUT_OBJECTIVES
+        if request.fallback_seconds is None or request.events:
+            return limit
+        remaining = request.deadline - self.clock.monotonic()
+        kept = request.fallback_seconds * FALLBACK_TIME_FACTOR
+        kept += MINIMUM_SUCCESSOR_SECONDS
+        return min(limit, remaining - min(kept, remaining * MAXIMUM_FALLBACK_SHARE))
+
     def _record_response_head(
         self,
         request: ForwardRequest,
@@ -669,7 +697,7 @@
         remaining = request.deadline - self.clock.monotonic()
         if remaining < MINIMUM_ATTEMPT_SECONDS:
             return _refusal(request, ErrorKind.DEADLINE_EXCEEDED, "no time is left")
-        if not self.may_retry(request):
+        if not self.may_retry(request) or _is_last_for_fallback(request, last_fault):
             detail = (
                 last_fault.detail if last_fault is not None else "all attempts are used"
             )
@@ -704,11 +732,16 @@
     return max(request.route.objective_seconds * share, MINIMUM_PROBE_SECONDS)
 
 
-def _silence_timeout_seconds(request: ForwardRequest) -> float | None:
-    """Return the seconds of silence after which a live endpoint may be given up too."""
-    if not request.route.retryable:
-        return None
-    return request.route.objective_seconds * SILENCE_TIMEOUT_OBJECTIVES
+def _is_last_for_fallback(
+    request: ForwardRequest, last_fault: CallFault | None
+) -> bool:
+    """Return whether the next attempt is the last, kept for a smaller model.
+
+    It is kept once the larger model has failed.
+    """
+    if request.fallback_seconds is None or last_fault is None:
+        return False
+    return request.attempts + 1 >= request.route.maximum_attempts
 
 
 def _affinity(request: ForwardRequest, model: str) -> str:
--- a/linnetladder/forwarding/coordination/sizing.py
+++ b/linnetladder/forwarding/coordination/sizing.py
@@ -3,13 +3,15 @@
 The configured first size, by default the smallest model, responds first. The confidence
 that comes with its response's head decides whether a larger model is asked before the
 caller has received a byte. An intermediate size is asked only if it settles enough of
-the low-confidence requests to be worth its cost.
+the low-confidence requests to be worth its cost. While engines are short of time, only
+the responses that gain most for the time of engines are escalated.
 """
 
 import abc
 import dataclasses
 
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
 from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.state import EngineSpec, Prompt, Route
 
@@ -28,7 +30,8 @@
     """Inputs of the choice of a model size; times are in seconds.
 
     ``remaining`` is the time left until the objective; ``wait`` is the shortest backlog
-    of any candidate endpoint.
+    of any candidate endpoint. ``holding_models`` are the models for which an endpoint
+    is expected to hold the part of the prompt that its session shares.
     """
 
     route: Route
@@ -36,6 +39,7 @@
     engine: EngineSpec | None
     remaining: float
     wait: float
+    holding_models: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,9 +85,12 @@
 class ConfidenceCascade(SizingPolicy):
     """Escalates while the response's confidence is below the configured threshold."""
 
-    def __init__(self, *, loads: EndpointLoads, policy: PolicySettings):
+    def __init__(
+        self, *, loads: EndpointLoads, policy: PolicySettings, gain: EscalationGain
+    ):
         self.loads = loads
         self.policy = policy
+        self.gain = gain
         self.settled: dict[tuple[str, int], SettlingCounts] = {}
 
     def first_position(self, inputs: SizingInputs) -> int:
@@ -100,6 +107,8 @@
         doubtful = confidence < self.policy.confidence
         if position > self.first_position(inputs):
             self._record_outcome(inputs.route, position, settled=not doubtful)
+        else:
+            self.gain.learn_request(inputs.route, inputs.prompt)
         if not doubtful:
             return SizingStep(None, "confident")
         if position + 1 >= len(models):
@@ -108,6 +117,16 @@
         expected = self._expected_seconds(inputs, models[next_position])
         if expected > inputs.remaining * LATENESS_FACTOR:
             return SizingStep(None, "a larger one would be late")
+        if not self.gain.is_worthwhile(
+            inputs.route,
+            prompt=inputs.prompt,
+            held_tokens=_held_tokens(inputs, models[next_position]),
+            model=models[next_position],
+            confidence=confidence,
+            wait=inputs.wait,
+            remaining=inputs.remaining,
+        ):
+            return SizingStep(None, "engines are short")
         return SizingStep(next_position, "doubtful")
 
     def _worthwhile_position(self, inputs: SizingInputs, position: int) -> int:
@@ -146,3 +165,13 @@
         tokens = inputs.prompt.input_tokens if inputs.prompt is not None else 0
         expected_prefill_seconds = tokens * self.loads.token_seconds(model)
         return inputs.wait + expected_prefill_seconds
+
+
+def _held_tokens(inputs: SizingInputs, model: str) -> int:
+    """Return the tokens of a prompt that endpoints are expected to hold for a model."""
+    if inputs.prompt is None:
+        return 0
+    held = inputs.prompt.common_tokens
+    if model in inputs.holding_models:
+        held += inputs.prompt.session_tokens
+    return min(held, inputs.prompt.input_tokens)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -29,6 +29,7 @@
     EndpointLoads,
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -251,7 +252,11 @@
         admission=AdmissionControl(in_force=in_force, budget=budget, crashes=crashes),
         in_force=in_force,
         sender=sender,
-        sizing=ConfidenceCascade(loads=loads, policy=policy),
+        sizing=ConfidenceCascade(
+            loads=loads,
+            policy=policy,
+            gain=EscalationGain(loads=loads, policy=policy),
+        ),
         budget=budget,
         bills=bills,
         bill_flusher=bill_flusher,
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -86,7 +86,9 @@
     the parts of its prompt that other requests may share. ``ran``
     is set once an endpoint may have started to run the request. ``attempts`` counts the
     endpoints that may have run it, ``times_sent`` also those that reported that they
-    did not. ``model`` is the model of the latest attempt and ``events`` the number of
+    did not. ``fallback_seconds`` is set while a larger model is asked: the time that
+    the smaller one took, which is asked again if the larger one fails.
+    ``model`` is the model of the latest attempt and ``events`` the number of
     stream events forwarded to the caller. ``history`` lists the steps of the
     processing for the log.
     """
@@ -108,6 +110,7 @@
     ran: bool = False
     retry_reserved: bool = False
     retry_spent_at: float = 0.0
+    fallback_seconds: float | None = None
     model: str = ""
     events: int = 0
     billed: bool = False
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -19,6 +19,7 @@
     brittleness,
     directory,
     endpoint_pauses,
+    escalation_gain,
     forwarder,
     in_force,
     outcomes,
@@ -47,6 +48,8 @@
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
+from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -87,6 +90,7 @@
 CUT = "cut_off_daemons"
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
+GAIN = "escalation_gain"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -127,6 +131,11 @@
     self.bills.update(bills)
 
 
+def share_at_a_limit(wait, enough_wait, latest_wait):
+    """Escalate every response or none, by one limit on the wait."""
+    return float(wait < (enough_wait + latest_wait) / 2)
+
+
 def all_crashes(self, suspect):
     """Count all crashes against a suspect, whatever else explains them."""
     return set(self.crash_times.get(suspect, ()))
@@ -315,6 +324,16 @@
     ("brittle_expiry", brittleness, "SERVICE_EXPIRY_SECONDS", 60.0, BRITTLE),
     ("brittle_header", headers, "SERVER_BRITTLE", "Unknown", BRITTLE),
     ("escalation_reserve", forwarder, "ESCALATION_RESERVE_RETRIES", -99.0, "streams"),
+    ("gain_short", EscalationGain, "is_short", always(False), GAIN),
+    ("gain_share", escalation_gain, "_escalated_share", share_at_a_limit, GAIN),
+    ("gain_rank", EscalationGain, "_rank", always(0.5), GAIN),
+    ("gain_hysteresis", escalation_gain, "ENOUGH_WAIT_SHARE", 0.25, GAIN),
+    ("gain_held", escalation_gain, "HELD_TOKEN_WEIGHT", 1.0, GAIN),
+    ("gain_equal", escalation_gain, "GOLDEN_RATIO", 0.0, GAIN),
+    ("gain_holders", Selection, "is_held", always(False), GAIN),
+    ("fallback", Forwarder, "_fall_back", always(False), GAIN),
+    ("fallback_attempt", sender, "_is_last_for_fallback", always(False), GAIN),
+    ("fallback_time", sender, "FALLBACK_TIME_FACTOR", 0.0, GAIN),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
