Keep requests from failure domains that the operator evacuated

Operators could not empty a failure domain: its endpoints got requests until each of them left the registry or said that it leaves.

The keys op/evacuate/DOMAIN are now decoded with the rest of the store's content. Evacuations keeps them, and EndpointAvailability, which every way to an endpoint asks, excludes the domain's endpoints, also once a call's connection is made and for calls that are passed on for a peer. The digest and the position of reads cover evacuations. The digest is unchanged without them, so that daemons of the previous version still confirm each other's reads. While the store is away a domain stays evacuated, and for 5 s after the store returned from a copy that lacks the key. If a request's endpoints are all evacuated, it is refused at once as not run, with Retry-After.

A deleted key takes its revision with it. A daemon that started later would have read the store at each report of a peer that had read the key, so a read now counts as having the newest position that a peer had named before it began.

--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -13,6 +13,7 @@
 
 from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.protocol import ResponseHead
@@ -25,7 +26,8 @@
     """Why an endpoint is not sent to.
 
     ``UNLISTED`` ends when the registry lists it again, ``LEAVING`` with a new
-    incarnation, ``PAUSED`` when the pause that it asked for is over, ``RETURNING`` with
+    incarnation, ``EVACUATED`` when the operator returns its failure domain,
+    ``PAUSED`` when the pause that it asked for is over, ``RETURNING`` with
     the next answer after a pause, ``FULL`` once a brittle endpoint has room again,
     ``AT_LIMIT`` with the next permit of its limit,
     ``UNREACHABLE`` when it accepts a connection, ``FAILING`` after a time.
@@ -33,6 +35,7 @@
 
     UNLISTED = "unlisted"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
     PAUSED = "paused"
     RETURNING = "returning"
     FULL = "full"
@@ -46,6 +49,7 @@
     (
         ObstacleReason.UNLISTED,
         ObstacleReason.LEAVING,
+        ObstacleReason.EVACUATED,
         ObstacleReason.PAUSED,
         ObstacleReason.RETURNING,
         ObstacleReason.FULL,
@@ -77,12 +81,14 @@
         *,
         limits: RequestLimits,
         pauses: EndpointPauses,
+        evacuations: Evacuations,
         brittleness: Brittleness,
         paths: PeerPaths,
         clock: Clock,
     ):
         self.limits = limits
         self.pauses = pauses
+        self.evacuations = evacuations
         self.brittleness = brittleness
         self.paths = paths
         self.clock = clock
@@ -100,6 +106,8 @@
             return Obstacle(ObstacleReason.UNLISTED)
         if endpoint.leaving:
             return Obstacle(ObstacleReason.LEAVING)
+        if self.evacuations.is_evacuated(endpoint.failure_domain):
+            return Obstacle(ObstacleReason.EVACUATED)
         if not self.pauses.may_send(endpoint):
             seconds = self.pauses.seconds_left(endpoint)
             reason = ObstacleReason.PAUSED if seconds else ObstacleReason.RETURNING
@@ -136,9 +144,11 @@
         """Return whether a request that was chosen for an endpoint may still be sent.
 
         Opening a connection takes time, in which the endpoint may have asked for a
-        pause or begun to leave.
+        pause or begun to leave, or its failure domain may have been evacuated.
         """
         accepts = endpoint.listed and not endpoint.leaving
+        if self.evacuations.is_evacuated(endpoint.failure_domain):
+            return False
         return accepts and not self.pauses.seconds_left(endpoint)
 
 
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -16,6 +16,7 @@
 from linnetladder.errors import ErrorKind, Ran, Refusal
 from linnetladder.forwarding.coordination.availability import (
     EndpointAvailability,
+    Obstacle,
     ObstacleReason,
     describe_obstacles,
 )
@@ -51,6 +52,8 @@
 # Sends that did not run don't count as attempts, so this limits them separately.
 MAXIMUM_SENDS = 6
 RETRY_AFTER_SECONDS = 0.25
+# An evacuation lasts for seconds at least, so callers need not ask again earlier.
+EVACUATED_RETRY_AFTER_SECONDS = 1.0
 # A stream's first event takes up to the route's objective, and longer on a busy engine.
 # After this share of the objective without a byte, the endpoint is probed over a new
 # connection.
@@ -72,6 +75,10 @@
 TIMED_REASONS = frozenset(
     (ObstacleReason.PAUSED, ObstacleReason.FULL, ObstacleReason.AT_LIMIT)
 )
+# Endpoints with these obstacles don't come back before their failure domain does.
+ABSENCE_REASONS = frozenset(
+    (ObstacleReason.UNLISTED, ObstacleReason.LEAVING, ObstacleReason.EVACUATED)
+)
 # A stream that broke off later than this after its first event did not crash its
 # endpoint by what its prompt contains.
 CRASH_AFTER_FIRST_EVENT_SECONDS = 1.0
@@ -616,14 +623,14 @@
                 f"pauses or are brittle and full; the first one takes requests again "
                 f"in {seconds:.2f} s"
             )
+        retry_after = max(seconds, RETRY_AFTER_SECONDS)
+        if _is_all_evacuated(obstacles):
+            self.metrics.count("evacuation_refusals")
+            detail = f"all endpoints of service {request.service!r} are evacuated"
+            retry_after = EVACUATED_RETRY_AFTER_SECONDS
         if last_fault is not None:
             detail += f"; the last attempt failed: {last_fault.detail}"
-        return _refusal(
-            request,
-            kind,
-            detail,
-            retry_after_seconds=max(seconds, RETRY_AFTER_SECONDS),
-        )
+        return _refusal(request, kind, detail, retry_after_seconds=retry_after)
 
     def _peer_for(
         self, request: ForwardRequest, endpoint: Endpoint
@@ -711,6 +718,12 @@
     return request.route.objective_seconds * SILENCE_TIMEOUT_OBJECTIVES
 
 
+def _is_all_evacuated(obstacles: list[Obstacle | None]) -> bool:
+    """Return whether all endpoints that are listed and stay are evacuated."""
+    reasons = {o.reason if o is not None else None for o in obstacles}
+    return ObstacleReason.EVACUATED in reasons and reasons <= ABSENCE_REASONS
+
+
 def _affinity(request: ForwardRequest, model: str) -> str:
     prompt = request.head.prompt
     if prompt is None or not prompt.session:
--- a/linnetladder/forwarding/coordination/shared_snapshots.py
+++ b/linnetladder/forwarding/coordination/shared_snapshots.py
@@ -54,6 +54,10 @@
             for daemon in snapshot.daemons
         ),
     )
+    # Without evacuations the digest is that of daemons of the previous version.
+    if snapshot.evacuated_domains:
+        evacuated = sorted((d.name, d.revision) for d in snapshot.evacuated_domains)
+        content = (*content, evacuated)
     return xxhash.xxh64_intdigest(repr(content).encode())
 
 
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -8,6 +8,7 @@
 from linnetladder.coordination.platform import PlatformFault
 from linnetladder.forwarding.state import (
     CrashingPart,
+    EvacuatedDomain,
     Position,
     RolloutOrder,
     RolloutRecord,
@@ -47,12 +48,14 @@
     endpoints: tuple[EndpointReport, ...]
     daemons: tuple[DaemonAddress, ...]
     crashing_parts: tuple[CrashingPart, ...] = ()
+    evacuated_domains: tuple[EvacuatedDomain, ...] = ()
     era: int = 0
 
     @property
     def position(self) -> Position:
-        """The newest position of the configuration, an order or a record."""
-        revisions = [item.revision for item in (*self.orders, *self.records)]
+        """The newest position of the configuration, an order, record or evacuation."""
+        items = (*self.orders, *self.records, *self.evacuated_domains)
+        revisions = [item.revision for item in items]
         if self.table is not None:
             revisions.append(self.table.revision)
         return Position(era=self.era, revision=max(revisions, default=0))
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -18,6 +18,7 @@
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
@@ -46,8 +47,8 @@
 # The maximum does no harm: a machine counts as disconnected for three seconds anyway.
 FIRST_RETRY_SECONDS = 0.2
 MAXIMUM_RETRY_SECONDS = 0.8
-# Interval between reads while entries that lapsed in an outage may come back or expire,
-# or while no other daemon is known.
+# Interval between reads while entries that lapsed in an outage or evacuations that the
+# store lost may come back or expire, or while no other daemon is known.
 UNSETTLED_READ_INTERVAL_SECONDS = 0.4
 # Roll-outs are checked at this interval. Beyond this many daemons each one's interval
 # grows, so that the number of checks per second stays the same.
@@ -80,6 +81,7 @@
         budget: RetryBudget,
         limits: RequestLimits,
         crash_records: CrashRecords,
+        evacuations: Evacuations,
         address: DaemonAddress,
         clock: Clock,
         metrics: Metrics,
@@ -88,6 +90,7 @@
         self.source = source
         self.era = era
         self.position = Position(era=0, revision=0)
+        self.newest_heard = Position(era=0, revision=0)
         self.in_force = in_force
         self.directory = directory
         self.rollouts = rollouts
@@ -96,6 +99,7 @@
         self.budget = budget
         self.limits = limits
         self.crash_records = crash_records
+        self.evacuations = evacuations
         self.address = address
         self.clock = clock
         self.metrics = metrics
@@ -153,19 +157,29 @@
 
     def _read_age(self) -> float:
         """Return the age in seconds at which the content is read again, with jitter."""
-        if not self.directory.is_settled or not self.peers.peers:
+        if not self._is_settled() or not self.peers.peers:
             return UNSETTLED_READ_INTERVAL_SECONDS
         return self.read_interval() * (1 - self.random.uniform(0, READ_JITTER))
 
+    def _is_settled(self) -> bool:
+        """Return whether nothing that the store lost is expected to come back."""
+        return self.directory.is_settled and self.evacuations.is_settled
+
     def read_interval(self) -> float:
         """Return the maximum seconds between reads that the settings' bounds allow."""
         bounds = self.in_force.settings.bounds
-        smallest_bound = min(bounds.configuration, bounds.drain, bounds.revoke / 2)
+        smallest_bound = min(
+            bounds.configuration,
+            bounds.drain,
+            bounds.revoke / 2,
+            bounds.evacuate / 2,
+        )
         return max(smallest_bound - READ_LEAD_SECONDS, MINIMUM_READ_INTERVAL_SECONDS)
 
     async def read_once(self) -> bool:
         """Read the store, apply its content, and return whether the read succeeded."""
         began = self.clock.monotonic()
+        heard_before = self.newest_heard
         read = await self._read_source()
         if isinstance(read, Failure):
             self._note_fault(read.failure())
@@ -177,12 +191,16 @@
         self.content_confirmed_at = began
         self.in_force.confirm_read(snapshot.table, began=began)
         self.peers.configuration_version = self.in_force.newest_version_known
+        self.evacuations.update(
+            snapshot.evacuated_domains, era=snapshot.era, began=began
+        )
         self.directory.apply(
             snapshot.endpoints, interval=self.read_interval(), era=snapshot.era
         )
         self.crash_records.update(snapshot.crashing_parts)
         self.peers.update_daemons(snapshot.daemons)
-        self.position = self.peers.position = max(self.position, snapshot.position)
+        self.position = max(self.position, self._position_of(snapshot, heard_before))
+        self.peers.position = self.position
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
         self.limits.update_members(self.peers.members())
         self.peers.loads.daemons = self.budget.daemons
@@ -190,6 +208,16 @@
         self._note_success()
         return True
 
+    def _position_of(self, snapshot: StoreSnapshot, heard: Position) -> Position:
+        """Return the position that a read includes.
+
+        ``heard`` is the newest one that a peer had named before the read began. Its key
+        may be deleted since; the read lacks its revision then, but is newer.
+        """
+        if heard.era != snapshot.era:
+            return snapshot.position
+        return max(snapshot.position, heard)
+
     async def _read_source(self) -> Result[StoreSnapshot, PlatformFault]:
         """Read the store and observe the era of the content."""
         self.reading = True
@@ -205,6 +233,7 @@
         """Record what a peer knows of; request a read if its position is newer."""
         if position.era:
             self.era.observe(position.era)
+        self.newest_heard = max(self.newest_heard, position)
         if position > self.position:
             self.read_requested.set()
         self.in_force.note_version(
@@ -223,10 +252,10 @@
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
 
-        It is ignored while lapsed entries may come back, so that the daemon reads the
-        store itself.
+        It is ignored while entries or evacuations that the store lost may come back,
+        so that the daemon reads the store itself.
         """
-        if not self.directory.is_settled:
+        if not self._is_settled():
             return
         self.content_confirmed_at = max(self.content_confirmed_at, since)
         self.in_force.confirm(since)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -29,6 +29,7 @@
     EndpointLoads,
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -91,6 +92,7 @@
     quarantine: Quarantine
     limits: RequestLimits
     pauses: EndpointPauses
+    evacuations: Evacuations
     paths: PeerPaths
     relay_control: RelayControl
     selection: Selection
@@ -123,6 +125,7 @@
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
+    evacuations = Evacuations(clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -166,6 +169,7 @@
     availability = EndpointAvailability(
         limits=limits,
         pauses=pauses,
+        evacuations=evacuations,
         brittleness=Brittleness(
             limits=limits,
             table=table,
@@ -188,6 +192,7 @@
         budget=budget,
         limits=limits,
         crash_records=crash_records,
+        evacuations=evacuations,
         address=DaemonAddress(
             instance=settings.instance,
             incarnation=incarnation,
@@ -279,6 +284,7 @@
         quarantine=quarantine,
         limits=limits,
         pauses=pauses,
+        evacuations=evacuations,
         paths=paths,
         relay_control=relay_control,
         selection=selection,
--- a/linnetladder/forwarding/state/__init__.py
+++ b/linnetladder/forwarding/state/__init__.py
@@ -1,6 +1,7 @@
 """State of the forwarding daemon: routing tables, requests and rollouts."""
 
 from linnetladder.forwarding.state.crashes import CrashingPart
+from linnetladder.forwarding.state.evacuations import EvacuatedDomain
 from linnetladder.forwarding.state.positions import Position
 from linnetladder.forwarding.state.requests import (
     ForwardRequest,
@@ -31,6 +32,7 @@
     "ClientAccount",
     "CrashingPart",
     "EngineSpec",
+    "EvacuatedDomain",
     "ForwardRequest",
     "Position",
     "Prompt",
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -34,6 +34,7 @@
     RollbackMs: float = 5000
     SessionS: float = 5
     ReuseWindowS: float = 10
+    EvacuateMs: float = 5000
 
     def decode(self) -> Bounds:
         """Return the bounds in seconds."""
@@ -52,6 +53,7 @@
             rollback=self.RollbackMs / MILLISECONDS_PER_SECOND,
             session=self.SessionS,
             cache_reuse=self.ReuseWindowS,
+            evacuate=self.EvacuateMs / MILLISECONDS_PER_SECOND,
         )
 
 
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -18,6 +18,7 @@
 )
 from linnetladder.forwarding.state import (
     CrashingPart,
+    EvacuatedDomain,
     Position,
     RolloutOrder,
     RolloutPhase,
@@ -38,6 +39,7 @@
 
 CONFIGURATION_KEY = "op/config"
 ORDER_PREFIX = "op/rollout/"
+EVACUATION_PREFIX = "op/evacuate/"
 STATUS_PREFIX = "status/rollout/"
 SERVER_PREFIX = "servers/"
 RECORD_PREFIX = "router/rollouts/"
@@ -93,6 +95,7 @@
                 endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
                 daemons=tuple(values_by_prefix[DAEMON_PREFIX]),
                 crashing_parts=tuple(values_by_prefix[CRASHING_PART_PREFIX]),
+                evacuated_domains=tuple(values_by_prefix[EVACUATION_PREFIX]),
                 era=era,
             )
         )
@@ -244,6 +247,14 @@
     return model.decode(revision=record.modify_revision)
 
 
+def _decode_evacuation(record: Record) -> EvacuatedDomain:
+    """Return the domain that the key names; the key's presence alone matters."""
+    name = record.key.removeprefix(EVACUATION_PREFIX)
+    if not name:
+        raise ValueError("the key names no failure domain")
+    return EvacuatedDomain(name, record.modify_revision)
+
+
 def _decode_record(record: Record) -> RolloutRecord:
     return _RECORD_ADAPTER.validate_python(_fields_with_revision(record))
 
@@ -268,6 +279,7 @@
 
 _DECODERS = {
     ORDER_PREFIX: _decode_order,
+    EVACUATION_PREFIX: _decode_evacuation,
     RECORD_PREFIX: _decode_record,
     SERVER_PREFIX: _decode_server,
     DAEMON_PREFIX: _decode_daemon,
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -54,6 +54,9 @@
     "permit_waits": Family("Requests that waited for an endpoint's permit"),
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
+    "evacuation_refusals": Family(
+        "Requests refused since all their endpoints are in evacuated failure domains"
+    ),
     "retries": Family("Attempts after the first"),
     "brittle_rejections": Family("Requests that brittle endpoints turned away"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -13,12 +13,14 @@
 
 from linnetladder.coordination import permit_schedule
 from linnetladder.forwarding.coordination import (
+    availability,
     bill_flushing,
     bill_replicas,
     bills,
     brittleness,
     directory,
     endpoint_pauses,
+    evacuations,
     forwarder,
     in_force,
     outcomes,
@@ -34,9 +36,13 @@
     rollouts,
     selection,
     sender,
+    shared_snapshots,
     store_polling,
 )
-from linnetladder.forwarding.coordination.availability import EndpointAvailability
+from linnetladder.forwarding.coordination.availability import (
+    EndpointAvailability,
+    ObstacleReason,
+)
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
 from linnetladder.forwarding.coordination.bills import BillBuffer
@@ -47,6 +53,7 @@
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -61,7 +68,9 @@
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
+from linnetladder.forwarding.coordination.sources import StoreSnapshot
 from linnetladder.forwarding.coordination.store_era import StoreEra
+from linnetladder.forwarding.coordination.store_polling import StorePoller
 from linnetladder.forwarding.protocol import daemon_messages, relaying
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 from linnetladder.forwarding.state import RolloutOrder
@@ -87,11 +96,48 @@
 CUT = "cut_off_daemons"
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
+EVACUATED = "evacuations"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
 
 
+snapshot_position = StoreSnapshot.position.fget
+content_digest = shared_snapshots.content_digest
+obstacle = EndpointAvailability.obstacle
+
+
+def position_read(self, snapshot, heard):
+    """Return the position of what a read returned, whatever peers had named."""
+    return snapshot.position
+
+
+def without_evacuations(snapshot):
+    """Return a snapshot of the store that lacks evacuated failure domains."""
+    return dataclasses.replace(snapshot, evacuated_domains=())
+
+
+def digest_without_evacuations(snapshot):
+    """Return a digest that doesn't cover evacuations."""
+    return content_digest(without_evacuations(snapshot))
+
+
+old_position = property(lambda self: snapshot_position(without_evacuations(self)))
+
+
+def obstacle_of_available(self, endpoint):
+    """Return the obstacle of an endpoint, except for an evacuation."""
+    found = obstacle(self, endpoint)
+    evacuated = found is not None and found.reason is ObstacleReason.EVACUATED
+    return None if evacuated else found
+
+
+def accepts_if_listed(self, endpoint):
+    """Accept a connected call, evacuated or not."""
+    accepts = endpoint.listed and not endpoint.leaving
+    return accepts and not self.pauses.seconds_left(endpoint)
+
+
 def release_after_grace(self, records):
     """Accept waiting orders after the grace only."""
     for order in list(self.waiting.values()):
@@ -407,6 +453,41 @@
         aiohttp.TCPConnector.connect,
         "transport",
     ),
+    ("evacuated", Evacuations, "is_evacuated", always(False), EVACUATED),
+    (
+        "evacuated_obstacle",
+        EndpointAvailability,
+        "obstacle",
+        obstacle_of_available,
+        EVACUATED,
+    ),
+    (
+        "evacuated_excluded",
+        availability,
+        "EXCLUDING",
+        availability.EXCLUDING - {ObstacleReason.EVACUATED},
+        EVACUATED,
+    ),
+    (
+        "evacuated_on_connection",
+        EndpointAvailability,
+        "still_accepts",
+        accepts_if_listed,
+        EVACUATED,
+    ),
+    ("evacuated_held", evacuations, "REWRITE_SECONDS", 0.0, EVACUATED),
+    ("evacuated_held_end", evacuations, "REWRITE_SECONDS", 99.0, EVACUATED),
+    ("evacuated_settled", Evacuations, "is_settled", True, EVACUATED),
+    (
+        "evacuated_digest",
+        shared_snapshots,
+        "content_digest",
+        digest_without_evacuations,
+        EVACUATED,
+    ),
+    ("evacuated_position", StoreSnapshot, "position", old_position, EVACUATED),
+    ("evacuated_reads", StorePoller, "_position_of", position_read, EVACUATED),
+    ("evacuated_refusal", sender, "_is_all_evacuated", always(False), EVACUATED),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -56,6 +56,7 @@
 PortRange=7000,7015
 Provider.Address=10.9.0.1:8003
 Bounds.RevokeMs=4000
+Bounds.EvacuateMs=3000
 Bounds.StrictRevoke=false
 Unknown.Field=1
 """
@@ -119,6 +120,7 @@
     assert (settings.caller_port, settings.ready_port) == (8001, 8002)
     assert settings.peer_ports == (7000, 7015)
     assert settings.bounds.revoke == 4.0
+    assert settings.bounds.evacuate == 3.0
     assert not settings.bounds.strict_revocation
 
 
@@ -255,6 +257,24 @@
     run_with_store(work)
 
 
+def test_keys_of_evacuated_domains_are_read_whatever_their_value():
+    """Guards against an evacuation that is passed over for its value."""
+
+    async def work(server, store, source):
+        server.put("op/evacuate/a", {})
+        server.put_bytes("op/evacuate/b/c", b"")
+        server.put_bytes("op/evacuate/d", b"\xff{")
+        server.put_bytes("op/evacuate/", b"{}")
+        snapshot = (await source.read()).unwrap()
+        names = [domain.name for domain in snapshot.evacuated_domains]
+        assert names == ["a", "b/c", "d"]
+        newest = snapshot.evacuated_domains[-1].revision
+        assert snapshot.position.revision == newest > 0
+        assert source.metrics.value("platform_faults", label="unreadable_entry") == 1
+
+    run_with_store(work)
+
+
 def test_invalid_configuration_keeps_the_previous_one():
     async def work(server, store, source):
         server.put("op/config", CONFIGURATION)
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -27,6 +27,7 @@
     CallerLimits,
     ClientAccount,
     EngineSpec,
+    EvacuatedDomain,
     Prompt,
     PromptPart,
     RequestHead,
@@ -309,6 +310,7 @@
         self.daemons = {}
         self.blocks = {}
         self.crashing_parts = {}
+        self.evacuated = {}
         self.revision = 100
         self.era = 1
         self.down = False
@@ -326,6 +328,11 @@
         self.blocks, self.daemons = dict(blocks), dict(daemons)
         self.era += 1
 
+    def evacuate(self, domain):
+        """Write the operator's key that evacuates a failure domain."""
+        self.revision += 1
+        self.evacuated[domain] = self.revision
+
     def fault(self):
         return Failure(PlatformFault(FaultKind.UNREACHABLE, "down"))
 
@@ -340,6 +347,9 @@
                 endpoints=tuple(self.endpoints.values()),
                 daemons=tuple(self.daemons.values()),
                 crashing_parts=tuple(self.crashing_parts.values()),
+                evacuated_domains=tuple(
+                    EvacuatedDomain(*item) for item in self.evacuated.items()
+                ),
                 era=self.era,
             )
         )
