--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -30,6 +30,7 @@
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -96,6 +97,7 @@
     quarantine: Quarantine
     limits: RequestLimits
     pauses: EndpointPauses
+    evacuations: Evacuations
     paths: PeerPaths
     relay_control: RelayControl
     selection: Selection
@@ -130,6 +132,7 @@
     )
     in_force = TableInForce(settings=holder, clock=clock)
     room = EndpointRoom(in_force=in_force, loads=loads)
+    evacuations = Evacuations(clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -174,6 +177,7 @@
     availability = EndpointAvailability(
         limits=limits,
         pauses=pauses,
+        evacuations=evacuations,
         brittleness=Brittleness(
             limits=limits,
             table=table,
@@ -211,6 +215,7 @@
         budget=budget,
         limits=limits,
         crash_records=crash_records,
+        evacuations=evacuations,
         address=DaemonAddress(
             instance=settings.instance,
             incarnation=incarnation,
@@ -307,6 +312,7 @@
         quarantine=quarantine,
         limits=limits,
         pauses=pauses,
+        evacuations=evacuations,
         paths=paths,
         relay_control=relay_control,
         selection=selection,
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -13,6 +13,7 @@
 
 from linnetladder.coordination import permit_schedule
 from linnetladder.forwarding.coordination import (
+    availability,
     bill_flushing,
     bill_replicas,
     bills,
@@ -20,6 +21,7 @@
     directory,
     endpoint_pauses,
     escalation_gain,
+    evacuations,
     forwarder,
     in_force,
     outcomes,
@@ -37,9 +39,13 @@
     selection,
     sender,
     shared_reads,
+    shared_snapshots,
     store_polling,
 )
-from linnetladder.forwarding.coordination.availability import EndpointAvailability
+from linnetladder.forwarding.coordination.availability import (
+    EndpointAvailability,
+    ObstacleReason,
+)
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
 from linnetladder.forwarding.coordination.bills import BillBuffer
@@ -51,6 +57,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
+from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
@@ -68,7 +75,9 @@
 from linnetladder.forwarding.coordination.sender import Sender
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
+from linnetladder.forwarding.coordination.sources import StoreSnapshot
 from linnetladder.forwarding.coordination.store_era import StoreEra
+from linnetladder.forwarding.coordination.store_polling import StorePoller
 from linnetladder.forwarding.protocol import daemon_messages, relaying
 from linnetladder.forwarding.protocol.daemon_messages import CopiedBills
 from linnetladder.forwarding.state import RolloutOrder
@@ -95,11 +104,48 @@
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
 GAIN = "escalation_gain"
+EVACUATED = "evacuations"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
 
 
+snapshot_position = StoreSnapshot.position.fget
+content_digest = shared_snapshots.content_digest
+obstacle = EndpointAvailability.obstacle
+
+
+def position_read(self, snapshot, heard):
+    """Return the position of what a read returned, whatever peers had named."""
+    return snapshot.position
+
+
+def without_evacuations(snapshot):
+    """Return a snapshot of the store that lacks evacuated failure domains."""
+    return dataclasses.replace(snapshot, evacuated_domains=())
+
+
+def digest_without_evacuations(snapshot):
+    """Return a digest that doesn't cover evacuations."""
+    return content_digest(without_evacuations(snapshot))
+
+
+old_position = property(lambda self: snapshot_position(without_evacuations(self)))
+
+
+def obstacle_of_available(self, endpoint):
+    """Return the obstacle of an endpoint, except for an evacuation."""
+    found = obstacle(self, endpoint)
+    evacuated = found is not None and found.reason is ObstacleReason.EVACUATED
+    return None if evacuated else found
+
+
+def accepts_if_listed(self, endpoint):
+    """Accept a connected call, evacuated or not."""
+    accepts = endpoint.listed and not endpoint.leaving
+    return accepts and not self.pauses.seconds_left(endpoint)
+
+
 def release_after_grace(self, records):
     """Accept waiting orders after the grace only."""
     for order in list(self.waiting.values()):
@@ -443,6 +489,41 @@
     ("room_selection", EndpointRoom, "fits", always(True), "room"),
     ("room_reported", PeerGossip, "_token_rows", always([]), "room"),
     ("room_in_use", Sender, "begin_load", load_without_tokens, "room"),
+    ("evacuated", Evacuations, "is_evacuated", always(False), EVACUATED),
+    (
+        "evacuated_obstacle",
+        EndpointAvailability,
+        "obstacle",
+        obstacle_of_available,
+        EVACUATED,
+    ),
+    (
+        "evacuated_excluded",
+        availability,
+        "EXCLUDING",
+        availability.EXCLUDING - {ObstacleReason.EVACUATED},
+        EVACUATED,
+    ),
+    (
+        "evacuated_on_connection",
+        EndpointAvailability,
+        "still_accepts",
+        accepts_if_listed,
+        EVACUATED,
+    ),
+    ("evacuated_held", evacuations, "REWRITE_SECONDS", 0.0, EVACUATED),
+    ("evacuated_held_end", evacuations, "REWRITE_SECONDS", 99.0, EVACUATED),
+    ("evacuated_settled", Evacuations, "is_settled", True, EVACUATED),
+    (
+        "evacuated_digest",
+        shared_snapshots,
+        "content_digest",
+        digest_without_evacuations,
+        EVACUATED,
+    ),
+    ("evacuated_position", StoreSnapshot, "position", old_position, EVACUATED),
+    ("evacuated_reads", StorePoller, "_position_of", position_read, EVACUATED),
+    ("evacuated_refusal", sender, "_is_all_evacuated", always(False), EVACUATED),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
