Add explain-route: where a request would go now, and why

Operators could only see from the logs of finished requests why a daemon had chosen an endpoint or refused a request.

`linnetladder explain-route` asks a running forwarding daemon about a request that is described by its route, account or key, model, token counts, shared part and session. The daemon answers at /explain-route of its metrics port with the result of the admission checks, the models with the share of doubtful answers that goes on from each, and each endpoint with the terms of its expected wait or with what keeps requests from it.

The answer comes from the code that decides. Selection.scored_candidates returns the candidates with the terms of their scores, and choose() takes the lowest. AdmissionControl.examine is admit() without counting the request. Nothing is sent, counted or remembered. Keys come from a file, and are neither logged nor returned, also not in messages on invalid questions.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -80,6 +80,7 @@
         self.settings_holder = SettingsHolder(settings=settings)
         self.parts: FleetDaemonParts | None = None
         self.ready_server: ReadyServer | None = None
+        self.operations_server: ReadyServer | None = None
         self.tasks: list[asyncio.Task] = []
         self.leaving = False
         self.started_at = time.monotonic()
@@ -99,6 +100,12 @@
         self.ready_server = ReadyServer(
             ready_path=READY_PATH, reasons=self.unready_reasons, metrics=parts.metrics
         )
+        self.operations_server = ReadyServer(
+            ready_path=READY_PATH,
+            reasons=self.unready_reasons,
+            metrics=parts.metrics,
+            explainer=parts.explainer,
+        )
         await self._listen_for_operators(settings)
         await self.parts.peer_socket.start(
             address=settings.address, port=settings.peer_ports[0]
@@ -134,7 +141,9 @@
         )
         metrics_port = self.operations_settings.metrics_port
         if metrics_port:
-            await self.ready_server.listen(address=settings.address, port=metrics_port)
+            await self.operations_server.listen(
+                address=settings.address, port=metrics_port
+            )
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain: report not ready, finish requests in flight, write the bills, close.
@@ -173,6 +182,7 @@
         await self.parts.callers.stop()
         await self.parts.relay_server.stop()
         await self.ready_server.stop()
+        await self.operations_server.stop()
         self.parts.peer_socket.stop()
         await self.parts.background.drain(seconds=0.0)
         await self.parts.calls.close()
--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -37,6 +37,23 @@
         self, head: RequestHead, body: bytes, *, received: float
     ) -> Result[ForwardRequest, Refusal]:
         """Return the admitted request, or the reason for its refusal."""
+        examined = self.examine(head, body, received=received)
+        if isinstance(examined, Success):
+            self.budget.count_request(examined.unwrap().service)
+        return examined
+
+    def examine(
+        self,
+        head: RequestHead,
+        body: bytes,
+        *,
+        received: float,
+        account_name: str = "",
+    ) -> Result[ForwardRequest, Refusal]:
+        """Return what `admit` would, without counting the request.
+
+        ``account_name`` identifies the caller instead of the head's credential.
+        """
         stale_refusal = self.in_force.refuse_stale()
         table = self.in_force.table
         if table is None:
@@ -49,7 +66,7 @@
         if table.accounts and not route.public:
             if stale_refusal is not None:
                 return Failure(stale_refusal)
-            account_result = self._find_account(table, head)
+            account_result = self._find_account(table, head, account_name)
             if isinstance(account_result, Failure):
                 return account_result
             account = account_result.unwrap()
@@ -59,12 +76,18 @@
         poison = self.crashes.refuse(request.suspects)
         if poison is not None:
             return Failure(poison)
-        self.budget.count_request(request.service)
         return Success(request)
 
     def _find_account(
-        self, table: RoutingTable, head: RequestHead
+        self, table: RoutingTable, head: RequestHead, account_name: str
     ) -> Result[ClientAccount, Refusal]:
+        if account_name:
+            account = table.accounts.get(account_name)
+            if account is not None:
+                return Success(account)
+            detail = f"there is no client account {account_name!r}"
+            kind = ErrorKind.UNKNOWN_CREDENTIAL
+            return Failure(self.in_force.refuse_absent(kind, detail))
         if head.credential is None:
             detail = "the request carries no credential"
             kind = ErrorKind.MISSING_CREDENTIAL
--- a/linnetladder/forwarding/coordination/escalation_gain.py
+++ b/linnetladder/forwarding/coordination/escalation_gain.py
@@ -75,10 +75,27 @@
 
     def is_short(self, route: Route, *, wait: float) -> bool:
         """Return whether engines are short of time, given the shortest wait."""
-        gains = self._gains_of(route)
-        limit = ENOUGH_WAIT_SHARE if gains.short else SHORT_WAIT_SHARE
-        gains.short = wait > limit * route.objective_seconds
-        return gains.short
+        was_short = self._gains_of(route).short
+        limit = ENOUGH_WAIT_SHARE if was_short else SHORT_WAIT_SHARE
+        return wait > limit * route.objective_seconds
+
+    def escalated_share(
+        self,
+        route: Route,
+        *,
+        prompt: Prompt | None,
+        model: str,
+        wait: float,
+        remaining: float,
+    ) -> float:
+        """Return the share of doubtful responses that a model is asked for."""
+        if not self.is_short(route, wait=wait):
+            return 1.0
+        tokens = prompt.input_tokens if prompt is not None else 0
+        latest_wait = remaining - tokens * self.loads.token_seconds(model)
+        return _escalated_share(
+            wait, ENOUGH_WAIT_SHARE * route.objective_seconds, latest_wait
+        )
 
     def is_worthwhile(
         self,
@@ -100,14 +117,11 @@
         gains = self._gains_of(route)
         rate = self._rate(gains, prompt, held_tokens, model, confidence)
         gains.rates.append(rate)
-        if not self.is_short(route, wait=wait):
-            return True
-        tokens = prompt.input_tokens if prompt is not None else 0
-        latest_wait = remaining - tokens * self.loads.token_seconds(model)
-        share = _escalated_share(
-            wait, ENOUGH_WAIT_SHARE * route.objective_seconds, latest_wait
+        share = self.escalated_share(
+            route, prompt=prompt, model=model, wait=wait, remaining=remaining
         )
-        return self._rank(gains, rate) > 1.0 - share
+        gains.short = self.is_short(route, wait=wait)
+        return not gains.short or self._rank(gains, rate) > 1.0 - share
 
     def _rate(
         self,
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -207,10 +207,10 @@
     async def _serve_stream(self, request: ForwardRequest, reply: Reply) -> None:
         """Escalate through the model sizes, then relay the events of one response."""
         state = StreamState(
-            position=self.sizing.first_position(self._sizing_inputs(request))
+            position=self.sizing.first_position(self.sizing_inputs(request))
         )
         while True:
-            model = request.model = self._requested_model(request, state.position)
+            model = request.model = self.requested_model(request, state.position)
             opened = await self.sender.open(
                 request, model=model, resume_after=_resume_after(request, state)
             )
@@ -267,7 +267,7 @@
         if state.fell_back:
             return False
         confidence = attempt.exchange.head.confidence
-        inputs = self._sizing_inputs(request)
+        inputs = self.sizing_inputs(request)
         inputs.holding_models = self.sender.holding_models(request)
         step = self.sizing.next_position(
             inputs, position=state.position, confidence=confidence
@@ -283,7 +283,7 @@
             self.metrics.count("escalations_skipped")
             request.history.append("no budget left")
             return False
-        larger_model = self._requested_model(request, step.position)
+        larger_model = self.requested_model(request, step.position)
         request.endpoints_tried.remove(attempt.endpoint.name)
         if not self.sender.can_send_now(request, larger_model):
             request.endpoints_tried.append(attempt.endpoint.name)
@@ -308,7 +308,7 @@
         state.position = state.given_up
         state.fell_back = True
         request.fallback_seconds = None
-        model = self._requested_model(request, state.position)
+        model = self.requested_model(request, state.position)
         # An endpoint that failed with the larger model is the last choice, as long as
         # there are others.
         tried = request.endpoints_tried
@@ -413,13 +413,14 @@
         await reply.send(failed.status, failed.headers, failed.body)
         self.reporter.failed(request, failed.status, refusal.detail)
 
-    def _requested_model(self, request: ForwardRequest, position: int) -> str:
+    def requested_model(self, request: ForwardRequest, position: int) -> str:
         """Return the model at a position, or ``""`` if the caller chose the model."""
         if request.head.model != ANY_MODEL or not request.route.models:
             return ""
         return request.route.models[position]
 
-    def _sizing_inputs(self, request: ForwardRequest) -> SizingInputs:
+    def sizing_inputs(self, request: ForwardRequest) -> SizingInputs:
+        """Return the inputs of the choice of a model size for a request."""
         table = self.in_force.table
         service = table.services.get(request.service)
         objective = request.received + request.route.objective_seconds
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -21,7 +21,7 @@
 from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.state import Clock, Endpoint
 
-__all__ = ["Selection", "SelectionInputs"]
+__all__ = ["ScoredCandidate", "Selection", "SelectionInputs"]
 
 # Endpoints that the hash of a shared part prefers. Others cost an addition to the wait,
 # so that in large fleets a part is read by few, and the daemons, whose knowledge of the
@@ -58,6 +58,23 @@
     tried_endpoints: tuple[str, ...]
 
 
+@dataclasses.dataclass(slots=True)
+class ScoredCandidate:
+    """A candidate with the terms of its score, of which the lowest is chosen.
+
+    They are in seconds of expected wait for a prompt, and otherwise in requests in
+    flight per slot.
+    """
+
+    endpoint: Endpoint
+    terms: dict[str, float]
+
+    @property
+    def score(self) -> float:
+        """The sum of the terms."""
+        return sum(self.terms.values())
+
+
 class Selection:
     """Selects among the endpoints of a service that accept requests."""
 
@@ -83,12 +100,19 @@
 
     def choose(self, inputs: SelectionInputs) -> Endpoint | None:
         """Return the endpoint for an attempt, or ``None`` if there is none."""
+        scored = self.scored_candidates(inputs)
+        return min(scored, key=lambda c: c.score).endpoint if scored else None
+
+    def scored_candidates(self, inputs: SelectionInputs) -> list[ScoredCandidate]:
+        """Return the candidates with their scores; the first of equal ones is chosen.
+
+        The choice and its explanation to operators both use this.
+        """
         candidates = self.candidates(inputs)
-        if not candidates:
-            return None
         if inputs.has_prompt:
-            return self._choose_for_prompt(candidates, inputs)
-        return min(candidates, key=self._relative_load)
+            return self._score_for_prompt(candidates, inputs)
+        ranked = self._ranked(candidates, self.own_domain)
+        return [ScoredCandidate(e, self._load_terms(e)) for e in ranked]
 
     def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the untried endpoints that the request may be sent to now."""
@@ -116,10 +140,12 @@
 
     def allowed(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return the endpoints that the version rule allows, available or not."""
+        return [e for e in self.pool_endpoints(inputs) if inputs.rule.allows(e)]
+
+    def pool_endpoints(self, inputs: SelectionInputs) -> list[Endpoint]:
+        """Return all endpoints of the service."""
         pool = self.directory.pool(inputs.service)
-        if pool is None:
-            return []
-        return [e for e in pool.endpoints if inputs.rule.allows(e)]
+        return pool.endpoints if pool is not None else []
 
     def has_healthy_candidate(self, inputs: SelectionInputs) -> bool:
         """Return whether an untried endpoint may be sent to that is not ejected.
@@ -161,40 +187,48 @@
         sent = self.holders.get(affinity, {})
         return {holder for holder, sent_at in sent.items() if sent_at >= since}
 
-    def _choose_for_prompt(
+    def _score_for_prompt(
         self, candidates: list[Endpoint], inputs: SelectionInputs
-    ) -> Endpoint:
+    ) -> list[ScoredCandidate]:
         ranked = self._ranked(candidates, inputs.affinity)
         holders = self._holders(inputs.affinity)
-        if not any((e.name, e.incarnation) in holders for e in ranked):
+        if ranked and not any((e.name, e.incarnation) in holders for e in ranked):
             holders = {(ranked[0].name, ranked[0].incarnation)}
-        seconds: dict[str, float] = {}
+        scored = []
         for rank, endpoint in enumerate(ranked):
-            expected = self._prompt_wait(endpoint)
+            terms = self._wait_terms(endpoint)
             if (endpoint.name, endpoint.incarnation) not in holders:
-                expected += inputs.shared_seconds
+                terms["shared_part"] = inputs.shared_seconds
                 if rank >= PREFERRED_ENDPOINTS:
-                    expected += DISTANT_PENALTY_SECONDS
-            seconds[endpoint.name] = expected
-        return min(ranked, key=lambda endpoint: seconds[endpoint.name])
+                    terms["distant"] = DISTANT_PENALTY_SECONDS
+            scored.append(ScoredCandidate(endpoint, terms))
+        return scored
 
     def _ranked(self, candidates: list[Endpoint], affinity: str) -> list[Endpoint]:
         return sorted(candidates, key=lambda e: _rendezvous_hash(affinity, e.name))
 
-    def _prompt_wait(self, endpoint: Endpoint) -> float:
+    def _wait_terms(self, endpoint: Endpoint) -> dict[str, float]:
+        """Return the terms of the expected wait that don't depend on the prompt."""
         in_flight = self.loads.in_flight_of(endpoint)
-        wait = self.loads.backlog_of(endpoint) + in_flight * IN_FLIGHT_WAIT_SECONDS
-        wait += self.outcomes.failure_rate(endpoint.name) * BAD_SHARE_PENALTY_SECONDS
+        failure_rate = self.outcomes.failure_rate(endpoint.name)
+        terms = {
+            "backlog": self.loads.backlog_of(endpoint),
+            "in_flight": in_flight * IN_FLIGHT_WAIT_SECONDS,
+            "failures": failure_rate * BAD_SHARE_PENALTY_SECONDS,
+        }
         if in_flight >= endpoint.capacity:
-            wait += FULL_PENALTY_SECONDS
-        return wait
-
-    def _relative_load(self, endpoint: Endpoint) -> tuple[float, int]:
-        load = self.loads.in_flight_of(endpoint) / endpoint.capacity
-        load += self.outcomes.failure_rate(endpoint.name)
+            terms["full"] = FULL_PENALTY_SECONDS
+        return terms
+
+    def _load_terms(self, endpoint: Endpoint) -> dict[str, float]:
+        """Return the terms of the relative load, for requests without a prompt."""
+        terms = {
+            "in_flight": self.loads.in_flight_of(endpoint) / endpoint.capacity,
+            "failures": self.outcomes.failure_rate(endpoint.name),
+        }
         if endpoint.failure_domain != self.own_domain:
-            load += OTHER_DOMAIN_PENALTY
-        return load, _rendezvous_hash(self.own_domain, endpoint.name)
+            terms["other_domain"] = OTHER_DOMAIN_PENALTY
+        return terms
 
 
 def _rendezvous_hash(key: str, endpoint: str) -> int:
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -148,12 +148,12 @@
         """Return an attempt whose response has begun, or the reason why none has."""
         last_fault: CallFault | None = None
         for _ in range(MAXIMUM_SENDS):
-            refusal = self._refuse_attempt(request, last_fault)
+            refusal = self.refuse_attempt(request, last_fault)
             if refusal is not None:
                 return Failure(refusal)
             endpoint = await self._choose(request, model)
             if endpoint is None:
-                return Failure(self._no_endpoint_refusal(request, model, last_fault))
+                return Failure(self.no_endpoint_refusal(request, model, last_fault))
             is_retry = request.times_sent > 0
             if is_retry and not self._spend_retry(request):
                 return Failure(_budget_spent_refusal(request, last_fault))
@@ -169,7 +169,7 @@
                 continue
             if attempt is not None:
                 return Success(attempt)
-        return Failure(self._no_endpoint_refusal(request, model, last_fault))
+        return Failure(self.no_endpoint_refusal(request, model, last_fault))
 
     def can_send_now(self, request: ForwardRequest, model: str) -> bool:
         """Return whether an attempt could be sent at once."""
@@ -228,6 +228,17 @@
             default=None,
         )
 
+    def permit_wait(self, request: ForwardRequest, model: str) -> float | None:
+        """Return for how many seconds a request would wait for a permit now.
+
+        ``None`` if no endpoint has one within the time that it may wait.
+        """
+        endpoint = self._first_permitted(self.selection_inputs(request, model))
+        if endpoint is None:
+            return None
+        seconds = self.limits.seconds_until_next(endpoint)
+        return seconds if seconds <= self._longest_permit_wait(request) else None
+
     def _seconds_until_pause_ends(self, inputs: SelectionInputs) -> float | None:
         """Return the seconds until an untried endpoint's pause ends, if one has any."""
         allowed = self.selection.allowed(inputs)
@@ -617,7 +628,7 @@
             return False
         return self.availability.is_reached_by_peers(endpoint)
 
-    def _no_endpoint_refusal(
+    def no_endpoint_refusal(
         self, request: ForwardRequest, model: str, last_fault: CallFault | None
     ) -> Refusal:
         """Return the refusal of a request that can be sent to no endpoint in time."""
@@ -690,7 +701,7 @@
         self.calls.close_idle_connections(endpoint.address)
         self.quarantine.eject(endpoint)
 
-    def _refuse_attempt(
+    def refuse_attempt(
         self, request: ForwardRequest, last_fault: CallFault | None
     ) -> Refusal | None:
         """Return a refusal if no further attempt is allowed."""
--- a/linnetladder/forwarding/coordination/sizing.py
+++ b/linnetladder/forwarding/coordination/sizing.py
@@ -14,6 +14,7 @@
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
 from linnetladder.forwarding.daemon_variables import PolicySettings
 from linnetladder.forwarding.state import EngineSpec, Prompt, Route
+from linnetladder.forwarding.state.explanations import ModelExplanation
 
 __all__ = ["ConfidenceCascade", "SizingInputs", "SizingPolicy", "SizingStep"]
 
@@ -70,6 +71,10 @@
         response, or ``None`` if it gave none.
         """
 
+    @abc.abstractmethod
+    def explain(self, inputs: SizingInputs) -> tuple[ModelExplanation, ...]:
+        """Return the models that may be asked now, in their order."""
+
 
 @dataclasses.dataclass(slots=True)
 class SettlingCounts:
@@ -114,8 +119,7 @@
         if position + 1 >= len(models):
             return SizingStep(None, "largest")
         next_position = self._worthwhile_position(inputs, position + 1)
-        expected = self._expected_seconds(inputs, models[next_position])
-        if expected > inputs.remaining * LATENESS_FACTOR:
+        if self._would_be_late(inputs, models[next_position]):
             return SizingStep(None, "a larger one would be late")
         if not self.gain.is_worthwhile(
             inputs.route,
@@ -129,6 +133,41 @@
             return SizingStep(None, "engines are short")
         return SizingStep(next_position, "doubtful")
 
+    def explain(self, inputs: SizingInputs) -> tuple[ModelExplanation, ...]:
+        """Return the models that may be asked now, with the share of escalations."""
+        models = inputs.route.models
+        position = self.first_position(inputs)
+        explanations = []
+        while position < len(models):
+            next_position = position + 1
+            next_model, share = "", 0.0
+            if next_position < len(models):
+                next_position = self._worthwhile_position(inputs, next_position)
+                next_model = models[next_position]
+                if not self._would_be_late(inputs, next_model):
+                    share = self.gain.escalated_share(
+                        inputs.route,
+                        prompt=inputs.prompt,
+                        model=next_model,
+                        wait=inputs.wait,
+                        remaining=inputs.remaining,
+                    )
+            explanations.append(
+                ModelExplanation(
+                    name=models[position],
+                    first=not explanations,
+                    expected_seconds=self._expected_seconds(inputs, models[position]),
+                    next_model=next_model,
+                    escalated_share=share,
+                )
+            )
+            position = next_position
+        return tuple(explanations)
+
+    def _would_be_late(self, inputs: SizingInputs, model: str) -> bool:
+        expected = self._expected_seconds(inputs, model)
+        return expected > inputs.remaining * LATENESS_FACTOR
+
     def _worthwhile_position(self, inputs: SizingInputs, position: int) -> int:
         """Return the first size from ``position`` on that is worth its cost.
 
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -30,6 +30,7 @@
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
+from linnetladder.forwarding.coordination.explaining import RouteExplainer
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -97,6 +98,7 @@
     selection: Selection
     sender: Sender
     forwarder: Forwarder
+    explainer: RouteExplainer
 
 
 def build_forwarding_core(
@@ -289,4 +291,7 @@
         selection=selection,
         sender=sender,
         forwarder=forwarder,
+        explainer=RouteExplainer(
+            instance=settings.instance, forwarder=forwarder, clock=clock
+        ),
     )
--- a/linnetladder/forwarding/daemon_variables.py
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -37,7 +37,10 @@
         0,
         ge=0,
         le=65535,
-        description="Port that serves /metrics besides the one for readiness; 0: none.",
+        description=(
+            "Port that serves /metrics besides the one for readiness, and "
+            "/explain-route; 0: none."
+        ),
     )
 
 
--- a/linnetladder/forwarding/transport/ready_server.py
+++ b/linnetladder/forwarding/transport/ready_server.py
@@ -1,4 +1,4 @@
-"""The HTTP server of readiness, metrics and status."""
+"""The HTTP server of readiness, metrics, status and explanations of routes."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,15 +8,24 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
+from linnetladder.forwarding.coordination.explaining import RouteExplainer
+from linnetladder.forwarding.protocol.route_questions import (
+    EXPLAIN_ROUTE_PATH,
+    RouteQuestionError,
+    decode_question,
+)
 from linnetladder.telemetry import Metrics
 
 __all__ = ["ReadyServer"]
 
+QUESTION_TIMEOUT_SECONDS = 5.0
+
 
 class ReadyServer:
     """Serves readiness to the load balancer, metrics and status to operators.
 
     ``reasons`` returns why the daemon is not ready; it is ready if there are none.
+    With an ``explainer`` it also answers questions about routes.
     """
 
     def __init__(
@@ -25,10 +34,12 @@
         ready_path: str,
         reasons: Callable[[], list[str]],
         metrics: Metrics,
+        explainer: RouteExplainer | None = None,
     ):
         self.ready_path = ready_path
         self.reasons = reasons
         self.metrics = metrics
+        self.explainer = explainer
         self.handlers = Server(self.handle, access_log=None)
         self.servers: list[asyncio.Server] = []
 
@@ -54,4 +65,23 @@
         if request.path == "/status":
             content = orjson.dumps({"ready": not self.reasons()})
             return Response(body=content, content_type="application/json")
+        if request.path == EXPLAIN_ROUTE_PATH and self.explainer is not None:
+            return await self._explain_route(request)
         return Response(status=404, text="there is only readiness and /metrics")
+
+    async def _explain_route(self, request: BaseRequest) -> Response:
+        """Answer a question, whose credential is neither logged nor returned."""
+        if request.method != "POST":
+            return Response(status=405, headers={"Allow": "POST"})
+        try:
+            async with asyncio.timeout(QUESTION_TIMEOUT_SECONDS):
+                question = decode_question(await request.read())
+        except TimeoutError:
+            return Response(status=408, text="the question was not complete in time")
+        except RouteQuestionError as problem:
+            return Response(status=400, text=str(problem))
+        explanation = self.explainer.explain(question)
+        if explanation is None:
+            return Response(status=404, text="there is no such route")
+        content = orjson.dumps(explanation)
+        return Response(body=content, content_type="application/json")
--- a/linnetladder/management/__init__.py
+++ b/linnetladder/management/__init__.py
@@ -22,6 +22,7 @@
     "withdraw",
     "status",
     "explain",
+    "explain-route",
     "bill",
     "rotate-key",
 )
@@ -37,7 +38,7 @@
     """Return the usage text with a summary of each command."""
     lines = ["linnetladder COMMAND [flags] [arguments]", "", "Commands:"]
     for name in COMMANDS:
-        lines.append(f"  {name:<12}{load_command(name).summary}")
+        lines.append(f"  {name:<14}{load_command(name).summary}")
     lines.extend(["", "linnetladder COMMAND --help tells more about each."])
     return "\n".join(lines)
 
--- a/tests/forwarding/test_escalation_gain.py
+++ b/tests/forwarding/test_escalation_gain.py
@@ -141,10 +141,12 @@
 
 def test_short_state_has_hysteresis():
     """Around one limit, a wait that varies by little would change the state often."""
-    gain = cascade().gain
-    states = [gain.is_short(ROUTE, wait=w) for w in (0.45, 0.51, 0.45, 0.25, 0.19)]
-    assert states == [False, True, True, True, False]
-    assert not gain.is_short(ROUTE, wait=0.45)
+    sizing = cascade()
+    states = []
+    for wait in (0.45, 0.51, 0.45, 0.25, 0.19, 0.45):
+        escalates(sizing, wait=wait)
+        states.append(sizing.gain.routes[ROUTE.name].short)
+    assert states == [False, True, True, True, False, False]
 
 
 def test_with_rising_wait_fewer_are_escalated_and_none_that_would_be_late():
