Keep requests to the homes of their routes and client accounts

Operators could not keep requests to regions: any endpoint of a service got them, and any peer passed them on.

AllowedRegions of routes and tenants and the regions of failure domains in the settings are now read. Where both a route and a client account name regions, both are binding. Selection leaves out endpoints of other regions on every way, and PeerPaths the peers of regions that are neither a home nor the daemon's own. A request without an endpoint in its homes is refused at once as not run; its history names the regions. A failure domain without a region is in no home. A session that a roll-out gives to its target stays on the other versions while the target has no endpoint in the homes.

--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -5,6 +5,7 @@
 
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.forwarding.coordination.budget import RetryBudget
+from linnetladder.forwarding.coordination.homes import homes_of
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.poison import CrashLog, part_suspects
 from linnetladder.forwarding.state import (
@@ -108,4 +109,5 @@
             fingerprint=digest.hexdigest(),
             configuration_version=version,
             part_suspects=part_suspects(prompt),
+            homes=homes_of(route, account),
         )
--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -106,7 +106,8 @@
             return Obstacle(ObstacleReason.UNLISTED)
         if endpoint.leaving:
             return Obstacle(ObstacleReason.LEAVING)
-        if self.evacuations.is_evacuated(endpoint.failure_domain):
+        evacuations = self.evacuations
+        if evacuations.domains and evacuations.is_evacuated(endpoint.failure_domain):
             return Obstacle(ObstacleReason.EVACUATED)
         if not self.pauses.may_send(endpoint):
             seconds = self.pauses.seconds_left(endpoint)
@@ -131,9 +132,16 @@
         """Return whether this daemon can't connect to an endpoint itself."""
         return endpoint.ejected_until == math.inf
 
-    def is_reached_by_peers(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is reached through a peer and not directly."""
-        return self.is_unreachable(endpoint) and self.paths.may_reach(endpoint)
+    def is_reached_by_peers(
+        self, endpoint: Endpoint, *, homes: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether an endpoint is reached through a peer and not directly.
+
+        ``homes`` are those of the request that is to be sent.
+        """
+        return self.is_unreachable(endpoint) and self.paths.may_reach(
+            endpoint, homes=homes
+        )
 
     def is_excluded(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get no request at present."""
--- a/linnetladder/forwarding/coordination/peer_paths.py
+++ b/linnetladder/forwarding/coordination/peer_paths.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.state import Clock, Endpoint
@@ -42,35 +43,50 @@
     for each endpoint the peers that couldn't reach it, with the times.
     """
 
-    def __init__(self, *, peers: PeerGossip, clock: Clock, metrics: Metrics):
+    def __init__(
+        self, *, peers: PeerGossip, homes: Homes, clock: Clock, metrics: Metrics
+    ):
         self.peers = peers
+        self.homes = homes
         self.clock = clock
         self.metrics = metrics
         self.failed_peers: dict[str, PeerFailure] = {}
         self.failed_endpoints: dict[tuple[str, str], dict[str, float]] = {}
         self.used_at = -math.inf
 
-    def may_reach(self, endpoint: Endpoint) -> bool:
-        """Return whether a peer may reach an endpoint that this daemon can't."""
+    def may_reach(
+        self, endpoint: Endpoint, *, homes: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether a peer may reach an endpoint that this daemon can't.
+
+        ``homes`` are those of the request that is to be passed on.
+        """
         failed = self._peers_without(endpoint)
         if len(failed) >= PEERS_PER_ENDPOINT:
             return False
         return any(
-            self._is_usable(peer) and peer.instance not in failed
+            self._is_usable(peer)
+            and peer.instance not in failed
+            and self.homes.allow_peer(homes, peer)
             for peer in self.peers.peers
         )
 
-    def choose(self, key: str, endpoint: Endpoint) -> DaemonAddress | None:
+    def choose(
+        self, key: str, endpoint: Endpoint, *, homes: frozenset[str] | None = None
+    ) -> DaemonAddress | None:
         """Return a peer that may reach an endpoint, or ``None``.
 
-        Requests with different keys go through different peers.
+        Requests with different keys go through different peers. ``homes`` are those of
+        the request that is to be passed on; a probe has none.
         """
         failed = self._peers_without(endpoint)
         return max(
             (
                 peer
                 for peer in self.peers.peers
-                if self._is_usable(peer) and peer.instance not in failed
+                if self._is_usable(peer)
+                and peer.instance not in failed
+                and self.homes.allow_peer(homes, peer)
             ),
             key=lambda peer: xxhash.xxh32_intdigest(f"{key}\0{peer.instance}".encode()),
             default=None,
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -11,12 +11,14 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterable
 
 import xxhash
 
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.version_rule import VersionRule
 from linnetladder.state import Clock, Endpoint
@@ -48,6 +50,7 @@
     ``affinity`` identifies the model and the prompt's shared part; it is empty if the
     prompt has none. ``shared_seconds`` is the expected time to prefill that part.
     ``tried_endpoints`` are the names of the endpoints that the request was sent to.
+    ``homes`` are the regions that it may be sent to, ``None`` for any.
     """
 
     service: str
@@ -56,6 +59,7 @@
     shared_seconds: float
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
+    homes: frozenset[str] | None = None
 
 
 class Selection:
@@ -68,6 +72,7 @@
         loads: EndpointLoads,
         outcomes: Outcomes,
         availability: EndpointAvailability,
+        homes: Homes,
         clock: Clock,
         own_domain: str,
     ):
@@ -75,6 +80,7 @@
         self.loads = loads
         self.outcomes = outcomes
         self.availability = availability
+        self.homes = homes
         self.clock = clock
         self.own_domain = own_domain
         self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
@@ -110,16 +116,26 @@
         healthy = [e for e in untried if not self.availability.is_ejected(e)]
         return (
             healthy
-            or list(filter(self.availability.is_reached_by_peers, untried))
+            or [e for e in untried if self._is_reached_by_peers(e, inputs)]
             or untried
         )
 
     def allowed(self, inputs: SelectionInputs) -> list[Endpoint]:
-        """Return the endpoints that the version rule allows, available or not."""
+        """Return the endpoints that the request may use, available or not.
+
+        The version rule and the request's homes decide. If the target of a roll-out
+        has no endpoint in the homes, the request stays on the other versions there.
+        """
         pool = self.directory.pool(inputs.service)
         if pool is None:
             return []
-        return [e for e in pool.endpoints if inputs.rule.allows(e)]
+        allowed = [e for e in pool.endpoints if inputs.rule.allows(e)]
+        if inputs.homes is None:
+            return allowed
+        in_homes = self._in_homes(allowed, inputs)
+        if not in_homes and inputs.rule.only_target:
+            return self._in_homes(pool.endpoints, inputs)
+        return in_homes
 
     def has_healthy_candidate(self, inputs: SelectionInputs) -> bool:
         """Return whether an untried endpoint may be sent to that is not ejected.
@@ -127,11 +143,20 @@
         One that is reached through a peer counts, too.
         """
         return any(
-            self.availability.is_reached_by_peers(endpoint)
+            self._is_reached_by_peers(endpoint, inputs)
             or not self.availability.is_ejected(endpoint)
             for endpoint in self.candidates(inputs)
         )
 
+    def _in_homes(
+        self, endpoints: Iterable[Endpoint], inputs: SelectionInputs
+    ) -> list[Endpoint]:
+        """Return those of some endpoints that are in the request's homes."""
+        return [e for e in endpoints if self.homes.allow_endpoint(inputs.homes, e)]
+
+    def _is_reached_by_peers(self, endpoint: Endpoint, inputs: SelectionInputs) -> bool:
+        return self.availability.is_reached_by_peers(endpoint, homes=inputs.homes)
+
     def shortest_wait(self, inputs: SelectionInputs) -> float:
         """Return the shortest backlog of any candidate, in seconds."""
         waits = [self.loads.backlog_of(e) for e in self.candidates(inputs)]
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -52,8 +52,9 @@
 # Sends that did not run don't count as attempts, so this limits them separately.
 MAXIMUM_SENDS = 6
 RETRY_AFTER_SECONDS = 0.25
-# An evacuation lasts for seconds at least, so callers need not ask again earlier.
-EVACUATED_RETRY_AFTER_SECONDS = 1.0
+# Endpoints that are evacuated or missing in a request's homes are so for seconds at
+# least, so callers need not ask again earlier.
+ABSENCE_RETRY_AFTER_SECONDS = 1.0
 # A stream's first event takes up to the route's objective, and longer on a busy engine.
 # After this share of the objective without a byte, the endpoint is probed over a new
 # connection.
@@ -166,7 +167,7 @@
                 if is_retry and not fault.may_have_run:
                     self._refund_retry(request)
                 await self._record_fault(request, endpoint, fault)
-                if self._may_try_through_peer(endpoint, fault):
+                if self._may_try_through_peer(request, endpoint, fault):
                     request.endpoints_tried.remove(endpoint.name)
                 continue
             if attempt is not None:
@@ -254,6 +255,7 @@
             shared_seconds=self._shared_seconds(request, model),
             has_prompt=prompt is not None,
             tried_endpoints=tuple(request.endpoints_tried),
+            homes=request.homes,
         )
 
     def _shared_seconds(self, request: ForwardRequest, model: str) -> float:
@@ -590,11 +592,13 @@
         name = f"{endpoint.name}:{endpoint.incarnation}"
         self.crashes.record_crash(request, name, with_parts=with_parts)
 
-    def _may_try_through_peer(self, endpoint: Endpoint, fault: CallFault) -> bool:
+    def _may_try_through_peer(
+        self, request: ForwardRequest, endpoint: Endpoint, fault: CallFault
+    ) -> bool:
         """Return whether an endpoint that could not be connected to may be reached."""
         if fault.relay or fault.kind is not CallFaultKind.CONNECT:
             return False
-        return self.availability.is_reached_by_peers(endpoint)
+        return self._is_reached_by_peers(request, endpoint)
 
     def _no_endpoint_refusal(
         self, request: ForwardRequest, model: str, last_fault: CallFault | None
@@ -605,6 +609,8 @@
         inputs = self.selection_inputs(request, model)
         allowed = self.selection.allowed(inputs)
         obstacles = list(map(self.availability.obstacle, allowed))
+        if request.homes is not None and not allowed:
+            detail = f"service {request.service!r} has no endpoint for the request"
         if any(obstacles):
             request.history.append(f"obstacles: {describe_obstacles(obstacles)}")
         # The caller's next attempt may go to any endpoint, also to those tried now.
@@ -627,7 +633,14 @@
         if _is_all_evacuated(obstacles):
             self.metrics.count("evacuation_refusals")
             detail = f"all endpoints of service {request.service!r} are evacuated"
-            retry_after = EVACUATED_RETRY_AFTER_SECONDS
+            retry_after = ABSENCE_RETRY_AFTER_SECONDS
+        if request.homes is not None:
+            regions = ", ".join(sorted(request.homes)) or "none"
+            request.history.append(f"homes: {regions}")
+            detail += f"; the regions that the request may use: {regions}"
+            if not allowed:
+                self.metrics.count("home_refusals")
+                retry_after = ABSENCE_RETRY_AFTER_SECONDS
         if last_fault is not None:
             detail += f"; the last attempt failed: {last_fault.detail}"
         return _refusal(request, kind, detail, retry_after_seconds=retry_after)
@@ -636,13 +649,16 @@
         self, request: ForwardRequest, endpoint: Endpoint
     ) -> DaemonAddress | None:
         """Return the peer to send through, ``None`` to send directly."""
-        if not self.availability.is_reached_by_peers(endpoint):
+        if not self._is_reached_by_peers(request, endpoint):
             return None
-        peer = self.paths.choose(request.head.attempt_id, endpoint)
+        peer = self.paths.choose(request.head.attempt_id, endpoint, homes=request.homes)
         self.paths.note_used(peer, endpoint)
         request.history.append(f"via {peer.instance}")
         return peer
 
+    def _is_reached_by_peers(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+        return self.availability.is_reached_by_peers(endpoint, homes=request.homes)
+
     def _record_path_fault(
         self,
         request: ForwardRequest,
@@ -657,7 +673,7 @@
             self.paths.peer_failed(peer)
         else:
             self.paths.endpoint_failed(peer, endpoint)
-        if fault.peer_failed or self.availability.is_reached_by_peers(endpoint):
+        if fault.peer_failed or self._is_reached_by_peers(request, endpoint):
             request.endpoints_tried.remove(endpoint.name)
 
     def _eject_unreachable(
@@ -698,6 +714,8 @@
         """Return whether a call may be sent now that its connection is made."""
         if self._refuse_crashing(request) is not None:
             return False
+        if not self.selection.homes.allow_endpoint(request.homes, endpoint):
+            return False
         return self.availability.still_accepts(endpoint)
 
 
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -30,6 +30,7 @@
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.evacuations import Evacuations
+from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -165,7 +166,8 @@
         clock=clock,
         metrics=metrics,
     )
-    paths = PeerPaths(peers=peers, clock=clock, metrics=metrics)
+    homes = Homes(settings=holder)
+    paths = PeerPaths(peers=peers, homes=homes, clock=clock, metrics=metrics)
     availability = EndpointAvailability(
         limits=limits,
         pauses=pauses,
@@ -223,6 +225,7 @@
         loads=loads,
         outcomes=outcomes,
         availability=availability,
+        homes=homes,
         clock=clock,
         own_domain=settings.failure_domain,
     )
--- a/linnetladder/forwarding/settings.py
+++ b/linnetladder/forwarding/settings.py
@@ -47,6 +47,7 @@
 
     ``peer_ports`` holds the first and the last port that daemons may use for messages
     to each other. ``store_address`` is the ``IP:port`` of the platform's store.
+    ``regions`` gives the regions of failure domains.
     """
 
     instance: str
@@ -58,6 +59,7 @@
     peer_ports: tuple[int, int]
     store_address: str
     bounds: Bounds = Bounds()
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class SettingsHolder:
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -83,12 +83,12 @@
     ``received`` and ``deadline`` are in seconds of the daemon's monotonic clock.
     ``deadline_source`` is ``caller`` or ``route``, whichever set the deadline.
     ``fingerprint`` identifies the request by its content, and ``part_suspects`` names
-    the parts of its prompt that other requests may share. ``ran``
-    is set once an endpoint may have started to run the request. ``attempts`` counts the
-    endpoints that may have run it, ``times_sent`` also those that reported that they
-    did not. ``model`` is the model of the latest attempt and ``events`` the number of
-    stream events forwarded to the caller. ``history`` lists the steps of the
-    processing for the log.
+    the parts of its prompt that other requests may share. ``homes`` are the regions
+    that it may be sent to, ``None`` for any. ``ran`` is set once an endpoint may have
+    started to run the request. ``attempts`` counts the endpoints that may have run it,
+    ``times_sent`` also those that reported that they did not. ``model`` is the model of
+    the latest attempt and ``events`` the number of stream events forwarded to the
+    caller. ``history`` lists the steps of the processing for the log.
     """
 
     head: RequestHead
@@ -103,6 +103,7 @@
     fingerprint: str
     configuration_version: int
     part_suspects: tuple[str, ...] = ()
+    homes: frozenset[str] | None = None
     attempts: int = 0
     times_sent: int = 0
     ran: bool = False
--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -87,6 +87,7 @@
     to the first byte at which a response still has its full value, and
     ``gap_objective_seconds`` the longest pause between the events of a stream.
     ``maximum_attempts`` is the number of endpoints that may run one request.
+    ``allowed_regions`` are the regions that requests may be sent to, empty for any.
     """
 
     name: str
@@ -102,6 +103,7 @@
     resumable: bool = False
     models: tuple[str, ...] = ()
     gap_objective_seconds: float = 0.0
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def retryable(self) -> bool:
@@ -129,11 +131,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ClientAccount:
-    """A client account; ``credentials`` are SHA-256 digests in hexadecimal."""
+    """A client account; ``credentials`` are SHA-256 digests in hexadecimal.
+
+    ``allowed_regions`` are the regions that its requests may be sent to, empty for any.
+    """
 
     name: str
     credentials: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -3,7 +3,8 @@
 Fields are named as in the platform's documentation. ``GoalMs`` is the objective for the
 time to the first byte, ``Sizes`` lists models from the smallest, ``Priority`` 0 is the
 most urgent, a ``Public`` route needs no credential, and ``Split`` distributes a route
-over several services.
+over several services. ``AllowedRegions`` limits a route's or a tenant's requests to
+regions; missing or empty, any region is allowed.
 """
 
 from typing import Literal
@@ -54,6 +55,7 @@
     Public: bool = False
     CanResume: bool = False
     GapTargetMs: float = 0
+    AllowedRegions: list[str] | None = None
 
     def decode(self) -> Route:
         """Return the route."""
@@ -75,6 +77,7 @@
             resumable=self.CanResume,
             models=tuple(self.Sizes),
             gap_objective_seconds=self.GapTargetMs / MILLISECONDS_PER_SECOND,
+            allowed_regions=frozenset(self.AllowedRegions or ()),
         )
 
 
@@ -125,6 +128,7 @@
     Name: str
     ApiKeys: list[str] = []
     Priority: int | None = None
+    AllowedRegions: list[str] | None = None
 
     def decode(self) -> ClientAccount:
         """Return the client account, with digests instead of its keys."""
@@ -132,6 +136,7 @@
             name=self.Name,
             credentials=tuple(credential_digest(key) for key in self.ApiKeys),
             priority=self.Priority,
+            allowed_regions=frozenset(self.AllowedRegions or ()),
         )
 
 
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -71,7 +71,10 @@
 
 
 class SettingsModel(pydantic.BaseModel):
-    """The fields of the file that the daemon uses; others are ignored."""
+    """The fields of the file that the daemon uses; others are ignored.
+
+    ``Zones`` gives the region of each zone.
+    """
 
     Node: str
     Zone: str
@@ -95,6 +98,7 @@
             peer_ports=(int(first), int(last or first)),
             store_address=self.Provider.Address,
             bounds=self.Bounds.decode(),
+            regions=dict(self.Zones),
         )
 
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -57,6 +57,9 @@
     "evacuation_refusals": Family(
         "Requests refused since all their endpoints are in evacuated failure domains"
     ),
+    "home_refusals": Family(
+        "Requests refused since no endpoint is in a region that they may use"
+    ),
     "retries": Family("Attempts after the first"),
     "brittle_rejections": Family("Requests that brittle endpoints turned away"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -13,6 +13,7 @@
 
 from linnetladder.coordination import permit_schedule
 from linnetladder.forwarding.coordination import (
+    admission,
     availability,
     bill_flushing,
     bill_replicas,
@@ -54,6 +55,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.evacuations import Evacuations
+from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
@@ -97,6 +99,7 @@
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
 EVACUATED = "evacuations"
+HOMES = "homes"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -138,6 +141,57 @@
     return accepts and not self.pauses.seconds_left(endpoint)
 
 
+may_reach = PeerPaths.may_reach
+choose_peer = PeerPaths.choose
+
+
+def allow_peer_in_homes(self, homes, peer):
+    """Allow peers of the homes only, not those of the own region."""
+    return homes is None or self._region(peer.failure_domain) in homes
+
+
+def region_or_nothing(self, failure_domain):
+    """Return the same for all failure domains without a region."""
+    return self.settings.current.regions.get(failure_domain, "")
+
+
+def homes_of_route(route, account):
+    """Return the homes of the route alone."""
+    return route.allowed_regions or None
+
+
+def homes_of_account(route, account):
+    """Return the homes of the client account alone."""
+    return (account.allowed_regions or None) if account is not None else None
+
+
+def reached_through_any(self, endpoint, *, homes=None):
+    """Count peers of any region as a way to an endpoint."""
+    return may_reach(self, endpoint)
+
+
+def choose_any(self, key, endpoint, *, homes=None):
+    """Return a peer of any region."""
+    return choose_peer(self, key, endpoint)
+
+
+def send_if_accepted(self, request, endpoint):
+    """Send a connected call whatever the regions of the settings are now."""
+    if self._refuse_crashing(request) is not None:
+        return False
+    return self.availability.still_accepts(endpoint)
+
+
+def allowed_by_rule(self, inputs):
+    """Return endpoints of the homes without those of other versions."""
+    allowed = [
+        e
+        for e in self.directory.pool(inputs.service).endpoints
+        if inputs.rule.allows(e)
+    ]
+    return self._in_homes(allowed, inputs) if inputs.homes is not None else allowed
+
+
 def release_after_grace(self, records):
     """Accept waiting orders after the grace only."""
     for order in list(self.waiting.values()):
@@ -488,6 +542,16 @@
     ("evacuated_position", StoreSnapshot, "position", old_position, EVACUATED),
     ("evacuated_reads", StorePoller, "_position_of", position_read, EVACUATED),
     ("evacuated_refusal", sender, "_is_all_evacuated", always(False), EVACUATED),
+    ("homes_endpoints", Homes, "allow_endpoint", always(True), HOMES),
+    ("homes_peers", Homes, "allow_peer", always(True), HOMES),
+    ("homes_own_region", Homes, "allow_peer", allow_peer_in_homes, HOMES),
+    ("homes_unknown", Homes, "_region", region_or_nothing, HOMES),
+    ("homes_of_routes", admission, "homes_of", homes_of_account, HOMES),
+    ("homes_of_accounts", admission, "homes_of", homes_of_route, HOMES),
+    ("homes_reached", PeerPaths, "may_reach", reached_through_any, HOMES),
+    ("homes_chosen", PeerPaths, "choose", choose_any, HOMES),
+    ("homes_on_connection", Sender, "_may_send", send_if_accepted, HOMES),
+    ("homes_versions", Selection, "allowed", allowed_by_rule, HOMES),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -50,7 +50,7 @@
 Zone=a
 Ip=10.1.0.4
 Zones.a=r
-Zones.b=r
+Zones.b=q
 Listen.Front=10.1.0.4:8001
 Listen.Ready=10.1.0.4:8002
 PortRange=7000,7015
@@ -117,6 +117,7 @@
     settings = read_settings(path)
     assert settings.instance == "edge-a-1"
     assert settings.failure_domains == ("a", "b")
+    assert settings.regions == {"a": "r", "b": "q"}
     assert (settings.caller_port, settings.ready_port) == (8001, 8002)
     assert settings.peer_ports == (7000, 7015)
     assert settings.bounds.revoke == 4.0
@@ -185,6 +186,27 @@
     assert 850 < chosen.count("s1") < 950
 
 
+@pytest.mark.parametrize(
+    ("field", "regions"),
+    [
+        ({"AllowedRegions": ["r", "q"]}, {"r", "q"}),
+        ({"AllowedRegions": []}, set()),
+        ({"AllowedRegions": None}, set()),
+        ({}, set()),
+    ],
+)
+def test_allowed_regions_of_routes_and_tenants_are_decoded(field, regions):
+    """Guards against homes that are not read, or that a missing list would set."""
+    document = {
+        **CONFIGURATION,
+        "Routes": [{**CONFIGURATION["Routes"][0], **field}],
+        "Tenants": [{**CONFIGURATION["Tenants"][0], **field}],
+    }
+    decoded = ConfigurationModel.model_validate(document).decode(revision=40)
+    assert decoded.routes[0].allowed_regions == regions
+    assert decoded.accounts["t1"].allowed_regions == regions
+
+
 def run_with_store(work):
     """Run a coroutine function against the store stand-in over HTTP."""
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -450,7 +450,14 @@
     """The coordination of one daemon, with its components as attributes."""
 
     def __init__(
-        self, *, name="daemon-1", incarnation="", source=None, clock=None, policy=None
+        self,
+        *,
+        name="daemon-1",
+        incarnation="",
+        source=None,
+        clock=None,
+        policy=None,
+        regions=None,
     ):
         self.clock = clock or ManualClock()
         self.source = source or MemorySource(table=table())
@@ -466,6 +473,7 @@
                 ready_port=81,
                 peer_ports=(90, 95),
                 store_address="10.9.0.1:80",
+                regions=regions or {},
             )
         )
         self.calls = ScriptedCalls(clock=self.clock)
