--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -11,12 +11,14 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterable
 
 import xxhash
 
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.version_rule import VersionRule
@@ -50,6 +52,7 @@
     prompt has none. ``shared_seconds`` is the expected time to prefill that part.
     ``tried_endpoints`` are the names of the endpoints that the request was sent to.
     ``cache_tokens`` is what the request occupies in the memory of an engine.
+    ``homes`` are the regions that it may be sent to, ``None`` for any.
     """
 
     service: str
@@ -59,6 +62,7 @@
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
     cache_tokens: int = 0
+    homes: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,6 +93,7 @@
         outcomes: Outcomes,
         availability: EndpointAvailability,
         room: EndpointRoom,
+        homes: Homes,
         clock: Clock,
         own_domain: str,
     ):
@@ -97,6 +102,7 @@
         self.outcomes = outcomes
         self.availability = availability
         self.room = room
+        self.homes = homes
         self.clock = clock
         self.own_domain = own_domain
         self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
@@ -139,13 +145,24 @@
         healthy = [e for e in untried if not self.availability.is_ejected(e)]
         return (
             healthy
-            or list(filter(self.availability.is_reached_by_peers, untried))
+            or [e for e in untried if self._is_reached_by_peers(e, inputs)]
             or untried
         )
 
     def allowed(self, inputs: SelectionInputs) -> list[Endpoint]:
-        """Return the endpoints that the version rule allows, available or not."""
-        return [e for e in self.pool_endpoints(inputs) if inputs.rule.allows(e)]
+        """Return the endpoints that the request may use, available or not.
+
+        The version rule and the request's homes decide. If the target of a roll-out
+        has no endpoint in the homes, the request stays on the other versions there.
+        """
+        endpoints = self.pool_endpoints(inputs)
+        allowed = [e for e in endpoints if inputs.rule.allows(e)]
+        if inputs.homes is None:
+            return allowed
+        in_homes = self._in_homes(allowed, inputs)
+        if not in_homes and inputs.rule.only_target:
+            return self._in_homes(endpoints, inputs)
+        return in_homes
 
     def pool_endpoints(self, inputs: SelectionInputs) -> list[Endpoint]:
         """Return all endpoints of the service."""
@@ -158,11 +175,20 @@
         One that is reached through a peer counts, too.
         """
         return any(
-            self.availability.is_reached_by_peers(endpoint)
+            self._is_reached_by_peers(endpoint, inputs)
             or not self.availability.is_ejected(endpoint)
             for endpoint in self.candidates(inputs)
         )
 
+    def _in_homes(
+        self, endpoints: Iterable[Endpoint], inputs: SelectionInputs
+    ) -> list[Endpoint]:
+        """Return those of some endpoints that are in the request's homes."""
+        return [e for e in endpoints if self.homes.allow_endpoint(inputs.homes, e)]
+
+    def _is_reached_by_peers(self, endpoint: Endpoint, inputs: SelectionInputs) -> bool:
+        return self.availability.is_reached_by_peers(endpoint, homes=inputs.homes)
+
     def shortest_wait(self, inputs: SelectionInputs) -> float:
         """Return the shortest backlog of any candidate, in seconds."""
         waits = [self.loads.backlog_of(e) for e in self.candidates(inputs)]
