Make the soak's engines brittle, and judge their falls

The soak had no brittle workers, so nothing with real daemons and faults judged the rule on them. The stand-in says Server-Brittle in its answers while it is brittle, lets two requests wait, and crashes if it has to turn more away in a second than it names; it is back after two seconds as a new incarnation. bench/brittle_checks.py counts the falls in which most of what was turned away came from daemons in touch.

A worker that the operator drains stays draining over a restart, as the check of drains expects. A silent worker gives its slot up once the connection is closed, since abandoned requests would otherwise hold all of the few slots for 30 s.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from bench.brittle_checks import Fall, count_falls, find_fall_violations
 from bench.crash_checks import PromptRun, find_crash_violations
 from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
@@ -28,6 +29,7 @@
 
 __all__ = [
     "SentRequest",
+    "check_brittle_workers",
     "check_crashing_parts",
     "check_notices",
     "check_partitions",
@@ -85,6 +87,7 @@
         violations += check_notices(site, requests, record)
         violations += check_crashing_parts(site, requests, record)
         violations += check_partitions(requests, record)
+        violations += check_brittle_workers(site, requests, record)
     return violations
 
 
@@ -274,11 +277,7 @@
         if sent.account != "guest"
         and not any(
             began - CONTACT_SECONDS <= sent.time <= ended + CONTACT_SECONDS
-            for began, ended in (
-                *record.stopped.get(sent.daemon, ()),
-                *record.store_faults.get(sent.daemon, ()),
-                *record.store_faults.get("", ()),
-            )
+            for began, ended in _periods_out_of_touch(record, sent.daemon)
         )
     ]
     return find_partition_violations(
@@ -286,6 +285,48 @@
     )
 
 
+def check_brittle_workers(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that brittle workers seldom fall over by requests of daemons in touch."""
+    daemons = {sent.attempt: sent.daemon for sent in requests}
+    violations = []
+    for service, began, ended in record.brittle_periods:
+        workers = [worker for worker in site.workers if worker.service == service]
+        falls = [
+            Fall(
+                time=rejected[-1][0],
+                in_touch=tuple(
+                    _is_in_touch(record, daemons.get(attempt, ""), time)
+                    for time, attempt in rejected
+                ),
+            )
+            for worker in workers
+            for rejected in worker.falls
+            if began <= rejected[-1][0] <= ended
+        ]
+        violations += find_fall_violations(count_falls(falls), workers=len(workers))
+    return violations
+
+
+def _periods_out_of_touch(
+    record: "FaultRecord", daemon: str
+) -> list[tuple[float, float]]:
+    """Return when a daemon was restarted, suspended or cut off from the store."""
+    return [
+        *record.stopped.get(daemon, ()),
+        *record.store_faults.get(daemon, ()),
+        *record.store_faults.get("", ()),
+    ]
+
+
+def _is_in_touch(record: "FaultRecord", daemon: str, time: float) -> bool:
+    return not any(
+        began <= time <= ended + CONTACT_SECONDS
+        for began, ended in _periods_out_of_touch(record, daemon)
+    )
+
+
 def _life_of(record: "FaultRecord", daemon: str, time: float) -> str:
     """Return the name of a daemon's process at a time."""
     began = record.lives_began.get(daemon, [])
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -35,7 +35,8 @@
     ``crashing_parts`` are the parts of prompts on which workers crash, and ``cuts`` the
     periods in which daemons were cut off from all workers. ``store_faults`` holds, by
     daemon, the periods in which the store or its link to it was disturbed, those of all
-    daemons under an empty name.
+    daemons under an empty name. ``brittle_periods`` holds the services whose workers
+    said that they are brittle, from when and until when.
     """
 
     def __init__(self):
@@ -48,6 +49,7 @@
         self.crashing_parts: set[str] = set()
         self.cuts: list[Cut] = []
         self.store_faults: dict[str, list[tuple[float, float]]] = {}
+        self.brittle_periods: list[tuple[str, float, float]] = []
 
 
 class FaultInjector:
@@ -203,6 +205,20 @@
         await asyncio.sleep(seconds)
         target.restart()
 
+    async def make_brittle(self, service: str, limit: int, seconds: float) -> None:
+        """Make a service's workers brittle for a time.
+
+        They fall over if they have to turn away more than ``limit`` requests a second.
+        """
+        workers = [w for w in self.site.workers if w.service == service]
+        began = time.monotonic()
+        for worker in workers:
+            worker.brittle_limit = limit
+        await asyncio.sleep(seconds)
+        for worker in workers:
+            worker.brittle_limit = None
+        self.record.brittle_periods.append((service, began, time.monotonic()))
+
     async def drain(self, worker: str) -> None:
         """Make a worker announce that it is draining; further calls do nothing."""
         if worker not in self.record.drained_at:
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -11,7 +11,7 @@
 
 from bench.processes import ProcessManager, free_port
 from standins.fleet_store import FleetStore
-from standins.fleet_worker import FleetWorker
+from standins.fleet_worker import EVENT_INTERVAL_SECONDS, FleetWorker
 from standins.relay import Relay
 
 __all__ = ["ACCOUNTS", "FleetSite", "ROUTES"]
@@ -23,6 +23,7 @@
 GRACE_SECONDS = 8
 HOST = "api.example"
 MODELS = ("small", "middle", "large")
+DESK_SLOTS = 16
 HEARTBEAT_INTERVAL_SECONDS = 0.6
 # A worker that crashed starts again after this time.
 WORKER_RESTART_SECONDS = 2.0
@@ -37,7 +38,8 @@
 class FleetSite:
     """The store, the workers and the daemons of one run.
 
-    With ``own_links`` each daemon reaches each worker by a relay of its own.
+    With ``own_links`` each daemon reaches each worker by a relay of its own. Engines
+    take ``engine_slots`` requests at once and ``event_seconds`` for each event.
     """
 
     def __init__(
@@ -47,10 +49,14 @@
         daemons: int = 3,
         variables: dict[str, str] | None = None,
         own_links: bool = False,
+        engine_slots: int = 16,
+        event_seconds: float = EVENT_INTERVAL_SECONDS,
     ):
         self.folder = folder
         self.variables = variables or {}
         self.own_links = own_links
+        self.engine_slots = engine_slots
+        self.event_seconds = event_seconds
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
@@ -178,7 +184,13 @@
         worker.restart()
 
     async def _start_worker(self, name: str, service: str) -> None:
-        worker = FleetWorker(name=name, service=service, store=self.store)
+        worker = FleetWorker(
+            name=name,
+            service=service,
+            store=self.store,
+            slots=self.engine_slots if service == "engines" else DESK_SLOTS,
+            event_seconds=self.event_seconds,
+        )
         await worker.start()
         port = await self._start_relay(name, int(worker.address.rpartition(":")[2]))
         worker.advertised = f"127.0.0.1:{port}"
@@ -226,7 +238,10 @@
             "Version": self.version,
             "Routes": routes,
             "Services": [
-                {"Name": "engines", "Engine": {"Slots": 16, "Models": models}},
+                {
+                    "Name": "engines",
+                    "Engine": {"Slots": self.engine_slots, "Models": models},
+                },
                 {"Name": "desk"},
             ],
             "Tenants": [
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -50,6 +50,18 @@
 # A partition, as shares of the run.
 PARTITION_BEGINS = 0.1
 PARTITION_SHARE = 0.7
+# The brittle period as shares of the run, and how many requests workers can turn away.
+# The engines have few slots, and further clients send more streams than these take.
+BRITTLE_BEGINS = 0.1
+BRITTLE_SHARE = 0.8
+BRITTLE_LIMITS = (4, 6, 10)
+BRITTLE_SLOTS = 4
+BRITTLE_EVENT_SECONDS = 0.05
+BRITTLE_CLIENTS = 24
+BRITTLE_PAUSE_SECONDS = 0.3
+# Checks that excuse daemons out of touch with the store need times in which they are in
+# touch: daemons and the store are then disturbed only in this part of the run.
+DISTURBED_PART = (0.35, 0.55)
 
 
 class Soak:
@@ -58,8 +70,9 @@
     With ``drills`` the store also returns from older copies, and with ``limits``
     workers name limits on their requests. With ``notices`` they ask for pauses, and say
     in answers that they leave. With ``crashes`` they crash on some parts of prompts.
-    With ``partitions`` some daemons are cut off from all workers for a time. Without
-    them the draw of a seed is the same as before there were any.
+    With ``partitions`` some daemons are cut off from all workers for a time. With
+    ``brittle`` engines are brittle for a time and have too few slots. Without them the
+    draw of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -73,15 +86,22 @@
         notices: bool = False,
         crashes: bool = False,
         partitions: bool = False,
+        brittle: bool = False,
     ):
         self.drills = drills
         self.limits = limits
         self.notices = notices
         self.crashes = crashes
         self.partitions = partitions
+        self.brittle = brittle
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.site = FleetSite(folder=folder, own_links=partitions)
+        engines = (
+            {"engine_slots": BRITTLE_SLOTS, "event_seconds": BRITTLE_EVENT_SECONDS}
+            if brittle
+            else {}
+        )
+        self.site = FleetSite(folder=folder, own_links=partitions, **engines)
         self.sent: list[SentRequest] = []
         self.record = FaultRecord()
         self.faults = FaultInjector(site=self.site, record=self.record)
@@ -107,6 +127,10 @@
                 tasks.create_task(self._inject_faults())
                 if self.partitions:
                     tasks.create_task(self._partition())
+                if self.brittle:
+                    tasks.create_task(self._make_brittle())
+                    for number in range(BRITTLE_CLIENTS):
+                        tasks.create_task(self._send_streams(number))
                 if self.crashes:
                     tasks.create_task(self._send_crashing("bad-1", 0.1))
                     tasks.create_task(self._send_crashing("bad-2", 0.4))
@@ -139,6 +163,26 @@
             daemons, PARTITION_SHARE * self.seconds, resets=rng.random() < 0.5
         )
 
+    async def _make_brittle(self) -> None:
+        """Make the engines brittle, in the middle of the run."""
+        limit = random.Random(self.random.random()).choice(BRITTLE_LIMITS)
+        await asyncio.sleep(BRITTLE_BEGINS * self.seconds)
+        await self.faults.make_brittle("engines", limit, BRITTLE_SHARE * self.seconds)
+
+    async def _send_streams(self, number: int) -> None:
+        """Send streams one after the other, with pauses between them."""
+        rng = random.Random(self.random.random())
+        async with open_session() as session:
+            while time.monotonic() < self.end_time:
+                sent = self._add_request(rng, "stream", "studio")
+                await send(
+                    session,
+                    sent,
+                    front_url=self.site.front_url(sent.daemon),
+                    shared_parts=(COMMON_PART, f"t{number}"),
+                )
+                await asyncio.sleep(BRITTLE_PAUSE_SECONDS * rng.random())
+
     async def _send_crashing(self, part: str, delay_share: float) -> None:
         """Send requests with a part that crashes workers, in a part of the run."""
         self.record.crashing_parts.add(part)
@@ -191,9 +235,11 @@
         worker = rng.choice(self.site.workers).name
         answers = rng.choices(tuple(Fault), k=3)
         short_seconds, long_seconds = 0.5 + 2.0 * rng.random(), 0.5 + 5.0 * rng.random()
+        answer = partial(faults.worker_answers, worker, answers)
+        drain = partial(self._drain, worker)
         injections = [
-            lambda: faults.worker_answers(worker, answers),
-            lambda: faults.worker_answers(worker, answers),
+            answer,
+            answer,
             lambda: faults.silence(link),
             lambda: faults.cut(link, short_seconds),
             lambda: faults.pause(daemon, long_seconds),
@@ -202,9 +248,11 @@
             lambda: faults.reload(daemon),
             lambda: faults.store_outage(0.5 + long_seconds),
             lambda: faults.lost_replies(),
-            lambda: faults.revoke(),
-            lambda: self._drain(worker),
+            faults.revoke,
+            drain,
         ]
+        if self.brittle and not self._is_disturbed():
+            injections = [answer, faults.revoke, drain]
         if self.drills:
             copy_seconds = MAXIMUM_COPY_SECONDS * rng.random()
             drill = partial(faults.drill, short_seconds, copy_seconds)
@@ -219,6 +267,11 @@
             injections += [pause, leave] * NOTICE_WEIGHT
         return rng.choice(injections)()
 
+    def _is_disturbed(self) -> bool:
+        """Return whether the run is in the part with faults of daemons and store."""
+        begins, ends = DISTURBED_PART
+        return begins <= 1 - (self.end_time - time.monotonic()) / self.seconds < ends
+
     async def _drain(self, worker: str) -> None:
         """Drain at most one worker in all, so that each service keeps one."""
         if not self.record.drained_at:
@@ -252,6 +305,7 @@
         "notices": FLAGS.notices,
         "crashes": FLAGS.crashes,
         "partitions": FLAGS.partitions,
+        "brittle": FLAGS.brittle,
     }
     failed = [
         seed
@@ -270,5 +324,6 @@
     flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
     flags.DEFINE_bool("crashes", False, "Whether workers crash on parts of prompts.")
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
+    flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -4,7 +4,8 @@
 that can be resumed, and records every run. ``faults`` is a queue of faults for the next
 requests: see `Fault`. It can name a limit on the requests that it takes a second, which
 it does not enforce, say in its answers that it will stop, turn requests away with a
-time to come back, and crash when it begins an answer on certain parts of prompts.
+time to come back, and crash when it begins an answer on certain parts of prompts. While
+it is brittle it lets few requests wait, and crashes if it has to turn too many away.
 """
 
 import asyncio
@@ -18,13 +19,25 @@
 
 from standins.fleet_store import FleetStore
 
-__all__ = ["Fault", "FleetWorker", "expected_body", "shared_parts"]
+__all__ = [
+    "EVENT_INTERVAL_SECONDS",
+    "Fault",
+    "FleetWorker",
+    "expected_body",
+    "shared_parts",
+]
 
 EVENT_INTERVAL_SECONDS = 0.01
 WORK_SECONDS = 0.01
 EVENT_COUNT = 6
 # How much shorter a truncated body is than its Content-Length.
 TRUNCATED_BYTES = 10
+SILENT_SECONDS = 30.0
+SILENT_POLL_SECONDS = 0.1
+# Requests that wait for a slot of a brittle worker.
+BRITTLE_WAITING = 2
+# In this time a brittle worker can turn away as many requests as it names.
+REJECTION_WINDOW_SECONDS = 1.0
 
 
 class Fault(enum.StrEnum):
@@ -33,7 +46,8 @@
     ``SHED`` answers 503 as not run, ``FAIL`` answers 500, ``RESET_BEFORE`` and
     ``LOSE_ANSWER`` abort the connection before and after the run, ``CUT`` truncates the
     answer, ``EXTRA`` sends a second response on the connection, ``CROSSED`` sends the
-    answer of another request, and ``SILENT`` delays the answer by 30 seconds.
+    answer of another request, and ``SILENT`` delays the answer by 30 seconds, or until
+    the connection is closed.
     """
 
     SHED = "shed"
@@ -75,6 +89,7 @@
         version: str = "v1",
         zone: str = "a",
         slots: int = 16,
+        event_seconds: float = EVENT_INTERVAL_SECONDS,
         host: str = "127.0.0.1",
     ):
         self.name = name
@@ -83,6 +98,8 @@
         self.version = version
         self.zone = zone
         self.slots = slots
+        self.event_seconds = event_seconds
+        self.free_slots = asyncio.Semaphore(slots)
         self.host = host
         self.state = "ready"
         self.failing = 0.0
@@ -102,6 +119,10 @@
         self.pauses_asked: list[tuple[float, str, float]] = []
         self.crashing_parts: set[str] = set()
         self.crashes: list[tuple[float, str]] = []
+        self.brittle_limit: int | None = None
+        self.rejections: list[tuple[float, str]] = []
+        self.falls: list[list[tuple[float, str]]] = []
+        self.has_fallen = False
         self.on_crash: Callable[[str], None] = _ignore
         self.advertised = ""
         self.address = ""
@@ -148,12 +169,15 @@
         self.limit_changes.append((time.monotonic(), limit))
 
     def restart(self) -> None:
-        """Start again under the same name, with nothing of the life before."""
+        """Start again under the same name, with nothing of the life before.
+
+        A worker that the operator drains stays so.
+        """
         self.started_at_ms = max(int(time.time() * 1000), self.started_at_ms + 1)
         self.restarts.append(time.monotonic())
         self.leaving = False
         self.pause_seconds = None
-        self.state = "ready"
+        self.has_fallen = False
         self.register()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -166,16 +190,21 @@
         if self.pause_seconds is not None:
             return self._ask_for_pause(attempt_id, self.pause_seconds)
         fault = self.faults.popleft() if self.faults else None
-        if fault is Fault.SHED or self.running >= self.slots:
+        waiting = 0 if self.brittle_limit is None else BRITTLE_WAITING
+        is_full = self.running >= self.slots + waiting
+        if is_full:
+            self._count_rejection(attempt_id)
+        if fault is Fault.SHED or is_full:
             headers = {"Linnetladder-Not-Run": "1"}
             return self._reply(503, attempt_id, b"", headers)
         if fault is Fault.RESET_BEFORE:
             request.transport.abort()
             return web.Response()
         self.running += 1
-        self._record(request, attempt_id, body)
         try:
-            return await self._run(request, attempt_id, fault)
+            async with self.free_slots:
+                self._record(request, attempt_id, body)
+                return await self._run(request, attempt_id, fault)
         except ClientConnectionResetError:
             # The daemon may close the connection while the answer is being written.
             return web.Response()
@@ -187,7 +216,7 @@
     ) -> web.StreamResponse:
         await asyncio.sleep(WORK_SECONDS)
         if fault is Fault.SILENT:
-            await asyncio.sleep(30.0)
+            await _wait_until_closed(request)
         if fault is Fault.LOSE_ANSWER:
             request.transport.abort()
             return web.Response()
@@ -235,7 +264,7 @@
                 request.transport.abort()
                 return answer
             await answer.write(content)
-            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            await asyncio.sleep(self.event_seconds)
         return answer
 
     def _record(self, request: web.BaseRequest, attempt_id: str, body: bytes) -> None:
@@ -264,11 +293,29 @@
         if self.limit is not None:
             headers["Server-Limit"] = f"{self.limit:g}"
             self.told_at.setdefault(attempt_id, time.monotonic())
+        if self.brittle_limit is not None:
+            headers["Server-Brittle"] = str(self.brittle_limit)
         if self.leaving:
             headers["Server-Leaving"] = "1"
             self.leaving_told.setdefault(attempt_id, time.monotonic())
         return headers
 
+    def _count_rejection(self, attempt_id: str) -> None:
+        """Count a request that is turned away for want of room, and crash on too many.
+
+        ``falls`` holds the times and ids of the requests that led to each crash.
+        """
+        if self.brittle_limit is None or self.has_fallen:
+            return
+        now = time.monotonic()
+        self.rejections.append((now, attempt_id))
+        since = max([now - REJECTION_WINDOW_SECONDS, *self.restarts[-1:]])
+        recent = [entry for entry in self.rejections if entry[0] > since]
+        if len(recent) > self.brittle_limit:
+            self.has_fallen = True
+            self.falls.append(recent)
+            self.on_crash(self.name)
+
     def _ask_for_pause(self, attempt_id: str, seconds: float) -> web.Response:
         """Turn a request away and ask for no others for some seconds."""
         self.pauses_asked.append((time.monotonic(), attempt_id, seconds))
@@ -295,6 +342,13 @@
         )
 
 
+async def _wait_until_closed(request: web.BaseRequest) -> None:
+    """Wait until a request's connection is closed, which frees its slot."""
+    until = time.monotonic() + SILENT_SECONDS
+    while request.transport is not None and time.monotonic() < until:
+        await asyncio.sleep(SILENT_POLL_SECONDS)
+
+
 def _ignore(worker: str) -> None:
     """Do nothing; the default action on a crash."""
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import aiohttp
 import orjson
 import pytest
 
 from bench.fleet_checks import (
     SentRequest,
+    check_brittle_workers,
     check_crashing_parts,
     check_notices,
     check_partitions,
@@ -16,7 +18,8 @@
 from bench.fleet_soak import Soak
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.partition_checks import Cut
-from standins.fleet_worker import expected_body
+from standins.fleet_store import FleetStore
+from standins.fleet_worker import FleetWorker, expected_body
 
 
 def test_no_guarantee_is_violated_while_daemons_and_stores_fail(tmp_path):
@@ -86,6 +89,52 @@
     assert check_partitions(soak.sent, soak.record) == []
 
 
+def test_check_detects_brittle_workers_that_fall_over_too_often(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
+    worker = soak.site.add_unstarted_worker()
+    soak.record.brittle_periods.append(("desk", 100.0, 120.0))
+    for number, time in enumerate((99.0, 102.0, 106.0, 110.0)):
+        attempts = [f"a{number}-{daemon}" for daemon in (1, 2, 3)]
+        for attempt in attempts:
+            add_request(soak, worker, attempt, route="fetch", runs=0, status=503)
+            soak.sent[-1].daemon = f"daemon-{attempt[-1]}"
+        worker.falls.append([(time, attempt) for attempt in attempts])
+    (violation,) = check_brittle_workers(soak.site, soak.sent, soak.record)
+    assert "3 falls of 1 brittle workers" in violation
+    soak.record.stopped["daemon-1"] = [(100.0, 103.0)]
+    assert len(check_brittle_workers(soak.site, soak.sent, soak.record)) == 1
+    soak.record.store_faults["daemon-2"] = [(104.0, 105.0)]
+    assert check_brittle_workers(soak.site, soak.sent, soak.record) == []
+    soak.record.store_faults["daemon-2"] = [(102.5, 102.9)]
+    assert len(check_brittle_workers(soak.site, soak.sent, soak.record)) == 1
+
+
+def test_a_brittle_worker_falls_over_once_it_turns_too_many_away():
+    """Guards against a soak in which brittle workers never fall over."""
+
+    async def scenario():
+        worker = FleetWorker(name="w", service="desk", store=FleetStore(), slots=1)
+        fallen = []
+        worker.on_crash = fallen.append
+        await worker.start()
+        born = worker.started_at_ms
+        worker.brittle_limit = 2
+        async with aiohttp.ClientSession() as session:
+            few = await send_at_once(session, worker, 5)
+            assert fallen == []
+            worker.rejections.clear()
+            many = await send_at_once(session, worker, 6)
+        worker.restart()
+        await worker.stop()
+        assert sorted(answer[0] for answer in few) == [200] * 3 + [503] * 2
+        assert {answer[1] for answer in few + many} == {"2"}
+        assert fallen == ["w"]
+        assert len(worker.falls[0]) == 3
+        assert worker.started_at_ms > born
+
+    asyncio.run(scenario())
+
+
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     soak.record.crashing_parts.add("bad")
@@ -200,6 +249,21 @@
         assert expected in violations
 
 
+async def send_at_once(session, worker, number):
+    """Send requests to a worker and return the status and brittleness of each."""
+
+    async def send_one(attempt):
+        headers = {
+            "Linnetladder-Attempt-Id": f"a{attempt}",
+            "Linnetladder-Expect-Instance": worker.name,
+        }
+        url = f"http://{worker.address}/fetch/x"
+        async with session.post(url, headers=headers, data=b"x") as answer:
+            return answer.status, answer.headers["Server-Brittle"]
+
+    return await asyncio.gather(*map(send_one, range(number)))
+
+
 def add_request(soak, worker, attempt, *, route, runs, status, body=None):
     """Add a request, its answer and a number of runs to the soak's records."""
     path = f"/{route}/{attempt}"
