Let the soak's workers be cold, and judge what they get

Nothing with real daemons judged the rate that cold workers tolerate. One fault stops the workers of a failure domain, which return together and are cold; another one makes a worker cold that runs on. Each failure domain then has a worker of each service.

bench/cold_checks.py judges each sliding second of a cold time by the recorded arrivals, from all daemons, in touch or not. Requests answered with 421 are not among them. A worker that was unreachable counts from its return, one that became cold while it ran from ContactMs later, before which no daemon can be bound to know of it.

A crash of a worker that is down already does nothing, since a second restart would listen on the same port twice.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -12,8 +12,14 @@
 import orjson
 
 from bench.brittle_checks import Fall, count_falls, find_fall_violations
+from bench.cold_checks import ColdSpell, find_cold_violations
 from bench.crash_checks import PromptRun, find_crash_violations
-from bench.fleet_site import DRAIN_MILLISECONDS, REVOKE_MILLISECONDS, FleetSite
+from bench.fleet_site import (
+    COLD_RULES,
+    DRAIN_MILLISECONDS,
+    REVOKE_MILLISECONDS,
+    FleetSite,
+)
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.notice_checks import (
     AskedPause,
@@ -30,6 +36,7 @@
 __all__ = [
     "SentRequest",
     "check_brittle_workers",
+    "check_cold_workers",
     "check_crashing_parts",
     "check_notices",
     "check_partitions",
@@ -88,6 +95,7 @@
         violations += check_crashing_parts(site, requests, record)
         violations += check_partitions(requests, record)
         violations += check_brittle_workers(site, requests, record)
+        violations += check_cold_workers(site)
     return violations
 
 
@@ -309,6 +317,29 @@
     return violations
 
 
+def check_cold_workers(site: FleetSite) -> list[str]:
+    """Check that cold workers get no more requests than they tolerate.
+
+    One that became cold while it ran is judged once the daemons can know of it; one
+    that was unreachable before is presumed cold, and judged at once.
+    """
+    violations = []
+    for worker in site.workers:
+        spells = [
+            ColdSpell(
+                began=began if was_unreachable else began + CONTACT_SECONDS, ended=ended
+            )
+            for began, ended, was_unreachable in worker.cold_spells
+        ]
+        violations += find_cold_violations(
+            worker.name,
+            [time for time, _ in worker.arrivals],
+            spells,
+            per_second=COLD_RULES[worker.service]["ColdPerS"],
+        )
+    return violations
+
+
 def _periods_out_of_touch(
     record: "FaultRecord", daemon: str
 ) -> list[tuple[float, float]]:
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -205,6 +205,16 @@
         await asyncio.sleep(seconds)
         target.restart()
 
+    async def return_cold(self, domain: str) -> None:
+        """Stop the workers of a failure domain, which return together and are cold."""
+        for worker in self.site.workers:
+            if worker.zone == domain:
+                self.site.crash_worker(worker.name)
+
+    async def make_cold(self, worker: str) -> None:
+        """Make a worker cold again that runs on."""
+        self._worker(worker).become_cold()
+
     async def make_brittle(self, service: str, limit: int, seconds: float) -> None:
         """Make a service's workers brittle for a time.
 
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -11,10 +11,10 @@
 
 from bench.processes import ProcessManager, free_port
 from standins.fleet_store import FleetStore
-from standins.fleet_worker import EVENT_INTERVAL_SECONDS, FleetWorker
+from standins.fleet_worker import EVENT_INTERVAL_SECONDS, HEALTH_PATH, FleetWorker
 from standins.relay import Relay
 
-__all__ = ["ACCOUNTS", "FleetSite", "ROUTES"]
+__all__ = ["ACCOUNTS", "COLD_RULES", "FleetSite", "ROUTES"]
 
 ACCOUNTS = {"studio": "key-studio", "printer": "key-printer"}
 REVOKED_KEY = "key-revoked"
@@ -24,6 +24,12 @@
 HOST = "api.example"
 MODELS = ("small", "middle", "large")
 DESK_SLOTS = 16
+# How long the workers of each service are cold, and the requests a second that one of
+# them tolerates meanwhile, in the words of the configuration.
+COLD_RULES = {
+    "engines": {"HealthPath": HEALTH_PATH, "ColdS": 6.0, "ColdPerS": 4.0},
+    "desk": {"HealthPath": HEALTH_PATH, "ColdS": 5.0, "ColdPerS": 8.0},
+}
 HEARTBEAT_INTERVAL_SECONDS = 0.6
 # A worker that crashed starts again after this time.
 WORKER_RESTART_SECONDS = 2.0
@@ -39,7 +45,9 @@
     """The store, the workers and the daemons of one run.
 
     With ``own_links`` each daemon reaches each worker by a relay of its own. Engines
-    take ``engine_slots`` requests at once and ``event_seconds`` for each event.
+    take ``engine_slots`` requests at once and ``event_seconds`` for each event. With
+    ``spread`` each daemon's failure domain has a worker of each service. With ``cold``
+    workers are cold after a start.
     """
 
     def __init__(
@@ -51,18 +59,23 @@
         own_links: bool = False,
         engine_slots: int = 16,
         event_seconds: float = EVENT_INTERVAL_SECONDS,
+        spread: bool = False,
+        cold: bool = False,
     ):
         self.folder = folder
         self.variables = variables or {}
         self.own_links = own_links
         self.engine_slots = engine_slots
         self.event_seconds = event_seconds
+        self.spread = spread
+        self.cold = cold
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
         self.relays: dict[str, Relay] = {}
         self.relay_ports: dict[str, int] = {}
         self.relay_servers: dict[str, asyncio.Server] = {}
+        self.crashed: set[str] = set()
         self.restart_tasks: set[asyncio.Task] = set()
         self.daemon_names = [f"daemon-{number}" for number in range(1, daemons + 1)]
         self.ports = {
@@ -76,13 +89,11 @@
     async def start(self) -> None:
         """Start everything without waiting until the daemons are ready."""
         address = await self.store.start()
-        for name, service in (
-            ("engine-1", "engines"),
-            ("engine-2", "engines"),
-            ("desk-1", "desk"),
-            ("desk-2", "desk"),
-        ):
-            await self._start_worker(name, service)
+        numbers = range(1, (len(self.daemon_names) if self.spread else 2) + 1)
+        for prefix, service in (("engine", "engines"), ("desk", "desk")):
+            for number in numbers:
+                zone = f"zone-{number}" if self.spread else "a"
+                await self._start_worker(f"{prefix}-{number}", service, zone)
         self.publish_configuration()
         for name in self.daemon_names:
             if self.own_links:
@@ -170,7 +181,13 @@
         await self._listen(link, self.relay_ports[link])
 
     def crash_worker(self, name: str) -> None:
-        """End a worker's connections and refuse new ones until it starts again."""
+        """End a worker's connections and refuse new ones until it starts again.
+
+        Further calls do nothing meanwhile.
+        """
+        if name in self.crashed:
+            return
+        self.crashed.add(name)
         self.refuse_connections(name)
         self.relays[name].cut()
         task = asyncio.ensure_future(self._restart_worker(name))
@@ -181,13 +198,16 @@
         await asyncio.sleep(WORKER_RESTART_SECONDS)
         worker = next(worker for worker in self.workers if worker.name == name)
         await self.accept_connections(name)
-        worker.restart()
+        worker.restart(was_unreachable=True)
+        self.crashed.discard(name)
 
-    async def _start_worker(self, name: str, service: str) -> None:
+    async def _start_worker(self, name: str, service: str, zone: str) -> None:
         worker = FleetWorker(
             name=name,
             service=service,
             store=self.store,
+            zone=zone,
+            cold_seconds=COLD_RULES[service]["ColdS"] if self.cold else 0.0,
             slots=self.engine_slots if service == "engines" else DESK_SLOTS,
             event_seconds=self.event_seconds,
         )
@@ -241,8 +261,9 @@
                 {
                     "Name": "engines",
                     "Engine": {"Slots": self.engine_slots, "Models": models},
+                    **(COLD_RULES["engines"] if self.cold else {}),
                 },
-                {"Name": "desk"},
+                {"Name": "desk", **(COLD_RULES["desk"] if self.cold else {})},
             ],
             "Tenants": [
                 {"Name": name, "ApiKeys": [key]} for name, key in self.keys.items()
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -59,6 +59,7 @@
 BRITTLE_EVENT_SECONDS = 0.05
 BRITTLE_CLIENTS = 24
 BRITTLE_PAUSE_SECONDS = 0.3
+COLD_WEIGHT = 3
 # Checks that excuse daemons out of touch with the store need times in which they are in
 # touch: daemons and the store are then disturbed only in this part of the run.
 DISTURBED_PART = (0.35, 0.55)
@@ -71,8 +72,9 @@
     workers name limits on their requests. With ``notices`` they ask for pauses, and say
     in answers that they leave. With ``crashes`` they crash on some parts of prompts.
     With ``partitions`` some daemons are cut off from all workers for a time. With
-    ``brittle`` engines are brittle for a time and have too few slots. Without them the
-    draw of a seed is the same as before there were any.
+    ``brittle`` engines are brittle for a time and have too few slots. With ``cold``
+    workers are cold after a start and at other times. Without them the draw of a seed
+    is the same as before there were any.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         crashes: bool = False,
         partitions: bool = False,
         brittle: bool = False,
+        cold: bool = False,
     ):
         self.drills = drills
         self.limits = limits
@@ -94,6 +97,7 @@
         self.crashes = crashes
         self.partitions = partitions
         self.brittle = brittle
+        self.cold = cold
         self.random = random.Random(seed)
         self.seconds = seconds
         engines = (
@@ -101,7 +105,9 @@
             if brittle
             else {}
         )
-        self.site = FleetSite(folder=folder, own_links=partitions, **engines)
+        self.site = FleetSite(
+            folder=folder, own_links=partitions, spread=cold, cold=cold, **engines
+        )
         self.sent: list[SentRequest] = []
         self.record = FaultRecord()
         self.faults = FaultInjector(site=self.site, record=self.record)
@@ -265,6 +271,11 @@
             pause = partial(faults.pause_requests, worker, rng.choice(PAUSES))
             leave = partial(faults.leave, worker, rng.choice(LEAVING_SECONDS))
             injections += [pause, leave] * NOTICE_WEIGHT
+        if self.cold:
+            domain = rng.choice(self.site.workers).zone
+            return_cold = partial(faults.return_cold, domain)
+            make_cold = partial(faults.make_cold, worker)
+            injections += [return_cold, make_cold] * COLD_WEIGHT
         return rng.choice(injections)()
 
     def _is_disturbed(self) -> bool:
@@ -306,6 +317,7 @@
         "crashes": FLAGS.crashes,
         "partitions": FLAGS.partitions,
         "brittle": FLAGS.brittle,
+        "cold": FLAGS.cold,
     }
     failed = [
         seed
@@ -325,5 +337,6 @@
     flags.DEFINE_bool("crashes", False, "Whether workers crash on parts of prompts.")
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
+    flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -6,6 +6,7 @@
 it does not enforce, say in its answers that it will stop, turn requests away with a
 time to come back, and crash when it begins an answer on certain parts of prompts. While
 it is brittle it lets few requests wait, and crashes if it has to turn too many away.
+While it is cold it is slow, which its entry and its answers to health checks say.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
     "EVENT_INTERVAL_SECONDS",
     "Fault",
     "FleetWorker",
+    "HEALTH_PATH",
     "expected_body",
     "shared_parts",
 ]
@@ -38,6 +40,8 @@
 BRITTLE_WAITING = 2
 # In this time a brittle worker can turn away as many requests as it names.
 REJECTION_WINDOW_SECONDS = 1.0
+HEALTH_PATH = "/healthz"
+COLD_SLOWDOWN = 3
 
 
 class Fault(enum.StrEnum):
@@ -90,6 +94,7 @@
         zone: str = "a",
         slots: int = 16,
         event_seconds: float = EVENT_INTERVAL_SECONDS,
+        cold_seconds: float = 0.0,
         host: str = "127.0.0.1",
     ):
         self.name = name
@@ -99,6 +104,9 @@
         self.zone = zone
         self.slots = slots
         self.event_seconds = event_seconds
+        self.cold_seconds = cold_seconds
+        self.cold_until = 0.0
+        self.cold_spells: list[tuple[float, float, bool]] = []
         self.free_slots = asyncio.Semaphore(slots)
         self.host = host
         self.state = "ready"
@@ -140,6 +148,11 @@
         """Stop listening and drop all connections."""
         await self.runner.cleanup()
 
+    @property
+    def cold_milliseconds(self) -> int:
+        """How much longer this worker is cold, in milliseconds."""
+        return max(int((self.cold_until - time.monotonic()) * 1000), 0)
+
     def register(self) -> None:
         """Write this worker's entry to the store."""
         self.sequence += 1
@@ -152,7 +165,7 @@
                 "Version": self.version,
                 "Slots": self.slots,
                 "State": self.state,
-                "ColdMs": 0,
+                "ColdMs": self.cold_milliseconds,
                 "Seq": self.sequence,
                 "born": self.started_at_ms,
             },
@@ -168,7 +181,27 @@
         self.limit = limit
         self.limit_changes.append((time.monotonic(), limit))
 
-    def restart(self) -> None:
+    def become_cold(self) -> None:
+        """Be cold again from now on."""
+        self._begin_cold(was_unreachable=False)
+        self.register()
+
+    def _begin_cold(self, *, was_unreachable: bool) -> None:
+        """Be cold from now on, if workers of this service are cold after a start.
+
+        ``cold_spells`` holds from when and until when this worker is cold, and whether
+        it was unreachable before.
+        """
+        if not self.cold_seconds:
+            return
+        now = time.monotonic()
+        began = now
+        if now < self.cold_until and not was_unreachable:
+            began, _, was_unreachable = self.cold_spells.pop()
+        self.cold_until = now + self.cold_seconds
+        self.cold_spells.append((began, self.cold_until, was_unreachable))
+
+    def restart(self, *, was_unreachable: bool = False) -> None:
         """Start again under the same name, with nothing of the life before.
 
         A worker that the operator drains stays so.
@@ -178,12 +211,16 @@
         self.leaving = False
         self.pause_seconds = None
         self.has_fallen = False
+        self._begin_cold(was_unreachable=was_unreachable)
         self.register()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request, subject to the next fault in the queue."""
         body = await request.read()
         attempt_id = request.headers.get("Linnetladder-Attempt-Id", "")
+        if request.path == HEALTH_PATH:
+            headers = {"Linnetladder-Cold-Ms": str(self.cold_milliseconds)}
+            return self._reply(200, attempt_id, b"", headers)
         if request.headers.get("Linnetladder-Expect-Instance") != self.name:
             return self._misdirected(attempt_id)
         self.arrivals.append((time.monotonic(), attempt_id))
@@ -214,7 +251,7 @@
     async def _run(
         self, request: web.BaseRequest, attempt_id: str, fault: Fault | None
     ) -> web.StreamResponse:
-        await asyncio.sleep(WORK_SECONDS)
+        await asyncio.sleep(WORK_SECONDS * self._slowdown())
         if fault is Fault.SILENT:
             await _wait_until_closed(request)
         if fault is Fault.LOSE_ANSWER:
@@ -264,7 +301,7 @@
                 request.transport.abort()
                 return answer
             await answer.write(content)
-            await asyncio.sleep(self.event_seconds)
+            await asyncio.sleep(self.event_seconds * self._slowdown())
         return answer
 
     def _record(self, request: web.BaseRequest, attempt_id: str, body: bytes) -> None:
@@ -300,6 +337,9 @@
             self.leaving_told.setdefault(attempt_id, time.monotonic())
         return headers
 
+    def _slowdown(self) -> float:
+        return COLD_SLOWDOWN if self.cold_milliseconds else 1
+
     def _count_rejection(self, attempt_id: str) -> None:
         """Count a request that is turned away for want of room, and crash on too many.
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -6,9 +6,11 @@
 import orjson
 import pytest
 
+from bench.cold_checks import ColdSpell, find_cold_violations
 from bench.fleet_checks import (
     SentRequest,
     check_brittle_workers,
+    check_cold_workers,
     check_crashing_parts,
     check_notices,
     check_partitions,
@@ -19,7 +21,7 @@
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.partition_checks import Cut
 from standins.fleet_store import FleetStore
-from standins.fleet_worker import FleetWorker, expected_body
+from standins.fleet_worker import HEALTH_PATH, FleetWorker, expected_body
 
 
 def test_no_guarantee_is_violated_while_daemons_and_stores_fail(tmp_path):
@@ -135,6 +137,58 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("number", "began", "kept"),
+    [(20, 100.0, False), (19, 100.0, True), (40, 100.5, False), (30, 100.9, True)],
+)
+def test_a_cold_worker_gets_few_requests_in_any_second(number, began, kept):
+    """Guards against bursts that span two whole seconds, and counts only the spell."""
+    arrivals = [100.4 + n / number for n in range(number)]
+    spells = [ColdSpell(began=began, ended=110.0)]
+    violations = find_cold_violations("w", arrivals, spells, per_second=9.7)
+    assert (violations == []) is kept
+
+
+def test_check_detects_cold_workers_that_get_too_much(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path, cold=True)
+    worker = soak.site.add_unstarted_worker()
+    worker.arrivals = [(100.0 + n / 20, f"a{n}") for n in range(160)]
+    assert check_cold_workers(soak.site) == []
+    worker.cold_spells = [(102.0, 104.0, False)]
+    assert check_cold_workers(soak.site) == []
+    worker.cold_spells = [(102.0, 107.0, False)]
+    (violation,) = check_cold_workers(soak.site)
+    assert "20 requests in a second while cold, allowed 17.0" in violation
+    worker.cold_spells = [(102.0, 104.0, True)]
+    assert len(check_cold_workers(soak.site)) == 1
+
+
+def test_a_worker_says_that_it_is_cold_and_counts_no_misdirected_requests():
+    """Guards against a soak in which the daemons can't know of cold workers."""
+
+    async def scenario():
+        store = FleetStore()
+        worker = FleetWorker(name="w", service="desk", store=store, cold_seconds=5.0)
+        await worker.start()
+        worker.register()
+        assert orjson.loads(store.value("servers/w"))["ColdMs"] == 0
+        worker.restart(was_unreachable=True)
+        assert orjson.loads(store.value("servers/w"))["ColdMs"] > 4000
+        worker.become_cold()
+        ((began, ended, was_unreachable),) = worker.cold_spells
+        assert was_unreachable
+        assert ended - began > 5.0
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{worker.address}{HEALTH_PATH}") as answer:
+                assert int(answer.headers["Linnetladder-Cold-Ms"]) > 4000
+            async with session.post(f"http://{worker.address}/fetch/x") as answer:
+                assert answer.status == 421
+        await worker.stop()
+        assert worker.arrivals == []
+
+    asyncio.run(scenario())
+
+
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     soak.record.crashing_parts.add("bad")
