--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -79,6 +79,7 @@
         self.held_back: set[str] = set()
         self.read_once = False
         self.on_leaving: Callable[[], None] = _do_nothing
+        self.on_replaced: Callable[[str], None] = _ignore
         self.pools_by_service: dict[str, Pool] = {}
 
     def apply(
@@ -179,6 +180,7 @@
         endpoint = self.table.merge(report)
         if not same_incarnation:
             self.loads.discard_backlog(report.name)
+            self.on_replaced(report.name)
             log_change(
                 "endpoint registered",
                 endpoint=report.name,
@@ -281,3 +283,7 @@
 
 def _do_nothing() -> None:
     """Do nothing; the default action when an endpoint leaves."""
+
+
+def _ignore(endpoint: str) -> None:
+    """Do nothing; the default action when an endpoint is new or replaced."""
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -95,6 +95,11 @@
         self.backlog[endpoint.name] = self.backlog.get(endpoint.name, 0.0) + backlog
         return load
 
+    def usual_seconds(self, load: RequestLoad) -> float:
+        """Return the time to the first token that is usual for a request's model."""
+        prefill_seconds = load.tokens * self.token_seconds(load.model)
+        return prefill_seconds + FIRST_TOKEN_OVERHEAD_SECONDS
+
     def record_first_token(self, load: RequestLoad) -> float:
         """Record the end of a request's prefill and return the seconds it took."""
         elapsed = self.clock.monotonic() - load.started
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -19,6 +19,7 @@
     version_of,
 )
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.report_news import ReportNews
@@ -66,6 +67,9 @@
 # it is costs less than one that looks failed.
 TOKEN_ROW_BYTES = 9
 TOKENS_SHARE = 0.1
+# The same for speeds of endpoints, of which each daemon measures few at a time.
+SPEED_ROW_BYTES = 7
+SPEEDS_SHARE = 0.15
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -104,6 +108,7 @@
         table: EndpointTable,
         directory: EndpointDirectory,
         loads: EndpointLoads,
+        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         crashes: CrashLog,
         limits: RequestLimits,
@@ -121,6 +126,7 @@
         self.table = table
         self.directory = directory
         self.loads = loads
+        self.speeds = speeds
         self.outcomes = outcomes
         self.crashes = crashes
         self.limits = limits
@@ -317,10 +323,13 @@
         )
         room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
-        tokens = []
+        tokens, speeds = [], []
         if with_rows:
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
+            maximum_rows = int(max(room * SPEEDS_SHARE, 0.0) // SPEED_ROW_BYTES)
+            speeds = self.speeds.export(maximum_rows=maximum_rows)
+            room -= len(speeds) * SPEED_ROW_BYTES
             loads, outcomes, size = self._rows(room)
             old = self.news.select_old(maximum_bytes=room - size)
             news.crashes += old.crashes
@@ -338,6 +347,7 @@
             limits=limits,
             findings=findings,
             tokens=tokens,
+            speeds=speeds,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -487,6 +497,7 @@
                 name: (count, backlog) for name, count, backlog in report.loads
             }
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
+            self.speeds.learn_report(peer, dict(report.speeds))
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -18,6 +18,7 @@
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
+from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.room import EndpointRoom
@@ -49,7 +50,8 @@
     """Inputs of a selection.
 
     ``affinity`` identifies the model and the prompt's shared part; it is empty if the
-    prompt has none. ``shared_seconds`` is the expected time to prefill that part.
+    prompt has none. ``shared_seconds`` is the expected time to prefill that part and
+    ``own_seconds`` that for the rest of the prompt, at an endpoint of usual speed.
     ``tried_endpoints`` are the names of the endpoints that the request was sent to.
     ``cache_tokens`` is what the request occupies in the memory of an engine.
     ``homes`` are the regions that it may be sent to, ``None`` for any.
@@ -61,6 +63,7 @@
     shared_seconds: float
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
+    own_seconds: float = 0.0
     cache_tokens: int = 0
     homes: frozenset[str] | None = None
 
@@ -90,6 +93,7 @@
         *,
         directory: EndpointDirectory,
         loads: EndpointLoads,
+        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         availability: EndpointAvailability,
         room: EndpointRoom,
@@ -99,6 +103,7 @@
     ):
         self.directory = directory
         self.loads = loads
+        self.speeds = speeds
         self.outcomes = outcomes
         self.availability = availability
         self.room = room
@@ -228,8 +233,11 @@
         scored = []
         for rank, endpoint in enumerate(ranked):
             terms = self._wait_terms(endpoint, inputs.cache_tokens)
+            factor = self.speeds.factor(endpoint)
+            terms["backlog"] *= factor
+            terms["speed"] = inputs.own_seconds * (factor - 1.0)
             if (endpoint.name, endpoint.incarnation) not in holders:
-                terms["shared_part"] = inputs.shared_seconds
+                terms["shared_part"] = inputs.shared_seconds * factor
                 if rank >= PREFERRED_ENDPOINTS:
                     terms["distant"] = DISTANT_PENALTY_SECONDS
             scored.append(ScoredCandidate(endpoint, terms))
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -34,6 +34,7 @@
     EndpointLoads,
     RequestLoad,
 )
+from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome, Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -121,6 +122,7 @@
         selection: Selection,
         directory: EndpointDirectory,
         loads: EndpointLoads,
+        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         rollouts: RolloutController,
         budget: RetryBudget,
@@ -136,6 +138,7 @@
         self.selection = selection
         self.directory = directory
         self.loads = loads
+        self.speeds = speeds
         self.outcomes = outcomes
         self.rollouts = rollouts
         self.budget = budget
@@ -277,6 +280,7 @@
             rule=self.rollouts.rule_for(request.service, session),
             affinity=_affinity(request, model),
             shared_seconds=self._shared_seconds(request, model),
+            own_seconds=self._own_seconds(request, model),
             has_prompt=prompt is not None,
             tried_endpoints=tuple(request.endpoints_tried),
             cache_tokens=_cache_tokens(request),
@@ -289,6 +293,15 @@
         tokens = prompt.session_tokens if prompt is not None else 0
         return tokens * self.loads.token_seconds(model)
 
+    def _own_seconds(self, request: ForwardRequest, model: str) -> float:
+        """Return the expected time to prefill what only this prompt has."""
+        prompt = request.head.prompt
+        if prompt is None:
+            return 0.0
+        shared_tokens = sum(part.tokens for part in prompt.shared_parts)
+        tokens = max(prompt.input_tokens - shared_tokens, 0)
+        return tokens * self.loads.token_seconds(model)
+
     def begin_load(
         self, request: ForwardRequest, endpoint: Endpoint, model: str
     ) -> RequestLoad:
@@ -440,7 +453,12 @@
             exchange.close()
             self.loads.end(endpoint, load)
             return None
+        usual_seconds = self.loads.usual_seconds(load)
         seconds = self.loads.record_first_token(load)
+        if peer is None:
+            self.speeds.learn(
+                endpoint, tokens=load.tokens, elapsed=seconds, usual=usual_seconds
+            )
         # The time to a stream's first event depends on the other prompts at its engine
         # and varies by a factor of ten, so it is a poor measure of a version's speed.
         if request.route.kind is not RequestKind.STREAMING:
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -226,7 +226,7 @@
         self.peers.position = self.position
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
         self.limits.update_members(self.peers.members())
-        self.peers.loads.daemons = self.budget.daemons
+        self.peers.loads.daemons = self.peers.speeds.daemons = self.budget.daemons
         self.peers.outcomes.daemons = self.budget.daemons
         self._note_success()
         return True
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -29,6 +29,7 @@
     EndpointLoads,
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
 from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.explaining import RouteExplainer
@@ -81,6 +82,7 @@
     ports: ForwardingPorts
     table: EndpointTable
     loads: EndpointLoads
+    speeds: EndpointSpeeds
     outcomes: Outcomes
     crashes: CrashLog
     crash_records: CrashRecords
@@ -122,10 +124,12 @@
     clock, metrics = ports.clock, ports.metrics
     table = EndpointTable()
     loads = EndpointLoads(clock=clock)
+    speeds = EndpointSpeeds(clock=clock)
     outcomes = Outcomes(clock=clock)
     crashes = CrashLog(clock=clock)
     crash_records = CrashRecords(source=source, crashes=crashes, clock=clock)
     directory = EndpointDirectory(table=table, loads=loads, clock=clock)
+    directory.on_replaced = speeds.forget
     budget = RetryBudget(settings=holder, clock=clock)
     limits = RequestLimits(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
@@ -164,6 +168,7 @@
         table=table,
         directory=directory,
         loads=loads,
+        speeds=speeds,
         outcomes=outcomes,
         crashes=crashes,
         limits=limits,
@@ -247,6 +252,7 @@
     selection = Selection(
         directory=directory,
         loads=loads,
+        speeds=speeds,
         outcomes=outcomes,
         availability=availability,
         room=room,
@@ -262,6 +268,7 @@
         selection=selection,
         directory=directory,
         loads=loads,
+        speeds=speeds,
         outcomes=outcomes,
         rollouts=rollouts,
         budget=budget,
@@ -299,6 +306,7 @@
         ports=ports,
         table=table,
         loads=loads,
+        speeds=speeds,
         outcomes=outcomes,
         crashes=crashes,
         crash_records=crash_records,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -45,6 +45,9 @@
 # tokens follow. Daemons of versions that know no such rows read them as the load of an
 # endpoint that does not exist.
 TOKENS_ROW = "#tokens"
+# Likewise for the speeds of endpoints: the logarithm of a ratio follows the index.
+SPEEDS_ROW = "#speeds"
+LOGARITHM_UNITS = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
 
@@ -93,6 +96,8 @@
       age in seconds
     * ``tokens``: endpoint, tokens that requests in flight occupy there; only in reports
       with ``loads``
+    * ``speeds``: endpoint, logarithm of the time to the first token there relative to
+      what the model usually takes; only in reports with ``loads``
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -117,6 +122,7 @@
     )
     findings: list[PartFinding] = dataclasses.field(default_factory=list)
     tokens: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    speeds: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -247,6 +253,10 @@
         loads += [
             (index(TOKENS_ROW), index(name), tokens) for name, tokens in report.tokens
         ]
+        loads += [
+            (index(SPEEDS_ROW), index(name), round(logarithm * LOGARITHM_UNITS))
+            for name, logarithm in report.speeds
+        ]
     outcomes = report.outcomes
     if outcomes is not None:
         outcomes = [
@@ -280,17 +290,22 @@
     if reads is not None:
         began, latest = reads
         reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
-    tokens = []
+    tokens, speeds = [], []
     if loads is not None:
         tokens = [
             (names[_index(endpoint)], held)
             for name, endpoint, held in loads
             if names[name] == TOKENS_ROW
         ]
+        speeds = [
+            (names[_index(endpoint)], units / LOGARITHM_UNITS)
+            for name, endpoint, units in loads
+            if names[name] == SPEEDS_ROW
+        ]
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
             for name, in_flight, backlog in loads
-            if names[name] != TOKENS_ROW
+            if names[name] not in (TOKENS_ROW, SPEEDS_ROW)
         ]
     if outcomes is not None:
         outcomes = [
@@ -311,6 +326,7 @@
         echoes=echoes,
         reads=reads,
         tokens=tokens,
+        speeds=speeds,
     )
 
 
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -459,7 +459,7 @@
 )
 def test_signed_messages_that_do_not_decode_are_rejected(array):
     content = daemon_messages.zlib.compress(orjson.dumps(array))
-    datagram = daemon_messages._sign(content, SECRET) + content
+    datagram = daemon_messages.sign(content, SECRET) + content
     assert decode_message(datagram, secret=SECRET) is None
 
 
