End a lost evacuation by confirmed content, without further reads

While an evacuation that an older copy of the store lacked was held, each daemon read the store every 0.4 s and took no confirmation by peers.

A peer's confirmation says as of when the content last read was current, which is all that is needed to end the held evacuation. It now ends it, at the usual rate of reads.

--- a/linnetladder/forwarding/coordination/evacuations.py
+++ b/linnetladder/forwarding/coordination/evacuations.py
@@ -36,11 +36,6 @@
         """Return whether no request may be sent to endpoints of a failure domain."""
         return domain in self.domains
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the store is not expected to get back an evacuation that it lost."""
-        return not self.held_until
-
     def update(
         self, domains: Iterable[EvacuatedDomain], *, era: int, began: float
     ) -> None:
@@ -61,9 +56,17 @@
                 )
             self.domains[name] = revision
             self.held_until.pop(name, None)
-        for name in self.domains.keys() - listed.keys():
-            # A read that began before may have missed a key that was written since.
-            if began >= self.held_until.get(name, began):
+        for name in self.domains.keys() - listed.keys() - self.held_until.keys():
+            self._end(name)
+        self.confirm(began)
+
+    def confirm(self, since: float) -> None:
+        """Record that the content last read was current at a monotonic time.
+
+        Content of an earlier time may lack a key that the operator has written since.
+        """
+        for name, until in list(self.held_until.items()):
+            if since >= until:
                 self._end(name)
 
     def _end(self, name: str) -> None:
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -47,8 +47,8 @@
 # The maximum does no harm: a machine counts as disconnected for three seconds anyway.
 FIRST_RETRY_SECONDS = 0.2
 MAXIMUM_RETRY_SECONDS = 0.8
-# Interval between reads while entries that lapsed in an outage or evacuations that the
-# store lost may come back or expire, or while no other daemon is known.
+# Interval between reads while entries that lapsed in an outage may come back or expire,
+# or while no other daemon is known.
 UNSETTLED_READ_INTERVAL_SECONDS = 0.4
 # Roll-outs are checked at this interval. Beyond this many daemons each one's interval
 # grows, so that the number of checks per second stays the same.
@@ -157,14 +157,10 @@
 
     def _read_age(self) -> float:
         """Return the age in seconds at which the content is read again, with jitter."""
-        if not self._is_settled() or not self.peers.peers:
+        if not self.directory.is_settled or not self.peers.peers:
             return UNSETTLED_READ_INTERVAL_SECONDS
         return self.read_interval() * (1 - self.random.uniform(0, READ_JITTER))
 
-    def _is_settled(self) -> bool:
-        """Return whether nothing that the store lost is expected to come back."""
-        return self.directory.is_settled and self.evacuations.is_settled
-
     def read_interval(self) -> float:
         """Return the maximum seconds between reads that the settings' bounds allow."""
         bounds = self.in_force.settings.bounds
@@ -252,14 +248,15 @@
     def on_peer_confirmation(self, since: float) -> None:
         """Record that a peer's read confirmed the content as of a time.
 
-        It is ignored while entries or evacuations that the store lost may come back,
-        so that the daemon reads the store itself.
+        It is ignored while lapsed entries may come back, so that the daemon reads the
+        store itself.
         """
-        if not self._is_settled():
+        if not self.directory.is_settled:
             return
         self.content_confirmed_at = max(self.content_confirmed_at, since)
         self.in_force.confirm(since)
         self.directory.confirm(since)
+        self.evacuations.confirm(since)
 
     async def run_rollouts(self) -> None:
         """Check and advance roll-outs until cancelled."""
--- a/tests/forwarding/test_evacuations.py
+++ b/tests/forwarding/test_evacuations.py
@@ -364,7 +364,7 @@
     read_for(daemon, 4.0)
     assert daemon.evacuations.is_evacuated("east")
     evacuate(daemon, "east")
-    assert daemon.evacuations.is_settled
+    assert daemon.evacuations.held_until == {}
     del daemon.source.evacuated["east"]
     assert daemon.read()
     assert not daemon.evacuations.is_evacuated("east")
@@ -431,17 +431,22 @@
     assert two.poller.read_requested.is_set() is (change != "returned")
 
 
-def test_a_peer_does_not_confirm_that_a_lost_evacuation_is_over():
-    """Guards against a daemon that reads too late to see the key written again."""
+def test_a_lost_evacuation_ends_with_content_that_is_current_after_its_time():
+    """Guards against an end by old content, and against one that needs a read each."""
     clock, source, one, two = pair_of_daemons()
     source.evacuate("east")
     assert one.read() and two.read()
     source.era, source.evacuated = 2, {}
     assert one.read() and two.read()
-    before = two.poller.content_confirmed_at
-    two.poller.on_peer_confirmation(clock.now + 1.0)
-    assert two.poller.content_confirmed_at == before
-    assert two.poller._read_age() == 0.4
+    until = clock.now + 5.0
+    for since, evacuated in ((until - 0.1, True), (until, False)):
+        clock.now = since
+        send_report(two, one)
+        clock.now += 0.3
+        assert one.read()
+        send_report(one, two)
+        assert two.poller.content_confirmed_at == since
+        assert two.evacuations.is_evacuated("east") is evacuated
 
 
 def test_a_daemon_that_starts_after_an_evacuation_does_not_read_without_a_pause():
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -531,7 +531,7 @@
     ),
     ("evacuated_held", evacuations, "REWRITE_SECONDS", 0.0, EVACUATED),
     ("evacuated_held_end", evacuations, "REWRITE_SECONDS", 99.0, EVACUATED),
-    ("evacuated_settled", Evacuations, "is_settled", True, EVACUATED),
+    ("evacuated_confirmed", Evacuations, "confirm", always(None), EVACUATED),
     (
         "evacuated_digest",
         shared_snapshots,
