Settle the reads of a group by the directory alone

The merge of homes dropped a method that the schedule of group reads asked. Fleets with read groups served nothing; the tests of shared reads show it.

--- a/linnetladder/forwarding/coordination/endpoint_speeds.py
+++ b/linnetladder/forwarding/coordination/endpoint_speeds.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 from linnetladder.state import Clock, Endpoint
 
@@ -118,7 +119,7 @@
         if not found:
             return {}
         means = {name: sum(values) / len(values) for name, values in found.items()}
-        middle = sorted(means.values())[len(means) // 2]
+        middle = statistics.median(means.values())
         return {
             name: _limited(
                 (mean - middle) * len(found[name]) / (len(found[name]) + PRIOR_WEIGHT)
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -154,7 +154,7 @@
 
         The daemons of a group read at the same times, so that one read serves all.
         """
-        if not self.read_groups.active or not self._is_settled():
+        if not self.read_groups.active or not self.directory.is_settled:
             await self._wait_until_age(self._read_age())
             return
         period = self.read_interval() - GROUP_READ_SECONDS
