Bound the requests that cold endpoints get from all daemons

An endpoint that has just started tolerates few requests and crashes above that. Daemons sent it as many as any other from the moment they read its entry, so a herd of endpoints that return together could be brought down again.

Services may name for how long their endpoints are cold (ColdS) and what a cold one tolerates (ColdPerS); entries (ColdMs) and answers (Linnetladder-Cold-Ms) say how long an endpoint stays cold. EndpointPaces keeps a pace for each, which begins at half of ColdPerS, grows by half with half a second of sound answers and falls by half with failures. RequestLimits turns it into permits, so that every path to an endpoint keeps to it. The permits of a cold endpoint are numbered by its bound and their owners are found by Maglev hashing: daemons that disagree on the pace or on the list of daemons hold hardly any permit twice. A daemon that the others may not count on takes a quarter of its permits.

Services without ColdPerS have no paces and are served as before. Paces are told in reports of their own; other messages keep their encoding.

--- a/linnetladder/coordination/permit_schedule.py
+++ b/linnetladder/coordination/permit_schedule.py
@@ -23,6 +23,8 @@
 
     ``rate`` is the limit of all daemons in permits a second; ``now`` is Unix time in
     seconds. The first permit is the first own one that falls due after ``now``.
+    ``lifetime`` is the time in seconds after which an unused permit expires; by default
+    it is at least `LIFETIME_PERMITS` permits of all daemons.
 
     Examples
     --------
@@ -33,11 +35,21 @@
     (True, 2.0)
     """
 
-    def __init__(self, *, rate: float, turn: int, turns: int, now: float):
+    def __init__(
+        self,
+        *,
+        rate: float,
+        turn: int,
+        turns: int,
+        now: float,
+        lifetime: float | None = None,
+    ):
         self.rate = max(rate, MINIMUM_RATE)
         self.turn = turn
         self.turns = turns
-        self.lifetime = LIFETIME_SECONDS + LIFETIME_PERMITS / self.rate
+        if lifetime is None:
+            lifetime = LIFETIME_SECONDS + LIFETIME_PERMITS / self.rate
+        self.lifetime = lifetime
         self.next_permit = self._first_own(math.floor(now * self.rate) + 1)
 
     def available(self, now: float) -> bool:
--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -96,6 +96,7 @@
     core.rollouts.on_bad_target = peer_socket.send_soon
     core.peers.on_news = peer_socket.send_soon
     core.limits.on_change = peer_socket.send_soon
+    core.paces.on_change = peer_socket.send_soon
     fields = {
         field.name: getattr(core, field.name)
         for field in dataclasses.fields(ForwardingCore)
--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -90,8 +90,9 @@
     def learn_answer(
         self, endpoint: Endpoint, head: ResponseHead, *, sent_at: float
     ) -> None:
-        """Record what an answer says of its endpoint's limit and brittleness."""
+        """Record what an answer says of its endpoint's limit, pace and brittleness."""
         self.limits.learn_answer(endpoint, head, sent_at=sent_at)
+        self.limits.paces.learn_head(endpoint, head, sent_at=sent_at)
         self.brittleness.learn_answer(endpoint, head, sent_at=sent_at)
 
     def obstacle(self, endpoint: Endpoint) -> Obstacle | None:
--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -79,6 +79,7 @@
         self.held_back: set[str] = set()
         self.read_once = False
         self.on_leaving: Callable[[], None] = _do_nothing
+        self.on_entry: Callable[..., None] = _ignore_entry
         self.pools_by_service: dict[str, Pool] = {}
 
     def apply(
@@ -186,6 +187,8 @@
                 address=report.address,
                 versions=[ref.version for ref in report.versions or ()],
             )
+        if endpoint.incarnation == report.incarnation:
+            self.on_entry(endpoint, report, is_new=not same_incarnation)
         if endpoint.leaving and not was_leaving:
             log_change("endpoint leaves", endpoint=report.name, reason="register")
 
@@ -281,3 +284,7 @@
 
 def _do_nothing() -> None:
     """Do nothing; the default action when an endpoint leaves."""
+
+
+def _ignore_entry(endpoint: Endpoint, report: EndpointReport, *, is_new: bool) -> None:
+    """Do nothing; the default action on an entry that was read."""
--- a/linnetladder/forwarding/coordination/outcomes.py
+++ b/linnetladder/forwarding/coordination/outcomes.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from linnetladder.state import Clock
 
@@ -220,6 +220,17 @@
         row.log_slowdown_squared += log_slowdown * log_slowdown
         row.slow += log_slowdown >= SLOW_ANSWER_LOG_SLOWDOWN
 
+    def own_rate(self, endpoints: Iterable[str]) -> float:
+        """Return this daemon's recent attempts a second at some endpoints."""
+        names = set(endpoints)
+        now = self.clock.monotonic()
+        total = sum(
+            row.total * 0.5 ** ((now - row.updated) / RECENT_HALF_LIFE_SECONDS)
+            for (endpoint, _), row in self.rows.items()
+            if endpoint in names
+        )
+        return total * math.log(2) / RECENT_HALF_LIFE_SECONDS
+
     def _row(self, endpoint: str, route: str) -> OutcomeCounts:
         """Return a row of this daemon, with its counts decayed until now."""
         now = self.clock.monotonic()
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -331,6 +331,28 @@
         self.snapshots.record_sent(message.sequence)
         return message
 
+    def build_paces(
+        self, *, maximum_bytes: float = MAXIMUM_REPORT_BYTES, news_only: bool = False
+    ) -> DaemonMessage | None:
+        """Return a report of paces alone, ``None`` if there are none to tell.
+
+        Daemons of the version before can't read it, and so lose nothing else.
+        """
+        room = maximum_bytes - REPORT_HEADER_BYTES
+        paces = self.limits.paces.export(maximum_bytes=room, news_only=news_only)
+        if not paces:
+            return None
+        report = DaemonReport(
+            loads=None,
+            outcomes=None,
+            crashes=[],
+            bad_targets=[],
+            leaving=[],
+            draining=self.draining,
+            paces=paces,
+        )
+        return self._message(report=report)
+
     def _findings(self) -> list[PartFinding]:
         """Return the findings on parts of prompts, by turns if there are many."""
         findings = self.crashes.export_findings()
@@ -467,6 +489,7 @@
             self.crashes.learn_finding(finding)
         self.rollouts.add_bad_targets(report.bad_targets)
         self.limits.learn_report(report.limits)
+        self.limits.paces.learn_report(report.paces)
         if report.reads is not None:
             self.directory.learn_reads(peer, *report.reads)
         departures = self.table.departures
--- a/linnetladder/forwarding/coordination/quarantine.py
+++ b/linnetladder/forwarding/coordination/quarantine.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 
 from linnetladder.coordination.background import BackgroundTasks
 from linnetladder.forwarding.coordination.calls import EndpointCalls, ProbeOutcome
@@ -47,6 +48,7 @@
         self.clock = clock
         self.metrics = metrics
         self.quarantined: set[tuple[str, str]] = set()
+        self.on_return: Callable[[Endpoint], None] = _ignore
 
     def eject(self, endpoint: Endpoint) -> None:
         """Eject an endpoint until it accepts a connection."""
@@ -110,6 +112,7 @@
                 await asyncio.sleep(probe_interval_seconds)
                 if await self.calls.is_reachable(endpoint.address):
                     log_change("endpoint is back", endpoint=endpoint.name)
+                    self.on_return(endpoint)
                     return
                 probe_interval_seconds = min(
                     probe_interval_seconds * PROBE_BACKOFF_FACTOR,
@@ -118,3 +121,7 @@
         finally:
             endpoint.ejected_until = self.clock.monotonic()
             self.quarantined.discard(key)
+
+
+def _ignore(endpoint: Endpoint) -> None:
+    """Do nothing; the default action when an endpoint is back."""
--- a/linnetladder/forwarding/coordination/request_limits.py
+++ b/linnetladder/forwarding/coordination/request_limits.py
@@ -12,6 +12,15 @@
 import xxhash
 
 from linnetladder.coordination.permit_schedule import PermitSchedule
+from linnetladder.coordination.permit_slots import (
+    CYCLE_SLOTS,
+    SlotSchedule,
+    assign_slots,
+)
+from linnetladder.forwarding.coordination.endpoint_paces import (
+    PERMIT_LIFETIME_SECONDS,
+    EndpointPaces,
+)
 from linnetladder.forwarding.protocol import ResponseHead
 from linnetladder.state import Clock, Endpoint, EndpointTable
 from linnetladder.telemetry import Metrics, log_change
@@ -24,6 +33,12 @@
 LIMIT_ROW_BYTES = 36
 # A step of the Unix time by more than this restarts the schedules.
 CLOCK_STEP_SECONDS = 0.25
+# The other daemons may not count on one that has just started, or that heard of neither
+# the store nor a peer for some time: they may hold its permits for cold endpoints, too.
+# It takes this share of them meanwhile.
+UNKNOWN_SHARE = 0.25
+STARTING_SECONDS = 2.0
+ISOLATED_SECONDS = 5.0
 # Resolution of limits in decimal places of requests a second, as in reports, and the
 # highest limit that is told apart from none.
 LIMIT_DECIMALS = 3
@@ -57,29 +72,54 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ScheduleInputs:
-    """What a schedule was made from; ``unix_offset`` is Unix less monotonic time."""
+    """What a schedule was made from; ``unix_offset`` is Unix less monotonic time.
+
+    ``lifetime`` is that of its permits, ``None`` for the usual one. ``ceiling`` is the
+    bound on the rate of a cold endpoint, whose permits it numbers; a schedule of such
+    permits goes on when the rate or the list of daemons changes.
+    """
 
     incarnation: str
     per_second: float
     turn: int
     turns: int
     unix_offset: float
+    lifetime: float | None = None
+    ceiling: float | None = None
 
     def matches(self, other: "ScheduleInputs") -> bool:
         """Return whether a schedule made from the other inputs is still valid."""
+        if abs(self.unix_offset - other.unix_offset) > CLOCK_STEP_SECONDS:
+            return False
+        return self._basis() == other._basis()
+
+    def _basis(self) -> tuple:
+        if self.ceiling is not None:
+            return self.incarnation, self.ceiling
         return (
-            (self.incarnation, self.per_second, self.turn, self.turns)
-            == (other.incarnation, other.per_second, other.turn, other.turns)
-        ) and abs(self.unix_offset - other.unix_offset) <= CLOCK_STEP_SECONDS
+            self.incarnation,
+            self.per_second,
+            self.turn,
+            self.turns,
+            self.lifetime,
+        )
 
 
 class RequestLimits:
     """Keeps the latest limit of each endpoint and this daemon's permits for it."""
 
     def __init__(
-        self, *, instance: str, table: EndpointTable, clock: Clock, metrics: Metrics
+        self,
+        *,
+        instance: str,
+        table: EndpointTable,
+        paces: EndpointPaces,
+        clock: Clock,
+        metrics: Metrics,
     ):
         self.instance = instance
+        self.paces = paces
+        self.members = frozenset((instance,))
         self.table = table
         self.clock = clock
         self.metrics = metrics
@@ -87,6 +127,8 @@
         self.schedules: dict[str, tuple[ScheduleInputs, PermitSchedule]] = {}
         self.rank = 0
         self.turns = 1
+        self.starting_until = math.inf
+        self.contact_at = math.inf
         self.on_change: Callable[[], None] = _do_nothing
 
     def update_members(self, instances: Iterable[str]) -> None:
@@ -97,13 +139,38 @@
         """
         members = sorted({self.instance, *instances}, key=_hash)
         self.rank = members.index(self.instance)
-        self.turns = len(members)
+        self.turns = self.paces.turns = len(members)
+        self.contact_at = self.clock.monotonic()
+        if self.starting_until == math.inf:
+            self.starting_until = self.contact_at + STARTING_SECONDS
+        if len(members) != len(self.members) or not self.members.issuperset(members):
+            self.members = frozenset(members)
 
     def limit_of(self, endpoint: Endpoint) -> float | None:
-        """Return an endpoint's limit in requests a second, ``None`` if it has none."""
+        """Return an endpoint's limit in requests a second, ``None`` if it has none.
+
+        It is the lower one of the limit that the endpoint named and of its pace.
+        """
+        named = self.named_limit_of(endpoint)
+        pace = self.paces.pace_of(endpoint)
+        if named is None or pace is None:
+            return pace if named is None else named
+        return min(named, pace)
+
+    def named_limit_of(self, endpoint: Endpoint) -> float | None:
+        """Return the limit that an endpoint named, ``None`` if it names none."""
         named = self._named(endpoint.name, endpoint.incarnation)
         return named.per_second if named is not None else None
 
+    def basis_of(self, endpoint: Endpoint) -> float | None:
+        """Return the rate at which an endpoint's permits are numbered, if there is one.
+
+        A permit that was reserved stays valid as long as that is the same. For a cold
+        endpoint it is the bound on its pace, not the pace.
+        """
+        ceiling = self.paces.ceiling_of(endpoint)
+        return ceiling if ceiling is not None else self.limit_of(endpoint)
+
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         schedule = self._schedule(endpoint)
@@ -155,7 +222,7 @@
 
     def learn_report(self, rows: Iterable[LimitRow]) -> None:
         """Record what a peer knows, unless this daemon knows of a later answer."""
-        now = self.clock.monotonic()
+        now = self.contact_at = self.clock.monotonic()
         for name, incarnation, per_second, age in rows:
             endpoint = self.table.endpoints.get(name)
             if endpoint is not None and endpoint.incarnation != incarnation:
@@ -239,21 +306,55 @@
         if per_second is None:
             return None
         unix = self.clock.unix()
+        paced = self.paces.pace_of(endpoint) == per_second
         inputs = ScheduleInputs(
             incarnation=endpoint.incarnation,
             per_second=per_second,
             turn=(self.rank + _hash(endpoint.name)) % self.turns,
             turns=self.turns,
             unix_offset=unix - self.clock.monotonic(),
+            lifetime=PERMIT_LIFETIME_SECONDS if paced else None,
+            ceiling=self.paces.ceiling_of(endpoint),
         )
         current = self.schedules.get(endpoint.name)
         if current is None or not inputs.matches(current[0]):
-            schedule = PermitSchedule(
-                rate=per_second, turn=inputs.turn, turns=inputs.turns, now=unix
-            )
+            schedule = self._new_schedule(endpoint, inputs, unix)
             current = self.schedules[endpoint.name] = (inputs, schedule)
+        if inputs.ceiling is not None:
+            slots = assign_slots(self.members)[self.instance]
+            share = per_second / inputs.ceiling if inputs.ceiling else 0.0
+            if not self._is_known_to_others():
+                share *= UNKNOWN_SHARE
+            current[1].update(slots=slots, share=share, now=unix)
         return current[1]
 
+    def _is_known_to_others(self) -> bool:
+        """Return whether the other daemons' lists are expected to have this one."""
+        now = self.clock.monotonic()
+        if now < self.starting_until:
+            return False
+        return self.turns == 1 or now - self.contact_at <= ISOLATED_SECONDS
+
+    def _new_schedule(
+        self, endpoint: Endpoint, inputs: ScheduleInputs, unix: float
+    ) -> PermitSchedule:
+        if inputs.ceiling is None:
+            return PermitSchedule(
+                rate=inputs.per_second,
+                turn=inputs.turn,
+                turns=inputs.turns,
+                now=unix,
+                lifetime=inputs.lifetime,
+            )
+        return SlotSchedule(
+            rate=inputs.ceiling,
+            slots=assign_slots(self.members)[self.instance],
+            offset=_hash(endpoint.name) % CYCLE_SLOTS,
+            share=1.0,
+            now=unix,
+            lifetime=PERMIT_LIFETIME_SECONDS,
+        )
+
     def _forget_unlisted(self) -> None:
         since = self.clock.monotonic() - UNLISTED_TTL_SECONDS
         for name, named in list(self.named.items()):
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -30,6 +30,7 @@
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
+    FIRST_TOKEN_OVERHEAD_SECONDS,
     EndpointLoads,
     RequestLoad,
 )
@@ -133,6 +134,7 @@
         self.availability = availability
         self.paths = availability.paths
         self.limits = availability.limits
+        self.paces = self.limits.paces
         self.pauses = availability.pauses
         self.clock = clock
         self.metrics = metrics
@@ -194,7 +196,7 @@
                     return None
                 await asyncio.sleep(max(pause, RETURN_CHECK_SECONDS))
                 continue
-            limit = self.limits.limit_of(endpoint)
+            limit = self.limits.basis_of(endpoint)
             seconds = self.limits.reserve(endpoint, within=within)
             if seconds is None:
                 return None
@@ -202,7 +204,7 @@
             request.history.append(f"{endpoint.name}=limit waited {seconds:.3f}")
             await asyncio.sleep(seconds)
             # The wait may have outlasted the endpoint or the limit.
-            unchanged = self.limits.limit_of(endpoint) == limit
+            unchanged = self.limits.basis_of(endpoint) == limit
             inputs = self.selection_inputs(request, model)
             if unchanged and endpoint in self.selection.eligible(inputs):
                 return endpoint
@@ -362,8 +364,10 @@
         resume_after: str,
     ) -> Attempt | None:
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
-        if self.limits.limit_of(endpoint) is not None:
+        if self.limits.named_limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
+        if self.paces.pace_of(endpoint) is not None:
+            self.metrics.count("paced_attempts")
         peer = self._peer_for(request, endpoint)
         load = self.begin_load(request, endpoint, model)
         pause = self.pauses.begin(endpoint)
@@ -404,6 +408,11 @@
             exchange.close()
             self.loads.end(endpoint, load)
             return None
+        if self.paces.pace_of(endpoint) is not None and head.status < 500:
+            slowdown = self._slowdown(request, load)
+            self.paces.learn_answer(
+                endpoint, slowdown, sound=True, sent_at=load.started
+            )
         seconds = self.loads.record_first_token(load)
         # The time to a stream's first event depends on the other prompts at its engine
         # and varies by a factor of ten, so it is a poor measure of a version's speed.
@@ -418,6 +427,20 @@
             peer=peer,
         )
 
+    def _slowdown(self, request: ForwardRequest, load: RequestLoad) -> float | None:
+        """Return the time to an answer's head, relative to that of other endpoints.
+
+        It is ``None`` as long as none is known.
+        """
+        seconds = self.clock.monotonic() - load.started
+        if load.tokens:
+            expected = load.tokens * self.loads.token_seconds(load.model)
+            return seconds / (expected + FIRST_TOKEN_OVERHEAD_SECONDS)
+        log_slowdown = self.outcomes.log_slowdown(
+            request.route.name, load.model, seconds, learn=False
+        )
+        return None if log_slowdown is None else math.exp(log_slowdown)
+
     def record_events(
         self, request: ForwardRequest, attempt: Attempt, events: int
     ) -> None:
@@ -532,6 +555,9 @@
         if fault.relay:
             await self._record_relayed_fault(request, endpoint, fault, with_parts)
             return
+        self.paces.learn_answer(
+            endpoint, None, sound=False, sent_at=self.clock.monotonic()
+        )
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
         self.calls.close_idle_connections(endpoint.address)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -28,6 +28,7 @@
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
 )
+from linnetladder.forwarding.coordination.endpoint_paces import EndpointPaces
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
@@ -90,6 +91,7 @@
     background: BackgroundTasks
     quarantine: Quarantine
     limits: RequestLimits
+    paces: EndpointPaces
     pauses: EndpointPauses
     paths: PeerPaths
     relay_control: RelayControl
@@ -117,8 +119,21 @@
     crash_records = CrashRecords(source=source, crashes=crashes, clock=clock)
     directory = EndpointDirectory(table=table, loads=loads, clock=clock)
     budget = RetryBudget(settings=holder, clock=clock)
+    in_force = TableInForce(settings=holder, clock=clock)
+    paces = EndpointPaces(
+        in_force=in_force,
+        settings=holder,
+        directory=directory,
+        outcomes=outcomes,
+        clock=clock,
+        metrics=metrics,
+    )
     limits = RequestLimits(
-        instance=settings.instance, table=table, clock=clock, metrics=metrics
+        instance=settings.instance,
+        table=table,
+        paces=paces,
+        clock=clock,
+        metrics=metrics,
     )
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
@@ -176,7 +191,6 @@
         paths=paths,
         clock=clock,
     )
-    in_force = TableInForce(settings=holder, clock=clock)
     poller = StorePoller(
         source=source,
         era=ports.era,
@@ -224,6 +238,7 @@
     quarantine = Quarantine(
         table=table, calls=calls, background=background, clock=clock, metrics=metrics
     )
+    quarantine.on_return = paces.note_returned
     sender = Sender(
         calls=calls,
         selection=selection,
@@ -278,6 +293,7 @@
         background=background,
         quarantine=quarantine,
         limits=limits,
+        paces=paces,
         pauses=pauses,
         paths=paths,
         relay_control=relay_control,
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -88,6 +88,8 @@
     ``None`` if it asks for no pause; ``names_pause`` is also set if that can't be read.
     ``brittle_limit`` is the number of requests that it can turn away in a second for
     want of room without falling over, ``None`` unless it says that it is brittle.
+    ``cold_seconds`` is for how much longer the endpoint says that it is cold, 0 if it
+    says that it is warm and ``None`` if it says nothing of it.
     """
 
     status: int
@@ -105,6 +107,7 @@
     pause_seconds: float | None = None
     names_pause: bool = False
     brittle_limit: float | None = None
+    cold_seconds: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -85,6 +85,8 @@
     * ``leaving``: endpoint, incarnation
     * ``limits``: endpoint, incarnation, limit on its requests a second or ``None``,
       age in seconds
+    * ``paces``: endpoint, incarnation, requests a second, seconds for which it stays
+      cold, age of the evidence in seconds
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -92,7 +94,8 @@
     last confirmed. ``reads`` gives the period in which the sender read the store, or
     had its content confirmed, without a gap: the seconds since it began and since the
     last read. ``findings`` tells of parts of prompts that crash endpoints or don't.
-    ``draining`` is set once the sender is shutting down.
+    ``draining`` is set once the sender is shutting down. ``paces`` are told in reports
+    that hold nothing else.
     """
 
     loads: list[tuple[str, int, float]] | None
@@ -108,6 +111,9 @@
         default_factory=list
     )
     findings: list[PartFinding] = dataclasses.field(default_factory=list)
+    paces: list[tuple[str, str, float, float, float]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -150,16 +156,30 @@
 _LimitRow = tuple[str, str, int | None, pydantic.NonNegativeInt]
 # Part, whether it is sound, age.
 _FindingRow = tuple[str, bool, pydantic.NonNegativeInt]
+# Endpoint, incarnation, pace, time for which it stays cold, age.
+_PaceRow = tuple[
+    str,
+    str,
+    pydantic.NonNegativeInt,
+    pydantic.NonNegativeInt,
+    pydantic.NonNegativeInt,
+]
 # The fields of a message in their order.
 _MessageArray = tuple[
     str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None
 ]
-# Limits and findings follow only where there are some, so that messages without any can
-# be read by daemons of versions that know none.
+# Limits, findings and paces follow only where there are some, so that messages without
+# any can be read by daemons of versions that know none.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
     _MessageArray
     | tuple[*typing.get_args(_MessageArray), list[_LimitRow]]
     | tuple[*typing.get_args(_MessageArray), list[_LimitRow], list[_FindingRow]]
+    | tuple[
+        *typing.get_args(_MessageArray),
+        list[_LimitRow],
+        list[_FindingRow],
+        list[_PaceRow],
+    ]
 )
 
 
@@ -295,7 +315,13 @@
 
 
 def _optional_fields(report: DaemonReport) -> tuple:
-    """Return the encoded limits and findings, as far as there are any."""
+    """Return the encoded limits, findings and paces, as far as there are any."""
+    if report.paces:
+        return (
+            _limit_rows(report.limits),
+            _finding_rows(report.findings),
+            _pace_rows(report.paces),
+        )
     if report.findings:
         return _limit_rows(report.limits), _finding_rows(report.findings)
     return (_limit_rows(report.limits),) if report.limits else ()
@@ -305,8 +331,19 @@
     report: DaemonReport,
     limits: Sequence[_LimitRow] = (),
     findings: Sequence[_FindingRow] = (),
+    paces: Sequence[_PaceRow] = (),
 ) -> None:
     report.limits = _limits(limits)
+    report.paces = [
+        (
+            name,
+            incarnation,
+            units / UNITS_PER_REQUEST,
+            cold / LIMIT_AGE_UNITS_PER_SECOND,
+            age / LIMIT_AGE_UNITS_PER_SECOND,
+        )
+        for name, incarnation, units, cold, age in paces
+    ]
     report.findings = [
         PartFinding(part, sound, age / AGE_UNITS_PER_SECOND)
         for part, sound, age in findings
@@ -320,6 +357,20 @@
     ]
 
 
+def _pace_rows(paces: list[tuple[str, str, float, float, float]]) -> list[_PaceRow]:
+    """Return rows of paces; times are rounded up, so that no evidence gets younger."""
+    return [
+        (
+            name,
+            incarnation,
+            round(per_second * UNITS_PER_REQUEST),
+            math.ceil(max(cold, 0.0) * LIMIT_AGE_UNITS_PER_SECOND),
+            math.ceil(max(age, 0.0) * LIMIT_AGE_UNITS_PER_SECOND),
+        )
+        for name, incarnation, per_second, cold, age in paces
+    ]
+
+
 def _limit_rows(
     limits: list[tuple[str, str, float | None, float]],
 ) -> list[tuple[str, str, int | None, int]]:
--- a/linnetladder/forwarding/settings.py
+++ b/linnetladder/forwarding/settings.py
@@ -20,7 +20,8 @@
     ``retry_slack`` requests plus ``retry_ratio`` of the requests within
     ``retry_window`` seconds. A bad version may receive ``exposure_slack`` requests plus
     ``exposure_share`` of its service's requests, and none later than ``rollback``
-    seconds after it was detected.
+    seconds after it was detected. A cold endpoint may receive ``cold_slack`` requests
+    plus ``cold_overage`` times its service's rate in any second.
     """
 
     contact: float = 3.0
@@ -37,6 +38,8 @@
     rollback: float = 5.0
     session: float = 5.0
     cache_reuse: float = 10.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -71,12 +71,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSpec:
-    """A service; ``engine`` is ``None`` if it does not run model engines."""
+    """A service; ``engine`` is ``None`` if it does not run model engines.
+
+    Its endpoints are cold for ``cold_seconds`` after their start, 0 for services whose
+    endpoints never are. A cold one tolerates ``cold_per_second`` requests a second from
+    all daemons together, 0 if any number.
+    """
 
     name: str
     health_path: str
     maximum_connections: int
     engine: EngineSpec | None = None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -197,6 +197,23 @@
                 continue
             self._send_to(receiver, with_bills if receiver in holders else datagram)
             self.gossip.record_sent(receiver)
+        self._send_paces(receivers, urgent=urgent, reserve=reserve)
+
+    def _send_paces(
+        self, receivers: list[DaemonAddress], *, urgent: bool, reserve: float
+    ) -> None:
+        """Send a report of paces, as far as the budget allows beside other reports."""
+        paces = self.gossip.build_paces(
+            maximum_bytes=MINIMUM_REPORT_BYTES, news_only=urgent
+        )
+        if paces is None:
+            return
+        datagram = encode_message(paces, secret=self.secret)
+        for receiver in receivers:
+            if self.budget.spend(len(datagram), reserve=reserve):
+                self._send_to(receiver, datagram)
+            else:
+                self.metrics.count("peer_messages", label="over_budget")
 
     def _size_limit(self, receivers: int) -> float:
         """Return the bytes of a report with which a round keeps within its budget."""
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -107,6 +107,8 @@
     Name: str
     HealthPath: str = ""
     MaxConns: int = 0
+    ColdS: float = pydantic.Field(0, ge=0)
+    ColdPerS: float = pydantic.Field(0, ge=0)
     Engine: EngineModel | None = None
 
     def decode(self) -> ServiceSpec:
@@ -116,6 +118,8 @@
             health_path=self.HealthPath,
             maximum_connections=self.MaxConns,
             engine=self.Engine.decode() if self.Engine is not None else None,
+            cold_seconds=self.ColdS,
+            cold_per_second=self.ColdPerS,
         )
 
 
@@ -199,7 +203,11 @@
 
 
 class ServerModel(pydantic.BaseModel):
-    """A worker's registration; ``born`` is its start in Unix milliseconds."""
+    """A worker's registration.
+
+    ``born`` is its start in Unix milliseconds, and ``ColdMs`` is how much longer it was
+    cold when it wrote the entry.
+    """
 
     model_config = pydantic.ConfigDict(strict=True)
 
@@ -209,7 +217,7 @@
     Version: str
     Slots: int = pydantic.Field(ge=1)
     State: Literal["ready", "draining"]
-    ColdMs: float = pydantic.Field(ge=0)
+    ColdMs: float | None = pydantic.Field(None, ge=0)
     Seq: int
     Phase: str | None = None
     Models: list[dict] | None = None
@@ -230,4 +238,10 @@
             capacity=self.Slots,
             leaving=self.State == "draining",
             revision=revision,
+            cold_seconds=_seconds(self.ColdMs),
+            started_at=_seconds(self.born),
         )
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -35,6 +35,8 @@
 SERVER_BRITTLE = "Server-Brittle"
 # 1 from the time at which the worker knows that it will stop, in all its answers.
 SERVER_LEAVING = "Server-Leaving"
+# Milliseconds for which the worker stays cold, counted from its answer.
+COLD = "Linnetladder-Cold-Ms"
 # Beside 503: seconds in which the worker wants no requests from this daemon.
 RETRY_AFTER = "Retry-After"
 PAUSE_STATUS = 503
@@ -148,6 +150,7 @@
             leaving=headers.get(SERVER_LEAVING, "0").strip() not in ("", "0"),
             pause_seconds=_parse_pause(headers) if names_pause else None,
             names_pause=names_pause,
+            cold_seconds=_parse_cold(headers.get(COLD)),
             closes_connection="close" in headers.get("Connection", "").lower(),
             length=int(length) if length.isdigit() else None,
             headers=tuple(
@@ -203,6 +206,12 @@
     return number
 
 
+def _parse_cold(value: str | None) -> float | None:
+    """Return the seconds for which a worker stays cold, ``None`` if it does not say."""
+    number = _parse_limit(value)
+    return None if number is None else number / MILLISECONDS_PER_SECOND
+
+
 def _parse_pause(headers: Mapping[str, str]) -> float | None:
     """Return the seconds of a pause, ``None`` if the value is not valid.
 
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -34,6 +34,8 @@
     RollbackMs: float = 5000
     SessionS: float = 5
     ReuseWindowS: float = 10
+    ColdOverage: float = pydantic.Field(1.5, ge=0)
+    ColdSlack: float = pydantic.Field(5, ge=0)
 
     def decode(self) -> Bounds:
         """Return the bounds in seconds."""
@@ -52,6 +54,8 @@
             rollback=self.RollbackMs / MILLISECONDS_PER_SECOND,
             session=self.SessionS,
             cache_reuse=self.ReuseWindowS,
+            cold_overage=self.ColdOverage,
+            cold_slack=self.ColdSlack,
         )
 
 
--- a/linnetladder/state/endpoints.py
+++ b/linnetladder/state/endpoints.py
@@ -14,6 +14,9 @@
     ``capacity`` is the number of requests that the endpoint runs at once; ``in_flight``
     is the number that it runs or holds queued, from all daemons. ``revision`` is the
     revision of the entry in a registry, 0 from sources that have none.
+
+    ``cold_seconds`` is how much longer the endpoint was cold when it reported, and
+    ``started_at`` the Unix time of its start in seconds.
     """
 
     name: str
@@ -26,6 +29,8 @@
     in_flight: int | None = None
     leaving: bool = False
     revision: int = 0
+    cold_seconds: float | None = None
+    started_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -53,6 +53,8 @@
     ),
     "permit_waits": Family("Requests that waited for an endpoint's permit"),
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
+    "paced_attempts": Family("Attempts sent to endpoints that had a pace"),
+    "endpoint_paces": Family("Changes of endpoints' paces", "change"),
     "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
     "retries": Family("Attempts after the first"),
     "brittle_rejections": Family("Requests that brittle endpoints turned away"),
@@ -96,6 +98,7 @@
     "total_seconds": "From a request's arrival to the end of its answer",
     "decision_seconds": "Time spent on choosing a version",
     "slot_seconds": "Time spent waiting for a slot at an endpoint",
+    "pace_seconds": "Time for which an endpoint had a pace after its start or return",
     "bill_seconds": "Time an answer's end waited for its bill",
     "platform_seconds": "Time of calls to the platform",
 }
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -11,13 +11,14 @@
 import aiohttp
 import pytest
 
-from linnetladder.coordination import permit_schedule
+from linnetladder.coordination import permit_schedule, permit_slots
 from linnetladder.forwarding.coordination import (
     bill_flushing,
     bill_replicas,
     bills,
     brittleness,
     directory,
+    endpoint_paces,
     endpoint_pauses,
     forwarder,
     in_force,
@@ -46,6 +47,7 @@
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
+from linnetladder.forwarding.coordination.endpoint_paces import EndpointPaces
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
@@ -87,6 +89,7 @@
 CUT = "cut_off_daemons"
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
+COLD = "cold_endpoints"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -179,6 +182,16 @@
     return True
 
 
+def every_slot(members):
+    """Give each daemon all slots."""
+    return dict.fromkeys(members, tuple(range(permit_slots.CYCLE_SLOTS)))
+
+
+def skip_permit(self):
+    """Go on to the next permit without recording that this one is used."""
+    self.next_permit = self._first_own(self.next_permit + 1)
+
+
 def any_pause(self, endpoint):
     """Return a pause of any incarnation."""
     return self.pauses.get(endpoint.name)
@@ -357,6 +370,21 @@
     ("limits_size", request_limits, "MAXIMUM_PER_SECOND", 1e300, "request_limits"),
     ("limits_decimals", request_limits, "LIMIT_DECIMALS", 9, "request_limits"),
     ("limits_lines", request_limits, "LOG_INTERVAL_SECONDS", 0.0, "request_limits"),
+    ("cold_paces", EndpointPaces, "pace_of", always(None), COLD),
+    ("cold_ceiling", EndpointPaces, "_ceiling", always(None), COLD),
+    ("cold_sustained", endpoint_paces, "SUSTAINED_SHARE", 1.0, COLD),
+    ("cold_lifetime", request_limits, "PERMIT_LIFETIME_SECONDS", 1.0, COLD),
+    ("cold_slots", request_limits, "assign_slots", every_slot, COLD),
+    ("cold_unknown", request_limits, "UNKNOWN_SHARE", 1.0, COLD),
+    ("cold_entries", EndpointPaces, "note_registered", always(None), COLD),
+    ("cold_answers", headers, "COLD", "X-None", COLD),
+    ("cold_answers_learnt", EndpointPaces, "learn_head", always(None), COLD),
+    ("cold_returns", EndpointPaces, "note_returned", always(None), COLD),
+    ("cold_reports", EndpointPaces, "learn_report", always(None), COLD),
+    ("cold_growth", endpoint_paces, "GROWTH_FACTOR", 1.0, COLD),
+    ("cold_reduction", endpoint_paces, "REDUCTION_FACTOR", 1.0, COLD),
+    ("cold_steps", endpoint_paces, "STEP_SECONDS", 0.0, COLD),
+    ("cold_reserved", permit_slots.SlotSchedule, "_use_next", skip_permit, COLD),
     ("leaving_read", headers, "SERVER_LEAVING", "X-None", "endpoint_notices"),
     (
         "leaving_kept",
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -161,8 +161,8 @@
     ``fault`` is raised instead of a response; ``cut_after`` truncates the response
     after that many chunks; ``seconds`` is how long the call takes. ``limit`` is the
     limit on requests that the endpoint names, ``leaving`` whether it says that it will
-    stop, ``pause`` for how many seconds it wants no requests, and ``brittle`` how many
-    requests it can turn away in a second.
+    stop, ``pause`` for how many seconds it wants no requests, ``brittle`` how many
+    requests it can turn away in a second, and ``cold`` for how long it stays cold.
     """
 
     status: int = 200
@@ -177,6 +177,7 @@
     leaving: bool = False
     pause: float | None = None
     brittle: float | None = None
+    cold: float | None = None
 
 
 class ScriptedExchange(Exchange):
@@ -200,6 +201,7 @@
                 pause_seconds=script.pause,
                 names_pause=script.pause is not None,
                 brittle_limit=script.brittle,
+                cold_seconds=script.cold,
             )
         )
         self.script = script
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -250,12 +250,16 @@
     def report(self, daemon):
         """Send a daemon's report to the receivers of a round."""
         receivers = daemon.peers.receivers()
-        datagram = encode_message(daemon.peers.build(receivers), secret=SECRET)
-        message = decode_message(datagram, secret=SECRET)
-        for receiver in receivers:
-            daemon.peers.record_sent(receiver)
-            if receiver.instance in self.daemons:
-                self.daemons[receiver.instance].peers.apply(message)
+        for built in (daemon.peers.build(receivers), daemon.peers.build_paces()):
+            if built is None:
+                continue
+            message = decode_message(
+                encode_message(built, secret=SECRET), secret=SECRET
+            )
+            for receiver in receivers:
+                daemon.peers.record_sent(receiver)
+                if receiver.instance in self.daemons:
+                    self.daemons[receiver.instance].peers.apply(message)
 
 
 class SkewedClock(Clock):
