Pace endpoints after failures and pauses, and tell peers of paces sparingly

Calls that waited for a new process to accept connections reached it together, whatever permits they had: a permit did not expire while the connection was made. Now such a call needs another permit, at the daemon that decides and at one that passes the call on.

A daemon that started read old entries as cold and told all peers so. What it finds at its first read, or presumes of an endpoint that it could not reach, is now its own affair until an answer confirms it.

With endpoints that fail everywhere, regular reports left no bytes for paces, and paces took those of regular reports on small sites. Reports of paces now have a share of 0.12 of the budget.

Paces that a peer changed are passed on in the next rounds.

In services with ColdPerS, endpoints return at a pace after an ejection and after a pause.

--- a/linnetladder/coordination/permit_slots.py
+++ b/linnetladder/coordination/permit_slots.py
@@ -47,8 +47,10 @@
         self.offset = offset
         self.share = max(share, MINIMUM_SHARE)
         self.threshold = int(self.share * SPREAD_RANGE)
-        self.used_until = 0
         super().__init__(rate=rate, turn=0, turns=1, now=now, lifetime=lifetime)
+        # Permits that were due before may have been used by a schedule that this one
+        # replaces.
+        self.used_until = self.next_permit
 
     def take(self, now: float) -> bool:
         """Take a permit and return true, unless none is available."""
--- a/linnetladder/forwarding/coordination/endpoint_paces.py
+++ b/linnetladder/forwarding/coordination/endpoint_paces.py
@@ -41,6 +41,8 @@
 TOLERATED_SLOWDOWN = 2.5
 # Weight of a new answer in the moving average of the slowdowns of cold endpoints.
 SLOWDOWN_WEIGHT = 0.1
+# Whether a pace has ended is checked at most this often, not for each request.
+CHECK_SECONDS = 0.1
 # A pace without any evidence for this long has ended.
 EXPIRY_SECONDS = 30.0
 # An endpoint is not taken for cold for longer than this, whatever it says.
@@ -51,6 +53,8 @@
 # A peer that takes an endpoint for cold for longer by less than this changes nothing,
 # so that the delay of reports does not prolong the time.
 COLD_TOLERANCE_SECONDS = 0.25
+# What only this daemon has observed, and so does not tell its peers at once.
+LOCAL_REASONS = frozenset(("unreachable", "register"))
 # Upper estimate of the compressed bytes of a row in a report.
 PACE_ROW_BYTES = 40
 
@@ -65,9 +69,10 @@
 
     ``per_second`` was set at ``changed_at``, and an answer last bore on it at
     ``learnt_at``. ``reduced_at`` is when this daemon last reduced it.
-    ``presumed`` is set as long as only this daemon takes the endpoint for cold, because
-    it could not reach it; that is not told to peers, since the fault may be the
-    network's at this daemon. ``told_at`` is the time of the last report of it.
+    ``presumed`` is set as long as only this daemon has a reason to take the endpoint
+    for cold: it could not reach it, which may be the network's fault at this daemon, or
+    it has just begun to read the registry. That is not told to peers. ``told_at`` is
+    the time of the last report.
     """
 
     incarnation: str
@@ -79,6 +84,7 @@
     cold_until: float
     reduced_at: float = -math.inf
     presumed: bool = False
+    checked_at: float = -math.inf
     news_at: float = -math.inf
     told_at: float = -math.inf
 
@@ -121,12 +127,20 @@
         pace = self.paces.get(endpoint.name)
         if pace is None or pace.incarnation != endpoint.incarnation:
             return None
-        if self._has_ended(endpoint, pace):
-            self._end(endpoint.name, pace)
-            return None
+        now = self.clock.monotonic()
+        if now - pace.checked_at >= CHECK_SECONDS:
+            pace.checked_at = now
+            if self._has_ended(endpoint, pace):
+                self._end(endpoint.name, pace)
+                return None
         ceiling = self._ceiling(pace)
         return pace.per_second if ceiling is None else min(pace.per_second, ceiling)
 
+    def began_at(self, endpoint: Endpoint) -> float | None:
+        """Return when the pace of an endpoint began, ``None`` if it has none."""
+        pace = self._known(endpoint)
+        return pace.began_at if pace is not None else None
+
     def ceiling_of(self, endpoint: Endpoint) -> float | None:
         """Return the highest rate of a cold endpoint, ``None`` for others."""
         pace = self.paces.get(endpoint.name)
@@ -157,6 +171,9 @@
         if is_new or self.entries_read.get(endpoint.name) != key:
             self.entries_read[endpoint.name] = key
             self._note_cold(endpoint, spec, seconds, reason="register")
+            pace = self._known(endpoint)
+            if is_new and pace is not None and self._reads_begin():
+                pace.presumed = True
 
     def note_returned(self, endpoint: Endpoint) -> None:
         """Record that an endpoint accepts connections again.
@@ -173,6 +190,17 @@
         if (pace := self._known(endpoint)) is not None:
             pace.presumed = True
 
+    def note_ejected(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint failed repeatedly and gets requests again later."""
+        self._begin_warm(endpoint, reason="failing")
+
+    def note_paused(self, endpoint: Endpoint, seconds: float) -> None:
+        """Record that an endpoint wants no requests for some seconds."""
+        if self._known(endpoint) is None:
+            self._begin_warm(endpoint, reason="pause")
+        if (pace := self._known(endpoint)) is not None:
+            pace.learnt_at = self.clock.monotonic() + seconds
+
     def note_cold(self, endpoint: Endpoint, seconds: float, *, reason: str) -> None:
         """Record that an endpoint is cold for some seconds from now."""
         spec = self._spec(endpoint.service)
@@ -192,10 +220,13 @@
         pace = self._known(endpoint)
         if pace is not None and (head.not_run or head.status >= 500):
             self.learn_answer(endpoint, None, sound=False, sent_at=sent_at)
+        if head.pause_seconds is not None:
+            self.note_paused(endpoint, head.pause_seconds)
         if head.cold_seconds:
             self.note_cold(endpoint, head.cold_seconds, reason="answer")
         elif head.cold_seconds == 0 and pace is not None:
             pace.cold_until = min(pace.cold_until, self.clock.monotonic())
+            pace.checked_at = -math.inf
 
     def learn_answer(
         self,
@@ -214,7 +245,7 @@
         if pace is None:
             return
         now = self.clock.monotonic()
-        pace.learnt_at = now
+        pace.learnt_at = max(pace.learnt_at, now)
         if sound and slowdown is not None:
             slowdown = self._relative_to_cold(pace, slowdown, now)
         unsound = not sound or (slowdown or 0.0) > TOLERATED_SLOWDOWN
@@ -244,9 +275,12 @@
                 self._note_cold(endpoint, spec, cold, reason="peer")
             pace = self._known(endpoint)
             if pace is not None and now - age > pace.changed_at:
+                if per_second != pace.per_second:
+                    # Passed on in the next rounds: one round reaches few peers.
+                    pace.news_at = now
                 pace.per_second = per_second
                 pace.changed_at = now - age
-                pace.learnt_at = now
+                pace.learnt_at = max(pace.learnt_at, now)
 
     def export(self, *, maximum_bytes: float, news_only: bool = False) -> list[PaceRow]:
         """Return rows for a report, changes first, then those told longest ago."""
@@ -266,22 +300,21 @@
             rows.append((name, pace.incarnation, pace.per_second, cold, age))
         return rows
 
-    def _note_cold(
-        self, endpoint: Endpoint, spec: ServiceSpec, seconds: float, *, reason: str
-    ) -> None:
-        if not 0 < seconds:
+    def _begin_warm(self, endpoint: Endpoint, *, reason: str) -> None:
+        """Begin the pace of an endpoint that has none and is not cold, or reduce it."""
+        spec = self._spec(endpoint.service)
+        if spec is None:
             return
         now = self.clock.monotonic()
-        until = now + min(seconds, MAXIMUM_COLD_SECONDS)
-        previous = self.paces.get(endpoint.name)
-        pace = self._known(endpoint)
-        if pace is not None and pace.cold_until > now:
-            pace.cold_until = max(pace.cold_until, until)
-            if reason != "unreachable":
-                pace.presumed = False
+        if self._known(endpoint) is not None:
+            self.learn_answer(endpoint, None, sound=False, sent_at=now)
             return
-        if previous is not None and pace is None:
-            until = max(until, previous.cold_until)
+        self._begin(endpoint, spec, until=now, reason=reason)
+
+    def _begin(
+        self, endpoint: Endpoint, spec: ServiceSpec, *, until: float, reason: str
+    ) -> None:
+        now = self.clock.monotonic()
         first = spec.cold_per_second * INITIAL_SHARE
         self.paces[endpoint.name] = Pace(
             incarnation=endpoint.incarnation,
@@ -295,13 +328,31 @@
         )
         self.metrics.count("endpoint_paces", label="began")
         log_change(
-            "endpoint is cold",
+            "pace of endpoint begins",
             endpoint=endpoint.name,
-            seconds=round(until - now, 3),
+            cold_seconds=round(until - now, 3),
             per_second=round(first, 3),
             reason=reason,
         )
-        if reason != "unreachable":
+
+    def _note_cold(
+        self, endpoint: Endpoint, spec: ServiceSpec, seconds: float, *, reason: str
+    ) -> None:
+        if not 0 < seconds:
+            return
+        now = self.clock.monotonic()
+        until = now + min(seconds, MAXIMUM_COLD_SECONDS)
+        previous = self.paces.get(endpoint.name)
+        pace = self._known(endpoint)
+        if pace is not None and pace.cold_until > now:
+            pace.cold_until = max(pace.cold_until, until)
+            if reason not in LOCAL_REASONS:
+                pace.presumed = False
+            return
+        if previous is not None and pace is None:
+            until = max(until, previous.cold_until)
+        self._begin(endpoint, spec, until=until, reason=reason)
+        if reason not in LOCAL_REASONS:
             self.on_change()
 
     def _spec(self, service: str) -> ServiceSpec | None:
@@ -310,6 +361,13 @@
         spec = table.services.get(service) if table is not None else None
         return spec if spec is not None and spec.cold_per_second > 0 else None
 
+    def _reads_begin(self) -> bool:
+        """Return whether the registry was not read for some time before this read.
+
+        Then a new entry may be old. Daemons that have read all the time know better.
+        """
+        return self.directory.reads_began_at == self.directory.last_read
+
     def _known(self, endpoint: Endpoint) -> Pace | None:
         pace = self.paces.get(endpoint.name)
         if pace is None or pace.incarnation != endpoint.incarnation:
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -351,7 +351,9 @@
             draining=self.draining,
             paces=paces,
         )
-        return self._message(report=report)
+        message = self._message(report=report)
+        self.snapshots.record_sent(message.sequence)
+        return message
 
     def _findings(self) -> list[PartFinding]:
         """Return the findings on parts of prompts, by turns if there are many."""
--- a/linnetladder/forwarding/coordination/relaying.py
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -53,9 +53,9 @@
         """
         endpoint = self._find(call)
         call.address = endpoint.address
-        call.may_send = functools.partial(self.availability.still_accepts, endpoint)
         pause = self.availability.pauses.begin(endpoint)
         sent_at = self.availability.clock.monotonic()
+        call.may_send = functools.partial(self._may_send, endpoint, sent_at)
         head = None
         try:
             exchange = await self.calls.relay(call)
@@ -68,6 +68,13 @@
         self.metrics.count("relayed_calls", label="served")
         return exchange
 
+    def _may_send(self, endpoint: Endpoint, chosen_at: float) -> bool:
+        """Return whether a call may be sent now that its connection is made."""
+        if not self.availability.still_accepts(endpoint):
+            return False
+        limits = self.availability.limits
+        return limits.still_permitted(endpoint, chosen_at=chosen_at)
+
     async def probe(self, instance: str) -> ProbeOutcome | None:
         """Return whether an endpoint accepts connections, ``None`` if it is unknown."""
         endpoint = self.table.endpoints.get(instance)
--- a/linnetladder/forwarding/coordination/request_limits.py
+++ b/linnetladder/forwarding/coordination/request_limits.py
@@ -181,6 +181,21 @@
         schedule = self._schedule(endpoint)
         return schedule is None or schedule.take(self.clock.unix())
 
+    def still_permitted(self, endpoint: Endpoint, *, chosen_at: float) -> bool:
+        """Return whether a request that was chosen at a time may be sent now.
+
+        A permit of a pace does not outlast a slow connection: those that waited for an
+        endpoint to accept connections would arrive together. Then another one is taken,
+        as for a request that was chosen before the pace began.
+        """
+        began_at = self.paces.began_at(endpoint)
+        if began_at is None:
+            return True
+        expires_at = chosen_at + PERMIT_LIFETIME_SECONDS
+        if began_at <= chosen_at and self.clock.monotonic() <= expires_at:
+            return True
+        return self.take(endpoint)
+
     def seconds_until_next(self, endpoint: Endpoint) -> float:
         """Return the seconds until a request may be sent to an endpoint."""
         schedule = self._schedule(endpoint)
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -501,7 +501,9 @@
             relay=peer.tcp_address if peer is not None else "",
             on_unreachable=functools.partial(self._eject_unreachable, endpoint, peer),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
-            may_send=functools.partial(self._may_send, request, endpoint),
+            may_send=functools.partial(
+                self._may_send, request, endpoint, self.clock.monotonic()
+            ),
         )
 
     def _record_response_head(
@@ -578,6 +580,7 @@
         pool = self.directory.pool(request.service)
         if self.ejector.failed(endpoint, pool, dead=False):
             self.metrics.count("ejections")
+            self.paces.note_ejected(endpoint)
             log_change(
                 "endpoint left out",
                 endpoint=endpoint.name,
@@ -639,8 +642,8 @@
             kind = ErrorKind.OVERLOADED
             detail = (
                 f"the endpoints of service {request.service!r} named limits, asked for "
-                f"pauses or are brittle and full; the first one takes requests again "
-                f"in {seconds:.2f} s"
+                f"pauses, are cold or brittle and full; the first one takes requests "
+                f"again in {seconds:.2f} s"
             )
         if last_fault is not None:
             detail += f"; the last attempt failed: {last_fault.detail}"
@@ -713,11 +716,15 @@
         suspects = request.part_suspects if request.events else request.suspects
         return self.crashes.refuse(suspects)
 
-    def _may_send(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+    def _may_send(
+        self, request: ForwardRequest, endpoint: Endpoint, chosen_at: float
+    ) -> bool:
         """Return whether a call may be sent now that its connection is made."""
         if self._refuse_crashing(request) is not None:
             return False
-        return self.availability.still_accepts(endpoint)
+        if not self.availability.still_accepts(endpoint):
+            return False
+        return self.limits.still_permitted(endpoint, chosen_at=chosen_at)
 
 
 def _probe_after_seconds(request: ForwardRequest) -> float | None:
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -32,6 +32,10 @@
 # Share of the budget that regular rounds take in fleets in which they do not reach all
 # peers, where news depends on triggered rounds.
 REGULAR_SHARE = 0.85
+# Share of the budget that reports of paces may take, and the size of one. Small ones
+# reach more peers, who pass them on.
+PACES_SHARE = 0.12
+PACES_REPORT_BYTES = 480
 # Room for rows that turn out larger than estimated when a report is built again.
 REBUILD_MARGIN = 0.9
 # Growth of the ratio of estimated to encoded bytes for each report with room left.
@@ -64,6 +68,9 @@
         self.gossip = gossip
         settings = settings or PeerSettings()
         self.budget = ByteBudget(bytes_per_second=settings.report_bytes_per_second)
+        self.paces_budget = ByteBudget(
+            bytes_per_second=settings.report_bytes_per_second * PACES_SHARE
+        )
         self.round_bytes = settings.report_bytes_per_second * SEND_INTERVAL_SECONDS
         self.estimate_ratio = 1.0
         self.metrics = metrics
@@ -176,6 +183,7 @@
         receivers = list(dict.fromkeys((*bill_peers, *self.gossip.receivers())))
         if not self.secret or not receivers:
             return
+        self._send_paces(receivers, now=now, urgent=urgent)
         holders = self.gossip.bill_holders()
         size_limit = self._size_limit(len(receivers))
         gossip, datagram = self._build(
@@ -197,23 +205,25 @@
                 continue
             self._send_to(receiver, with_bills if receiver in holders else datagram)
             self.gossip.record_sent(receiver)
-        self._send_paces(receivers, urgent=urgent, reserve=reserve)
 
     def _send_paces(
-        self, receivers: list[DaemonAddress], *, urgent: bool, reserve: float
+        self, receivers: list[DaemonAddress], *, now: float, urgent: bool
     ) -> None:
-        """Send a report of paces, as far as the budget allows beside other reports."""
+        """Send a report of paces to as many receivers as their share allows."""
+        self.paces_budget.refill(now)
+        if self.paces_budget.available < PACES_REPORT_BYTES:
+            return
         paces = self.gossip.build_paces(
-            maximum_bytes=MINIMUM_REPORT_BYTES, news_only=urgent
+            maximum_bytes=PACES_REPORT_BYTES, news_only=urgent
         )
         if paces is None:
             return
         datagram = encode_message(paces, secret=self.secret)
         for receiver in receivers:
-            if self.budget.spend(len(datagram), reserve=reserve):
+            if not self.paces_budget.spend(len(datagram)):
+                break
+            if self.budget.spend(len(datagram)):
                 self._send_to(receiver, datagram)
-            else:
-                self.metrics.count("peer_messages", label="over_budget")
 
     def _size_limit(self, receivers: int) -> float:
         """Return the bytes of a report with which a round keeps within its budget."""
--- a/tests/forwarding/test_cold_endpoints.py
+++ b/tests/forwarding/test_cold_endpoints.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
 from linnetladder.forwarding.protocol.daemon_messages import (
     decode_message,
     encode_message,
@@ -40,6 +41,8 @@
     """Return a daemon before one engine that has just started."""
     daemon = LocalDaemon(**options)
     configure(daemon.source)
+    assert daemon.read()
+    daemon.clock.now += 1.0
     daemon.source.endpoints["engine-1"] = report("engine-1", cold_seconds=cold_seconds)
     assert daemon.read()
     return daemon
@@ -230,6 +233,31 @@
     assert daemon.limits.limit_of(engine) == pytest.approx(COLD_PER_SECOND * 3 / 16)
 
 
+def test_a_new_endpoint_soon_gets_what_it_may_get():
+    """Guards against capacity that is left idle after each start.
+
+    A daemon learns little from its few answers, so it takes the reports of others.
+    """
+    fleet = ColdFleet(daemons=61, endpoints=4)
+    fleet.run(seconds=6.0)
+    seconds = [fleet.received(start, start + 0.5) * 2 for start in (0.5, 1.5, 3.0, 4.0)]
+    assert seconds == sorted(seconds)
+    assert seconds[2] >= 0.8 * CEILING
+
+
+def test_an_endpoint_that_is_slow_since_it_is_cold_still_gets_more():
+    """Guards against a pace that falls for what each cold endpoint needs."""
+    daemon = cold_daemon()
+    engine = daemon.table.endpoints["engine-1"]
+    for _ in range(4):
+        daemon.clock.now += 0.5
+        daemon.paces.learn_answer(engine, 3.0, sound=True, sent_at=daemon.clock.now)
+    assert daemon.limits.limit_of(engine) == pytest.approx(CEILING)
+    daemon.clock.now += 0.5
+    daemon.paces.learn_answer(engine, 9.0, sound=True, sent_at=daemon.clock.now)
+    assert daemon.limits.limit_of(engine) == pytest.approx(CEILING / 2)
+
+
 def test_permits_reserved_for_later_are_not_given_out_twice():
     """Guards against a change of the pace or of the list that repeats a permit."""
     daemon = cold_daemon()
@@ -254,6 +282,8 @@
     message = decode_message(encode_message(built, secret=b"x"), secret=b"x")
     (row,) = message.report.paces
     assert row == ("engine-1", "1", pytest.approx(7.275), 7.0, 0.0)
+    # A peer may echo it, which confirms a read of the store.
+    assert message.sequence in daemon.snapshots.sent_at
     peer.peers.apply(message)
     known = peer.table.endpoints["engine-1"]
     assert peer.limits.limit_of(known) == pytest.approx(7.275)
@@ -263,6 +293,7 @@
     """Guards against daemons cut off from the store that flood a new process."""
     cut_off = cold_daemon(cold_seconds=0.0)
     daemon = cold_daemon(name="daemon-2", cold_seconds=0.0)
+    daemon.clock.now += 1.0
     daemon.source.endpoints["engine-1"] = report(
         "engine-1", incarnation="2", cold_seconds=COLD_SECONDS
     )
@@ -272,6 +303,56 @@
     assert cut_off.limits.limit_of(engine) == pytest.approx(COLD_PER_SECOND / 2)
 
 
+def test_a_daemon_that_starts_tells_no_peer_that_listed_endpoints_are_cold():
+    """Guards against a fleet that slows down because one daemon read old entries."""
+    daemon = LocalDaemon()
+    configure(daemon.source)
+    daemon.source.endpoints["engine-1"] = report("engine-1", cold_seconds=COLD_SECONDS)
+    assert daemon.read()
+    assert daemon.limits.limit_of(daemon.table.endpoints["engine-1"]) is not None
+    assert daemon.peers.build_paces() is None
+    daemon.answer(head(), Script(cold=3.0))
+    assert daemon.peers.build_paces() is not None
+
+
+def test_a_call_whose_connection_took_long_needs_another_permit():
+    """Guards against calls that wait for a new process and reach it together."""
+    daemon = cold_daemon(cold_seconds=0.0)
+    engine = daemon.table.endpoints["engine-1"]
+    daemon.answer(head())
+    (call,) = daemon.calls.calls
+    assert call.may_send()
+    daemon.clock.now += 1.0
+    assert call.may_send()
+    daemon.paces.note_cold(engine, 5.0, reason="answer")
+    assert not call.may_send()
+    daemon.clock.now += 1.0
+    assert call.may_send()
+    assert sum(call.may_send() for _ in range(20)) <= 2
+
+
+@pytest.mark.parametrize("reason", ["pause", "failing"])
+def test_an_endpoint_that_failed_or_asked_for_a_pause_returns_at_a_pace(reason):
+    """Guards against a flood at the end of an ejection or of a pause."""
+    daemon = cold_daemon(cold_seconds=0.0)
+    daemon.source.endpoints["engine-2"] = report("engine-2", cold_seconds=0.0)
+    assert daemon.read()
+    for _ in range(400):
+        daemon.outcomes.add("engine-2", "draft", AttemptOutcome.GOOD)
+    engine = daemon.table.endpoints["engine-1"]
+    if reason == "pause":
+        pause = PlatformEndpointCodec().decode_response_head(503, {"Retry-After": "2"})
+        daemon.selection.availability.learn_answer(engine, pause, sent_at=0.0)
+    else:
+        daemon.paces.note_ejected(engine)
+    daemon.clock.now += 3.0
+    assert daemon.limits.limit_of(engine) == pytest.approx(COLD_PER_SECOND / 2)
+    for _ in range(6):
+        daemon.clock.now += 0.5
+        daemon.paces.learn_answer(engine, 1.0, sound=True, sent_at=daemon.clock.now)
+    assert daemon.limits.limit_of(engine) is None
+
+
 # The border
 
 
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -187,6 +187,13 @@
     return dict.fromkeys(members, tuple(range(permit_slots.CYCLE_SLOTS)))
 
 
+def find_incarnation(self, name, incarnation):
+    """Find an endpoint only if it is the process that is known here."""
+    endpoint = self.directory.table.endpoints.get(name)
+    same = endpoint is not None and endpoint.incarnation == incarnation
+    return endpoint if same else None
+
+
 def skip_permit(self):
     """Go on to the next permit without recording that this one is used."""
     self.next_permit = self._first_own(self.next_permit + 1)
@@ -385,6 +392,11 @@
     ("cold_reduction", endpoint_paces, "REDUCTION_FACTOR", 1.0, COLD),
     ("cold_steps", endpoint_paces, "STEP_SECONDS", 0.0, COLD),
     ("cold_reserved", permit_slots.SlotSchedule, "_use_next", skip_permit, COLD),
+    ("cold_connection", RequestLimits, "still_permitted", always(True), COLD),
+    ("cold_first_read", EndpointPaces, "_reads_begin", always(False), COLD),
+    ("cold_presumed", EndpointPaces, "note_ejected", always(None), COLD),
+    ("cold_paused", EndpointPaces, "note_paused", always(None), COLD),
+    ("cold_other_life", EndpointPaces, "_find", find_incarnation, COLD),
     ("leaving_read", headers, "SERVER_LEAVING", "X-None", "endpoint_notices"),
     (
         "leaving_kept",
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -1,6 +1,7 @@
 """Reports between daemons keep to a budget and still carry what must be known."""
 
 import asyncio
+import dataclasses
 import random
 
 import looptime
@@ -479,6 +480,44 @@
     assert decode_message(datagram, secret=SECRET) == message
 
 
+def send_rounds(daemon, *, seconds=8.0):
+    """Return what a daemon sends while endpoints answer soundly and fail in turns."""
+    peer_socket = connect(daemon)
+    for number in range(round(seconds / 0.1)):
+        hear_all(daemon)
+        for endpoint in daemon.table.endpoints.values():
+            daemon.paces.learn_answer(
+                endpoint, 1.0, sound=number % 20 > 9, sent_at=daemon.clock.now
+            )
+        peer_socket.send_round(now=daemon.clock.now, urgent=number % 4 != 0)
+        daemon.clock.now += 0.1
+    return [datagram for _, datagram in peer_socket.transport.sent]
+
+
+# Guards against paces of a herd of cold endpoints that crowd out other reports.
+@pytest.mark.parametrize("daemons", [6, 66, 370])
+def test_reports_with_paces_keep_to_the_budget(daemons):
+    rows = {}
+    for per_second in (0.0, 9.7):
+        source = fleet_source(daemons=daemons, endpoints=60)
+        services = source.table.services
+        services["engines"] = dataclasses.replace(
+            services["engines"], cold_seconds=30.0, cold_per_second=per_second
+        )
+        daemon = LocalDaemon(name="daemon-0", source=source)
+        assert daemon.read()
+        fail_everywhere(daemon)
+        for endpoint in daemon.table.endpoints.values():
+            daemon.paces.note_cold(endpoint, 30.0, reason="answer")
+        sent = send_rounds(daemon)
+        assert sum(map(len, sent)) <= BUDGET * 8.5
+        assert max(map(len, sent)) <= PACKET_BYTES
+        reports = [decode_message(data, secret=SECRET).report for data in sent]
+        assert any(report.paces for report in reports) is (per_second > 0)
+        rows[per_second] = sum(report.loads is not None for report in reports)
+    assert rows[9.7] >= 0.85 * rows[0.0]
+
+
 # Guards against a budget that operators can't set.
 def test_the_budget_is_a_setting():
     name = "LINNETLADDER_PEERS_REPORT_BYTES_PER_SECOND"
--- a/tests/support/cold_fleet.py
+++ b/tests/support/cold_fleet.py
@@ -121,6 +121,8 @@
             daemon.limits.update_members(known)
         self.clock.now += 10.0
         self.began = self.clock.now
+        for daemon in self.daemons[: len(known)]:
+            daemon.directory.apply([])
         for number, daemon in enumerate(self.daemons):
             has_started = number >= len(known)
             if number < cut:
