Keep the pace of an endpoint that says again that it is cold

An answer that said that its endpoint was cold for a moment longer, and came after the pace had ended, began the pace anew: the endpoint had to show again what it takes. A pace that goes on keeps its rate now, and such an answer is ignored for 2 s after the end.

With a low bound and no slack, the rate was zero, and a permit fell due every 10,000 s. It is at least the lowest rate of limits, one in 10 s.

--- a/linnetladder/coordination/permit_schedule.py
+++ b/linnetladder/coordination/permit_schedule.py
@@ -8,7 +8,7 @@
 
 import math
 
-__all__ = ["PermitSchedule"]
+__all__ = ["MINIMUM_RATE", "PermitSchedule"]
 
 # A limit of zero is tried this often, in permits a second, to learn of its end.
 MINIMUM_RATE = 0.1
--- a/linnetladder/forwarding/coordination/endpoint_paces.py
+++ b/linnetladder/forwarding/coordination/endpoint_paces.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+from linnetladder.coordination.permit_schedule import MINIMUM_RATE
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.outcomes import Outcomes
@@ -55,6 +56,9 @@
 COLD_TOLERANCE_SECONDS = 0.25
 # What only this daemon has observed, and so does not tell its peers at once.
 LOCAL_REASONS = frozenset(("unreachable", "register"))
+# An answer that overtook others may say for so long after the end of a pace that its
+# endpoint is cold for a moment.
+ENDED_SECONDS = 2.0
 # Upper estimate of the compressed bytes of a row in a report.
 PACE_ROW_BYTES = 40
 
@@ -115,6 +119,7 @@
         self.paces: dict[str, Pace] = {}
         self.entries_read: dict[str, tuple[str, int]] = {}
         self.cold_slowdowns: dict[str, float] = {}
+        self.ended_at: dict[str, float] = {}
         self.on_change: Callable[[], None] = _do_nothing
         directory.on_entry = self.note_registered
         metrics.gauge("paced_endpoints", "Endpoints with a pace", self.__len__)
@@ -344,11 +349,14 @@
         until = now + min(seconds, MAXIMUM_COLD_SECONDS)
         previous = self.paces.get(endpoint.name)
         pace = self._known(endpoint)
-        if pace is not None and pace.cold_until > now:
+        if pace is not None and (pace.cold_until > now or reason != "unreachable"):
+            # Its pace goes on: the answers so far have shown what it takes.
             pace.cold_until = max(pace.cold_until, until)
             if reason not in LOCAL_REASONS:
                 pace.presumed = False
             return
+        if until - now <= COLD_TOLERANCE_SECONDS and self._ended_lately(endpoint.name):
+            return
         if previous is not None and pace is None:
             until = max(until, previous.cold_until)
         self._begin(endpoint, spec, until=until, reason=reason)
@@ -385,7 +393,8 @@
         # A second holds the permits of that second, those of the lifetime before it and
         # one more, times the disagreement on the number of daemons.
         window = (1 + DISAGREEMENT_SHARE) * (1 + PERMIT_LIFETIME_SECONDS)
-        return max(min(allowed * SUSTAINED_SHARE, (allowed - 1) / window), 0.0)
+        rate = min(allowed * SUSTAINED_SHARE, (allowed - 1) / window)
+        return max(rate, MINIMUM_RATE)
 
     def _relative_to_cold(self, pace: Pace, slowdown: float, now: float) -> float:
         """Return the slowdown relative to that of other cold endpoints.
@@ -410,7 +419,11 @@
     def _reduced(self, pace: Pace) -> float:
         spec = self._spec(pace.service)
         first = spec.cold_per_second * INITIAL_SHARE if spec is not None else 0.0
-        return max(pace.per_second * REDUCTION_FACTOR, first * MINIMUM_SHARE)
+        ceiling = self._ceiling(pace)
+        per_second = pace.per_second
+        if ceiling is not None:
+            per_second = min(per_second, ceiling)
+        return max(per_second * REDUCTION_FACTOR, first * MINIMUM_SHARE)
 
     def _set(self, pace: Pace, per_second: float, *, label: str) -> None:
         now = self.clock.monotonic()
@@ -445,7 +458,7 @@
 
     def _end(self, name: str, pace: Pace) -> None:
         del self.paces[name]
-        now = self.clock.monotonic()
+        now = self.ended_at[name] = self.clock.monotonic()
         self.metrics.count("endpoint_paces", label="ended")
         self.metrics.record("pace_seconds", now - pace.began_at)
         log_change(
@@ -466,14 +479,20 @@
             return None
         return table.endpoints.get(name)
 
+    def _ended_lately(self, name: str) -> bool:
+        """Return whether a pace ended so lately that an answer may be from before."""
+        since = self.clock.monotonic() - ENDED_SECONDS
+        return self.ended_at.get(name, -math.inf) >= since
+
     def _forget(self, now: float) -> None:
         """Drop what is known of endpoints that the registry does not list."""
         listed = self.directory.table.endpoints
         for name, pace in list(self.paces.items()):
             if name not in listed and now - pace.learnt_at >= EXPIRY_SECONDS:
                 del self.paces[name]
-        for name in [name for name in self.entries_read if name not in listed]:
-            del self.entries_read[name]
+        for kept in (self.entries_read, self.ended_at):
+            for name in [name for name in kept if name not in listed]:
+                del kept[name]
 
 
 def _do_nothing() -> None:
--- a/linnetladder/forwarding/coordination/request_limits.py
+++ b/linnetladder/forwarding/coordination/request_limits.py
@@ -337,7 +337,7 @@
             current = self.schedules[endpoint.name] = (inputs, schedule)
         if inputs.ceiling is not None:
             slots = assign_slots(self.members)[self.instance]
-            share = per_second / inputs.ceiling if inputs.ceiling else 0.0
+            share = per_second / inputs.ceiling
             if not self._is_known_to_others():
                 share *= UNKNOWN_SHARE
             current[1].update(slots=slots, share=share, now=unix)
--- a/tests/forwarding/test_cold_endpoints.py
+++ b/tests/forwarding/test_cold_endpoints.py
@@ -186,6 +186,23 @@
     assert daemon.limits.limit_of(engine) is None
 
 
+def test_a_late_answer_does_not_begin_the_pace_anew():
+    """Guards against an endpoint held back again by an answer from before the end."""
+    daemon = cold_daemon()
+    engine = daemon.table.endpoints["engine-1"]
+    for _ in range(3):
+        daemon.clock.now += 0.5
+        daemon.paces.learn_answer(engine, 1.0, sound=True, sent_at=daemon.clock.now)
+    daemon.paces.note_cold(engine, COLD_SECONDS, reason="answer")
+    assert daemon.limits.limit_of(engine) == pytest.approx(CEILING)
+    daemon.clock.now += COLD_SECONDS
+    assert daemon.limits.limit_of(engine) is None
+    daemon.paces.note_cold(engine, 0.05, reason="answer")
+    assert daemon.limits.limit_of(engine) is None
+    daemon.paces.note_cold(engine, 4.0, reason="answer")
+    assert daemon.limits.limit_of(engine) is not None
+
+
 def test_an_endpoint_that_accepts_connections_again_is_presumed_cold():
     """Guards against a flood for a process that started again under its name."""
     daemon = cold_daemon(cold_seconds=0.0)
@@ -216,6 +233,27 @@
     assert daemon.metrics.value("endpoint_paces", label="ended") == 1
 
 
+@pytest.mark.parametrize(
+    ("per_second", "overage", "slack", "ceiling"),
+    [(9.7, 1.5, 5.0, 13.685), (2.0, 1.0, 0.0, 1 / 1.32), (0.5, 1.0, 0.0, 0.1)],
+)
+def test_the_rate_leaves_room_for_what_one_second_may_hold(
+    per_second, overage, slack, ceiling
+):
+    """Guards against low bounds that two permits at a time exceed."""
+    daemon = cold_daemon()
+    configure(daemon.source, per_second=per_second)
+    bounds = dataclasses.replace(
+        daemon.holder.bounds, cold_overage=overage, cold_slack=slack
+    )
+    daemon.holder.current = dataclasses.replace(daemon.holder.current, bounds=bounds)
+    engine = daemon.table.endpoints["engine-1"]
+    assert daemon.paces.ceiling_of(engine) == pytest.approx(ceiling)
+    daemon.clock.now += 3.0
+    wait = daemon.limits.seconds_until_next(engine)
+    assert wait <= 2.0 / min(ceiling, per_second / 2)
+
+
 def test_a_failure_or_a_slow_answer_halves_the_pace_once():
     """Guards against a pace that falls by every answer to the requests in flight."""
     daemon = cold_daemon()
