Merge cold endpoints and their pace; prefer endpoints of the own failure domain

Merge: all endpoints of a failure domain that the operator returned count as cold for the time that their service names, since they may have become cold while it was evacuated.

Placement: prompts went to any endpoint, two thirds of them in another failure domain. It acts where a failure domain has at least six endpoints of the service.

--- a/linnetladder/forwarding/coordination/directory.py
+++ b/linnetladder/forwarding/coordination/directory.py
@@ -79,7 +79,7 @@
         self.held_back: set[str] = set()
         self.read_once = False
         self.on_leaving: Callable[[], None] = _do_nothing
-        self.on_replaced: Callable[[str], None] = _ignore
+        self.on_entry: Callable[..., None] = _ignore_entry
         self.pools_by_service: dict[str, Pool] = {}
 
     def apply(
@@ -180,7 +180,6 @@
         endpoint = self.table.merge(report)
         if not same_incarnation:
             self.loads.discard_backlog(report.name)
-            self.on_replaced(report.name)
             log_change(
                 "endpoint registered",
                 endpoint=report.name,
@@ -188,6 +187,8 @@
                 address=report.address,
                 versions=[ref.version for ref in report.versions or ()],
             )
+        if endpoint.incarnation == report.incarnation:
+            self.on_entry(endpoint, report, is_new=not same_incarnation)
         if endpoint.leaving and not was_leaving:
             log_change("endpoint leaves", endpoint=report.name, reason="register")
 
@@ -285,5 +286,5 @@
     """Do nothing; the default action when an endpoint leaves."""
 
 
-def _ignore(endpoint: str) -> None:
-    """Do nothing; the default action when an endpoint is new or replaced."""
+def _ignore_entry(endpoint: Endpoint, report: EndpointReport, *, is_new: bool) -> None:
+    """Do nothing; the default action on an entry that was read."""
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -19,7 +19,6 @@
     version_of,
 )
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.report_news import ReportNews
@@ -67,9 +66,6 @@
 # it is costs less than one that looks failed.
 TOKEN_ROW_BYTES = 9
 TOKENS_SHARE = 0.1
-# The same for speeds of endpoints, of which each daemon measures few at a time.
-SPEED_ROW_BYTES = 7
-SPEEDS_SHARE = 0.15
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -108,7 +104,6 @@
         table: EndpointTable,
         directory: EndpointDirectory,
         loads: EndpointLoads,
-        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         crashes: CrashLog,
         limits: RequestLimits,
@@ -126,7 +121,6 @@
         self.table = table
         self.directory = directory
         self.loads = loads
-        self.speeds = speeds
         self.outcomes = outcomes
         self.crashes = crashes
         self.limits = limits
@@ -323,13 +317,10 @@
         )
         room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
-        tokens, speeds = [], []
+        tokens = []
         if with_rows:
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
-            maximum_rows = int(max(room * SPEEDS_SHARE, 0.0) // SPEED_ROW_BYTES)
-            speeds = self.speeds.export(maximum_rows=maximum_rows)
-            room -= len(speeds) * SPEED_ROW_BYTES
             loads, outcomes, size = self._rows(room)
             old = self.news.select_old(maximum_bytes=room - size)
             news.crashes += old.crashes
@@ -347,7 +338,30 @@
             limits=limits,
             findings=findings,
             tokens=tokens,
-            speeds=speeds,
+        )
+        message = self._message(report=report)
+        self.snapshots.record_sent(message.sequence)
+        return message
+
+    def build_paces(
+        self, *, maximum_bytes: float = MAXIMUM_REPORT_BYTES, news_only: bool = False
+    ) -> DaemonMessage | None:
+        """Return a report of paces alone, ``None`` if there are none to tell.
+
+        Daemons of the version before can't read it, and so lose nothing else.
+        """
+        room = maximum_bytes - REPORT_HEADER_BYTES
+        paces = self.limits.paces.export(maximum_bytes=room, news_only=news_only)
+        if not paces:
+            return None
+        report = DaemonReport(
+            loads=None,
+            outcomes=None,
+            crashes=[],
+            bad_targets=[],
+            leaving=[],
+            draining=self.draining,
+            paces=paces,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -497,7 +511,6 @@
                 name: (count, backlog) for name, count, backlog in report.loads
             }
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
-            self.speeds.learn_report(peer, dict(report.speeds))
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
@@ -506,6 +519,7 @@
             self.crashes.learn_finding(finding)
         self.rollouts.add_bad_targets(report.bad_targets)
         self.limits.learn_report(report.limits)
+        self.limits.paces.learn_report(report.paces)
         if report.reads is not None:
             self.directory.learn_reads(peer, *report.reads)
         departures = self.table.departures
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -18,7 +18,6 @@
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.room import EndpointRoom
@@ -43,6 +42,11 @@
 BAD_SHARE_PENALTY_SECONDS = 1.5
 # In requests in flight per slot.
 OTHER_DOMAIN_PENALTY = 0.1
+# Where the own failure domain has at least so many endpoints for a prompt, those of
+# others cost an addition to the wait. Then streams cross domains only when the own one
+# is busy, and the loss of a domain breaks fewer of them off.
+MINIMUM_NEAR_ENDPOINTS = 6
+OTHER_DOMAIN_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -50,8 +54,7 @@
     """Inputs of a selection.
 
     ``affinity`` identifies the model and the prompt's shared part; it is empty if the
-    prompt has none. ``shared_seconds`` is the expected time to prefill that part and
-    ``own_seconds`` that for the rest of the prompt, at an endpoint of usual speed.
+    prompt has none. ``shared_seconds`` is the expected time to prefill that part.
     ``tried_endpoints`` are the names of the endpoints that the request was sent to.
     ``cache_tokens`` is what the request occupies in the memory of an engine.
     ``homes`` are the regions that it may be sent to, ``None`` for any.
@@ -63,7 +66,6 @@
     shared_seconds: float
     has_prompt: bool
     tried_endpoints: tuple[str, ...]
-    own_seconds: float = 0.0
     cache_tokens: int = 0
     homes: frozenset[str] | None = None
 
@@ -93,7 +95,6 @@
         *,
         directory: EndpointDirectory,
         loads: EndpointLoads,
-        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         availability: EndpointAvailability,
         room: EndpointRoom,
@@ -103,7 +104,6 @@
     ):
         self.directory = directory
         self.loads = loads
-        self.speeds = speeds
         self.outcomes = outcomes
         self.availability = availability
         self.room = room
@@ -227,17 +227,20 @@
         self, candidates: list[Endpoint], inputs: SelectionInputs
     ) -> list[ScoredCandidate]:
         ranked = self._ranked(candidates, inputs.affinity)
+        near = [e for e in ranked if e.failure_domain == self.own_domain]
+        prefers_near = len(near) >= MINIMUM_NEAR_ENDPOINTS
+        if prefers_near:
+            ranked = near + [e for e in ranked if e not in near]
         holders = self._holders(inputs.affinity)
         if ranked and not any((e.name, e.incarnation) in holders for e in ranked):
             holders = {(ranked[0].name, ranked[0].incarnation)}
         scored = []
         for rank, endpoint in enumerate(ranked):
             terms = self._wait_terms(endpoint, inputs.cache_tokens)
-            factor = self.speeds.factor(endpoint)
-            terms["backlog"] *= factor
-            terms["speed"] = inputs.own_seconds * (factor - 1.0)
+            if prefers_near and rank >= len(near):
+                terms["other_domain"] = OTHER_DOMAIN_SECONDS
             if (endpoint.name, endpoint.incarnation) not in holders:
-                terms["shared_part"] = inputs.shared_seconds * factor
+                terms["shared_part"] = inputs.shared_seconds
                 if rank >= PREFERRED_ENDPOINTS:
                     terms["distant"] = DISTANT_PENALTY_SECONDS
             scored.append(ScoredCandidate(endpoint, terms))
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -31,10 +31,10 @@
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
+    FIRST_TOKEN_OVERHEAD_SECONDS,
     EndpointLoads,
     RequestLoad,
 )
-from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome, Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.poison import CrashLog
@@ -122,7 +122,6 @@
         selection: Selection,
         directory: EndpointDirectory,
         loads: EndpointLoads,
-        speeds: EndpointSpeeds,
         outcomes: Outcomes,
         rollouts: RolloutController,
         budget: RetryBudget,
@@ -138,7 +137,6 @@
         self.selection = selection
         self.directory = directory
         self.loads = loads
-        self.speeds = speeds
         self.outcomes = outcomes
         self.rollouts = rollouts
         self.budget = budget
@@ -149,6 +147,7 @@
         self.availability = availability
         self.paths = availability.paths
         self.limits = availability.limits
+        self.paces = self.limits.paces
         self.pauses = availability.pauses
         self.clock = clock
         self.metrics = metrics
@@ -218,7 +217,7 @@
                     return None
                 await asyncio.sleep(max(pause, RETURN_CHECK_SECONDS))
                 continue
-            limit = self.limits.limit_of(endpoint)
+            limit = self.limits.basis_of(endpoint)
             seconds = self.limits.reserve(endpoint, within=within)
             if seconds is None:
                 return None
@@ -226,7 +225,7 @@
             request.history.append(f"{endpoint.name}=limit waited {seconds:.3f}")
             await asyncio.sleep(seconds)
             # The wait may have outlasted the endpoint or the limit.
-            unchanged = self.limits.limit_of(endpoint) == limit
+            unchanged = self.limits.basis_of(endpoint) == limit
             inputs = self.selection_inputs(request, model)
             if unchanged and endpoint in self.selection.eligible(inputs):
                 return endpoint
@@ -280,7 +279,6 @@
             rule=self.rollouts.rule_for(request.service, session),
             affinity=_affinity(request, model),
             shared_seconds=self._shared_seconds(request, model),
-            own_seconds=self._own_seconds(request, model),
             has_prompt=prompt is not None,
             tried_endpoints=tuple(request.endpoints_tried),
             cache_tokens=_cache_tokens(request),
@@ -293,15 +291,6 @@
         tokens = prompt.session_tokens if prompt is not None else 0
         return tokens * self.loads.token_seconds(model)
 
-    def _own_seconds(self, request: ForwardRequest, model: str) -> float:
-        """Return the expected time to prefill what only this prompt has."""
-        prompt = request.head.prompt
-        if prompt is None:
-            return 0.0
-        shared_tokens = sum(part.tokens for part in prompt.shared_parts)
-        tokens = max(prompt.input_tokens - shared_tokens, 0)
-        return tokens * self.loads.token_seconds(model)
-
     def begin_load(
         self, request: ForwardRequest, endpoint: Endpoint, model: str
     ) -> RequestLoad:
@@ -411,8 +400,10 @@
         resume_after: str,
     ) -> Attempt | None:
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
-        if self.limits.limit_of(endpoint) is not None:
+        if self.limits.named_limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
+        if self.paces.pace_of(endpoint) is not None:
+            self.metrics.count("paced_attempts")
         peer = self._peer_for(request, endpoint)
         load = self.begin_load(request, endpoint, model)
         pause = self.pauses.begin(endpoint)
@@ -453,12 +444,12 @@
             exchange.close()
             self.loads.end(endpoint, load)
             return None
-        usual_seconds = self.loads.usual_seconds(load)
-        seconds = self.loads.record_first_token(load)
-        if peer is None:
-            self.speeds.learn(
-                endpoint, tokens=load.tokens, elapsed=seconds, usual=usual_seconds
+        if self.paces.pace_of(endpoint) is not None and head.status < 500:
+            slowdown = self._slowdown(request, load)
+            self.paces.learn_answer(
+                endpoint, slowdown, sound=True, sent_at=load.started
             )
+        seconds = self.loads.record_first_token(load)
         # The time to a stream's first event depends on the other prompts at its engine
         # and varies by a factor of ten, so it is a poor measure of a version's speed.
         if request.route.kind is not RequestKind.STREAMING:
@@ -472,6 +463,20 @@
             peer=peer,
         )
 
+    def _slowdown(self, request: ForwardRequest, load: RequestLoad) -> float | None:
+        """Return the time to an answer's head, relative to that of other endpoints.
+
+        It is ``None`` as long as none is known.
+        """
+        seconds = self.clock.monotonic() - load.started
+        if load.tokens:
+            expected = load.tokens * self.loads.token_seconds(load.model)
+            return seconds / (expected + FIRST_TOKEN_OVERHEAD_SECONDS)
+        log_slowdown = self.outcomes.log_slowdown(
+            request.route.name, load.model, seconds, learn=False
+        )
+        return None if log_slowdown is None else math.exp(log_slowdown)
+
     def record_events(
         self, request: ForwardRequest, attempt: Attempt, events: int
     ) -> None:
@@ -532,7 +537,9 @@
             relay=peer.tcp_address if peer is not None else "",
             on_unreachable=functools.partial(self._eject_unreachable, endpoint, peer),
             reserve_retry=functools.partial(self.reserve_retry, request, model),
-            may_send=functools.partial(self._may_send, request, endpoint),
+            may_send=functools.partial(
+                self._may_send, request, endpoint, self.clock.monotonic()
+            ),
         )
 
     def _silence_timeout_seconds(self, request: ForwardRequest) -> float | None:
@@ -601,6 +608,9 @@
         if fault.relay:
             await self._record_relayed_fault(request, endpoint, fault, with_parts)
             return
+        self.paces.learn_answer(
+            endpoint, None, sound=False, sent_at=self.clock.monotonic()
+        )
         if not already_counted:
             self.outcomes.add(endpoint.name, request.route.name, AttemptOutcome.BROKEN)
         self.calls.close_idle_connections(endpoint.address)
@@ -621,6 +631,7 @@
         pool = self.directory.pool(request.service)
         if self.ejector.failed(endpoint, pool, dead=False):
             self.metrics.count("ejections")
+            self.paces.note_ejected(endpoint)
             log_change(
                 "endpoint left out",
                 endpoint=endpoint.name,
@@ -686,8 +697,8 @@
             kind = ErrorKind.OVERLOADED
             detail = (
                 f"the endpoints of service {request.service!r} named limits, asked for "
-                f"pauses or are brittle and full; the first one takes requests again "
-                f"in {seconds:.2f} s"
+                f"pauses, are cold or brittle and full; the first one takes requests "
+                f"again in {seconds:.2f} s"
             )
         retry_after = max(seconds, RETRY_AFTER_SECONDS)
         if _is_all_evacuated(obstacles):
@@ -770,13 +781,17 @@
         suspects = request.part_suspects if request.events else request.suspects
         return self.crashes.refuse(suspects)
 
-    def _may_send(self, request: ForwardRequest, endpoint: Endpoint) -> bool:
+    def _may_send(
+        self, request: ForwardRequest, endpoint: Endpoint, chosen_at: float
+    ) -> bool:
         """Return whether a call may be sent now that its connection is made."""
         if self._refuse_crashing(request) is not None:
             return False
         if not self.selection.homes.allow_endpoint(request.homes, endpoint):
             return False
-        return self.availability.still_accepts(endpoint)
+        if not self.availability.still_accepts(endpoint):
+            return False
+        return self.limits.still_permitted(endpoint, chosen_at=chosen_at)
 
 
 def _probe_after_seconds(request: ForwardRequest) -> float | None:
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -28,8 +28,8 @@
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
 )
+from linnetladder.forwarding.coordination.endpoint_paces import EndpointPaces
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
-from linnetladder.forwarding.coordination.endpoint_speeds import EndpointSpeeds
 from linnetladder.forwarding.coordination.escalation_gain import EscalationGain
 from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.explaining import RouteExplainer
@@ -82,7 +82,6 @@
     ports: ForwardingPorts
     table: EndpointTable
     loads: EndpointLoads
-    speeds: EndpointSpeeds
     outcomes: Outcomes
     crashes: CrashLog
     crash_records: CrashRecords
@@ -100,6 +99,7 @@
     background: BackgroundTasks
     quarantine: Quarantine
     limits: RequestLimits
+    paces: EndpointPaces
     pauses: EndpointPauses
     evacuations: Evacuations
     paths: PeerPaths
@@ -124,22 +124,33 @@
     clock, metrics = ports.clock, ports.metrics
     table = EndpointTable()
     loads = EndpointLoads(clock=clock)
-    speeds = EndpointSpeeds(clock=clock)
     outcomes = Outcomes(clock=clock)
     crashes = CrashLog(clock=clock)
     crash_records = CrashRecords(source=source, crashes=crashes, clock=clock)
     directory = EndpointDirectory(table=table, loads=loads, clock=clock)
-    directory.on_replaced = speeds.forget
     budget = RetryBudget(settings=holder, clock=clock)
+    in_force = TableInForce(settings=holder, clock=clock)
+    paces = EndpointPaces(
+        in_force=in_force,
+        settings=holder,
+        directory=directory,
+        outcomes=outcomes,
+        clock=clock,
+        metrics=metrics,
+    )
     limits = RequestLimits(
-        instance=settings.instance, table=table, clock=clock, metrics=metrics
+        instance=settings.instance,
+        table=table,
+        paces=paces,
+        clock=clock,
+        metrics=metrics,
     )
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
-    in_force = TableInForce(settings=holder, clock=clock)
     room = EndpointRoom(in_force=in_force, loads=loads)
     evacuations = Evacuations(clock=clock)
+    evacuations.on_return = paces.note_domain_returned
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -168,7 +179,6 @@
         table=table,
         directory=directory,
         loads=loads,
-        speeds=speeds,
         outcomes=outcomes,
         crashes=crashes,
         limits=limits,
@@ -252,7 +262,6 @@
     selection = Selection(
         directory=directory,
         loads=loads,
-        speeds=speeds,
         outcomes=outcomes,
         availability=availability,
         room=room,
@@ -263,12 +272,12 @@
     quarantine = Quarantine(
         table=table, calls=calls, background=background, clock=clock, metrics=metrics
     )
+    quarantine.on_return = paces.note_returned
     sender = Sender(
         calls=calls,
         selection=selection,
         directory=directory,
         loads=loads,
-        speeds=speeds,
         outcomes=outcomes,
         rollouts=rollouts,
         budget=budget,
@@ -306,7 +315,6 @@
         ports=ports,
         table=table,
         loads=loads,
-        speeds=speeds,
         outcomes=outcomes,
         crashes=crashes,
         crash_records=crash_records,
@@ -324,6 +332,7 @@
         background=background,
         quarantine=quarantine,
         limits=limits,
+        paces=paces,
         pauses=pauses,
         evacuations=evacuations,
         paths=paths,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -45,9 +45,6 @@
 # tokens follow. Daemons of versions that know no such rows read them as the load of an
 # endpoint that does not exist.
 TOKENS_ROW = "#tokens"
-# Likewise for the speeds of endpoints: the logarithm of a ratio follows the index.
-SPEEDS_ROW = "#speeds"
-LOGARITHM_UNITS = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
 
@@ -96,8 +93,8 @@
       age in seconds
     * ``tokens``: endpoint, tokens that requests in flight occupy there; only in reports
       with ``loads``
-    * ``speeds``: endpoint, logarithm of the time to the first token there relative to
-      what the model usually takes; only in reports with ``loads``
+    * ``paces``: endpoint, incarnation, requests a second, seconds for which it stays
+      cold, age of the evidence in seconds
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -105,7 +102,8 @@
     last confirmed. ``reads`` gives the period in which the sender read the store, or
     had its content confirmed, without a gap: the seconds since it began and since the
     last read. ``findings`` tells of parts of prompts that crash endpoints or don't.
-    ``draining`` is set once the sender is shutting down.
+    ``draining`` is set once the sender is shutting down. ``paces`` are told in reports
+    that hold nothing else.
     """
 
     loads: list[tuple[str, int, float]] | None
@@ -122,7 +120,9 @@
     )
     findings: list[PartFinding] = dataclasses.field(default_factory=list)
     tokens: list[tuple[str, int]] = dataclasses.field(default_factory=list)
-    speeds: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    paces: list[tuple[str, str, float, float, float]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -165,16 +165,30 @@
 _LimitRow = tuple[str, str, int | None, pydantic.NonNegativeInt]
 # Part, whether it is sound, age.
 _FindingRow = tuple[str, bool, pydantic.NonNegativeInt]
+# Endpoint, incarnation, pace, time for which it stays cold, age.
+_PaceRow = tuple[
+    str,
+    str,
+    pydantic.NonNegativeInt,
+    pydantic.NonNegativeInt,
+    pydantic.NonNegativeInt,
+]
 # The fields of a message in their order.
 _MessageArray = tuple[
     str, str, int, tuple[int, int], int, _ReportArray | None, CopiedBills | None
 ]
-# Limits and findings follow only where there are some, so that messages without any can
-# be read by daemons of versions that know none.
+# Limits, findings and paces follow only where there are some, so that messages without
+# any can be read by daemons of versions that know none.
 _MESSAGE_ADAPTER = pydantic.TypeAdapter(
     _MessageArray
     | tuple[*typing.get_args(_MessageArray), list[_LimitRow]]
     | tuple[*typing.get_args(_MessageArray), list[_LimitRow], list[_FindingRow]]
+    | tuple[
+        *typing.get_args(_MessageArray),
+        list[_LimitRow],
+        list[_FindingRow],
+        list[_PaceRow],
+    ]
 )
 
 
@@ -253,10 +267,6 @@
         loads += [
             (index(TOKENS_ROW), index(name), tokens) for name, tokens in report.tokens
         ]
-        loads += [
-            (index(SPEEDS_ROW), index(name), round(logarithm * LOGARITHM_UNITS))
-            for name, logarithm in report.speeds
-        ]
     outcomes = report.outcomes
     if outcomes is not None:
         outcomes = [
@@ -290,22 +300,17 @@
     if reads is not None:
         began, latest = reads
         reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
-    tokens, speeds = [], []
+    tokens = []
     if loads is not None:
         tokens = [
             (names[_index(endpoint)], held)
             for name, endpoint, held in loads
             if names[name] == TOKENS_ROW
         ]
-        speeds = [
-            (names[_index(endpoint)], units / LOGARITHM_UNITS)
-            for name, endpoint, units in loads
-            if names[name] == SPEEDS_ROW
-        ]
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
             for name, in_flight, backlog in loads
-            if names[name] not in (TOKENS_ROW, SPEEDS_ROW)
+            if names[name] != TOKENS_ROW
         ]
     if outcomes is not None:
         outcomes = [
@@ -326,7 +331,6 @@
         echoes=echoes,
         reads=reads,
         tokens=tokens,
-        speeds=speeds,
     )
 
 
@@ -338,7 +342,13 @@
 
 
 def _optional_fields(report: DaemonReport) -> tuple:
-    """Return the encoded limits and findings, as far as there are any."""
+    """Return the encoded limits, findings and paces, as far as there are any."""
+    if report.paces:
+        return (
+            _limit_rows(report.limits),
+            _finding_rows(report.findings),
+            _pace_rows(report.paces),
+        )
     if report.findings:
         return _limit_rows(report.limits), _finding_rows(report.findings)
     return (_limit_rows(report.limits),) if report.limits else ()
@@ -348,8 +358,19 @@
     report: DaemonReport,
     limits: Sequence[_LimitRow] = (),
     findings: Sequence[_FindingRow] = (),
+    paces: Sequence[_PaceRow] = (),
 ) -> None:
     report.limits = _limits(limits)
+    report.paces = [
+        (
+            name,
+            incarnation,
+            units / UNITS_PER_REQUEST,
+            cold / LIMIT_AGE_UNITS_PER_SECOND,
+            age / LIMIT_AGE_UNITS_PER_SECOND,
+        )
+        for name, incarnation, units, cold, age in paces
+    ]
     report.findings = [
         PartFinding(part, sound, age / AGE_UNITS_PER_SECOND)
         for part, sound, age in findings
@@ -363,6 +384,20 @@
     ]
 
 
+def _pace_rows(paces: list[tuple[str, str, float, float, float]]) -> list[_PaceRow]:
+    """Return rows of paces; times are rounded up, so that no evidence gets younger."""
+    return [
+        (
+            name,
+            incarnation,
+            round(per_second * UNITS_PER_REQUEST),
+            math.ceil(max(cold, 0.0) * LIMIT_AGE_UNITS_PER_SECOND),
+            math.ceil(max(age, 0.0) * LIMIT_AGE_UNITS_PER_SECOND),
+        )
+        for name, incarnation, per_second, cold, age in paces
+    ]
+
+
 def _limit_rows(
     limits: list[tuple[str, str, float | None, float]],
 ) -> list[tuple[str, str, int | None, int]]:
--- a/linnetladder/forwarding/settings.py
+++ b/linnetladder/forwarding/settings.py
@@ -21,7 +21,9 @@
     ``retry_window`` seconds. A bad version may receive ``exposure_slack`` requests plus
     ``exposure_share`` of its service's requests, and none later than ``rollback``
     seconds after it was detected. A failure domain gets no requests later than
-    ``evacuate`` seconds after the store accepted the key that evacuates it.
+    ``evacuate`` seconds after the store accepted the key that evacuates it. A cold
+    endpoint may receive ``cold_slack`` requests plus ``cold_overage`` times its
+    service's rate in any second.
     """
 
     contact: float = 3.0
@@ -39,6 +41,8 @@
     session: float = 5.0
     cache_reuse: float = 10.0
     evacuate: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -35,6 +35,8 @@
     SessionS: float = 5
     ReuseWindowS: float = 10
     EvacuateMs: float = 5000
+    ColdOverage: float = pydantic.Field(1.5, ge=0)
+    ColdSlack: float = pydantic.Field(5, ge=0)
 
     def decode(self) -> Bounds:
         """Return the bounds in seconds."""
@@ -54,6 +56,8 @@
             session=self.SessionS,
             cache_reuse=self.ReuseWindowS,
             evacuate=self.EvacuateMs / MILLISECONDS_PER_SECOND,
+            cold_overage=self.ColdOverage,
+            cold_slack=self.ColdSlack,
         )
 
 
