Bound the memory that is held for callers that read slowly

A daemon held complete answers for callers that did not read them until the time limit of each: eight callers with answers of 12 MiB held 69 MB. Streams were bounded one by one, but not together: aiohttp stops them at 64 to 128 KiB in the caller's transport (1 MB with events of that size), and the endpoint's connection reads up to 512 KiB ahead.

CallerBuffers measures five times a second what is held for each caller: its transport's buffer and the bytes read ahead of the endpoint. While the sum is over the daemon's bound (48 MiB), answers are ended whose callers have taken nothing for longest, and for at least 1 s. A caller alone beyond its bound (1 MiB) is ended after 3 s in which it takes nothing. The connection is aborted, with a log line and a counter. Both bounds are settings. The existing backpressure from callers to endpoints is unchanged.

Whether a caller makes progress is read from the unacknowledged bytes of its socket. The transport alone stayed the same for more than half a second with a caller that read 2.5 MB/s, since the system takes more only when a part of its own buffer of several MB is free.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -3,6 +3,7 @@
 import dataclasses
 import secrets
 
+from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import (
@@ -10,7 +11,11 @@
     ForwardingPorts,
     build_forwarding_core,
 )
-from linnetladder.forwarding.daemon_variables import PeerSettings, PolicySettings
+from linnetladder.forwarding.daemon_variables import (
+    CallerSettings,
+    PeerSettings,
+    PolicySettings,
+)
 from linnetladder.forwarding.settings import SettingsHolder
 from linnetladder.forwarding.transport import (
     ForwardingServer,
@@ -50,6 +55,7 @@
     settings_holder: SettingsHolder,
     policy_settings: PolicySettings,
     peer_settings: PeerSettings,
+    caller_settings: CallerSettings,
 ) -> FleetDaemonParts:
     """Connect the forwarding core to the platform's store and to network sockets."""
     clock, metrics = BootClock(), Metrics()
@@ -75,6 +81,7 @@
         forwarder=core.forwarder,
         in_force=core.in_force,
         codec=PlatformCallerCodec(),
+        buffers=CallerBuffers(settings=caller_settings, clock=clock, metrics=metrics),
         clock=clock,
         metrics=metrics,
     )
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -16,10 +16,12 @@
 
 from linnetladder.fleet_assembly import FleetDaemonParts, assemble_fleet_daemon
 from linnetladder.forwarding.daemon_variables import (
+    CallerSettings,
     OperationsSettings,
     PeerSettings,
     PolicySettings,
     VariableError,
+    read_caller_settings,
     read_operations_settings,
     read_peer_settings,
     read_policy_settings,
@@ -70,6 +72,7 @@
         policy_settings: PolicySettings,
         operations_settings: OperationsSettings,
         peer_settings: PeerSettings,
+        caller_settings: CallerSettings,
         log_writer: LineWriter,
     ):
         super().__init__()
@@ -77,6 +80,7 @@
         self.policy_settings = policy_settings
         self.operations_settings = operations_settings
         self.peer_settings = peer_settings
+        self.caller_settings = caller_settings
         self.settings_holder = SettingsHolder(settings=settings)
         self.parts: FleetDaemonParts | None = None
         self.ready_server: ReadyServer | None = None
@@ -94,7 +98,10 @@
         """
         settings = self.settings_holder.current
         self.parts = parts = assemble_fleet_daemon(
-            self.settings_holder, self.policy_settings, self.peer_settings
+            self.settings_holder,
+            self.policy_settings,
+            self.peer_settings,
+            self.caller_settings,
         )
         self.log_writer.on_dropped = partial(parts.metrics.count, "log_lines_dropped")
         self.ready_server = ReadyServer(
@@ -264,6 +271,7 @@
         policy_settings = read_policy_settings()
         operations_settings = read_operations_settings()
         peer_settings = read_peer_settings()
+        caller_settings = read_caller_settings()
     except (SettingsError, VariableError) as problem:
         print(f"linnetladder: {problem}", file=sys.stderr)
         raise SystemExit(EXIT_USAGE) from problem
@@ -275,6 +283,7 @@
             policy_settings=policy_settings,
             operations_settings=operations_settings,
             peer_settings=peer_settings,
+            caller_settings=caller_settings,
             log_writer=writer,
         ),
         log_config=False,
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -2,7 +2,7 @@
 
 import abc
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from linnetladder.errors import Refusal
 from linnetladder.forwarding.protocol import EndpointCall, ResponseHead
@@ -90,6 +90,10 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise `CallFault` if it is truncated."""
 
+    def read_ahead_bytes(self) -> int:
+        """Return the bytes that have arrived and were not yet yielded."""
+        return 0
+
     @abc.abstractmethod
     def close(self) -> None:
         """End the call; cut its connection if the response was not read to the end."""
@@ -124,9 +128,13 @@
 
 
 class Reply(abc.ABC):
-    """The response to one caller; ``begun`` is set once bytes may have been sent."""
+    """The response to one caller; ``begun`` is set once bytes may have been sent.
+
+    ``read_ahead_bytes`` returns what is held of the endpoint's response besides.
+    """
 
     begun: bool = False
+    read_ahead_bytes: Callable[[], int] = staticmethod(int)
 
     @abc.abstractmethod
     async def send(
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -329,6 +329,7 @@
     ) -> None:
         """Relay complete events as they arrive, each once and in order."""
         splitter = EventSplitter()
+        reply.read_ahead_bytes = attempt.exchange.read_ahead_bytes
         async for data in attempt.exchange.chunks():
             new_events = []
             for event in splitter.feed(data):
--- a/linnetladder/forwarding/daemon_variables.py
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -10,10 +10,12 @@
 import pydantic
 
 __all__ = [
+    "CallerSettings",
     "OperationsSettings",
     "PeerSettings",
     "PolicySettings",
     "VariableError",
+    "read_caller_settings",
     "read_operations_settings",
     "read_peer_settings",
     "read_policy_settings",
@@ -22,6 +24,7 @@
 POLICY_PREFIX = "LINNETLADDER_POLICY_"
 OPERATIONS_PREFIX = "LINNETLADDER_OPERATIONS_"
 PEERS_PREFIX = "LINNETLADDER_PEERS_"
+CALLERS_PREFIX = "LINNETLADDER_CALLERS_"
 
 
 class VariableError(Exception):
@@ -56,6 +59,23 @@
     )
 
 
+class CallerSettings(pydantic.BaseModel):
+    """Settings of the memory that is held for callers that read slowly."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+    caller_buffer_bytes: int = pydantic.Field(
+        1024 * 1024,
+        ge=64 * 1024,
+        description="Bytes held for one caller, beyond which a stalled one is ended.",
+    )
+    daemon_buffer_bytes: int = pydantic.Field(
+        48 * 1024 * 1024,
+        ge=64 * 1024,
+        description="Bytes held for all callers, beyond which stalled ones are ended.",
+    )
+
+
 class PolicySettings(pydantic.BaseModel):
     """Settings of the choice of models."""
 
@@ -93,6 +113,13 @@
     return _read_variables(OperationsSettings, OPERATIONS_PREFIX, environment)
 
 
+def read_caller_settings(
+    environment: Mapping[str, str] = os.environ,
+) -> CallerSettings:
+    """Return the caller settings; raise `VariableError` with the invalid variables."""
+    return _read_variables(CallerSettings, CALLERS_PREFIX, environment)
+
+
 def read_peer_settings(environment: Mapping[str, str] = os.environ) -> PeerSettings:
     """Return the peer settings; raise `VariableError` with the invalid variables."""
     return _read_variables(PeerSettings, PEERS_PREFIX, environment)
--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -1,6 +1,9 @@
 """The HTTP server that callers connect to."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
@@ -9,6 +12,11 @@
 from aiohttp.web_server import Server
 
 from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.forwarding.coordination.caller_buffers import (
+    CHECK_SECONDS,
+    CallerBuffer,
+    CallerBuffers,
+)
 from linnetladder.forwarding.coordination.calls import Reply
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
@@ -30,12 +38,16 @@
 REFUSAL_CONTENT_TYPE = "text/plain; charset=utf-8"
 
 
-class HttpReply(Reply):
-    """Sends the answer to one aiohttp request."""
+class HttpReply(Reply, CallerBuffer):
+    """Sends the answer to one aiohttp request.
+
+    ``written`` are the bytes that were passed to the caller's transport.
+    """
 
     def __init__(self, *, request: BaseRequest, closes_connection: bool):
         self.request = request
         self.closes_connection = closes_connection
+        self.written = 0
         self.response: StreamResponse | None = None
         self.begun = False
 
@@ -44,6 +56,7 @@
     ) -> None:
         """Send a complete answer."""
         self.begun = True
+        self.written = len(body)
         self.response = Response(status=status, headers=headers, body=body)
         await self._send()
 
@@ -67,13 +80,52 @@
         await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
-        """Send a chunk of a stream."""
+        """Send a chunk of a stream.
+
+        It waits while more than 64 KiB are buffered, so that the stream does not read
+        further from its endpoint meanwhile.
+        """
+        self.written += len(data)
         await self.response.write(data)
 
     async def finish(self) -> None:
         """Send the end of a complete stream."""
         await self.response.write_eof()
 
+    def held_bytes(self) -> int:
+        """Return the bytes of the answer that the caller has not taken yet."""
+        return self._buffered_bytes() + self.read_ahead_bytes()
+
+    def taken_bytes(self) -> int:
+        """Return the bytes that the caller has acknowledged so far.
+
+        The transport alone says too little: the system takes further bytes only once a
+        third of its own buffer, of several megabytes, is free. A slow caller would seem
+        to take nothing for seconds.
+        """
+        return self.written - self._buffered_bytes() - self._unacknowledged_bytes()
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return the bytes in the system's buffer of the caller's socket."""
+        transport = self.request.transport
+        if transport is None:
+            return 0
+        connection = transport.get_extra_info("socket")
+        size = struct.pack("i", 0)
+        try:
+            size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, size)
+        except OSError:
+            return 0
+        return struct.unpack("i", size)[0]
+
+    def _buffered_bytes(self) -> int:
+        transport = self.request.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    def end(self) -> None:
+        """Abort the connection, which frees what is held for it."""
+        self.abort_response()
+
     def abort_response(self) -> None:
         """Abort the connection, so that the answer does not look complete."""
         transport = self.request.transport
@@ -142,12 +194,14 @@
         forwarder: Forwarder,
         in_force: TableInForce,
         codec: CallerCodec,
+        buffers: CallerBuffers,
         clock: Clock,
         metrics: Metrics,
     ):
         self.forwarder = forwarder
         self.in_force = in_force
         self.codec = codec
+        self.buffers = buffers
         self.clock = clock
         self.metrics = metrics
         self.active_requests = 0
@@ -155,6 +209,7 @@
         self.refusing = False
         self.handlers: HandlerServer | None = None
         self.server: asyncio.Server | None = None
+        self.check_task: asyncio.Task | None = None
 
     async def start(self, *, address: str, port: int) -> None:
         """Listen on a port; raise `OSError` if that fails."""
@@ -175,9 +230,17 @@
         self.server = await loop.create_server(
             self.handlers, host=address, port=port, backlog=LISTEN_BACKLOG
         )
+        self.check_task = asyncio.ensure_future(self._check_buffers())
+
+    async def _check_buffers(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            self.buffers.check()
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
+        if self.check_task is not None:
+            self.check_task.cancel()
         if self.server is not None:
             self.server.close()
         if self.handlers is not None:
@@ -198,6 +261,7 @@
         """Answer one request."""
         self.active_requests += 1
         reply = HttpReply(request=request, closes_connection=self.leaving)
+        self.buffers.add(reply)
         received = self.clock.monotonic()
         try:
             if self.refusing:
@@ -206,6 +270,7 @@
                 await self._answer(request, reply, received)
         finally:
             self.active_requests -= 1
+            self.buffers.remove(reply)
         if reply.response is None:
             raise ConnectionError("the answer was aborted before its head was sent")
         return reply.response
@@ -222,6 +287,7 @@
             log_request("refused", kind=ErrorKind.INVALID_HEADER, detail=detail)
             await reply.refuse(Refusal(ErrorKind.INVALID_HEADER, detail))
             return
+        reply.attempt_id = head.attempt_id
         body, refusal = await self._read_body(request)
         if refusal is not None:
             log_request("refused", request=head.attempt_id, kind=refusal.kind)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -230,6 +230,14 @@
         self.monitor = monitor
         self.protocol = response._protocol
         self.complete = False
+        self.yielded_bytes = 0
+        self.closed = False
+
+    def read_ahead_bytes(self) -> int:
+        """Return the bytes that have arrived and were not yet yielded."""
+        if self.closed:
+            return 0
+        return self.response.content.total_bytes - self.yielded_bytes
 
     async def read(self) -> bytes:
         """Return the whole body."""
@@ -246,6 +254,7 @@
         content = self.response.content
         try:
             while data := await self._read_next(content):
+                self.yielded_bytes += len(data)
                 yield data
         except (aiohttp.ClientError, OSError) as error:
             raise _truncated_answer_fault(error) from error
@@ -274,6 +283,7 @@
 
     def close(self) -> None:
         """Return the connection to the pool after a complete answer, else close it."""
+        self.closed = True
         if self.complete and not self.head.closes_connection:
             self.response.release()
             return
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -17,6 +17,7 @@
     bill_replicas,
     bills,
     brittleness,
+    caller_buffers,
     directory,
     endpoint_pauses,
     escalation_gain,
@@ -44,6 +45,7 @@
 from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
@@ -73,6 +75,8 @@
     endpoint_calls,
     relay_server,
 )
+from linnetladder.forwarding.transport.caller_server import HttpReply
+from linnetladder.forwarding.transport.endpoint_calls import HttpExchange
 from linnetladder.platform import PlatformSource, headers, source
 
 
@@ -91,6 +95,7 @@
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
 GAIN = "escalation_gain"
+SLOW = "caller_buffers"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -334,6 +339,11 @@
     ("fallback", Forwarder, "_fall_back", always(False), GAIN),
     ("fallback_attempt", sender, "_is_last_for_fallback", always(False), GAIN),
     ("fallback_time", sender, "FALLBACK_TIME_FACTOR", 0.0, GAIN),
+    ("callers_bounds", CallerBuffers, "_tolerated_seconds", always(math.inf), SLOW),
+    ("callers_stalled", caller_buffers, "STALLED_SECONDS", 0.0, SLOW),
+    ("callers_alone", caller_buffers, "CALLER_STALLED_SECONDS", 60.0, SLOW),
+    ("callers_progress", HttpReply, "_unacknowledged_bytes", always(0), SLOW),
+    ("callers_read_ahead", HttpExchange, "read_ahead_bytes", always(0), SLOW),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
 from linnetladder.forwarding.coordination.calls import CallFault, CallFaultKind
+from linnetladder.forwarding.daemon_variables import CallerSettings
 from linnetladder.forwarding.protocol import EndpointCall
 from linnetladder.forwarding.state import ForwardRequest
 from linnetladder.forwarding.transport import (
@@ -329,6 +331,9 @@
             forwarder=daemon.forwarder,
             in_force=daemon.in_force,
             codec=PlatformCallerCodec(),
+            buffers=CallerBuffers(
+                settings=CallerSettings(), clock=daemon.clock, metrics=daemon.metrics
+            ),
             clock=daemon.clock,
             metrics=daemon.metrics,
         )
