--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -19,6 +19,7 @@
     bill_replicas,
     bills,
     brittleness,
+    caller_buffers,
     directory,
     endpoint_paces,
     endpoint_pauses,
@@ -54,6 +55,7 @@
 from linnetladder.forwarding.coordination.brittleness import Brittleness
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
@@ -90,6 +92,8 @@
     endpoint_calls,
     relay_server,
 )
+from linnetladder.forwarding.transport.caller_server import HttpReply
+from linnetladder.forwarding.transport.endpoint_calls import HttpExchange
 from linnetladder.platform import PlatformSource, headers, source
 
 
@@ -111,6 +115,7 @@
 EVACUATED = "evacuations"
 HOMES = "homes"
 COLD = "cold_endpoints"
+SLOW = "caller_buffers"
 
 revision_alone = property(lambda self: self.revision)
 write_rollout = source.PlatformSource.write_rollout
@@ -469,6 +474,11 @@
     ("fallback", Forwarder, "_fall_back", always(False), GAIN),
     ("fallback_attempt", sender, "_is_last_for_fallback", always(False), GAIN),
     ("fallback_time", sender, "FALLBACK_TIME_FACTOR", 0.0, GAIN),
+    ("callers_bounds", CallerBuffers, "_tolerated_seconds", always(math.inf), SLOW),
+    ("callers_stalled", caller_buffers, "STALLED_SECONDS", 0.0, SLOW),
+    ("callers_alone", caller_buffers, "CALLER_STALLED_SECONDS", 60.0, SLOW),
+    ("callers_progress", HttpReply, "_unacknowledged_bytes", always(0), SLOW),
+    ("callers_read_ahead", HttpExchange, "read_ahead_bytes", always(0), SLOW),
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
