Let the soak evacuate failure domains, and judge what reaches them

Nothing with real daemons judged evacuations. Each failure domain then has a worker of each service. Bounds.EvacuateMs is 3 s in the daemons' settings, so that a run has time to judge.

bench/evacuation_checks.py judges the recorded arrivals, also of retries and resumed streams: none from a daemon in touch later than EvacuateMs after the store took the key and before its removal.

A key that was removed is no longer written again after the store's return from an older copy; no key of the operator was ever removed before.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -14,9 +14,11 @@
 from bench.brittle_checks import Fall, count_falls, find_fall_violations
 from bench.cold_checks import ColdSpell, find_cold_violations
 from bench.crash_checks import PromptRun, find_crash_violations
+from bench.evacuation_checks import DomainArrival, find_evacuation_violations
 from bench.fleet_site import (
     COLD_RULES,
     DRAIN_MILLISECONDS,
+    EVACUATE_MILLISECONDS,
     REVOKE_MILLISECONDS,
     FleetSite,
 )
@@ -38,6 +40,7 @@
     "check_brittle_workers",
     "check_cold_workers",
     "check_crashing_parts",
+    "check_evacuations",
     "check_notices",
     "check_partitions",
     "check_request_limits",
@@ -96,6 +99,7 @@
         violations += check_partitions(requests, record)
         violations += check_brittle_workers(site, requests, record)
         violations += check_cold_workers(site)
+        violations += check_evacuations(site, requests, record)
     return violations
 
 
@@ -340,6 +344,29 @@
     return violations
 
 
+def check_evacuations(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that daemons in touch send nothing to evacuated failure domains."""
+    daemons = {sent.attempt: sent.daemon for sent in requests}
+    arrivals = [
+        DomainArrival(
+            time=time,
+            attempt=attempt,
+            worker=worker.name,
+            domain=worker.zone,
+            in_touch=_is_in_touch(record, daemons.get(attempt, ""), time),
+        )
+        for worker in site.workers
+        for time, attempt in worker.arrivals
+    ]
+    return find_evacuation_violations(
+        arrivals,
+        record.evacuations,
+        evacuate_seconds=EVACUATE_MILLISECONDS / 1000,
+    )
+
+
 def _periods_out_of_touch(
     record: "FaultRecord", daemon: str
 ) -> list[tuple[float, float]]:
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+from bench.evacuation_checks import Evacuation
 from bench.fleet_site import FleetSite
 from bench.partition_checks import Cut
 from bench.processes import wait_for
@@ -19,6 +20,8 @@
 SILENCE_SECONDS = 4.0
 LOST_REPLY_COUNT = 4
 REWRITE_SECONDS = 1.5
+EVACUATION_PREFIX = "op/evacuate/"
+STORE_POLL_SECONDS = 0.05
 STORE_LINK_PREFIX = "store-"
 # Keys of the operator and of the workers, who write them again after a drill.
 REWRITTEN_PREFIXES = ("op/", "servers/")
@@ -36,7 +39,8 @@
     periods in which daemons were cut off from all workers. ``store_faults`` holds, by
     daemon, the periods in which the store or its link to it was disturbed, those of all
     daemons under an empty name. ``brittle_periods`` holds the services whose workers
-    said that they are brittle, from when and until when.
+    said that they are brittle, from when and until when, and ``evacuations`` those of
+    failure domains.
     """
 
     def __init__(self):
@@ -50,6 +54,7 @@
         self.cuts: list[Cut] = []
         self.store_faults: dict[str, list[tuple[float, float]]] = {}
         self.brittle_periods: list[tuple[str, float, float]] = []
+        self.evacuations: list[Evacuation] = []
 
 
 class FaultInjector:
@@ -59,6 +64,7 @@
         self.site = site
         self.record = record
         self.limited: set[str] = set()
+        self.evacuated: set[str] = set()
         self.partitioned = False
 
     async def worker_answers(self, worker: str, faults: list[Fault]) -> None:
@@ -215,6 +221,30 @@
         """Make a worker cold again that runs on."""
         self._worker(worker).become_cold()
 
+    async def evacuate(self, domain: str, seconds: float) -> None:
+        """Write the evacuation of a failure domain, and remove it later.
+
+        Both take place once the store is available. Further calls for a domain do
+        nothing meanwhile; evacuations of several domains may overlap.
+        """
+        if domain in self.evacuated:
+            return
+        self.evacuated.add(domain)
+        await self._wait_for_store()
+        self.site.store.put(EVACUATION_PREFIX + domain, {})
+        began = time.monotonic()
+        await asyncio.sleep(seconds)
+        await self._wait_for_store()
+        ended = time.monotonic()
+        self.site.store.remove(EVACUATION_PREFIX + domain)
+        evacuation = Evacuation(domain=domain, began=began, ended=ended)
+        self.record.evacuations.append(evacuation)
+        self.evacuated.discard(domain)
+
+    async def _wait_for_store(self) -> None:
+        while self.site.store.down:
+            await asyncio.sleep(STORE_POLL_SECONDS)
+
     async def make_brittle(self, service: str, limit: int, seconds: float) -> None:
         """Make a service's workers brittle for a time.
 
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -20,6 +20,7 @@
 REVOKED_KEY = "key-revoked"
 REVOKE_MILLISECONDS = 4000
 DRAIN_MILLISECONDS = 2000
+EVACUATE_MILLISECONDS = 3000
 GRACE_SECONDS = 8
 HOST = "api.example"
 MODELS = ("small", "middle", "large")
@@ -283,6 +284,7 @@
             f"Provider.Address=127.0.0.1:{store_port}",
             f"Bounds.RevokeMs={REVOKE_MILLISECONDS}",
             f"Bounds.DrainMs={DRAIN_MILLISECONDS}",
+            f"Bounds.EvacuateMs={EVACUATE_MILLISECONDS}",
             f"Bounds.GraceS={GRACE_SECONDS}",
         ]
         (self.folder / f"{name}.conf").write_text("\n".join(lines) + "\n")
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -20,7 +20,7 @@
 from bench.fleet_callers import open_session, send
 from bench.fleet_checks import SentRequest, find_violations
 from bench.fleet_faults import READY_TIMEOUT_SECONDS, FaultInjector, FaultRecord
-from bench.fleet_site import ACCOUNTS, ROUTES, FleetSite
+from bench.fleet_site import ACCOUNTS, EVACUATE_MILLISECONDS, ROUTES, FleetSite
 from bench.processes import wait_for
 from standins.fleet_worker import Fault
 
@@ -60,6 +60,9 @@
 BRITTLE_CLIENTS = 24
 BRITTLE_PAUSE_SECONDS = 0.3
 COLD_WEIGHT = 3
+# How long evacuations outlast the time that the daemons have to follow them.
+EVACUATION_SECONDS = (1.0, 5.0)
+EVACUATION_WEIGHT = 1
 # Checks that excuse daemons out of touch with the store need times in which they are in
 # touch: daemons and the store are then disturbed only in this part of the run.
 DISTURBED_PART = (0.35, 0.55)
@@ -90,6 +93,7 @@
         partitions: bool = False,
         brittle: bool = False,
         cold: bool = False,
+        evacuations: bool = False,
     ):
         self.drills = drills
         self.limits = limits
@@ -98,6 +102,7 @@
         self.partitions = partitions
         self.brittle = brittle
         self.cold = cold
+        self.evacuations = evacuations
         self.random = random.Random(seed)
         self.seconds = seconds
         engines = (
@@ -106,7 +111,11 @@
             else {}
         )
         self.site = FleetSite(
-            folder=folder, own_links=partitions, spread=cold, cold=cold, **engines
+            folder=folder,
+            own_links=partitions,
+            spread=cold or evacuations,
+            cold=cold,
+            **engines,
         )
         self.sent: list[SentRequest] = []
         self.record = FaultRecord()
@@ -257,7 +266,7 @@
             faults.revoke,
             drain,
         ]
-        if self.brittle and not self._is_disturbed():
+        if (self.brittle or self.evacuations) and not self._is_disturbed():
             injections = [answer, faults.revoke, drain]
         if self.drills:
             copy_seconds = MAXIMUM_COPY_SECONDS * rng.random()
@@ -276,6 +285,11 @@
             return_cold = partial(faults.return_cold, domain)
             make_cold = partial(faults.make_cold, worker)
             injections += [return_cold, make_cold] * COLD_WEIGHT
+        if self.evacuations:
+            domain = rng.choice(self.site.workers).zone
+            seconds = EVACUATE_MILLISECONDS / 1000 + rng.uniform(*EVACUATION_SECONDS)
+            evacuate = partial(faults.evacuate, domain, seconds)
+            injections += [evacuate] * EVACUATION_WEIGHT
         return rng.choice(injections)()
 
     def _is_disturbed(self) -> bool:
@@ -318,6 +332,7 @@
         "partitions": FLAGS.partitions,
         "brittle": FLAGS.brittle,
         "cold": FLAGS.cold,
+        "evacuations": FLAGS.evacuations,
     }
     failed = [
         seed
@@ -338,5 +353,6 @@
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
+    flags.DEFINE_bool("evacuations", False, "Whether failure domains are evacuated.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -111,7 +111,8 @@
         return self.revision
 
     def remove(self, key: str) -> None:
-        """Remove a key."""
+        """Remove a key, which its owner does not write again."""
+        self.documents.pop(key, None)
         if key in self.items:
             self._keep_undo(key=key)
             del self.items[key]
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -7,11 +7,13 @@
 import pytest
 
 from bench.cold_checks import ColdSpell, find_cold_violations
+from bench.evacuation_checks import Evacuation
 from bench.fleet_checks import (
     SentRequest,
     check_brittle_workers,
     check_cold_workers,
     check_crashing_parts,
+    check_evacuations,
     check_notices,
     check_partitions,
     check_request_limits,
@@ -189,6 +191,55 @@
     asyncio.run(scenario())
 
 
+def test_check_detects_requests_to_evacuated_failure_domains(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path, evacuations=True)
+    worker = soak.site.add_unstarted_worker()
+    for number in range(20):
+        add_request(soak, worker, f"a{number}", route="fetch", runs=0, status=200)
+        worker.arrivals.append((100.0 + number, f"a{number}"))
+    assert check_evacuations(soak.site, soak.sent, soak.record) == []
+    soak.record.evacuations = [
+        Evacuation(domain="a", began=102.5, ended=106.5),
+        Evacuation(domain="b", began=100.0, ended=120.0),
+    ]
+    (violation,) = check_evacuations(soak.site, soak.sent, soak.record)
+    assert violation == "a6: reached planted of a 3.5 s after its evacuation"
+    soak.record.store_faults["daemon-1"] = [(102.9, 102.9)]
+    assert len(check_evacuations(soak.site, soak.sent, soak.record)) == 1
+    soak.record.store_faults["daemon-1"] = [(102.9, 103.1)]
+    assert check_evacuations(soak.site, soak.sent, soak.record) == []
+
+
+def test_an_evacuation_is_in_the_store_until_its_removal_also_after_a_drill(tmp_path):
+    """Guards against a store that returns an evacuation which was removed, or none."""
+
+    async def scenario():
+        soak = Soak(seed=1, seconds=0.0, folder=tmp_path, evacuations=True)
+        store, key = soak.site.store, "op/evacuate/zone-1"
+        evacuating = asyncio.ensure_future(soak.faults.evacuate("zone-1", 0.3))
+        await asyncio.sleep(0.1)
+        assert store.value(key) == b"{}"
+        drilling = asyncio.ensure_future(soak.faults.drill(0.05, 0.2))
+        await evacuating
+        assert key not in store.items
+        await drilling
+        assert key not in store.items
+        evacuating = asyncio.ensure_future(soak.faults.evacuate("zone-1", 2.0))
+        await asyncio.sleep(0.05)
+        drilling = asyncio.ensure_future(soak.faults.drill(0.05, 0.1))
+        await asyncio.sleep(0.2)
+        assert key not in store.items
+        await drilling
+        assert key in store.items
+        await evacuating
+        assert key not in store.items
+        return soak.record.evacuations
+
+    first, second = asyncio.run(scenario())
+    assert first.ended - first.began >= 0.3
+    assert second.ended - second.began >= 2.0
+
+
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     soak.record.crashing_parts.add("bad")
