Give the soak's routes and accounts homes, and judge where requests run

Nothing with real daemons judged AllowedRegions.

bench/home_checks.py judges all recorded arrivals, whether a request then ran or not, and excuses no daemon. It is also part of the runs without the checks of elapsed time.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -19,9 +19,12 @@
     COLD_RULES,
     DRAIN_MILLISECONDS,
     EVACUATE_MILLISECONDS,
+    HOMES,
+    REGIONS,
     REVOKE_MILLISECONDS,
     FleetSite,
 )
+from bench.home_checks import RegionArrival, find_home_violations
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.notice_checks import (
     AskedPause,
@@ -41,6 +44,7 @@
     "check_cold_workers",
     "check_crashing_parts",
     "check_evacuations",
+    "check_homes",
     "check_notices",
     "check_partitions",
     "check_request_limits",
@@ -89,6 +93,7 @@
         *_check_answers(requests, runs),
         *_check_runs(requests, runs),
         *_check_bills(site, requests, runs),
+        *check_homes(site, requests),
     ]
     if timed:
         violations += _check_credentials(requests, record, runs)
@@ -367,6 +372,24 @@
     )
 
 
+def check_homes(site: FleetSite, requests: list[SentRequest]) -> list[str]:
+    """Check that requests with homes reach no workers of other regions."""
+    if not site.homes:
+        return []
+    sent_by_attempt = {sent.attempt: sent for sent in requests}
+    return find_home_violations(
+        RegionArrival(
+            attempt=attempt,
+            worker=worker.name,
+            region=REGIONS[worker.zone],
+            homes=(HOMES.get(sent.route, ()), HOMES.get(sent.account, ())),
+        )
+        for worker in site.workers
+        for _, attempt in worker.arrivals
+        if (sent := sent_by_attempt.get(attempt)) is not None
+    )
+
+
 def _periods_out_of_touch(
     record: "FaultRecord", daemon: str
 ) -> list[tuple[float, float]]:
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -14,7 +14,7 @@
 from standins.fleet_worker import EVENT_INTERVAL_SECONDS, HEALTH_PATH, FleetWorker
 from standins.relay import Relay
 
-__all__ = ["ACCOUNTS", "COLD_RULES", "FleetSite", "ROUTES"]
+__all__ = ["ACCOUNTS", "COLD_RULES", "FleetSite", "HOMES", "REGIONS", "ROUTES"]
 
 ACCOUNTS = {"studio": "key-studio", "printer": "key-printer"}
 REVOKED_KEY = "key-revoked"
@@ -31,6 +31,10 @@
     "engines": {"HealthPath": HEALTH_PATH, "ColdS": 6.0, "ColdPerS": 4.0},
     "desk": {"HealthPath": HEALTH_PATH, "ColdS": 5.0, "ColdPerS": 8.0},
 }
+# The regions of failure domains, and those that routes and accounts allow. Requests
+# have no region left, where a route and an account allow no common one.
+REGIONS = {"zone-1": "north", "zone-2": "south", "zone-3": "south"}
+HOMES = {"fetch": ("north",), "save": ("north", "south"), "printer": ("south",)}
 HEARTBEAT_INTERVAL_SECONDS = 0.6
 # A worker that crashed starts again after this time.
 WORKER_RESTART_SECONDS = 2.0
@@ -48,7 +52,8 @@
     With ``own_links`` each daemon reaches each worker by a relay of its own. Engines
     take ``engine_slots`` requests at once and ``event_seconds`` for each event. With
     ``spread`` each daemon's failure domain has a worker of each service. With ``cold``
-    workers are cold after a start.
+    workers are cold after a start. With ``homes`` they and the daemons lie in two
+    regions, and some routes and accounts allow only one.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         event_seconds: float = EVENT_INTERVAL_SECONDS,
         spread: bool = False,
         cold: bool = False,
+        homes: bool = False,
     ):
         self.folder = folder
         self.variables = variables or {}
@@ -70,6 +76,7 @@
         self.event_seconds = event_seconds
         self.spread = spread
         self.cold = cold
+        self.homes = homes
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
@@ -248,6 +255,7 @@
                 "Attempts": 1 if name == "save" else 3,
                 "Service": "engines" if name == "stream" else "desk",
                 **fields,
+                **self._homes_of(name),
             }
             for name, fields in ROUTES.items()
         ]
@@ -267,17 +275,27 @@
                 {"Name": "desk", **(COLD_RULES["desk"] if self.cold else {})},
             ],
             "Tenants": [
-                {"Name": name, "ApiKeys": [key]} for name, key in self.keys.items()
+                {"Name": name, "ApiKeys": [key], **self._homes_of(name)}
+                for name, key in self.keys.items()
             ],
         }
 
+    def _homes_of(self, name: str) -> dict:
+        """Return the field with the regions that a route or an account allows."""
+        if not self.homes or name not in HOMES:
+            return {}
+        return {"AllowedRegions": list(HOMES[name])}
+
     def _write_settings(self, name: str, *, store_port: int) -> None:
         ports = self.ports[name]
         lines = [
             f"Node={name}",
             f"Zone=zone-{name[-1]}",
             "Ip=127.0.0.1",
-            *(f"Zones.zone-{other[-1]}=here" for other in self.daemon_names),
+            *(
+                f"Zones.{zone}={REGIONS[zone] if self.homes else 'here'}"
+                for zone in (f"zone-{other[-1]}" for other in self.daemon_names)
+            ),
             f"Listen.Front=127.0.0.1:{ports['front']}",
             f"Listen.Ready=127.0.0.1:{ports['ready']}",
             f"PortRange={ports['peer']},{ports['peer']}",
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -76,8 +76,9 @@
     in answers that they leave. With ``crashes`` they crash on some parts of prompts.
     With ``partitions`` some daemons are cut off from all workers for a time. With
     ``brittle`` engines are brittle for a time and have too few slots. With ``cold``
-    workers are cold after a start and at other times. Without them the draw of a seed
-    is the same as before there were any.
+    workers are cold after a start and at other times. With ``evacuations`` failure
+    domains are evacuated. With ``homes`` some routes and accounts allow only some
+    regions. Without them the draw of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         brittle: bool = False,
         cold: bool = False,
         evacuations: bool = False,
+        homes: bool = False,
     ):
         self.drills = drills
         self.limits = limits
@@ -113,8 +115,9 @@
         self.site = FleetSite(
             folder=folder,
             own_links=partitions,
-            spread=cold or evacuations,
+            spread=cold or evacuations or homes,
             cold=cold,
+            homes=homes,
             **engines,
         )
         self.sent: list[SentRequest] = []
@@ -333,6 +336,7 @@
         "brittle": FLAGS.brittle,
         "cold": FLAGS.cold,
         "evacuations": FLAGS.evacuations,
+        "homes": FLAGS.homes,
     }
     failed = [
         seed
@@ -354,5 +358,6 @@
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
     flags.DEFINE_bool("evacuations", False, "Whether failure domains are evacuated.")
+    flags.DEFINE_bool("homes", False, "Whether routes and accounts allow regions.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -14,6 +14,7 @@
     check_cold_workers,
     check_crashing_parts,
     check_evacuations,
+    check_homes,
     check_notices,
     check_partitions,
     check_request_limits,
@@ -240,6 +241,34 @@
     assert second.ended - second.began >= 2.0
 
 
+def test_check_detects_requests_that_leave_their_homes(tmp_path):
+    soak = Soak(seed=1, seconds=0.0, folder=tmp_path, homes=True)
+    soak.site.publish_configuration()
+    document = orjson.loads(soak.site.store.value("op/config"))
+    allowed = {r["Name"]: r.get("AllowedRegions") for r in document["Routes"]}
+    assert allowed == {"stream": None, "fetch": ["north"], "save": ["north", "south"]}
+    allowed = {t["Name"]: t.get("AllowedRegions") for t in document["Tenants"]}
+    assert allowed == {"studio": None, "printer": ["south"], "guest": None}
+    worker = soak.site.add_unstarted_worker()
+    worker.zone = "zone-2"
+    requests = [
+        ("a1", "fetch", "studio"),
+        ("a2", "stream", "printer"),
+        ("a3", "save", "printer"),
+        ("a4", "fetch", "printer"),
+    ]
+    for attempt, route, account in requests:
+        add_request(soak, worker, attempt, route=route, runs=0, status=200)
+        soak.sent[-1].account = account
+        worker.arrivals.append((100.0, attempt))
+    first, last = check_homes(soak.site, soak.sent)
+    assert first == "a1: reached planted in south, allowed in ['north']"
+    assert last == "a4: reached planted in south, allowed in ['north'] and ['south']"
+    worker.zone = "zone-1"
+    lines = check_homes(soak.site, soak.sent)
+    assert [line.partition(":")[0] for line in lines] == ["a2", "a3", "a4"]
+
+
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     soak.record.crashing_parts.add("bad")
