--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -14,12 +14,17 @@
 from bench.brittle_checks import Fall, count_falls, find_fall_violations
 from bench.cold_checks import ColdSpell, find_cold_violations
 from bench.crash_checks import PromptRun, find_crash_violations
+from bench.evacuation_checks import DomainArrival, find_evacuation_violations
 from bench.fleet_site import (
     COLD_RULES,
     DRAIN_MILLISECONDS,
+    EVACUATE_MILLISECONDS,
+    HOMES,
+    REGIONS,
     REVOKE_MILLISECONDS,
     FleetSite,
 )
+from bench.home_checks import RegionArrival, find_home_violations
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.notice_checks import (
     AskedPause,
@@ -38,6 +43,8 @@
     "check_brittle_workers",
     "check_cold_workers",
     "check_crashing_parts",
+    "check_evacuations",
+    "check_homes",
     "check_notices",
     "check_partitions",
     "check_request_limits",
@@ -86,6 +93,7 @@
         *_check_answers(requests, runs),
         *_check_runs(requests, runs),
         *_check_bills(site, requests, runs),
+        *check_homes(site, requests),
     ]
     if timed:
         violations += _check_credentials(requests, record, runs)
@@ -96,6 +104,7 @@
         violations += check_partitions(requests, record)
         violations += check_brittle_workers(site, requests, record)
         violations += check_cold_workers(site)
+        violations += check_evacuations(site, requests, record)
     return violations
 
 
@@ -340,6 +349,47 @@
     return violations
 
 
+def check_evacuations(
+    site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
+) -> list[str]:
+    """Check that daemons in touch send nothing to evacuated failure domains."""
+    daemons = {sent.attempt: sent.daemon for sent in requests}
+    arrivals = [
+        DomainArrival(
+            time=time,
+            attempt=attempt,
+            worker=worker.name,
+            domain=worker.zone,
+            in_touch=_is_in_touch(record, daemons.get(attempt, ""), time),
+        )
+        for worker in site.workers
+        for time, attempt in worker.arrivals
+    ]
+    return find_evacuation_violations(
+        arrivals,
+        record.evacuations,
+        evacuate_seconds=EVACUATE_MILLISECONDS / 1000,
+    )
+
+
+def check_homes(site: FleetSite, requests: list[SentRequest]) -> list[str]:
+    """Check that requests with homes reach no workers of other regions."""
+    if not site.homes:
+        return []
+    sent_by_attempt = {sent.attempt: sent for sent in requests}
+    return find_home_violations(
+        RegionArrival(
+            attempt=attempt,
+            worker=worker.name,
+            region=REGIONS[worker.zone],
+            homes=(HOMES.get(sent.route, ()), HOMES.get(sent.account, ())),
+        )
+        for worker in site.workers
+        for _, attempt in worker.arrivals
+        if (sent := sent_by_attempt.get(attempt)) is not None
+    )
+
+
 def _periods_out_of_touch(
     record: "FaultRecord", daemon: str
 ) -> list[tuple[float, float]]:
