--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -385,13 +385,14 @@
     def _token_rows(self, maximum_bytes: float) -> list[tuple[str, int]]:
         """Return the tokens in flight by endpoint, the most first.
 
-        Only endpoints whose service names a capacity in tokens have rows.
+        Only endpoints whose memory may be full before their slots have rows, since
+        these take the place of loads.
         """
         held = [
             (name, tokens)
             for name, tokens in self.loads.cache_tokens.items()
             if (endpoint := self.table.endpoints.get(name)) is not None
-            and self.room.capacity_of(endpoint)
+            and self.room.is_bound_by_memory(endpoint)
         ]
         held.sort(key=lambda row: row[1], reverse=True)
         kept = held[: int(max(maximum_bytes, 0.0) // TOKEN_ROW_BYTES)]
--- a/linnetladder/forwarding/coordination/room.py
+++ b/linnetladder/forwarding/coordination/room.py
@@ -36,6 +36,16 @@
             return math.inf
         return capacity - self.loads.cache_tokens_of(endpoint)
 
+    def is_bound_by_memory(self, endpoint: Endpoint) -> bool:
+        """Return whether requests like this daemon's fill the memory before the slots.
+
+        It is false where the service names no capacity.
+        """
+        tokens = self.loads.cache_tokens.get(endpoint.name, 0)
+        mean_tokens = tokens / max(endpoint.in_flight, 1)
+        capacity = self.capacity_of(endpoint)
+        return 0 < capacity < mean_tokens * endpoint.capacity
+
     def fits(self, endpoint: Endpoint, tokens: float) -> bool:
         """Return whether an endpoint holds a request of so many tokens now.
 
--- a/tests/forwarding/test_room.py
+++ b/tests/forwarding/test_room.py
@@ -95,10 +95,10 @@
 
 
 def test_reports_without_tokens_keep_their_encoding():
-    """Guards against rows that cost bytes where no service names a capacity."""
+    """Guards against rows that take the place of loads where slots are the limit."""
     daemon = ready_daemon()
-    for endpoint in daemon.table.endpoints.values():
-        endpoint.in_flight = 1
+    send(daemon, admit(daemon, head()))
+    assert sum(daemon.loads.cache_tokens.values()) == 1080
     content = encode_message(daemon.peers.build(), secret=SECRET)[16:]
     array = orjson.loads(daemon_messages.zlib.decompress(content))
     assert len(array) == 7
