Refuse requests on arrival that can't be served by their deadline

Callers that sent more than endpoints can serve saw few refusals and many requests that failed at their deadline, since nothing knew on arrival whether a request could still be served. Endpoints worked on requests that were cut off before their end.

On arrival, the expected time is computed from the backlog, the slots and the memory of the endpoints over all daemons, and compared with the deadline. A request that misses it by a clear margin is refused as not run. Retry-After spreads callers over the time in which there is room again, urgent ones first. The margin narrows while callers keep sending more than can be served, and with requests that miss their deadlines. Daemons that know little admit, and so do all while an endpoint has free slots and no backlog.

Loads from reports are late, so daemons admitted too many and then too few together. Near the limit each admits the share for which there is room, by the demand that peers report while all endpoints are full. Plain requests to full endpoints are spread by each daemon's own requests, since all went to the endpoint whose queue had been the shortest. Prompts that waited for others or for a slot no longer raise the estimated prefill time.

--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -6,10 +6,11 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable
 
 from linnetladder.state import Clock, Endpoint
 
-__all__ = ["EndpointLoads", "PeerLoads", "RequestLoad"]
+__all__ = ["NO_LOAD", "EndpointLoads", "PeerLoads", "PeerSums", "RequestLoad"]
 
 # Initial estimate, for the smallest model on an idle engine. It is adjusted from the
 # first responses on.
@@ -23,6 +24,8 @@
 PEER_LOAD_EXPIRY_SECONDS = 2.5
 # In large fleets reports of a peer come less often: the time for each daemon.
 PEER_LOAD_EXPIRY_SECONDS_PER_DAEMON = 0.08
+# Age up to which reports count as recent, where a decision needs the present load.
+RECENT_SECONDS = 3.0
 # Peers report a few times a second, so more frequent sums would change little.
 TOTALS_REFRESH_SECONDS = 0.05
 NO_LOAD = (0, 0.0)
@@ -34,7 +37,10 @@
 
     ``backlog`` is the expected prefill time in seconds, 0 after the first token.
     ``started`` is in seconds of the daemon's clock. ``cache_tokens`` is what the
-    request occupies in the endpoint's KV cache until it ends.
+    request occupies in the endpoint's KV cache until it ends. ``in_flight`` is the
+    number of requests at the endpoint when it was sent, with itself; the first token
+    came at ``first_token_at``. ``queued`` is the backlog that was before it then, and
+    infinite if there was no free slot.
     """
 
     endpoint: str
@@ -43,6 +49,9 @@
     backlog: float
     started: float
     cache_tokens: int = 0
+    in_flight: int = 1
+    first_token_at: float = math.inf
+    queued: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +68,18 @@
     tokens_by_endpoint: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PeerSums:
+    """Sums over the peers, scaled up from those that reported to all of them.
+
+    ``heard`` is the share of the peers that have reported.
+    """
+
+    loads: dict[str, tuple[int, float]]
+    tokens: dict[str, float]
+    heard: float
+
+
 class EndpointLoads:
     """Tracks the load at each endpoint, over this daemon and its peers."""
 
@@ -67,9 +88,10 @@
         self.backlog: dict[str, float] = {}
         self.cache_tokens: dict[str, int] = {}
         self.peers: dict[str, PeerLoads] = {}
-        self.totals: dict[str, tuple[int, float]] = {}
-        self.token_totals: dict[str, float] = {}
+        self.totals = PeerSums(loads={}, tokens={}, heard=0.0)
         self.totals_updated = -math.inf
+        self.recent = self.totals
+        self.recent_updated = -math.inf
         self.daemons = 1
         self.seconds_per_token: dict[str, float] = {}
 
@@ -90,6 +112,10 @@
             cache_tokens,
         )
         endpoint.in_flight += 1
+        load.in_flight = self.in_flight_of(endpoint)
+        load.queued = self.backlog_of(endpoint)
+        if load.in_flight > endpoint.capacity:
+            load.queued = math.inf
         held = self.cache_tokens.get(endpoint.name, 0)
         self.cache_tokens[endpoint.name] = held + cache_tokens
         self.backlog[endpoint.name] = self.backlog.get(endpoint.name, 0.0) + backlog
@@ -97,12 +123,15 @@
 
     def record_first_token(self, load: RequestLoad) -> float:
         """Record the end of a request's prefill and return the seconds it took."""
-        elapsed = self.clock.monotonic() - load.started
+        load.first_token_at = self.clock.monotonic()
+        elapsed = load.first_token_at - load.started
         if load.tokens >= MINIMUM_MEASURED_TOKENS:
             current = self.token_seconds(load.model)
             measured = (elapsed - FIRST_TOKEN_OVERHEAD_SECONDS) / load.tokens
             step = LEARNING_STEP if measured > current else -LEARNING_STEP
-            self.seconds_per_token[load.model] = current * (1.0 + step)
+            # A prompt that waited for others, or for a slot, says only so much.
+            if step < 0 or measured * load.tokens > load.queued + load.backlog:
+                self.seconds_per_token[load.model] = current * (1.0 + step)
         self._subtract_backlog(load)
         return elapsed
 
@@ -124,25 +153,24 @@
     def backlog_of(self, endpoint: Endpoint) -> float:
         """Return the backlog at an endpoint in seconds, over all daemons."""
         own = self.backlog.get(endpoint.name, 0.0)
-        return own + self._peer_totals().get(endpoint.name, NO_LOAD)[1]
+        return own + self.peer_sums().loads.get(endpoint.name, NO_LOAD)[1]
 
     def in_flight_of(self, endpoint: Endpoint) -> int:
         """Return the number of requests in flight at an endpoint, over all daemons."""
-        others = self._peer_totals().get(endpoint.name, NO_LOAD)[0]
+        others = self.peer_sums().loads.get(endpoint.name, NO_LOAD)[0]
         return endpoint.in_flight + others
 
     def cache_tokens_of(self, endpoint: Endpoint) -> float:
         """Return the tokens that requests occupy at an endpoint, over all daemons."""
-        self._peer_totals()
         own = self.cache_tokens.get(endpoint.name, 0)
-        return own + self.token_totals.get(endpoint.name, 0.0)
+        return own + self.peer_sums().tokens.get(endpoint.name, 0.0)
 
     def peers_in_flight_at_group(self, group: str) -> int:
         """Return the requests in flight that peers report for a group of endpoints.
 
         These are the ones at endpoints that were left out of their reports.
         """
-        return self._peer_totals().get(group, NO_LOAD)[0]
+        return self.peer_sums().loads.get(group, NO_LOAD)[0]
 
     def learn(
         self,
@@ -159,7 +187,7 @@
         """Discard the backlog of an endpoint that was replaced."""
         self.backlog.pop(endpoint, None)
 
-    def _peer_totals(self) -> dict[str, tuple[int, float]]:
+    def peer_sums(self) -> PeerSums:
         """Return the sums over all peers, recomputed at most every refresh interval.
 
         In a large fleet only some peers have reported recently; their sums are scaled
@@ -173,24 +201,43 @@
             PEER_LOAD_EXPIRY_SECONDS,
             self.daemons * PEER_LOAD_EXPIRY_SECONDS_PER_DAEMON,
         )
-        sums: dict[str, tuple[int, float]] = {}
-        tokens: dict[str, int] = {}
         for peer, loads in list(self.peers.items()):
             if now - loads.received > expiry:
                 del self.peers[peer]
-                continue
+        self.totals = self._sum(self.peers.values())
+        return self.totals
+
+    def recent_sums(self) -> PeerSums:
+        """Return the sums over the peers that have reported within few seconds."""
+        now = self.clock.monotonic()
+        if now - self.recent_updated >= TOTALS_REFRESH_SECONDS:
+            self.recent_updated = now
+            since = now - RECENT_SECONDS
+            self.recent = self._sum(
+                p for p in self.peers.values() if p.received >= since
+            )
+        return self.recent
+
+    def _sum(self, reports: Iterable[PeerLoads]) -> PeerSums:
+        sums: dict[str, tuple[int, float]] = {}
+        tokens: dict[str, int] = {}
+        number = 0
+        for loads in reports:
+            number += 1
             for endpoint, (in_flight, backlog) in loads.loads_by_endpoint.items():
                 current = sums.get(endpoint, NO_LOAD)
                 sums[endpoint] = (current[0] + in_flight, current[1] + backlog)
             for endpoint, held in loads.tokens_by_endpoint.items():
                 tokens[endpoint] = tokens.get(endpoint, 0) + held
-        scale = max((self.daemons - 1) / max(len(self.peers), 1), 1.0)
-        self.totals = {
-            endpoint: (round(in_flight * scale), backlog * scale)
-            for endpoint, (in_flight, backlog) in sums.items()
-        }
-        self.token_totals = {name: held * scale for name, held in tokens.items()}
-        return self.totals
+        scale = max((self.daemons - 1) / max(number, 1), 1.0)
+        return PeerSums(
+            loads={
+                endpoint: (round(in_flight * scale), backlog * scale)
+                for endpoint, (in_flight, backlog) in sums.items()
+            },
+            tokens={name: held * scale for name, held in tokens.items()},
+            heard=number / max(self.daemons - 1, 1) if self.daemons > 1 else 1.0,
+        )
 
     def _subtract_backlog(self, load: RequestLoad) -> None:
         if load.backlog:
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -19,6 +19,7 @@
     Reply,
 )
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
 from linnetladder.forwarding.coordination.reporting import RequestReporter
 from linnetladder.forwarding.coordination.sender import Attempt, Sender
@@ -73,6 +74,7 @@
         self,
         *,
         admission: AdmissionControl,
+        load_admission: LoadAdmission,
         in_force: TableInForce,
         sender: Sender,
         sizing: SizingPolicy,
@@ -83,6 +85,7 @@
         metrics: Metrics,
     ):
         self.admission = admission
+        self.load_admission = load_admission
         self.in_force = in_force
         self.sender = sender
         self.sizing = sizing
@@ -108,6 +111,10 @@
             await self._refuse(head, None, admitted.failure(), reply)
             return
         request = admitted.unwrap()
+        refusal = self._refuse_for_load(request)
+        if refusal is not None:
+            await self._refuse(head, request, refusal, reply)
+            return
         self.active_requests += 1
         try:
             await self._serve_before_deadline(request, reply)
@@ -119,6 +126,15 @@
             self._record_bill(request)
             self.active_requests -= 1
 
+    def _refuse_for_load(self, request: ForwardRequest) -> Refusal | None:
+        """Return a refusal if a request can't be served by its deadline."""
+        model = request.head.model
+        if model == ANY_MODEL and request.route.models:
+            position = self.sizing.first_position(self._sizing_inputs(request))
+            model = request.route.models[position]
+        inputs = self.sender.selection_inputs(request, model)
+        return self.load_admission.refuse(request, inputs, model)
+
     def _record_bill(self, request: ForwardRequest) -> None:
         """Add the bill of a request that may have run, at most once per request."""
         if request.ran and not request.billed:
@@ -140,10 +156,12 @@
                     await self._serve_stream(request, reply)
                 else:
                     await self._serve_buffered(request, reply)
+            self.load_admission.learn_end(request, served=True)
         except TimeoutError:
             await self._end_at_deadline(request, reply)
 
     async def _end_at_deadline(self, request: ForwardRequest, reply: Reply) -> None:
+        self.load_admission.learn_end(request, served=False)
         if reply.begun:
             reply.abort_response()
             self.reporter.broken_off(request, _describe_time_limit(request))
@@ -405,6 +423,8 @@
         refusal: Refusal,
         reply: Reply,
     ) -> None:
+        if request is not None and refusal.kind is not ErrorKind.DEADLINE_EXCEEDED:
+            request.expected_share = 0.0
         self.reporter.refused(head, request, refusal)
         await reply.refuse(refusal)
 
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -28,6 +28,10 @@
 )
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.room import EndpointRoom
+from linnetladder.forwarding.coordination.service_demand import (
+    DEMAND_ROW_BYTES,
+    ServiceDemand,
+)
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.daemon_messages import (
@@ -108,6 +112,7 @@
         crashes: CrashLog,
         limits: RequestLimits,
         room: EndpointRoom,
+        demand: ServiceDemand,
         rollouts: RolloutController,
         bills: BillBuffer,
         bill_replicas: BillReplicas,
@@ -125,6 +130,7 @@
         self.crashes = crashes
         self.limits = limits
         self.room = room
+        self.demand = demand
         self.rollouts = rollouts
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -318,7 +324,10 @@
         room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
         tokens = []
+        demand = []
         if with_rows:
+            demand = self.demand.export()
+            room -= len(demand) * DEMAND_ROW_BYTES
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
             loads, outcomes, size = self._rows(room)
@@ -338,6 +347,8 @@
             limits=limits,
             findings=findings,
             tokens=tokens,
+            demand=demand,
+            sent_at=round(self.clock.unix(), 2) if demand else 0.0,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -488,6 +499,7 @@
                 name: (count, backlog) for name, count, backlog in report.loads
             }
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
+            self.demand.learn(peer, report.demand, sent_at=report.sent_at)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import xxhash
 
@@ -82,6 +83,7 @@
         self.room = room
         self.clock = clock
         self.own_domain = own_domain
+        self.choices = itertools.count()
         self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
             collections.OrderedDict()
         )
@@ -93,6 +95,9 @@
             return None
         if inputs.has_prompt:
             return self._choose_for_prompt(candidates, inputs)
+        if self._all_are_full(candidates):
+            choice = next(self.choices)
+            return min(candidates, key=lambda e: self._own_load(e, choice))
         return min(candidates, key=self._relative_load)
 
     def candidates(self, inputs: SelectionInputs) -> list[Endpoint]:
@@ -191,6 +196,21 @@
             wait += FULL_PENALTY_SECONDS
         return wait
 
+    def _all_are_full(self, candidates: list[Endpoint]) -> bool:
+        in_flight = sum(map(self.loads.in_flight_of, candidates))
+        return in_flight >= sum(endpoint.capacity for endpoint in candidates)
+
+    def _own_load(self, endpoint: Endpoint, choice: int) -> tuple[float, int]:
+        """Return the load by this daemon's own requests, and a hash among equal ones.
+
+        While endpoints are full, reports of their queues are late, and all daemons
+        would send to the one whose queue was the shortest. Each spreads its own
+        requests instead, of which more stay at a slower endpoint.
+        """
+        load = endpoint.in_flight / endpoint.capacity
+        load += self.outcomes.failure_rate(endpoint.name)
+        return load, _rendezvous_hash(f"{self.own_domain}{choice}", endpoint.name)
+
     def _relative_load(self, endpoint: Endpoint) -> tuple[float, int]:
         load = self.loads.in_flight_of(endpoint) / endpoint.capacity
         load += self.outcomes.failure_rate(endpoint.name)
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -330,6 +330,10 @@
             return
         attempt.closed = True
         attempt.exchange.close()
+        if outcome is AttemptOutcome.GOOD:
+            self.selection.room.learn_answer(
+                attempt.endpoint, attempt.load, request.head.prompt
+            )
         self.loads.end(attempt.endpoint, attempt.load)
         if outcome is None:
             return
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -29,6 +29,7 @@
     EndpointLoads,
 )
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
+from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -40,6 +41,7 @@
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sizing import ConfidenceCascade
 from linnetladder.forwarding.coordination.sources import (
@@ -95,6 +97,7 @@
     paths: PeerPaths
     relay_control: RelayControl
     selection: Selection
+    load_admission: LoadAdmission
     sender: Sender
     forwarder: Forwarder
 
@@ -126,6 +129,7 @@
     )
     in_force = TableInForce(settings=holder, clock=clock)
     room = EndpointRoom(in_force=in_force, loads=loads)
+    demand = ServiceDemand(room=room, clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -158,6 +162,7 @@
         crashes=crashes,
         limits=limits,
         room=room,
+        demand=demand,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -251,8 +256,17 @@
         availability=availability,
         metrics=metrics,
     )
+    load_admission = LoadAdmission(
+        selection=selection,
+        loads=loads,
+        room=room,
+        demand=demand,
+        clock=clock,
+        metrics=metrics,
+    )
     forwarder = Forwarder(
         admission=AdmissionControl(in_force=in_force, budget=budget, crashes=crashes),
+        load_admission=load_admission,
         in_force=in_force,
         sender=sender,
         sizing=ConfidenceCascade(loads=loads, policy=policy),
@@ -286,6 +300,7 @@
         paths=paths,
         relay_control=relay_control,
         selection=selection,
+        load_admission=load_admission,
         sender=sender,
         forwarder=forwarder,
     )
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -39,10 +39,18 @@
 UNITS_PER_COUNT = 100
 UNITS_PER_REQUEST = 1_000
 LIMIT_AGE_UNITS_PER_SECOND = 100
-# Name of the rows of loads that hold tokens in flight: the index of an endpoint and its
-# tokens follow. Daemons of versions that know no such rows read them as the load of an
-# endpoint that does not exist.
+# Rows of loads whose name has this prefix hold other sums: the index of what they are
+# about and a number follow. Daemons of versions that know no such rows read them as
+# the load of an endpoint that does not exist.
+SUMS_PREFIX = "#"
 TOKENS_ROW = "#tokens"
+DEMAND_ROW = "#demand"
+URGENT_DEMAND_ROW = "#urgent"
+HELD_ROW = "#held"
+UNITS_PER_DEMAND = 100
+HELD_UNITS_PER_SECOND = 1_000
+SENT_ROW = "#sent"
+SENT_UNITS_PER_SECOND = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
 
@@ -91,6 +99,12 @@
       age in seconds
     * ``tokens``: endpoint, tokens that requests in flight occupy there; only in reports
       with ``loads``
+    * ``demand``: service with little room, requests a second that callers send for it
+      and that are not urgent, urgent ones, and for how many seconds a request holds a
+      slot, 0 if unknown; only in reports with ``loads``
+
+    ``sent_at`` is the sender's Unix time in a report with ``demand``, otherwise 0.
+
 
     ``loads`` and ``outcomes`` are ``None`` in a report of news only; then the previous
     ones stay. ``reading`` is the digest of the sender's last read of the store, and
@@ -115,6 +129,10 @@
     )
     findings: list[PartFinding] = dataclasses.field(default_factory=list)
     tokens: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    demand: list[tuple[str, float, float, float]] = dataclasses.field(
+        default_factory=list
+    )
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -243,7 +261,7 @@
             for name, in_flight, backlog in loads
         ]
         loads += [
-            (index(TOKENS_ROW), index(name), tokens) for name, tokens in report.tokens
+            (index(kind), index(name), units) for kind, name, units in _sums(report)
         ]
     outcomes = report.outcomes
     if outcomes is not None:
@@ -278,17 +296,17 @@
     if reads is not None:
         began, latest = reads
         reads = (began / READ_AGE_UNITS_PER_SECOND, latest / READ_AGE_UNITS_PER_SECOND)
-    tokens = []
+    sums = []
     if loads is not None:
-        tokens = [
-            (names[_index(endpoint)], held)
-            for name, endpoint, held in loads
-            if names[name] == TOKENS_ROW
+        sums = [
+            (names[kind], names[_index(name)], units)
+            for kind, name, units in loads
+            if names[kind].startswith(SUMS_PREFIX)
         ]
         loads = [
             (names[name], in_flight, backlog / BACKLOG_UNITS_PER_SECOND)
             for name, in_flight, backlog in loads
-            if names[name] != TOKENS_ROW
+            if not names[name].startswith(SUMS_PREFIX)
         ]
     if outcomes is not None:
         outcomes = [
@@ -308,10 +326,46 @@
         reading=reading,
         echoes=echoes,
         reads=reads,
-        tokens=tokens,
+        tokens=[(name, units) for kind, name, units in sums if kind == TOKENS_ROW],
+        demand=_demand(sums),
+        sent_at=max(
+            (n / SENT_UNITS_PER_SECOND for kind, _, n in sums if kind == SENT_ROW),
+            default=0.0,
+        ),
     )
 
 
+def _sums(report: DaemonReport) -> list[tuple[str, str, int]]:
+    """Return the rows of sums: kind, name, units."""
+    rows = [(TOKENS_ROW, name, tokens) for name, tokens in report.tokens]
+    if report.demand:
+        sent_at = round(report.sent_at * SENT_UNITS_PER_SECOND)
+        rows.append((SENT_ROW, report.demand[0][0], sent_at))
+    for service, rate, urgent, held in report.demand:
+        rows.append((DEMAND_ROW, service, round(rate * UNITS_PER_DEMAND)))
+        if urgent > 0:
+            rows.append((URGENT_DEMAND_ROW, service, round(urgent * UNITS_PER_DEMAND)))
+        if held > 0:
+            rows.append((HELD_ROW, service, round(held * HELD_UNITS_PER_SECOND)))
+    return rows
+
+
+def _demand(
+    sums: list[tuple[str, str, int]],
+) -> list[tuple[str, float, float, float]]:
+    units = {(kind, service): number for kind, service, number in sums}
+    return [
+        (
+            service,
+            number / UNITS_PER_DEMAND,
+            units.get((URGENT_DEMAND_ROW, service), 0) / UNITS_PER_DEMAND,
+            units.get((HELD_ROW, service), 0) / HELD_UNITS_PER_SECOND,
+        )
+        for (kind, service), number in units.items()
+        if kind == DEMAND_ROW
+    ]
+
+
 def _index(index: int) -> int:
     """Return an index into the names; a negative one is of no daemon's making."""
     if index < 0:
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -86,7 +86,9 @@
     the parts of its prompt that other requests may share. ``ran``
     is set once an endpoint may have started to run the request. ``attempts`` counts the
     endpoints that may have run it, ``times_sent`` also those that reported that they
-    did not. ``model`` is the model of the latest attempt and ``events`` the number of
+    did not. ``expected_share`` is the time in which the request was expected to be
+    served when it arrived, as a share of the time left, 0 unless room was short.
+    ``model`` is the model of the latest attempt and ``events`` the number of
     stream events forwarded to the caller. ``history`` lists the steps of the
     processing for the log.
     """
@@ -106,6 +108,7 @@
     attempts: int = 0
     times_sent: int = 0
     ran: bool = False
+    expected_share: float = 0.0
     retry_reserved: bool = False
     retry_spent_at: float = 0.0
     model: str = ""
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -54,6 +54,7 @@
     "permit_waits": Family("Requests that waited for an endpoint's permit"),
     "request_limits": Family("Changes of endpoints' limits on requests", "change"),
     "endpoint_pauses": Family("Pauses that endpoints asked for", "answer"),
+    "shed": Family("Requests refused on arrival because room was short", "reason"),
     "retries": Family("Attempts after the first"),
     "brittle_rejections": Family("Requests that brittle endpoints turned away"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -21,6 +21,7 @@
     endpoint_pauses,
     forwarder,
     in_force,
+    load_admission,
     outcomes,
     pace,
     peer_gossip,
@@ -48,6 +49,7 @@
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
@@ -60,6 +62,7 @@
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.store_era import StoreEra
@@ -413,6 +416,14 @@
         aiohttp.TCPConnector.connect,
         "transport",
     ),
+    ("load_admission", LoadAdmission, "refuse", always(None), "load_admission"),
+    ("load_heard", load_admission, "MINIMUM_HEARD", 0.0, "load_admission"),
+    ("load_margin", load_admission, "CLEAR_MARGIN", 0.3, "load_admission"),
+    ("load_spread", load_admission, "retry_after", always(1.0), "load_admission"),
+    ("load_shedding", LoadAdmission, "_end_shedding", always(None), "load_admission"),
+    ("load_demand", ServiceDemand, "learn", always(None), "load_admission"),
+    ("load_full", LoadAdmission, "is_full", always(False), "load_admission"),
+    ("load_herd", Selection, "_all_are_full", always(False), "load_admission"),
     ("room_selection", EndpointRoom, "fits", always(True), "room"),
     ("room_reported", PeerGossip, "_token_rows", always([]), "room"),
     ("room_in_use", Sender, "begin_load", load_without_tokens, "room"),
--- a/tests/forwarding/test_room.py
+++ b/tests/forwarding/test_room.py
@@ -87,7 +87,7 @@
     daemon = ready_daemon()
     home, _ = send(daemon, admit(daemon, long_head(1)))
     datagram = encode_message(daemon.peers.build(), secret=SECRET)
-    monkeypatch.setattr(daemon_messages, "TOKENS_ROW", "unknown")
+    monkeypatch.setattr(daemon_messages, "SUMS_PREFIX", "unknown")
     report = decode_message(datagram, secret=SECRET).report
     loads = {name: in_flight for name, in_flight, _ in report.loads}
     assert loads[home.name] == 1
