Refuse accounts that use more than their share first while room is short

Callers of all client accounts were refused or late when one account sent many times its usual: refusals on arrival hit the accounts by the number of their requests.

Daemons add up the time of endpoints that each account's admitted requests take, as a sum that decays, and report the largest accounts while all endpoints of a service are full. While the expected wait is over half of the objective, an account that uses more than twice its fair share, or three quarters of all, is refused first. Near the deadline, accounts below their share get more of their requests served, those above it fewer. An urgent account over its share counts like the others. Nothing is kept free for an account.

--- a/linnetladder/forwarding/coordination/load_admission.py
+++ b/linnetladder/forwarding/coordination/load_admission.py
@@ -20,6 +20,10 @@
 import xxhash
 
 from linnetladder.errors import ErrorKind, Refusal
+from linnetladder.forwarding.coordination.account_shares import (
+    AccountShares,
+    share_for,
+)
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads, PeerSums
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
@@ -83,6 +87,7 @@
     """Why a request is refused on arrival."""
 
     DEADLINE = "deadline"
+    SHARE = "share"
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,6 +168,7 @@
         loads: EndpointLoads,
         room: EndpointRoom,
         demand: ServiceDemand,
+        shares: AccountShares,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -170,6 +176,7 @@
         self.loads = loads
         self.room = room
         self.demand = demand
+        self.shares = shares
         self.clock = clock
         self.metrics = metrics
         self.shortages: dict[str, ServiceShortage] = {}
@@ -186,36 +193,44 @@
     ) -> Refusal | None:
         """Return a refusal, or ``None`` to admit a request that has just arrived."""
         now = self.clock.monotonic()
-        urgent = request.priority <= URGENT_PRIORITY
-        self.demand.count(request.service, urgent=urgent)
         self._end_shedding(now)
-        demand = self.demand.total(request.service)
+        service, account = request.service, request.account_name
         wait = self.expected_wait = self._expected_wait(inputs)
-        shortage = self.shortages.setdefault(request.service, ServiceShortage())
-        if wait > request.route.objective_seconds * SHORTAGE_SHARE:
+        shortage = self.shortages.setdefault(service, ServiceShortage())
+        is_short = wait > request.route.objective_seconds * SHORTAGE_SHARE
+        if is_short:
             shortage.note_short(now)
+        is_over = is_short and self.shares.is_over(service, account)
+        urgent = request.priority <= URGENT_PRIORITY and not is_over
+        remaining = max(request.deadline - now, 0.0)
+        seconds = self._service_seconds(request, model)
+        if is_over and request.priority > URGENT_PRIORITY:
+            reason = ShedReason.SHARE
+            return self._shed(request, shortage, reason, wait, seconds, remaining)
+        self.demand.count(service, urgent=urgent)
+        demand = self.demand.total(service)
         if wait <= 0 or now - shortage.short_at > SHORTAGE_END_SECONDS:
             shortage.add_share(now, 1.0, age=demand.age)
+            self.shares.note_admitted(service, account, seconds)
             return None
-        remaining = max(request.deadline - now, 0.0)
         rate = sum(map(self.room.requests_per_second, self.selection.eligible(inputs)))
         wait = max(wait + predicted_growth(demand, rate, shortage.share), 0.0)
-        expected = wait + self._service_seconds(request, model)
-        request.expected_share = expected / max(remaining, 1e-9)
+        request.expected_share = (wait + seconds) / max(remaining, 1e-9)
         shortage.note_demand(now, overloaded=demand.exceeds(rate))
-        slack = shortage.margin(now) * remaining - expected
+        slack = shortage.margin(now) * remaining - wait - seconds
         share = admitted_share(demand, rate, slack)
         shortage.add_share(now, share, age=demand.age)
-        reason = None
         if urgent:
             # Endpoints may serve them first, so only their own demand counts.
             share = 1.0 if demand.urgent <= rate or slack >= 0 else 0.0
+        else:
+            share = share_for(share, self.shares.relative_use(service, account))
         if _draw(request) >= share:
             reason = ShedReason.DEADLINE
-        shortage.count(now, refused=reason is not None)
-        if reason is None:
-            return None
-        return self._shed(request, shortage, reason, wait, expected, remaining)
+            return self._shed(request, shortage, reason, wait, seconds, remaining)
+        shortage.count(now, refused=False)
+        self.shares.note_admitted(service, account, seconds)
+        return None
 
     def learn_end(self, request: ForwardRequest, *, served: bool) -> None:
         """Record once whether an admitted request was served by its deadline."""
@@ -295,11 +310,16 @@
         shortage: ServiceShortage,
         reason: ShedReason,
         wait: float,
-        expected: float,
+        seconds: float,
         remaining: float,
     ) -> Refusal:
-        """Count a refusal and return it."""
-        shortage.refused_at = self.clock.monotonic()
+        """Count a refusal and return it.
+
+        The request was expected to wait and then to run for some seconds.
+        """
+        now = shortage.refused_at = self.clock.monotonic()
+        shortage.count(now, refused=True)
+        expected = wait + seconds
         shortage.refusals += 1
         self.metrics.count("shed", label=reason)
         if not shortage.shedding:
@@ -311,7 +331,7 @@
                 expected_wait=round(wait, 3),
             )
         request.history.append(f"expected {expected:.2f} s of {remaining:.2f} s")
-        seconds = retry_after(
+        retry_seconds = retry_after(
             f"{request.head.attempt_id}\0{request.fingerprint}",
             first=max(expected - remaining, MINIMUM_RETRY_SECONDS),
             spread=shortage.spread_seconds(wait),
@@ -321,9 +341,14 @@
             f"service {request.service!r} is expected to serve the request in "
             f"{expected:.2f} s, and {remaining:.2f} s are left"
         )
-        return Refusal(
-            ErrorKind.DEADLINE_UNREACHABLE, detail, retry_after_seconds=seconds
-        )
+        kind = ErrorKind.DEADLINE_UNREACHABLE
+        if reason is ShedReason.SHARE:
+            kind = ErrorKind.OVERLOADED
+            detail = (
+                f"service {request.service!r} has little room, and the client account "
+                f"uses more than its share"
+            )
+        return Refusal(kind, detail, retry_after_seconds=retry_seconds)
 
     def _end_shedding(self, now: float) -> None:
         for service, shortage in self.shortages.items():
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -11,6 +11,10 @@
 
 import xxhash
 
+from linnetladder.forwarding.coordination.account_shares import (
+    USE_ROW_BYTES,
+    AccountShares,
+)
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.directory import (
@@ -70,6 +74,8 @@
 # it is costs less than one that looks failed.
 TOKEN_ROW_BYTES = 9
 TOKENS_SHARE = 0.1
+# Share of a report that the use of accounts may take.
+USES_SHARE = 0.1
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -113,6 +119,7 @@
         limits: RequestLimits,
         room: EndpointRoom,
         demand: ServiceDemand,
+        shares: AccountShares,
         rollouts: RolloutController,
         bills: BillBuffer,
         bill_replicas: BillReplicas,
@@ -131,6 +138,7 @@
         self.limits = limits
         self.room = room
         self.demand = demand
+        self.shares = shares
         self.rollouts = rollouts
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -325,9 +333,11 @@
         loads = outcomes = None
         tokens = []
         demand = []
+        uses = []
         if with_rows:
             demand = self.demand.export()
-            room -= len(demand) * DEMAND_ROW_BYTES
+            uses = self.shares.export(maximum_bytes=room * USES_SHARE)
+            room -= len(demand) * DEMAND_ROW_BYTES + len(uses) * USE_ROW_BYTES
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
             loads, outcomes, size = self._rows(room)
@@ -348,6 +358,7 @@
             findings=findings,
             tokens=tokens,
             demand=demand,
+            uses=uses,
             sent_at=round(self.clock.unix(), 2) if demand else 0.0,
         )
         message = self._message(report=report)
@@ -500,6 +511,7 @@
             }
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
             self.demand.learn(peer, report.demand, sent_at=report.sent_at)
+            self.shares.learn(peer, report.uses)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/service_demand.py
+++ b/linnetladder/forwarding/coordination/service_demand.py
@@ -95,7 +95,6 @@
         for service, _ in self.rates:
             if self.is_full(service):
                 self.short_at[service] = now
-        since = now - SHORT_SECONDS
         return [
             (
                 service,
@@ -103,10 +102,18 @@
                 self._own(service, urgent=True),
                 self.room.own_held(service),
             )
-            for service, short_at in self.short_at.items()
-            if short_at >= since
+            for service in self.full_services()
         ]
 
+    def full_services(self) -> list[str]:
+        """Return the services that were full lately."""
+        since = self.clock.monotonic() - SHORT_SECONDS
+        return [name for name, full_at in self.short_at.items() if full_at >= since]
+
+    def scale(self, reports: int) -> float:
+        """Return the factor from the sums over some peers to those over all."""
+        return max((self.room.loads.daemons - 1) / max(reports, 1), 1.0)
+
     def learn(
         self, peer: str, rows: Iterable[DemandRow], *, sent_at: float = 0.0
     ) -> None:
@@ -144,7 +151,7 @@
             if now - report.received > RECENT_SECONDS:
                 del self.reports[peer]
         number = max(len(self.reports), 1)
-        scale = max((self.room.loads.daemons - 1) / number, 1.0)
+        scale = self.scale(number)
         age = sum(map(self._age, self.reports.values())) / number
         sums: dict[str, tuple[float, float]] = {}
         held: dict[str, list[float]] = {}
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -13,6 +13,7 @@
     StorePoller,
     TableInForce,
 )
+from linnetladder.forwarding.coordination.account_shares import AccountShares
 from linnetladder.forwarding.coordination.admission import AdmissionControl
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
@@ -130,6 +131,7 @@
     in_force = TableInForce(settings=holder, clock=clock)
     room = EndpointRoom(in_force=in_force, loads=loads)
     demand = ServiceDemand(room=room, clock=clock)
+    shares = AccountShares(demand=demand, clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -163,6 +165,7 @@
         limits=limits,
         room=room,
         demand=demand,
+        shares=shares,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -261,6 +264,7 @@
         loads=loads,
         room=room,
         demand=demand,
+        shares=shares,
         clock=clock,
         metrics=metrics,
     )
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -50,6 +50,9 @@
 UNITS_PER_DEMAND = 100
 HELD_UNITS_PER_SECOND = 1_000
 SENT_ROW = "#sent"
+# The service's name follows.
+USE_ROW = "#use "
+USE_UNITS_PER_SECOND = 100
 SENT_UNITS_PER_SECOND = 100
 # Number of counts in a row of outcomes.
 OUTCOME_COUNTS = 9
@@ -103,6 +106,9 @@
       and that are not urgent, urgent ones, and for how many seconds a request holds a
       slot, 0 if unknown; only in reports with ``loads``
 
+    * ``uses``: service that is full, account, decayed seconds of endpoints' time; only
+      in reports with ``loads``
+
     ``sent_at`` is the sender's Unix time in a report with ``demand``, otherwise 0.
 
 
@@ -133,6 +139,7 @@
         default_factory=list
     )
     sent_at: float = 0.0
+    uses: list[tuple[str, str, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -328,6 +335,11 @@
         reads=reads,
         tokens=[(name, units) for kind, name, units in sums if kind == TOKENS_ROW],
         demand=_demand(sums),
+        uses=[
+            (kind.removeprefix(USE_ROW), account, units / USE_UNITS_PER_SECOND)
+            for kind, account, units in sums
+            if kind.startswith(USE_ROW)
+        ],
         sent_at=max(
             (n / SENT_UNITS_PER_SECOND for kind, _, n in sums if kind == SENT_ROW),
             default=0.0,
@@ -341,6 +353,9 @@
     if report.demand:
         sent_at = round(report.sent_at * SENT_UNITS_PER_SECOND)
         rows.append((SENT_ROW, report.demand[0][0], sent_at))
+    for service, account, seconds in report.uses:
+        units = round(seconds * USE_UNITS_PER_SECOND)
+        rows.append((f"{USE_ROW}{service}", account, units))
     for service, rate, urgent, held in report.demand:
         rows.append((DEMAND_ROW, service, round(rate * UNITS_PER_DEMAND)))
         if urgent > 0:
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -13,6 +13,7 @@
 
 from linnetladder.coordination import permit_schedule
 from linnetladder.forwarding.coordination import (
+    account_shares,
     bill_flushing,
     bill_replicas,
     bills,
@@ -37,6 +38,7 @@
     sender,
     store_polling,
 )
+from linnetladder.forwarding.coordination.account_shares import AccountShares
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas, HeldBlock
@@ -193,6 +195,11 @@
     return self.loads.begin(endpoint, model=model, tokens=0)
 
 
+def same_share(share, relative_use):
+    """Return the same share of requests for each account."""
+    return share
+
+
 MUTATIONS = [
     (
         "snapshots_echo",
@@ -416,6 +423,11 @@
         aiohttp.TCPConnector.connect,
         "transport",
     ),
+    ("shares_over", AccountShares, "is_over", always(False), "account_shares"),
+    ("shares_reported", AccountShares, "export", always([]), "account_shares"),
+    ("shares_learned", AccountShares, "learn", always(None), "account_shares"),
+    ("shares_equal", load_admission, "share_for", same_share, "account_shares"),
+    ("shares_factor", account_shares, "OVERUSE_FACTOR", 1.0, "account_shares"),
     ("load_admission", LoadAdmission, "refuse", always(None), "load_admission"),
     ("load_heard", load_admission, "MINIMUM_HEARD", 0.0, "load_admission"),
     ("load_margin", load_admission, "CLEAR_MARGIN", 0.3, "load_admission"),
