--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -11,6 +11,10 @@
 
 import xxhash
 
+from linnetladder.forwarding.coordination.account_shares import (
+    USE_ROW_BYTES,
+    AccountShares,
+)
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
 from linnetladder.forwarding.coordination.bills import BillBuffer
 from linnetladder.forwarding.coordination.directory import (
@@ -28,6 +32,10 @@
 )
 from linnetladder.forwarding.coordination.rollouts import RolloutController
 from linnetladder.forwarding.coordination.room import EndpointRoom
+from linnetladder.forwarding.coordination.service_demand import (
+    DEMAND_ROW_BYTES,
+    ServiceDemand,
+)
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.protocol.daemon_messages import (
@@ -66,6 +74,8 @@
 # it is costs less than one that looks failed.
 TOKEN_ROW_BYTES = 9
 TOKENS_SHARE = 0.1
+# Share of a report that the use of accounts may take.
+USES_SHARE = 0.1
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -108,6 +118,8 @@
         crashes: CrashLog,
         limits: RequestLimits,
         room: EndpointRoom,
+        demand: ServiceDemand,
+        shares: AccountShares,
         rollouts: RolloutController,
         bills: BillBuffer,
         bill_replicas: BillReplicas,
@@ -125,6 +137,8 @@
         self.crashes = crashes
         self.limits = limits
         self.room = room
+        self.demand = demand
+        self.shares = shares
         self.rollouts = rollouts
         self.bills = bills
         self.bill_replicas = bill_replicas
@@ -318,7 +332,12 @@
         room -= len(limits) * LIMIT_ROW_BYTES
         loads = outcomes = None
         tokens = []
+        demand = []
+        uses = []
         if with_rows:
+            demand = self.demand.export()
+            uses = self.shares.export(maximum_bytes=room * USES_SHARE)
+            room -= len(demand) * DEMAND_ROW_BYTES + len(uses) * USE_ROW_BYTES
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
             loads, outcomes, size = self._rows(room)
@@ -338,6 +357,9 @@
             limits=limits,
             findings=findings,
             tokens=tokens,
+            demand=demand,
+            uses=uses,
+            sent_at=round(self.clock.unix(), 2) if demand else 0.0,
         )
         message = self._message(report=report)
         self.snapshots.record_sent(message.sequence)
@@ -409,13 +431,14 @@
     def _token_rows(self, maximum_bytes: float) -> list[tuple[str, int]]:
         """Return the tokens in flight by endpoint, the most first.
 
-        Only endpoints whose service names a capacity in tokens have rows.
+        Only endpoints whose memory may be full before their slots have rows, since
+        these take the place of loads.
         """
         held = [
             (name, tokens)
             for name, tokens in self.loads.cache_tokens.items()
             if (endpoint := self.table.endpoints.get(name)) is not None
-            and self.room.capacity_of(endpoint)
+            and self.room.is_bound_by_memory(endpoint)
         ]
         held.sort(key=lambda row: row[1], reverse=True)
         kept = held[: int(max(maximum_bytes, 0.0) // TOKEN_ROW_BYTES)]
@@ -511,6 +534,8 @@
                 name: (count, backlog) for name, count, backlog in report.loads
             }
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
+            self.demand.learn(peer, report.demand, sent_at=report.sent_at)
+            self.shares.learn(peer, report.uses)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterable
 
 import xxhash
@@ -110,6 +111,7 @@
         self.homes = homes
         self.clock = clock
         self.own_domain = own_domain
+        self.choices = itertools.count()
         self.holders: collections.OrderedDict[str, dict[tuple[str, str], float]] = (
             collections.OrderedDict()
         )
@@ -127,6 +129,10 @@
         candidates = self.candidates(inputs)
         if inputs.has_prompt:
             return self._score_for_prompt(candidates, inputs)
+        if self._all_are_full(candidates):
+            choice = next(self.choices)
+            ranked = self._ranked(candidates, f"{self.own_domain}{choice}")
+            return [ScoredCandidate(e, self._own_load_terms(e)) for e in ranked]
         ranked = self._ranked(candidates, self.own_domain)
         return [ScoredCandidate(e, self._load_terms(e)) for e in ranked]
 
@@ -263,6 +269,22 @@
             terms["full"] = FULL_PENALTY_SECONDS
         return terms
 
+    def _all_are_full(self, candidates: list[Endpoint]) -> bool:
+        in_flight = sum(map(self.loads.in_flight_of, candidates))
+        return in_flight >= sum(endpoint.capacity for endpoint in candidates)
+
+    def _own_load_terms(self, endpoint: Endpoint) -> dict[str, float]:
+        """Return the terms of the load by this daemon's own requests.
+
+        While endpoints are full, reports of their queues are late, and all daemons
+        would send to the one whose queue was the shortest. Each spreads its own
+        requests instead, of which more stay at a slower endpoint.
+        """
+        return {
+            "own_in_flight": endpoint.in_flight / endpoint.capacity,
+            "failures": self.outcomes.failure_rate(endpoint.name),
+        }
+
     def _load_terms(self, endpoint: Endpoint) -> dict[str, float]:
         """Return the terms of the relative load, for requests without a prompt."""
         terms = {
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -13,6 +13,7 @@
     StorePoller,
     TableInForce,
 )
+from linnetladder.forwarding.coordination.account_shares import AccountShares
 from linnetladder.forwarding.coordination.admission import AdmissionControl
 from linnetladder.forwarding.coordination.availability import EndpointAvailability
 from linnetladder.forwarding.coordination.bill_flushing import BillFlusher
@@ -34,6 +35,7 @@
 from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.explaining import RouteExplainer
 from linnetladder.forwarding.coordination.homes import Homes
+from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -46,6 +48,7 @@
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.forwarding.coordination.shared_reads import SharedReads
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sizing import ConfidenceCascade
@@ -105,6 +108,7 @@
     paths: PeerPaths
     relay_control: RelayControl
     selection: Selection
+    load_admission: LoadAdmission
     sender: Sender
     forwarder: Forwarder
     explainer: RouteExplainer
@@ -151,6 +155,8 @@
     room = EndpointRoom(in_force=in_force, loads=loads)
     evacuations = Evacuations(clock=clock)
     evacuations.on_return = paces.note_domain_returned
+    demand = ServiceDemand(room=room, clock=clock)
+    shares = AccountShares(demand=demand, clock=clock)
     rollouts = RolloutController(
         source=source,
         directory=directory,
@@ -183,6 +189,8 @@
         crashes=crashes,
         limits=limits,
         room=room,
+        demand=demand,
+        shares=shares,
         rollouts=rollouts,
         bills=bills,
         bill_replicas=bill_replicas,
@@ -296,8 +304,18 @@
         availability=availability,
         metrics=metrics,
     )
+    load_admission = LoadAdmission(
+        selection=selection,
+        loads=loads,
+        room=room,
+        demand=demand,
+        shares=shares,
+        clock=clock,
+        metrics=metrics,
+    )
     forwarder = Forwarder(
         admission=AdmissionControl(in_force=in_force, budget=budget, crashes=crashes),
+        load_admission=load_admission,
         in_force=in_force,
         sender=sender,
         sizing=ConfidenceCascade(
@@ -338,6 +356,7 @@
         paths=paths,
         relay_control=relay_control,
         selection=selection,
+        load_admission=load_admission,
         sender=sender,
         forwarder=forwarder,
         explainer=RouteExplainer(
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -62,6 +62,7 @@
     "home_refusals": Family(
         "Requests refused since no endpoint is in a region that they may use"
     ),
+    "shed": Family("Requests refused on arrival because room was short", "reason"),
     "retries": Family("Attempts after the first"),
     "brittle_rejections": Family("Requests that brittle endpoints turned away"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -13,6 +13,7 @@
 
 from linnetladder.coordination import permit_schedule, permit_slots
 from linnetladder.forwarding.coordination import (
+    account_shares,
     admission,
     availability,
     bill_flushing,
@@ -27,6 +28,7 @@
     evacuations,
     forwarder,
     in_force,
+    load_admission,
     outcomes,
     pace,
     peer_gossip,
@@ -45,6 +47,7 @@
     shared_snapshots,
     store_polling,
 )
+from linnetladder.forwarding.coordination.account_shares import AccountShares
 from linnetladder.forwarding.coordination.availability import (
     EndpointAvailability,
     ObstacleReason,
@@ -66,6 +69,7 @@
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
@@ -79,6 +83,7 @@
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.forwarding.coordination.selection import Selection
 from linnetladder.forwarding.coordination.sender import Sender
+from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sources import StoreSnapshot
@@ -327,6 +332,11 @@
     return self.loads.begin(endpoint, model=model, tokens=0)
 
 
+def same_share(share, relative_use):
+    """Return the same share of requests for each account."""
+    return share
+
+
 MUTATIONS = [
     (
         "snapshots_echo",
@@ -591,6 +601,19 @@
         aiohttp.TCPConnector.connect,
         "transport",
     ),
+    ("shares_over", AccountShares, "is_over", always(False), "account_shares"),
+    ("shares_reported", AccountShares, "export", always([]), "account_shares"),
+    ("shares_learned", AccountShares, "learn", always(None), "account_shares"),
+    ("shares_equal", load_admission, "share_for", same_share, "account_shares"),
+    ("shares_factor", account_shares, "OVERUSE_FACTOR", 1.0, "account_shares"),
+    ("load_admission", LoadAdmission, "refuse", always(None), "load_admission"),
+    ("load_heard", load_admission, "MINIMUM_HEARD", 0.0, "load_admission"),
+    ("load_margin", load_admission, "CLEAR_MARGIN", 0.3, "load_admission"),
+    ("load_spread", load_admission, "retry_after", always(1.0), "load_admission"),
+    ("load_shedding", LoadAdmission, "_end_shedding", always(None), "load_admission"),
+    ("load_demand", ServiceDemand, "learn", always(None), "load_admission"),
+    ("load_full", LoadAdmission, "is_full", always(False), "load_admission"),
+    ("load_herd", Selection, "_all_are_full", always(False), "load_admission"),
     ("room_selection", EndpointRoom, "fits", always(True), "room"),
     ("room_reported", PeerGossip, "_token_rows", always([]), "room"),
     ("room_in_use", Sender, "begin_load", load_without_tokens, "room"),
