--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -141,7 +141,7 @@
         """Return a refusal if a request can't be served by its deadline."""
         model = request.head.model
         if model == ANY_MODEL and request.route.models:
-            position = self.sizing.first_position(self._sizing_inputs(request))
+            position = self.sizing.first_position(self.sizing_inputs(request))
             model = request.route.models[position]
         inputs = self.sender.selection_inputs(request, model)
         return self.load_admission.refuse(request, inputs, model)
