Explain the load of a service, and choose once when a route is explained

The explanation left out whether room is short and the account over its share, and asked the selection twice: while all endpoints of a plain service are full, two choices in a row differ, so the endpoint that was named could have another score than the lowest. It now takes the best of the scores that it shows, and says the expected wait.

--- a/linnetladder/forwarding/coordination/explaining.py
+++ b/linnetladder/forwarding/coordination/explaining.py
@@ -85,6 +85,7 @@
             model = self.forwarder.requested_model(request, position)
             models = self.forwarder.sizing.explain(sizing_inputs)
         inputs = self.sender.selection_inputs(request, model)
+        wait, is_short, is_over = self.forwarder.load_admission.explain(request, inputs)
         endpoints = self._explain_endpoints(inputs)
         chosen = next((e.name for e in endpoints if e.chosen), "")
         refusal = self.sender.refuse_attempt(request, None)
@@ -98,6 +99,9 @@
             "models": models,
             "endpoint": chosen,
             "permit_wait_seconds": permit_wait,
+            "expected_wait_seconds": wait,
+            "room_is_short": is_short,
+            "over_share": is_over,
             "refusal": _describe(refusal) if refusal is not None else "",
             "score_unit": (
                 "seconds" if inputs.has_prompt else "requests in flight per slot"
@@ -112,7 +116,8 @@
         availability = self.selection.availability
         scored = self.selection.scored_candidates(inputs)
         scores = {candidate.endpoint.name: candidate for candidate in scored}
-        chosen = self.selection.choose(inputs)
+        best = min(scored, key=lambda candidate: candidate.score, default=None)
+        chosen = best.endpoint if best is not None else None
         explanations = []
         for endpoint in self.selection.pool_endpoints(inputs):
             obstacle = availability.obstacle(endpoint)
--- a/linnetladder/forwarding/coordination/load_admission.py
+++ b/linnetladder/forwarding/coordination/load_admission.py
@@ -232,6 +232,19 @@
         self.shares.note_admitted(service, account, seconds)
         return None
 
+    def explain(
+        self, request: ForwardRequest, inputs: SelectionInputs
+    ) -> tuple[float, bool, bool]:
+        """Return the expected wait, and what decides while requests are refused.
+
+        That is whether room is short, and whether the account is over its share then.
+        Nothing is counted. Whether one request is refused also depends on its id.
+        """
+        wait = self._expected_wait(inputs)
+        is_short = wait > request.route.objective_seconds * SHORTAGE_SHARE
+        is_over = self.shares.is_over(request.service, request.account_name)
+        return wait, is_short, is_short and is_over
+
     def learn_end(self, request: ForwardRequest, *, served: bool) -> None:
         """Record once whether an admitted request was served by its deadline."""
         if request.expected_share > 0:
--- a/linnetladder/forwarding/state/explanations.py
+++ b/linnetladder/forwarding/state/explanations.py
@@ -75,7 +75,9 @@
     ``refusal`` is empty if the request would be sent. ``model`` is asked first, and
     ``endpoints`` are rated for it; it is empty if the caller or the endpoint chooses.
     The scores are in ``score_unit``. If all endpoints are at a limit, the request would
-    wait ``permit_wait_seconds`` for the first one.
+    wait ``permit_wait_seconds`` for the first one. ``expected_wait_seconds`` is the
+    wait at the best endpoint. While ``room_is_short``, requests that can't be served by
+    their deadline are refused, first those of an account with ``over_share``.
     """
 
     instance: str
@@ -91,5 +93,8 @@
     models: tuple[ModelExplanation, ...] = ()
     endpoint: str = ""
     permit_wait_seconds: float | None = None
+    expected_wait_seconds: float = 0.0
+    room_is_short: bool = False
+    over_share: bool = False
     score_unit: str = ""
     endpoints: tuple[EndpointExplanation, ...] = ()
--- a/linnetladder/management/commands/explain_route.py
+++ b/linnetladder/management/commands/explain_route.py
@@ -159,6 +159,13 @@
                 f" {model.next_model}"
             )
         rows.append(("first model" if model.first else "then", text))
+    if explanation.service:
+        wait = f"{explanation.expected_wait_seconds:.3f} s"
+        if explanation.room_is_short:
+            wait += ", room is short"
+        if explanation.over_share:
+            wait += ", the account uses more than its share"
+        rows.append(("expected wait", wait))
     if explanation.refusal:
         rows.append(("refused", explanation.refusal))
     if explanation.permit_wait_seconds is not None:
--- a/tests/forwarding/test_explaining.py
+++ b/tests/forwarding/test_explaining.py
@@ -210,3 +210,18 @@
     assert run(arguments) == ExitCode.UNREACHABLE
     assert run(["explain-route", "draft"]) == ExitCode.USAGE
     assert "can't reach" in capsys.readouterr().err
+
+
+def test_explanation_says_that_room_is_short():
+    """Guards against an explanation that leaves the load out, and against counting."""
+    daemon = ready_daemon()
+    explained = daemon.explainer.explain(RouteQuestion(route="draft", account="studio"))
+    assert not explained.room_is_short
+    for endpoint in daemon.table.endpoints.values():
+        for _ in range(endpoint.capacity + 1):
+            daemon.loads.begin(endpoint, model="m0", tokens=200_000)
+    counted = daemon.load_admission.demand.total("engines")
+    explained = daemon.explainer.explain(RouteQuestion(route="draft", account="studio"))
+    assert explained.room_is_short
+    assert explained.expected_wait_seconds > 1.0
+    assert daemon.load_admission.demand.total("engines") == counted
