--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -492,7 +492,7 @@
     ("urgency", sender, "urgency", always(5), "streams"),
     ("quarantine", quarantine.Quarantine, "eject", always(None), "quarantine"),
     ("untried_endpoints", Selection, "candidates", None, "attempts"),
-    ("signature", daemon_messages, "_sign", always(b"x" * 16), "peer_gossip"),
+    ("signature", daemon_messages, "sign", always(b"x" * 16), "peer_gossip"),
     ("era_from_peers", StoreEra, "observe", always(True), "store_era"),
     ("era_peers", peer_gossip, "PEER_GRACE_SECONDS", -1.0, "store_era"),
     ("era_read_jitter", store_polling, "ERA_READ_JITTER_SECONDS", 0.0, "store_era"),
