--- a/linnetladder/forwarding/coordination/explaining.py
+++ b/linnetladder/forwarding/coordination/explaining.py
@@ -85,7 +85,7 @@
             model = self.forwarder.requested_model(request, position)
             models = self.forwarder.sizing.explain(sizing_inputs)
         inputs = self.sender.selection_inputs(request, model)
-        wait, is_short, is_over = self.forwarder.load_admission.explain(request, inputs)
+        load = self.forwarder.load_admission.explain(request, inputs)
         endpoints = self._explain_endpoints(inputs)
         chosen = next((e.name for e in endpoints if e.chosen), "")
         refusal = self.sender.refuse_attempt(request, None)
@@ -99,9 +99,9 @@
             "models": models,
             "endpoint": chosen,
             "permit_wait_seconds": permit_wait,
-            "expected_wait_seconds": wait,
-            "room_is_short": is_short,
-            "over_share": is_over,
+            "expected_wait_seconds": load.expected_wait_seconds,
+            "room_is_short": load.room_is_short,
+            "over_share": load.over_share,
             "refusal": _describe(refusal) if refusal is not None else "",
             "score_unit": (
                 "seconds" if inputs.has_prompt else "requests in flight per slot"
--- a/linnetladder/forwarding/coordination/load_admission.py
+++ b/linnetladder/forwarding/coordination/load_admission.py
@@ -32,7 +32,13 @@
 from linnetladder.state import Clock, Endpoint
 from linnetladder.telemetry import Metrics, log_change
 
-__all__ = ["LoadAdmission", "ServiceShortage", "ShedReason", "retry_after"]
+__all__ = [
+    "LoadAdmission",
+    "LoadEstimate",
+    "ServiceShortage",
+    "ShedReason",
+    "retry_after",
+]
 
 # Room is short while the expected wait is over this share of the route's objective.
 SHORTAGE_SHARE = 0.5
@@ -158,6 +164,19 @@
         return min(max(wait * ratio, MINIMUM_SPREAD_SECONDS), MAXIMUM_SPREAD_SECONDS)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadEstimate:
+    """The expected wait for an endpoint, and what follows from it.
+
+    ``over_share`` is set if room is short and the request's account uses more than its
+    share.
+    """
+
+    expected_wait_seconds: float
+    room_is_short: bool
+    over_share: bool
+
+
 class LoadAdmission:
     """Refuses requests for which there is no room before their deadline."""
 
@@ -232,18 +251,19 @@
         self.shares.note_admitted(service, account, seconds)
         return None
 
-    def explain(
-        self, request: ForwardRequest, inputs: SelectionInputs
-    ) -> tuple[float, bool, bool]:
-        """Return the expected wait, and what decides while requests are refused.
+    def explain(self, request: ForwardRequest, inputs: SelectionInputs) -> LoadEstimate:
+        """Return what decides on a request, without counting it.
 
-        That is whether room is short, and whether the account is over its share then.
-        Nothing is counted. Whether one request is refused also depends on its id.
+        While room is short, whether one request is refused also depends on its id.
         """
         wait = self._expected_wait(inputs)
         is_short = wait > request.route.objective_seconds * SHORTAGE_SHARE
         is_over = self.shares.is_over(request.service, request.account_name)
-        return wait, is_short, is_short and is_over
+        return LoadEstimate(
+            expected_wait_seconds=wait,
+            room_is_short=is_short,
+            over_share=is_short and is_over,
+        )
 
     def learn_end(self, request: ForwardRequest, *, served: bool) -> None:
         """Record once whether an admitted request was served by its deadline."""
--- a/linnetladder/forwarding/coordination/shared_reads.py
+++ b/linnetladder/forwarding/coordination/shared_reads.py
@@ -53,9 +53,11 @@
 
 
 class SharedReads:
-    """Reads the store through the reader of this daemon's group, and as such a reader.
+    """Reads the store through the reader of this daemon's group, or as that reader.
 
-    ``send`` sends a message to a host and port; it returns false if it can't.
+    ``send`` sends a message to a host and port; it returns false if it can't. ``held``
+    is the content of the last read, and ``recent`` holds the revisions of the latest
+    contents by their digest. ``requests`` wait for this daemon's next read.
     """
 
     def __init__(
