Learn quickly how fast models read, and tell peers

Cause: all models were taken to read a token in 25 us at first and each answer moved that by 4%. A long read seemed three times shorter than it was, so prompts were sent behind it.

Change: the first answers move the estimate by larger steps, and a daemon with few answers of its own uses the median of what its peers report.

An estimate that started from the peers' one could be misled by one of them for long (found by its test); it now starts from the same value everywhere.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -202,12 +202,15 @@
         str((Path(FLAGS.sites) / site.file).resolve()),
         day,
         "--no-cpu",
-        "--jobs=1",
-        f"--report={report}",
-        f"--why={why}; trial, variant {variant.name}",
+        "--jobs",
+        "1",
+        "--report",
+        str(report),
+        "--why",
+        f"{why}; trial, variant {variant.name}",
     ]
     if seed != OWN_SEED:
-        command.append(f"--seed={seed}")
+        command += ["--seed", str(seed)]
     played = subprocess.run(command, cwd=directory, capture_output=True, text=True)
     if not report.exists():
         raise ExperimentError(f"{label}: {played.stdout[-500:]}{played.stderr[-500:]}")
@@ -245,7 +248,14 @@
     """Print what each variant changes, by site and over all."""
     baseline = experiment.variants[0].name
     table = Table(title=experiment.why)
-    columns = ("variant", "site", "pairs", "worth", "difference", f"{INTERVAL_PERCENT:g}%")
+    columns = (
+        "variant",
+        "site",
+        "pairs",
+        "worth",
+        "difference",
+        f"{INTERVAL_PERCENT:g}%",
+    )
     for column in (*columns, "better", "late", "failed", "refused", "rules broken"):
         table.add_column(column)
     for variant in experiment.variants:
@@ -292,7 +302,9 @@
                 for play in plays
                 if play.variant == variant.name and name in play.classes
             ]
-            row.append(", ".join(str(sum(column)) for column in zip(*counts)))
+            row.append(
+                ", ".join(str(sum(column)) for column in zip(*counts, strict=True))
+            )
         table.add_row(name, *row)
     console.print(table)
 
@@ -310,7 +322,9 @@
         pairs = compare(plays, baseline, variant.name)
         if pairs:
             differences = [new.worth - old.worth for old, new in pairs]
-            rows.append((variant.name, np.mean(differences), *bootstrap_interval(differences)))
+            rows.append(
+                (variant.name, np.mean(differences), *bootstrap_interval(differences))
+            )
     figure, axes = pyplot.subplots(figsize=(8, 1 + 0.35 * len(rows)))
     for position, (_, mean, low, high) in enumerate(rows):
         axes.plot((low, high), (position, position), color="tab:blue")
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -1,22 +1,18 @@
 """Load of endpoints, from this daemon's own requests and its peers' reports.
 
 A prompt that was sent and has not produced its first token is backlog. Its length in
-seconds is estimated from the median prefill speed measured for its model.
+seconds is estimated from the speed at which its model reads.
 """
 
 import dataclasses
 import math
 from collections.abc import Iterable
 
+from linnetladder.forwarding.coordination.reading_speeds import ReadingSpeeds
 from linnetladder.state import Clock, Endpoint
 
 __all__ = ["NO_LOAD", "EndpointLoads", "PeerLoads", "PeerSums", "RequestLoad"]
 
-# Initial estimate, for the smallest model on an idle engine. It is adjusted from the
-# first responses on.
-INITIAL_SECONDS_PER_TOKEN = 25e-6
-# Relative step by which each response moves the estimate of the median.
-LEARNING_STEP = 0.04
 # Part of the time to the first token that does not depend on the prompt's length.
 # Prompts below the minimum length say little about the prefill speed and are ignored.
 FIRST_TOKEN_OVERHEAD_SECONDS = 0.015
@@ -93,7 +89,7 @@
         self.recent = self.totals
         self.recent_updated = -math.inf
         self.daemons = 1
-        self.seconds_per_token: dict[str, float] = {}
+        self.speeds = ReadingSpeeds(clock=clock)
 
     def begin(
         self, endpoint: Endpoint, *, model: str, tokens: int, cache_tokens: int = 0
@@ -125,13 +121,13 @@
         """Record the end of a request's prefill and return the seconds it took."""
         load.first_token_at = self.clock.monotonic()
         elapsed = load.first_token_at - load.started
-        if load.tokens >= MINIMUM_MEASURED_TOKENS:
-            current = self.token_seconds(load.model)
-            measured = (elapsed - FIRST_TOKEN_OVERHEAD_SECONDS) / load.tokens
-            step = LEARNING_STEP if measured > current else -LEARNING_STEP
+        reading = elapsed - FIRST_TOKEN_OVERHEAD_SECONDS
+        if load.tokens >= MINIMUM_MEASURED_TOKENS and reading > 0:
+            measured = reading / load.tokens
+            waited = measured > self.token_seconds(load.model)
             # A prompt that waited for others, or for a slot, says only so much.
-            if step < 0 or measured * load.tokens > load.queued + load.backlog:
-                self.seconds_per_token[load.model] = current * (1.0 + step)
+            if not waited or reading > load.queued + load.backlog:
+                self.speeds.learn(load.model, measured)
         self._subtract_backlog(load)
         return elapsed
 
@@ -148,7 +144,7 @@
 
     def token_seconds(self, model: str) -> float:
         """Return the seconds that a model takes to prefill one prompt token."""
-        return self.seconds_per_token.get(model, INITIAL_SECONDS_PER_TOKEN)
+        return self.speeds.token_seconds(model)
 
     def backlog_of(self, endpoint: Endpoint) -> float:
         """Return the backlog at an endpoint in seconds, over all daemons."""
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -25,6 +25,7 @@
 from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.poison import CrashLog
+from linnetladder.forwarding.coordination.reading_speeds import SPEED_ROW_BYTES
 from linnetladder.forwarding.coordination.report_news import ReportNews
 from linnetladder.forwarding.coordination.request_limits import (
     LIMIT_ROW_BYTES,
@@ -76,6 +77,8 @@
 TOKENS_SHARE = 0.1
 # Share of a report that the use of accounts may take.
 USES_SHARE = 0.1
+# Share of a report that the speeds of models may take.
+SPEEDS_SHARE = 0.1
 # A holder sends reports to the daemons whose bills it holds. After this time without
 # one, two were lost, and the holder no longer counts as alive.
 HOLDER_TIMEOUT_SECONDS = 1.3
@@ -334,10 +337,13 @@
         tokens = []
         demand = []
         uses = []
+        speeds = []
         if with_rows:
             demand = self.demand.export()
             uses = self.shares.export(maximum_bytes=room * USES_SHARE)
             room -= len(demand) * DEMAND_ROW_BYTES + len(uses) * USE_ROW_BYTES
+            speeds = self.loads.speeds.export(maximum_bytes=room * SPEEDS_SHARE)
+            room -= len(speeds) * SPEED_ROW_BYTES
             tokens = self._token_rows(room * TOKENS_SHARE)
             room -= len(tokens) * TOKEN_ROW_BYTES
             loads, outcomes, size = self._rows(room)
@@ -359,6 +365,7 @@
             tokens=tokens,
             demand=demand,
             uses=uses,
+            speeds=speeds,
             sent_at=round(self.clock.unix(), 2) if demand else 0.0,
         )
         message = self._message(report=report)
@@ -536,6 +543,7 @@
             self.loads.learn(peer, loads_by_endpoint, dict(report.tokens))
             self.demand.learn(peer, report.demand, sent_at=report.sent_at)
             self.shares.learn(peer, report.uses)
+            self.loads.speeds.learn_report(peer, report.speeds)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -52,6 +52,8 @@
 UNITS_PER_DEMAND = 100
 HELD_UNITS_PER_SECOND = 1_000
 SENT_ROW = "#sent"
+SPEED_ROW = "#speed"
+SPEED_UNITS_PER_SECOND = 1_000_000_000
 # The service's name follows.
 USE_ROW = "#use "
 USE_UNITS_PER_SECOND = 100
@@ -111,6 +113,8 @@
       slot, 0 if unknown; only in reports with ``loads``
     * ``uses``: service that is full, account, decayed seconds of endpoints' time; only
       in reports with ``loads``
+    * ``speeds``: model, seconds in which it reads one token; only in reports with
+      ``loads``
 
     ``sent_at`` is the sender's Unix time in a report with ``demand``, otherwise 0.
 
@@ -146,6 +150,7 @@
     )
     sent_at: float = 0.0
     uses: list[tuple[str, str, float]] = dataclasses.field(default_factory=list)
+    speeds: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -354,6 +359,11 @@
         echoes=echoes,
         reads=reads,
         tokens=[(name, units) for kind, name, units in sums if kind == TOKENS_ROW],
+        speeds=[
+            (model, units / SPEED_UNITS_PER_SECOND)
+            for kind, model, units in sums
+            if kind == SPEED_ROW
+        ],
         demand=_demand(sums),
         uses=[
             (kind.removeprefix(USE_ROW), account, units / USE_UNITS_PER_SECOND)
@@ -370,6 +380,10 @@
 def _sums(report: DaemonReport) -> list[tuple[str, str, int]]:
     """Return the rows of sums: kind, name, units."""
     rows = [(TOKENS_ROW, name, tokens) for name, tokens in report.tokens]
+    rows += [
+        (SPEED_ROW, model, round(seconds * SPEED_UNITS_PER_SECOND))
+        for model, seconds in report.speeds
+    ]
     if report.demand:
         sent_at = round(report.sent_at * SENT_UNITS_PER_SECOND)
         rows.append((SENT_ROW, report.demand[0][0], sent_at))
--- a/tests/forwarding/test_long_sessions.py
+++ b/tests/forwarding/test_long_sessions.py
@@ -64,7 +64,7 @@
 def test_a_model_that_reads_slowly_stays_longer_with_what_it_has_read():
     """Guards against larger models that read a session's prompt again and again."""
     daemon = ready_daemon()
-    daemon.loads.seconds_per_token["large"] = 100e-6
+    daemon.loads.speeds.learn_report("peer", [("large", 100e-6)])
     long = prompt_head("s1", shared=LONG_TOKENS)
     _, home = choose(daemon, long, "large")
     daemon.loads.backlog[home.name] = 1.0
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -35,6 +35,7 @@
     poison,
     quarantine,
     read_groups,
+    reading_speeds,
     report_news,
     request_limits,
     rollout_orders,
@@ -76,6 +77,7 @@
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.read_groups import ReadGroups
+from linnetladder.forwarding.coordination.reading_speeds import ReadingSpeeds
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.coordination.rollout_orders import OrderBook
 from linnetladder.forwarding.coordination.rollout_records import RecordBook
@@ -119,6 +121,7 @@
 GAIN = "escalation_gain"
 EVACUATED = "evacuations"
 HOMES = "homes"
+SPEEDS = "reading_speeds"
 COLD = "cold_endpoints"
 SLOW = "caller_buffers"
 
@@ -662,6 +665,9 @@
     ("homes_chosen", PeerPaths, "choose", choose_any, HOMES),
     ("homes_on_connection", Sender, "_may_send", send_if_accepted, HOMES),
     ("homes_versions", Selection, "allowed", allowed_by_rule, HOMES),
+    ("peer_speeds", ReadingSpeeds, "learn_report", always(None), SPEEDS),
+    ("first_steps", reading_speeds, "FIRST_STEP", 0.04, SPEEDS),
+    ("own_speeds", reading_speeds, "SUFFICIENT_ANSWERS", 10**6, SPEEDS),
     ("peer_loads", selection.EndpointLoads, "learn", always(None), "peer_gossip"),
 ]
 
