Tell peers of long prompts at once

Change: a prompt that takes 0.3 s or more to read starts a round of reports, at most each 0.1 s, within the budget, and only where a round reaches all peers.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -107,6 +107,7 @@
     core.directory.on_leaving = peer_socket.send_soon
     core.rollouts.on_bad_target = peer_socket.send_soon
     core.peers.on_news = peer_socket.send_soon
+    core.loads.on_long_prompt = peer_socket.send_loads_soon
     core.limits.on_change = peer_socket.send_soon
     core.paces.on_change = peer_socket.send_soon
     fields = {
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from linnetladder.forwarding.coordination.reading_speeds import ReadingSpeeds
 from linnetladder.state import Clock, Endpoint
@@ -25,6 +25,9 @@
 # Peers report a few times a second, so more frequent sums would change little.
 TOTALS_REFRESH_SECONDS = 0.05
 NO_LOAD = (0, 0.0)
+# Peers are told at once of a prompt that takes at least this long to read. They would
+# send others to the same endpoint until the next report.
+LONG_PROMPT_SECONDS = 0.3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -90,6 +93,7 @@
         self.recent_updated = -math.inf
         self.daemons = 1
         self.speeds = ReadingSpeeds(clock=clock)
+        self.on_long_prompt: Callable[[], None] = _do_nothing
 
     def begin(
         self, endpoint: Endpoint, *, model: str, tokens: int, cache_tokens: int = 0
@@ -115,6 +119,8 @@
         held = self.cache_tokens.get(endpoint.name, 0)
         self.cache_tokens[endpoint.name] = held + cache_tokens
         self.backlog[endpoint.name] = self.backlog.get(endpoint.name, 0.0) + backlog
+        if backlog >= LONG_PROMPT_SECONDS:
+            self.on_long_prompt()
         return load
 
     def record_first_token(self, load: RequestLoad) -> float:
@@ -240,3 +246,7 @@
             remaining_backlog = self.backlog.get(load.endpoint, 0.0) - load.backlog
             self.backlog[load.endpoint] = max(remaining_backlog, 0.0)
             load.backlog = 0.0
+
+
+def _do_nothing() -> None:
+    """Do nothing; the default action when a long prompt is sent."""
--- a/linnetladder/forwarding/coordination/reading_speeds.py
+++ b/linnetladder/forwarding/coordination/reading_speeds.py
@@ -65,7 +65,7 @@
         """Move the estimate of the median towards a measured time."""
         estimate = self.own.get(model)
         if estimate is None:
-            estimate = self.own[model] = SpeedEstimate(INITIAL_SECONDS_PER_TOKEN)
+            estimate = self.own[model] = SpeedEstimate(self.token_seconds(model))
         estimate.answers += 1
         step = max(FIRST_STEP / estimate.answers, SMALLEST_STEP)
         factor = 1.0 + math.copysign(
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -6,6 +6,7 @@
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
 from linnetladder.forwarding.coordination.peer_gossip import (
     MAXIMUM_REPORT_BYTES,
+    PEERS_PER_ROUND,
     PeerGossip,
 )
 from linnetladder.forwarding.coordination.shared_reads import SharedReads
@@ -91,6 +92,7 @@
         self.lagging: set[str] = set()
         self.transport: asyncio.DatagramTransport | None = None
         self.send_requested = asyncio.Event()
+        self.loads_requested = False
 
     def use_secret(self, secret: bytes) -> None:
         """Sign messages with a secret; the one before is understood for a while."""
@@ -159,11 +161,12 @@
         while True:
             requested = await self._wait(next_round - loop.time())
             now = loop.time()
-            urgent = requested and now < next_round
+            urgent = requested and now < next_round and not self.loads_requested
             if not urgent:
                 next_round = now + SEND_INTERVAL_SECONDS
+                self.loads_requested = False
             self.send_round(now=now, urgent=urgent)
-            if urgent:
+            if requested:
                 pause = min(MINIMUM_INTERVAL_SECONDS, next_round - now)
                 await asyncio.sleep(pause)
 
@@ -171,6 +174,12 @@
         """Send news without waiting for the interval to end."""
         self.send_requested.set()
 
+    def send_loads_soon(self) -> None:
+        """Send a report of loads without waiting, if it reaches all peers."""
+        if len(self.gossip.peers) <= PEERS_PER_ROUND:
+            self.loads_requested = True
+            self.send_requested.set()
+
     async def _wait(self, seconds: float) -> bool:
         """Wait; return true, without waiting further, when a report is requested."""
         try:
