Decide on a larger model by the wait where it would be asked

Cause: engines counted as short of time by the shortest backlog of any of them. With many engines one is always idle, while the prompts of the largest model go where their part is kept. Answers were given up for one that came after the limit.

Change: the wait is that of the endpoint that would be chosen for the largest model.

--- a/linnetladder/forwarding/coordination/escalation_gain.py
+++ b/linnetladder/forwarding/coordination/escalation_gain.py
@@ -16,9 +16,9 @@
 
 __all__ = ["EscalationGain"]
 
-# Engines are short from the first share of the route's objective that the shortest wait
-# reaches, until the wait is below the second one. The gap avoids that a wait around one
-# value switches between both states with each request.
+# Engines are short once the wait reaches the first share of the objective of a route,
+# until the wait is below the second one. The gap avoids that a wait around one value
+# switches between both states with each request.
 SHORT_WAIT_SHARE = 0.25
 ENOUGH_WAIT_SHARE = 0.10
 # How fast the escalated share falls with the wait. Near its equilibrium a share that
@@ -74,7 +74,7 @@
         gains.mean_size += (size - gains.mean_size) * MEAN_SIZE_STEP
 
     def is_short(self, route: Route, *, wait: float) -> bool:
-        """Return whether engines are short of time, given the shortest wait."""
+        """Return whether engines are short of time, given the wait."""
         was_short = self._gains_of(route).short
         limit = ENOUGH_WAIT_SHARE if was_short else SHORT_WAIT_SHARE
         return wait > limit * route.objective_seconds
@@ -111,8 +111,8 @@
         """Return whether a doubtful response is worth the engine time of a model.
 
         ``held_tokens`` are the tokens of the prompt that an endpoint holds for the
-        model. ``wait`` is the shortest wait at an engine and ``remaining`` the time
-        left until the objective, in seconds.
+        model. ``wait`` is the wait at the engine that would be asked and ``remaining``
+        the time left until the objective, in seconds.
         """
         gains = self._gains_of(route)
         rate = self._rate(gains, prompt, held_tokens, model, confidence)
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -443,14 +443,14 @@
         table = self.in_force.table
         service = table.services.get(request.service)
         objective = request.received + request.route.objective_seconds
-        model = request.route.models[0] if request.route.models else ""
+        largest = request.route.models[-1] if request.route.models else ""
         return SizingInputs(
             route=request.route,
             prompt=request.head.prompt,
             engine=service.engine if service is not None else None,
             remaining=objective - self.clock.monotonic(),
-            wait=self.sender.selection.shortest_wait(
-                self.sender.selection_inputs(request, model)
+            wait=self.sender.selection.backlog_at_choice(
+                self.sender.selection_inputs(request, largest)
             ),
         )
 
--- a/linnetladder/forwarding/coordination/selection.py
+++ b/linnetladder/forwarding/coordination/selection.py
@@ -200,10 +200,10 @@
     def _is_reached_by_peers(self, endpoint: Endpoint, inputs: SelectionInputs) -> bool:
         return self.availability.is_reached_by_peers(endpoint, homes=inputs.homes)
 
-    def shortest_wait(self, inputs: SelectionInputs) -> float:
-        """Return the shortest backlog of any candidate, in seconds."""
-        waits = [self.loads.backlog_of(e) for e in self.candidates(inputs)]
-        return min(waits, default=0.0)
+    def backlog_at_choice(self, inputs: SelectionInputs) -> float:
+        """Return the backlog of the endpoint that would be chosen, in seconds."""
+        endpoint = self.choose(inputs)
+        return self.loads.backlog_of(endpoint) if endpoint is not None else 0.0
 
     def has_sent_shared_part(self, inputs: SelectionInputs, endpoint: Endpoint) -> bool:
         """Return whether this daemon sent the prompt's shared part there lately."""
--- a/linnetladder/forwarding/state/explanations.py
+++ b/linnetladder/forwarding/state/explanations.py
@@ -35,7 +35,7 @@
 class ModelExplanation:
     """A model of the route and when it would be asked.
 
-    ``expected_seconds`` is the shortest wait and the time to read the whole prompt.
+    ``expected_seconds`` is the wait and the time to read the whole prompt.
     ``next_model`` is asked if the response of this one is doubtful, for
     ``escalated_share`` of such responses; it is empty for the largest model.
     """
--- a/tests/forwarding/test_long_prompts.py
+++ b/tests/forwarding/test_long_prompts.py
@@ -12,8 +12,9 @@
 
 from linnetladder.forwarding.coordination.endpoint_load import LONG_PROMPT_SECONDS
 from linnetladder.forwarding.daemon_variables import PeerSettings
+from tests.forwarding.test_long_sessions import prompt_head
 from tests.forwarding.test_reports import connect, fleet_source
-from tests.support.forwarding import LocalDaemon
+from tests.support.forwarding import LocalDaemon, ready_daemon
 from tests.support.memory import LoopClock
 
 SMALL_FLEET = 8
@@ -112,3 +113,22 @@
         assert rate <= BUDGET * 1.1
 
     play(fleet, work)
+
+
+def test_a_doubtful_answer_is_kept_when_the_engine_with_its_part_is_busy():
+    """Guards against escalations into a queue because some other engine is idle.
+
+    With many engines one of them is always idle. The prompts of the largest model
+    still go where their part is kept, as long as reading it again takes longer.
+    """
+    daemon = ready_daemon()
+    daemon.loads.speeds.learn_report("peer", [("large", 90e-6)])
+    request = daemon.forwarder.admission.admit(
+        prompt_head("s1", shared=20_000, own=4_000), b"", received=daemon.clock.now
+    ).unwrap()
+    inputs = daemon.sender.selection_inputs(request, "large")
+    home = daemon.selection.choose(inputs)
+    assert daemon.forwarder.sizing_inputs(request).wait == 0.0
+    daemon.loads.backlog[home.name] = 1.5
+    assert daemon.selection.choose(inputs) is home
+    assert daemon.forwarder.sizing_inputs(request).wait == 1.5
