--- a/linnetladder/forwarding/coordination/sizing.py
+++ b/linnetladder/forwarding/coordination/sizing.py
@@ -31,8 +31,9 @@
     """Inputs of the choice of a model size; times are in seconds.
 
     ``remaining`` is the time left until the objective; ``wait`` is the backlog of the
-    endpoint that the largest model would be asked at. ``holding_models`` are the models for which an endpoint
-    is expected to hold the part of the prompt that its session shares.
+    endpoint that the largest model would be asked at. ``holding_models`` are the models
+    for which an endpoint is expected to hold the part of the prompt that its session
+    shares.
     """
 
     route: Route
