Write nothing after the last step of a roll-out

Cause: a daemon that sees a step due waits up to 0.8 s before it writes, so that one of them does. Afterwards it looked again at the record, but not whether the roll-out had ended meanwhile: it wrote 'complete' over 'complete' (24.12 s) and, with new doubts, 'rolled back' over 'complete' (24.65 s). Ruled out: a lost write and a change of era; revisions 86, 87 and 94 follow each other.

Change: no step follows a final one.

--- a/linnetladder/forwarding/coordination/rollouts.py
+++ b/linnetladder/forwarding/coordination/rollouts.py
@@ -263,6 +263,9 @@
             return None if is_outdated else self._first_record(order)
         if self.record_book.stored.get(order.service) != record:
             return None
+        # Another daemon may have written the last step while this one waited to.
+        if record.phase.is_final:
+            return None
         if self._is_bad(order):
             return dataclasses.replace(record, phase=RolloutPhase.ROLLED_BACK)
         if self._awaits_peer_reports(order):
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs: agreement between daemons, exposure, detection of bad versions, steps."""
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -505,3 +506,35 @@
             daemon.outcomes.add_duration(name, "draft", "small", seconds, learn=learn)
     assert source.records["engines"].phase is phase
     assert clock.now - 1000.0 < DURATION_SECONDS
+
+
+def test_a_completed_roll_out_is_not_rolled_back_by_a_daemon_that_was_waiting(
+    fleet, monkeypatch
+):
+    """Guards against a service without endpoints: both versions would be stopped.
+
+    A daemon that saw the last step due reads, while it waits for its turn, that another
+    one has written it. Its doubts come after the old version's endpoints were stopped.
+    """
+    source, clock, daemons = fleet
+    advance(clock, daemons, 18.0)
+    assert source.records["engines"].phase is RolloutPhase.FULL
+    advance(clock, daemons, 3.0, stepping=[])
+
+    async def complete_elsewhere(seconds):
+        monkeypatch.setattr(rollouts, "COMPLETION_EVIDENCE", math.inf)
+        monkeypatch.setattr(rollouts.asyncio, "sleep", skip_sleep)
+        await daemons[0].rollouts.step()
+        monkeypatch.setattr(rollouts, "COMPLETION_EVIDENCE", -math.inf)
+        assert await daemons[1].poller.read_once()
+
+    async def skip_sleep(seconds):
+        return None
+
+    clock.now += 0.5
+    assert daemons[0].read() and daemons[1].read()
+    monkeypatch.setattr(rollouts.asyncio, "sleep", complete_elsewhere)
+    asyncio.run(daemons[1].rollouts.step())
+    assert source.records["engines"].phase is RolloutPhase.COMPLETE
+    assert source.writes.count(RolloutPhase.COMPLETE) == 1
+    assert RolloutPhase.ROLLED_BACK not in source.writes
