--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -124,11 +124,23 @@
 def read_experiment(path: Path) -> Experiment:
     """Return the experiment in a file; raise `ExperimentError` if it is invalid."""
     try:
-        return Experiment.model_validate(tomllib.loads(path.read_text()))
+        experiment = Experiment.model_validate(tomllib.loads(path.read_text()))
+        for variant in experiment.variants:
+            variant.revision = resolve_revision(variant.revision)
+        return experiment
     except (OSError, tomllib.TOMLDecodeError, pydantic.ValidationError) as error:
         raise ExperimentError(f"{path}: {error}") from error
 
 
+def resolve_revision(revision: str) -> str:
+    """Return the id of a commit, so that all variants stay on the same one."""
+    command = ["git", "rev-parse", "--verify", "--quiet", f"{revision}^{{commit}}"]
+    found = subprocess.run(command, cwd=REPOSITORY, capture_output=True, text=True)
+    if found.returncode:
+        raise ExperimentError(f"no revision {revision!r} in the repository")
+    return found.stdout.strip()
+
+
 def read_plays(path: Path) -> list[Play]:
     """Return the plays that are kept in a file, without a line that was cut off."""
     if not path.exists():
