--- a/linnetladder/forwarding/coordination/account_shares.py
+++ b/linnetladder/forwarding/coordination/account_shares.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Iterable
 
+from linnetladder.forwarding.coordination.decayed_sum import DecayedSum
 from linnetladder.forwarding.coordination.endpoint_load import RECENT_SECONDS
 from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.state import Clock
@@ -35,23 +36,6 @@
 UseRow = tuple[str, str, float]
 
 
-@dataclasses.dataclass(slots=True)
-class DecayedUse:
-    """Seconds of endpoints' time that decay, as of ``noted_at``."""
-
-    seconds: float = 0.0
-    noted_at: float = 0.0
-
-    def at(self, now: float) -> float:
-        """Return the use at a time."""
-        return self.seconds * 0.5 ** ((now - self.noted_at) / HALF_LIFE_SECONDS)
-
-    def add(self, now: float, seconds: float) -> None:
-        """Add use."""
-        self.seconds = self.at(now) + seconds
-        self.noted_at = now
-
-
 @dataclasses.dataclass(slots=True)
 class PeerUse:
     """What a peer reported at a time of this daemon's clock."""
@@ -66,7 +50,7 @@
     def __init__(self, *, demand: ServiceDemand, clock: Clock):
         self.demand = demand
         self.clock = clock
-        self.own: dict[str, dict[str, DecayedUse]] = {}
+        self.own: dict[str, dict[str, DecayedSum]] = {}
         self.reports: dict[str, PeerUse] = {}
         self.peer_sums: dict[str, dict[str, float]] = {}
         self.updated = -math.inf
@@ -74,7 +58,8 @@
     def note_admitted(self, service: str, account: str, seconds: float) -> None:
         """Add the expected time of endpoints that an admitted request takes."""
         uses = self.own.setdefault(service, {})
-        uses.setdefault(account, DecayedUse()).add(self.clock.monotonic(), seconds)
+        use = uses.setdefault(account, DecayedSum(HALF_LIFE_SECONDS))
+        use.add(self.clock.monotonic(), seconds)
 
     def relative_use(self, service: str, account: str) -> float:
         """Return an account's use as a multiple of its fair share.
--- a/linnetladder/forwarding/coordination/service_demand.py
+++ b/linnetladder/forwarding/coordination/service_demand.py
@@ -5,6 +5,7 @@
 import statistics
 from collections.abc import Callable, Iterable
 
+from linnetladder.forwarding.coordination.decayed_sum import DecayedSum
 from linnetladder.forwarding.coordination.endpoint_load import RECENT_SECONDS
 from linnetladder.forwarding.coordination.room import EndpointRoom
 from linnetladder.state import Clock
@@ -42,26 +43,6 @@
         return 0.0 < rate < self.others + self.urgent
 
 
-@dataclasses.dataclass(slots=True)
-class DecayedRate:
-    """A rate of events, from a count that decays."""
-
-    count: float = 0.0
-    counted_at: float = 0.0
-
-    def add(self, now: float) -> None:
-        """Count one event."""
-        self.count = self._decayed(now) + 1.0
-        self.counted_at = now
-
-    def per_second(self, now: float) -> float:
-        """Return the rate of events."""
-        return self._decayed(now) * math.log(2) / HALF_LIFE_SECONDS
-
-    def _decayed(self, now: float) -> float:
-        return self.count * 0.5 ** ((now - self.counted_at) / HALF_LIFE_SECONDS)
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DemandReport:
     """What a peer reported, and when: on this daemon's clock, and its own Unix time."""
@@ -77,7 +58,7 @@
     def __init__(self, *, room: EndpointRoom, clock: Clock):
         self.room = room
         self.clock = clock
-        self.rates: dict[tuple[str, bool], DecayedRate] = {}
+        self.requests: dict[tuple[str, bool], DecayedSum] = {}
         self.short_at: dict[str, float] = {}
         self.is_full: Callable[[str], bool] = _return_false
         self.reports: dict[str, DemandReport] = {}
@@ -86,13 +67,14 @@
 
     def count(self, service: str, *, urgent: bool) -> None:
         """Count a request of a caller."""
-        rate = self.rates.setdefault((service, urgent), DecayedRate())
-        rate.add(self.clock.monotonic())
+        key = (service, urgent)
+        requests = self.requests.setdefault(key, DecayedSum(HALF_LIFE_SECONDS))
+        requests.add(self.clock.monotonic(), 1.0)
 
     def export(self) -> list[DemandRow]:
         """Return rows for a report: the services that were full lately."""
         now = self.clock.monotonic()
-        for service, _ in self.rates:
+        for service, _ in self.requests:
             if self.is_full(service):
                 self.short_at[service] = now
         return [
@@ -132,8 +114,11 @@
         )
 
     def _own(self, service: str, *, urgent: bool) -> float:
-        rate = self.rates.get((service, urgent))
-        return rate.per_second(self.clock.monotonic()) if rate is not None else 0.0
+        """Return the requests a second that callers send to this daemon."""
+        requests = self.requests.get((service, urgent))
+        if requests is None:
+            return 0.0
+        return requests.at(self.clock.monotonic()) * math.log(2) / HALF_LIFE_SECONDS
 
     def _age(self, report: DemandReport) -> float:
         """Return a report's age in seconds, also of the time that it travelled."""
