--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -13,12 +13,15 @@
 from returns.result import Failure, Result, Success
 
 from linnetladder.coordination.attempts.ejection import Ejector
-from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.errors import ErrorKind, Refusal
+from linnetladder.forwarding.coordination.attempt_refusals import (
+    AttemptRefusals,
+    attempt_refusal,
+    budget_spent,
+)
 from linnetladder.forwarding.coordination.availability import (
     EndpointAvailability,
-    Obstacle,
     ObstacleReason,
-    describe_obstacles,
 )
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import (
@@ -52,10 +55,6 @@
 
 # Sends that did not run don't count as attempts, so this limits them separately.
 MAXIMUM_SENDS = 6
-RETRY_AFTER_SECONDS = 0.25
-# Endpoints that are evacuated or missing in a request's homes are so for seconds at
-# least, so callers need not ask again earlier.
-ABSENCE_RETRY_AFTER_SECONDS = 1.0
 # A stream's first event takes up to the route's objective, and longer on a busy engine.
 # After this share of the objective without a byte, the endpoint is probed over a new
 # connection.
@@ -73,14 +72,6 @@
 PAUSE_REASONS = frozenset(
     (ObstacleReason.PAUSED, ObstacleReason.RETURNING, ObstacleReason.FULL)
 )
-# Obstacles that end at a known time, at which callers may come back.
-TIMED_REASONS = frozenset(
-    (ObstacleReason.PAUSED, ObstacleReason.FULL, ObstacleReason.AT_LIMIT)
-)
-# Endpoints with these obstacles don't come back before their failure domain does.
-ABSENCE_REASONS = frozenset(
-    (ObstacleReason.UNLISTED, ObstacleReason.LEAVING, ObstacleReason.EVACUATED)
-)
 # A stream that broke off later than this after its first event did not crash its
 # endpoint by what its prompt contains.
 CRASH_AFTER_FIRST_EVENT_SECONDS = 1.0
@@ -149,6 +140,9 @@
         self.limits = availability.limits
         self.paces = self.limits.paces
         self.pauses = availability.pauses
+        self.refusals = AttemptRefusals(
+            selection=selection, availability=availability, metrics=metrics
+        )
         self.clock = clock
         self.metrics = metrics
 
@@ -166,7 +160,7 @@
                 return Failure(self.no_endpoint_refusal(request, model, last_fault))
             is_retry = request.times_sent > 0
             if is_retry and not self._spend_retry(request):
-                return Failure(_budget_spent_refusal(request, last_fault))
+                return Failure(budget_spent(request, last_fault))
             try:
                 attempt = await self._send(request, endpoint, model, resume_after)
             except CallFault as fault:
@@ -679,46 +673,8 @@
         self, request: ForwardRequest, model: str, last_fault: CallFault | None
     ) -> Refusal:
         """Return the refusal of a request that can be sent to no endpoint in time."""
-        kind = ErrorKind.NO_ENDPOINT
-        detail = f"no endpoint of service {request.service!r} takes the request"
         inputs = self.selection_inputs(request, model)
-        allowed = self.selection.allowed(inputs)
-        obstacles = list(map(self.availability.obstacle, allowed))
-        if request.homes is not None and not allowed:
-            detail = f"service {request.service!r} has no endpoint for the request"
-        if any(obstacles):
-            request.history.append(f"obstacles: {describe_obstacles(obstacles)}")
-        # The caller's next attempt may go to any endpoint, also to those tried now.
-        seconds = min(
-            (
-                obstacle.seconds if obstacle is not None else 0.0
-                for obstacle in obstacles
-                if obstacle is None or obstacle.reason in TIMED_REASONS
-            ),
-            default=0.0,
-        )
-        if seconds > 0:
-            kind = ErrorKind.OVERLOADED
-            detail = (
-                f"the endpoints of service {request.service!r} named limits, asked for "
-                f"pauses, are cold or brittle and full; the first one takes requests "
-                f"again in {seconds:.2f} s"
-            )
-        retry_after = max(seconds, RETRY_AFTER_SECONDS)
-        if _is_all_evacuated(obstacles):
-            self.metrics.count("evacuation_refusals")
-            detail = f"all endpoints of service {request.service!r} are evacuated"
-            retry_after = ABSENCE_RETRY_AFTER_SECONDS
-        if request.homes is not None:
-            regions = ", ".join(sorted(request.homes)) or "none"
-            request.history.append(f"homes: {regions}")
-            detail += f"; the regions that the request may use: {regions}"
-            if not allowed:
-                self.metrics.count("home_refusals")
-                retry_after = ABSENCE_RETRY_AFTER_SECONDS
-        if last_fault is not None:
-            detail += f"; the last attempt failed: {last_fault.detail}"
-        return _refusal(request, kind, detail, retry_after_seconds=retry_after)
+        return self.refusals.no_endpoint(request, inputs, last_fault)
 
     def _peer_for(
         self, request: ForwardRequest, endpoint: Endpoint
@@ -766,15 +722,17 @@
         """Return a refusal if no further attempt is allowed."""
         remaining = request.deadline - self.clock.monotonic()
         if remaining < MINIMUM_ATTEMPT_SECONDS:
-            return _refusal(request, ErrorKind.DEADLINE_EXCEEDED, "no time is left")
+            return attempt_refusal(
+                request, ErrorKind.DEADLINE_EXCEEDED, "no time is left"
+            )
         if not self.may_retry(request) or _is_last_for_fallback(request, last_fault):
             detail = (
                 last_fault.detail if last_fault is not None else "all attempts are used"
             )
-            return _refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
+            return attempt_refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
         poison = self._refuse_crashing(request)
         if poison is not None and request.ran:
-            return _refusal(request, ErrorKind.ENDPOINT_FAILED, poison.detail)
+            return attempt_refusal(request, ErrorKind.ENDPOINT_FAILED, poison.detail)
         return poison
 
     def _refuse_crashing(self, request: ForwardRequest) -> Refusal | None:
@@ -820,12 +778,6 @@
     return request.attempts + 1 >= request.route.maximum_attempts
 
 
-def _is_all_evacuated(obstacles: list[Obstacle | None]) -> bool:
-    """Return whether all endpoints that are listed and stay are evacuated."""
-    reasons = {o.reason if o is not None else None for o in obstacles}
-    return ObstacleReason.EVACUATED in reasons and reasons <= ABSENCE_REASONS
-
-
 def _affinity(request: ForwardRequest, model: str) -> str:
     prompt = request.head.prompt
     if prompt is None or not prompt.session:
@@ -837,27 +789,3 @@
     """Return the tokens that a request occupies in the memory of an engine."""
     prompt = request.head.prompt
     return prompt.input_tokens + prompt.output_tokens if prompt is not None else 0
-
-
-def _refusal(
-    request: ForwardRequest,
-    kind: ErrorKind,
-    detail: str,
-    *,
-    retry_after_seconds: float = RETRY_AFTER_SECONDS,
-) -> Refusal:
-    ran = Ran.UNKNOWN if request.ran else Ran.NO
-    if not request.ran and kind is ErrorKind.ENDPOINT_FAILED:
-        kind = ErrorKind.OVERLOADED
-    if request.ran and kind in (ErrorKind.NO_ENDPOINT, ErrorKind.OVERLOADED):
-        kind = ErrorKind.ENDPOINT_FAILED
-    return Refusal(kind, detail, ran, retry_after_seconds=retry_after_seconds)
-
-
-def _budget_spent_refusal(
-    request: ForwardRequest, last_fault: CallFault | None
-) -> Refusal:
-    detail = f"the retry budget of service {request.service!r} is spent"
-    if last_fault is not None:
-        detail += f"; the last attempt failed: {last_fault.detail}"
-    return _refusal(request, ErrorKind.OVERLOADED, detail)
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -15,6 +15,7 @@
 from linnetladder.forwarding.coordination import (
     account_shares,
     admission,
+    attempt_refusals,
     availability,
     bill_flushing,
     bill_replicas,
@@ -589,7 +590,13 @@
         "endpoint_notices",
     ),
     ("pauses_waited", sender, "PAUSE_REASONS", frozenset(), "endpoint_notices"),
-    ("pauses_named", sender, "TIMED_REASONS", frozenset(), "endpoint_notices"),
+    (
+        "pauses_named",
+        attempt_refusals,
+        "TIMED_REASONS",
+        frozenset(),
+        "endpoint_notices",
+    ),
     (
         "endless_framing",
         endpoint_calls,
@@ -655,7 +662,13 @@
     ),
     ("evacuated_position", StoreSnapshot, "position", old_position, EVACUATED),
     ("evacuated_reads", StorePoller, "_position_of", position_read, EVACUATED),
-    ("evacuated_refusal", sender, "_is_all_evacuated", always(False), EVACUATED),
+    (
+        "evacuated_refusal",
+        attempt_refusals,
+        "_is_all_evacuated",
+        always(False),
+        EVACUATED,
+    ),
     ("homes_endpoints", Homes, "allow_endpoint", always(True), HOMES),
     ("homes_peers", Homes, "allow_peer", always(True), HOMES),
     ("homes_own_region", Homes, "allow_peer", allow_peer_in_homes, HOMES),
