Escalate the first doubtful answers of a large fleet too

Cause: escalations left three retries of a daemon's part of the budget to failed attempts. At 88 daemons the fixed part is 1.5, so that a daemon needed requests of some seconds before it escalated at all. The budget as a whole was half used.

Change: they leave a fifth of the daemon's allowance, at most three. The bound on retries is not touched.

--- a/linnetladder/forwarding/coordination/budget.py
+++ b/linnetladder/forwarding/coordination/budget.py
@@ -12,6 +12,9 @@
 RATIO_SHARE = 0.85
 SLACK_SHARE = 0.6
 BUCKET_SECONDS = 0.5
+# Escalations leave this share of the allowance for failed attempts, at most so many.
+RESERVED_SHARE = 0.2
+MAXIMUM_RESERVED_RETRIES = 3.0
 
 
 class SlidingWindowCounter:
@@ -81,16 +84,31 @@
         """Return this daemon's rate of caller requests, over the last ``seconds``."""
         return self._counts_of(service).requests.rate(self.clock.monotonic(), seconds)
 
-    def available(self, service: str) -> float:
-        """Return how many retries are available now."""
+    def allowance(self, service: str) -> float:
+        """Return how many retries are allowed in the present window."""
         now = self.clock.monotonic()
         bounds = self.settings.bounds
-        service_counts = self._counts_of(service)
-        requests = service_counts.requests.count(now, bounds.retry_window)
-        retries = service_counts.retries.count(now, bounds.retry_window)
+        requests = self._counts_of(service).requests.count(now, bounds.retry_window)
         allowed = bounds.retry_ratio * RATIO_SHARE * requests
-        allowed += bounds.retry_slack * SLACK_SHARE / max(self.daemons, 1)
-        return allowed - retries
+        return allowed + bounds.retry_slack * SLACK_SHARE / max(self.daemons, 1)
+
+    def available(self, service: str) -> float:
+        """Return how many retries are available now."""
+        now = self.clock.monotonic()
+        window = self.settings.bounds.retry_window
+        retries = self._counts_of(service).retries.count(now, window)
+        return self.allowance(service) - retries
+
+    def allows_escalation(self, service: str) -> bool:
+        """Return whether a retry is left for an answer that is merely doubtful.
+
+        Some are kept for failed attempts: few where the allowance is small, since a
+        daemon of a large fleet would otherwise escalate nothing for its first seconds.
+        """
+        reserve = min(
+            MAXIMUM_RESERVED_RETRIES, RESERVED_SHARE * self.allowance(service)
+        )
+        return self.available(service) >= 1.0 + reserve
 
     def spend(self, service: str, *, reserve: float = 0.0) -> bool:
         """Spend one retry and return true, if ``reserve`` others remain available."""
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -36,8 +36,6 @@
 
 __all__ = ["Forwarder"]
 
-# Escalations leave this many retries of the budget for failed attempts.
-ESCALATION_RESERVE_RETRIES = 3.0
 SERVER_ERROR_STATUS = 500
 # An event that is longer is taken for one without end.
 MAXIMUM_EVENT_BYTES = 1024 * 1024
@@ -297,7 +295,7 @@
             self.metrics.count("escalations_skipped")
             request.history.append("no attempts left")
             return False
-        if self.budget.available(request.service) < 1.0 + ESCALATION_RESERVE_RETRIES:
+        if not self.budget.allows_escalation(request.service):
             self.metrics.count("escalations_skipped")
             request.history.append("no budget left")
             return False
--- a/tests/forwarding/test_escalation_gain.py
+++ b/tests/forwarding/test_escalation_gain.py
@@ -298,3 +298,22 @@
     daemon.answer(head(attempt_id="a2"), DOUBTFUL, Script())
     daemon.answer(head(attempt_id="a3", session="s2"), DOUBTFUL, Script())
     assert seen == [800, 0]
+
+
+@pytest.mark.parametrize("daemons", [8, 88, 370])
+def test_the_first_doubtful_answers_of_a_daemon_are_escalated(daemons):
+    """Guards against small models that alone answer in the first seconds of a fleet.
+
+    With many daemons, a daemon's part of the fixed allowance is small, and its part of
+    the other grows with the requests that it has seen.
+    """
+    daemon = ready_daemon()
+    daemon.budget.daemons = daemons
+    for _ in range(4):
+        daemon.budget.count_request("engines")
+    assert daemon.budget.allows_escalation("engines")
+    while daemon.budget.allows_escalation("engines"):
+        assert daemon.budget.spend("engines")
+    left = daemon.budget.available("engines")
+    assert left < 1.0 + 0.2 * daemon.budget.allowance("engines")
+    assert daemon.budget.available("engines") > 0.0
