Remove the models of a size in between

They were asked only where they cost less than 0.3 of the next size, so that nothing was learned of them elsewhere.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -221,7 +221,7 @@
         return self.budget.available(request.service) >= 1.0
 
     async def _serve_stream(self, request: ForwardRequest, reply: Reply) -> None:
-        """Escalate through the model sizes, then relay the events of one response."""
+        """Escalate to the largest model if need be, then relay one response."""
         state = StreamState(
             position=self.sizing.first_position(self.sizing_inputs(request))
         )
@@ -438,14 +438,11 @@
 
     def sizing_inputs(self, request: ForwardRequest) -> SizingInputs:
         """Return the inputs of the choice of a model size for a request."""
-        table = self.in_force.table
-        service = table.services.get(request.service)
         objective = request.received + request.route.objective_seconds
         largest = request.route.models[-1] if request.route.models else ""
         return SizingInputs(
             route=request.route,
             prompt=request.head.prompt,
-            engine=service.engine if service is not None else None,
             remaining=objective - self.clock.monotonic(),
             wait=self.sender.selection.backlog_at_choice(
                 self.sender.selection_inputs(request, largest)
--- a/linnetladder/forwarding/daemon_variables.py
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -87,12 +87,6 @@
         le=100,
         description="Confidence from which an answer of a smaller model is kept.",
     )
-    step_prior: float = pydantic.Field(
-        0.3,
-        ge=0,
-        le=1,
-        description="Expected share of doubtful answers that the next size settles.",
-    )
     first_size: int = pydantic.Field(
         0, ge=0, description="Position of the model that answers first."
     )
--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -19,7 +19,6 @@
     "RequestKind",
     "Route",
     "RoutingTable",
-    "ServedModel",
     "ServiceShare",
     "ServiceSpec",
     "credential_digest",
@@ -44,17 +43,9 @@
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServedModel:
-    """A model that a service runs; ``cost`` is its price per 1,000 generated tokens."""
-
-    name: str
-    cost: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSpec:
-    """The capacity and the models of a service's engines.
+    """The capacity of a service's engines.
 
     ``slots`` is the number of requests in one batch. ``cache_tokens`` is the size of
     the KV cache, in tokens, that running requests and cached prompts share.
@@ -62,11 +53,6 @@
 
     slots: int
     cache_tokens: int
-    models: tuple[ServedModel, ...]
-
-    def cost(self, model: str) -> float:
-        """Return a model's cost, 0 if the service does not declare the model."""
-        return next((size.cost for size in self.models if size.name == model), 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -19,7 +19,6 @@
     RolloutOrder,
     Route,
     RoutingTable,
-    ServedModel,
     ServiceShare,
     ServiceSpec,
     credential_digest,
@@ -81,26 +80,17 @@
         )
 
 
-class EngineModelEntry(pydantic.BaseModel):
-    """A model that a service's engines run."""
-
-    Name: str
-    Cost: float = 0
-
-
 class EngineModel(pydantic.BaseModel):
-    """The capacity and the models of a service's engines."""
+    """The capacity of a service's engines."""
 
     Slots: int = 1
     KvCapacity: int = 0
-    Models: list[EngineModelEntry] = []
 
     def decode(self) -> EngineSpec:
         """Return the specification of the engines."""
         return EngineSpec(
             slots=self.Slots,
             cache_tokens=self.KvCapacity,
-            models=tuple(ServedModel(m.Name, m.Cost) for m in self.Models),
         )
 
 
