--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -61,9 +61,10 @@
 
     ``secret`` signs the messages. Until it is set, none is sent or accepted.
     ``lagging`` holds the peers that still sign with the secret before; messages to them
-    are signed with that, too. Reports
-    keep to a budget of bytes; each regular round takes what has been refilled since the
-    last one, and a triggered round, which only carries news, some of the rest.
+    are signed with that, too. Reports keep to a budget of bytes; each regular round
+    takes what has been refilled since the last one. News triggers a round that carries
+    only news and takes some of the rest. A long prompt brings the next regular round
+    forward.
     """
 
     def __init__(
@@ -175,7 +176,7 @@
         self.send_requested.set()
 
     def send_loads_soon(self) -> None:
-        """Send a report of loads without waiting, if it reaches all peers."""
+        """Bring the next regular round forward, if it reaches all peers."""
         if len(self.gossip.peers) <= PEERS_PER_ROUND:
             self.loads_requested = True
             self.send_requested.set()
