--- a/linnetladder/forwarding/coordination/attempt_refusals.py
+++ b/linnetladder/forwarding/coordination/attempt_refusals.py
@@ -12,7 +12,7 @@
 from linnetladder.forwarding.state import ForwardRequest
 from linnetladder.telemetry import Metrics
 
-__all__ = ["AttemptRefusals", "budget_spent", "attempt_refusal"]
+__all__ = ["AttemptRefusals", "attempt_refusal", "budget_spent"]
 
 RETRY_AFTER_SECONDS = 0.25
 # Endpoints that are evacuated or missing in a request's homes are so for seconds at
--- a/linnetladder/forwarding/coordination/reading_speeds.py
+++ b/linnetladder/forwarding/coordination/reading_speeds.py
@@ -27,6 +27,8 @@
 MINIMUM_ANSWERS = 3
 # Estimates of a peer that has not reported for this long are dropped.
 EXPIRY_SECONDS = 30.0
+# The medians over peers are computed again after this time, not with each report.
+REFRESH_SECONDS = 1.0
 # Upper estimate of the compressed bytes of a row in a report.
 SPEED_ROW_BYTES = 10
 
@@ -50,13 +52,14 @@
         self.own: dict[str, SpeedEstimate] = {}
         self.peers: dict[str, tuple[float, dict[str, float]]] = {}
         self.peer_medians: dict[str, float] = {}
+        self.refreshed = -math.inf
 
     def token_seconds(self, model: str) -> float:
         """Return the seconds that a model takes to read one token."""
         own = self.own.get(model)
         if own is not None and own.answers >= SUFFICIENT_ANSWERS:
             return own.seconds_per_token
-        median = self.peer_medians.get(model)
+        median = self._peer_medians().get(model)
         if median is not None:
             return median
         return own.seconds_per_token if own is not None else INITIAL_SECONDS_PER_TOKEN
@@ -84,13 +87,21 @@
 
     def learn_report(self, peer: str, rows: Iterable[SpeedRow]) -> None:
         """Replace what a peer reported."""
+        speeds = {model: seconds for model, seconds in rows if seconds > 0}
+        self.peers[peer] = (self.clock.monotonic(), speeds)
+
+    def _peer_medians(self) -> dict[str, float]:
+        """Return the median of the peers' recent estimates for each model."""
         now = self.clock.monotonic()
-        self.peers[peer] = (now, {m: seconds for m, seconds in rows if seconds > 0})
+        if now - self.refreshed < REFRESH_SECONDS:
+            return self.peer_medians
+        self.refreshed = now
         measured: dict[str, list[float]] = {}
-        for name, (received, speeds) in list(self.peers.items()):
+        for peer, (received, speeds) in list(self.peers.items()):
             if now - received > EXPIRY_SECONDS:
-                del self.peers[name]
+                del self.peers[peer]
                 continue
             for model, seconds in speeds.items():
                 measured.setdefault(model, []).append(seconds)
         self.peer_medians = {m: statistics.median(s) for m, s in measured.items()}
+        return self.peer_medians
