Let engines bear longer waits while larger models answer in time

Change: the limit is multiplied by a factor from 1 to 2 for each route, which rises by 2% with each answer of a larger model that begins in time and falls by 10% with each that doesn't.

--- a/linnetladder/forwarding/coordination/escalation_gain.py
+++ b/linnetladder/forwarding/coordination/escalation_gain.py
@@ -21,6 +21,12 @@
 # switches between both states with each request.
 SHORT_WAIT_SHARE = 0.25
 ENOUGH_WAIT_SHARE = 0.10
+# Engines bear longer waits as long as the answers of larger models come in time: both
+# shares are multiplied by a factor that rises with each one that does and falls with
+# each one that doesn't. The steps balance at one in six that is late.
+MAXIMUM_TOLERANCE = 2.0
+IN_TIME_STEP = 0.02
+LATE_STEP = 0.1
 # How fast the escalated share falls with the wait. Near its equilibrium a share that
 # falls exponentially reacts to a change of the wait in proportion to itself, so that
 # the loop has the same gain at any overload and is stable with loads 0.5 s old.
@@ -44,10 +50,12 @@
     """What this daemon has seen of one route.
 
     ``mean_size`` is in prompt tokens. ``rates`` are the gains for each second of engine
-    time of the latest doubtful responses.
+    time of the latest doubtful responses. ``tolerance`` is the factor of the waits from
+    which engines are short.
     """
 
     mean_size: float = 0.0
+    tolerance: float = 1.0
     short: bool = False
     rates: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=RATED_RESPONSES)
@@ -73,11 +81,18 @@
             gains.mean_size = size
         gains.mean_size += (size - gains.mean_size) * MEAN_SIZE_STEP
 
+    def learn_answer(self, route: Route, *, in_time: bool) -> None:
+        """Record whether an answer of a larger model began in time."""
+        gains = self._gains_of(route)
+        factor = 1.0 + IN_TIME_STEP if in_time else 1.0 - LATE_STEP
+        tolerance = gains.tolerance * factor
+        gains.tolerance = min(max(tolerance, 1.0), MAXIMUM_TOLERANCE)
+
     def is_short(self, route: Route, *, wait: float) -> bool:
         """Return whether engines are short of time, given the wait."""
-        was_short = self._gains_of(route).short
-        limit = ENOUGH_WAIT_SHARE if was_short else SHORT_WAIT_SHARE
-        return wait > limit * route.objective_seconds
+        gains = self._gains_of(route)
+        limit = ENOUGH_WAIT_SHARE if gains.short else SHORT_WAIT_SHARE
+        return wait > limit * gains.tolerance * route.objective_seconds
 
     def escalated_share(
         self,
@@ -93,8 +108,9 @@
             return 1.0
         tokens = prompt.input_tokens if prompt is not None else 0
         latest_wait = remaining - tokens * self.loads.token_seconds(model)
+        enough_wait = ENOUGH_WAIT_SHARE * self._gains_of(route).tolerance
         return _escalated_share(
-            wait, ENOUGH_WAIT_SHARE * route.objective_seconds, latest_wait
+            wait, enough_wait * route.objective_seconds, latest_wait
         )
 
     def is_worthwhile(
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -169,8 +169,16 @@
         except TimeoutError:
             await self._end_at_deadline(request, reply)
 
+    def _learn_escalation(self, request: ForwardRequest) -> None:
+        """Record when a larger model's answer began, or that it did not."""
+        elapsed = self.clock.monotonic() - request.received
+        in_time = elapsed <= request.route.objective_seconds
+        self.sizing.learn_answer(request.route, in_time=in_time)
+
     async def _end_at_deadline(self, request: ForwardRequest, reply: Reply) -> None:
         self.load_admission.learn_end(request, served=False)
+        if request.fallback_seconds is not None:
+            self._learn_escalation(request)
         if reply.begun:
             reply.abort_response()
             self.reporter.broken_off(request, _describe_time_limit(request))
@@ -258,6 +266,8 @@
         if head.status != 200:
             return await self._relay_failure(request, reply, state, attempt)
         if not state.begun:
+            if request.fallback_seconds is not None:
+                self._learn_escalation(request)
             escalated = self._escalate(request, state, attempt)
             if escalated:
                 return False
--- a/linnetladder/forwarding/coordination/sizing.py
+++ b/linnetladder/forwarding/coordination/sizing.py
@@ -68,6 +68,10 @@
         response, or ``None`` if it gave none.
         """
 
+    @abc.abstractmethod
+    def learn_answer(self, route: Route, *, in_time: bool) -> None:
+        """Record whether the answer of a larger model began in time."""
+
     @abc.abstractmethod
     def explain(self, inputs: SizingInputs) -> tuple[ModelExplanation, ...]:
         """Return the models that may be asked now, in their order."""
@@ -116,6 +120,10 @@
             return SizingStep(None, "engines are short")
         return SizingStep(largest, "doubtful")
 
+    def learn_answer(self, route: Route, *, in_time: bool) -> None:
+        """Record whether the answer of a larger model began in time."""
+        self.gain.learn_answer(route, in_time=in_time)
+
     def explain(self, inputs: SizingInputs) -> tuple[ModelExplanation, ...]:
         """Return the models that may be asked now, with the share of escalations."""
         models = inputs.route.models
--- a/tests/forwarding/test_escalation_gain.py
+++ b/tests/forwarding/test_escalation_gain.py
@@ -316,3 +316,36 @@
     left = daemon.budget.available("engines")
     assert left < 1.0 + 0.2 * daemon.budget.allowance("engines")
     assert daemon.budget.available("engines") > 0.0
+
+
+def test_engines_bear_longer_waits_while_larger_models_answer_in_time():
+    """Guards against small models' answers on sites whose engines catch up."""
+    gain = cascade().gain
+    longer = 0.9 * 2.0 * 0.25 * ROUTE.objective_seconds
+    assert gain.is_short(ROUTE, wait=longer)
+    for _ in range(100):
+        gain.learn_answer(ROUTE, in_time=True)
+    assert not gain.is_short(ROUTE, wait=longer)
+    assert gain.is_short(ROUTE, wait=1.2 * longer)
+
+
+def test_engines_that_fall_behind_are_short_early_again():
+    """Guards against overload that larger models keep up: a fifth of them is late."""
+    gain = cascade().gain
+    for _ in range(100):
+        gain.learn_answer(ROUTE, in_time=True)
+    for number in range(200):
+        gain.learn_answer(ROUTE, in_time=number % 5 > 0)
+    assert gain.is_short(ROUTE, wait=1.3 * 0.25 * ROUTE.objective_seconds)
+
+
+@pytest.mark.parametrize(("seconds", "in_time"), [(0.1, True), (2.5, False)])
+def test_the_beginning_of_a_larger_models_answer_is_learned(seconds, in_time):
+    """Guards against a tolerance that grows while answers are late."""
+    daemon = ready_daemon()
+    learned = []
+    daemon.forwarder.sizing.learn_answer = lambda route, in_time: learned.append(
+        in_time
+    )
+    daemon.answer(head(deadline_seconds=9.0), DOUBTFUL, Script(seconds=seconds))
+    assert learned == [in_time]
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -480,6 +480,8 @@
     ("brittle_expiry", brittleness, "SERVICE_EXPIRY_SECONDS", 60.0, BRITTLE),
     ("brittle_header", headers, "SERVER_BRITTLE", "Unknown", BRITTLE),
     ("escalation_reserve", budget, "MAXIMUM_RESERVED_RETRIES", -99.0, "streams"),
+    ("escalation_tolerance", EscalationGain, "learn_answer", always(None), GAIN),
+    ("escalation_learned", Forwarder, "_learn_escalation", always(None), GAIN),
     ("escalation_share", budget, "RESERVED_SHARE", 99.0, "escalation_gain"),
     ("gain_short", EscalationGain, "is_short", always(False), GAIN),
     ("gain_share", escalation_gain, "_escalated_share", share_at_a_limit, GAIN),
