--- a/tests/forwarding/test_reading_speeds.py
+++ b/tests/forwarding/test_reading_speeds.py
@@ -70,6 +70,15 @@
     assert daemon.loads.token_seconds("small") == pytest.approx(expected, rel=0.3)
 
 
+def test_own_measurements_replace_a_peers_that_are_far_off():
+    """Guards against one peer with a wrong clock that misleads all others."""
+    daemon = ready_daemon()
+    daemon.loads.speeds.learn_report("daemon-9", [("small", 5e-3)])
+    read_prompts(daemon, "small", 20)
+    expected = SECONDS_PER_TOKEN["small"]
+    assert daemon.loads.token_seconds("small") == pytest.approx(expected, rel=0.3)
+
+
 def test_measurements_of_peers_that_are_gone_expire():
     """Guards against speeds of engines that were replaced."""
     daemon = ready_daemon()
