Review: daemons that start in a drill of the store accept a revoked key

Two daemons are killed as the store goes away for a second, 3.5 s after it confirmed that a key is taken away. It comes back from a copy 5 s old, and the operator writes its configuration again 2 s later. Until then the daemons, which know no earlier era, accept the key.

The harness builds the configuration in a method of its own, which the case extends.

--- a/review/harness.py
+++ b/review/harness.py
@@ -461,31 +461,32 @@
     def publish(self) -> None:
         """Write the next configuration."""
         self.version += 1
-        self.store.put(
-            "op/config",
-            {
-                "Version": self.version,
-                "Routes": [{"Host": HOST, **route} for route in self.routes],
-                "Services": [
-                    {
-                        "Name": ENGINES,
-                        "HealthPath": "/healthz",
-                        "MaxConns": 360,
-                        "Engine": {"Slots": 64, "KvCapacity": 345460},
-                    },
-                    {"Name": DESK, "HealthPath": "/healthz", "MaxConns": 360},
-                ],
-                "Tenants": [{"Name": "studio", "ApiKeys": [KEY]}],
-                "Limits": {
-                    "MaxHeaderBytes": 16384,
-                    "MaxBodyBytes": 4194304,
-                    "HeaderTimeoutMs": 3000,
-                    "IdleTimeoutMs": 15000,
-                    **self.limits,
+        self.store.put("op/config", self.configuration())
+        self.record.write("configuration", self.version, "accepted")
+
+    def configuration(self) -> dict:
+        """Return the newest configuration."""
+        return {
+            "Version": self.version,
+            "Routes": [{"Host": HOST, **route} for route in self.routes],
+            "Services": [
+                {
+                    "Name": ENGINES,
+                    "HealthPath": "/healthz",
+                    "MaxConns": 360,
+                    "Engine": {"Slots": 64, "KvCapacity": 345460},
                 },
+                {"Name": DESK, "HealthPath": "/healthz", "MaxConns": 360},
+            ],
+            "Tenants": [{"Name": "studio", "ApiKeys": [KEY]}],
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 4194304,
+                "HeaderTimeoutMs": 3000,
+                "IdleTimeoutMs": 15000,
+                **self.limits,
             },
-        )
-        self.record.write("configuration", self.version, "accepted")
+        }
 
     async def send_heartbeats(self) -> None:
         """Let the workers write their entries again and again."""
