--- a/review/harness.py
+++ b/review/harness.py
@@ -613,7 +613,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNUSABLE))
     try:
         result, verdict = asyncio.run(case(record))
-    except (Unusable, OSError) as problem:
+    except Exception as problem:  # noqa: BLE001 (a case that fails shows nothing)
         result, verdict = UNUSABLE, f"could not run: {problem!r}"
     record.write("result", result, verdict)
     print(json.dumps({"trouble": TROUBLE, "result": result, "verdict": verdict}))
