Let the tests' fleet stall endpoints and make any service brittle

Endpoints of the service `desk` had room without end, so nothing showed what a fleet does to a service of few endpoints. Rejections are kept with their time, endpoint and daemon.

--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -71,7 +71,7 @@
 
     def __init__(self, *, fleet, endpoint, call, run):
         super().__init__(
-            script=Script(brittle=fleet.brittle),
+            script=Script(brittle=fleet.brittle_limit_of(endpoint)),
             attempt_id=call.request.head.attempt_id,
         )
         self.fleet = fleet
@@ -85,7 +85,8 @@
             if self.endpoint not in self.fleet.down:
                 self.fleet.crash(self.endpoint, self.run)
         for number in range(self.first_event, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
+            await asyncio.sleep(self.fleet.event_seconds)
+            await self.fleet.wait_for_stall(self.endpoint)
             if self.endpoint in self.fleet.down:
                 raise broken()
             yield f"id: {number}\ndata: x\n\n".encode()
@@ -136,9 +137,15 @@
         parts = tuple(p.part_id for p in prompt.shared_parts) if prompt else ()
         run = len(fleet.runs)
         fleet.runs.append(PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts))
+        await fleet.wait_for_stall(call.instance)
         if not fleet.admit(call.instance):
+            fleet.rejections.append((fleet.now, call.instance, self.daemon))
             return ScriptedExchange(
-                script=Script(status=503, not_run=True, brittle=fleet.brittle),
+                script=Script(
+                    status=503,
+                    not_run=True,
+                    brittle=fleet.brittle_limit_of(call.instance),
+                ),
                 attempt_id=call.request.head.attempt_id,
             )
         await asyncio.sleep(ANSWER_SECONDS)
@@ -177,9 +184,24 @@
 
 
 class EndpointFleet:
-    """Daemons, endpoints of the service ``engines``, and the requests of callers."""
-
-    def __init__(self, *, daemons, endpoints, slots=64, desk_share=0.0, seed=1):
+    """Daemons, endpoints of two services, and the requests of callers.
+
+    There are ``endpoints`` of the service ``engines``, with ``slots`` each, and
+    ``desks`` of the service ``desk``, which gets ``desk_share`` of the requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemons,
+        endpoints,
+        slots=64,
+        desks=DESKS,
+        desk_slots=64,
+        desk_share=0.0,
+        event_seconds=EVENT_SECONDS,
+        seed=1,
+    ):
         self.loop = looptime.new_event_loop()
         self.random = random.Random(seed)
         self.source = MemorySource(table=table())
@@ -188,16 +210,19 @@
         self.runs = []
         self.sound = []
         self.desk_share = desk_share
+        self.event_seconds = event_seconds
         self.excused = collections.defaultdict(list)
         self.cut = set()
         self.cuts = []
         self.refuses = False
         self.first_attempts = []
-        self.slots = slots
-        self.brittle = None
+        self.slots = {"engines": slots, "desk": desk_slots}
+        self.brittle = {}
         self.brittle_from = math.inf
         self.running = collections.Counter()
         self.turned_away = collections.defaultdict(list)
+        self.stalled_until = {}
+        self.rejections = []
         self.falls = []
         self.relayed = {}
         self.serial = 0
@@ -207,7 +232,7 @@
         self.tasks = {}
         for number in range(endpoints):
             self.list_endpoint(f"engine-{number + 1}")
-        for number in range(DESKS):
+        for number in range(desks):
             self.list_endpoint(f"desk-{number + 1}")
         for number in range(daemons):
             self.add_daemon(f"daemon-{number + 1}")
@@ -218,9 +243,9 @@
 
     def list_endpoint(self, name):
         """List an endpoint whose address is its name."""
-        service = "desk" if name.startswith("desk") else "engines"
+        service = service_of(name)
         self.source.endpoints[name] = report(
-            name, service=service, capacity=self.slots, address=name
+            name, service=service, capacity=self.slots[service], address=name
         )
 
     def add_daemon(self, name):
@@ -281,18 +306,17 @@
 
         One that has to turn too many away falls over.
         """
-        if endpoint.startswith("desk"):
-            return True
-        is_brittle = self.now >= self.brittle_from
+        limit = self.brittle_limit_of(endpoint)
+        is_brittle = limit is not None and self.now >= self.brittle_from
         waiting = 0 if is_brittle else WAITING
-        if self.running[endpoint] < self.slots + waiting:
+        if self.running[endpoint] < self.slots[service_of(endpoint)] + waiting:
             self.running[endpoint] += 1
             return True
         recent = self.turned_away[endpoint]
         recent.append(self.now)
         if is_brittle and endpoint not in self.down:
             recent[:] = [time for time in recent if time > self.now - 1.0]
-            if len(recent) > self.brittle:
+            if len(recent) > limit:
                 self.falls.append(self.now)
                 self._end(endpoint)
         return False
@@ -301,11 +325,23 @@
         """Count the end of a request at an endpoint."""
         self.running[endpoint] -= 1
 
-    def become_brittle(self, limit):
-        """Let the engines say that they are brittle, and be so some time later."""
-        self.brittle = limit
+    def brittle_limit_of(self, endpoint):
+        """Return how many requests an endpoint says it can turn away in a second."""
+        return self.brittle.get(service_of(endpoint))
+
+    def become_brittle(self, limit, *, service="engines"):
+        """Let a service say that it is brittle, and be so some time later."""
+        self.brittle[service] = limit
         self.brittle_from = self.now + CONTACT_SECONDS
 
+    def stall(self, endpoint, seconds):
+        """Let an endpoint fall silent for some seconds and go on after that."""
+        self.stalled_until[endpoint] = self.now + seconds
+
+    async def wait_for_stall(self, endpoint):
+        """Wait until an endpoint that has fallen silent goes on."""
+        await asyncio.sleep(max(self.stalled_until.get(endpoint, 0.0) - self.now, 0.0))
+
     def crash(self, endpoint, run):
         """End an endpoint on a request; it comes back under another name."""
         self.runs[run] = dataclasses.replace(self.runs[run], crashed_at=self.now)
@@ -481,5 +517,10 @@
         return 1_700_000_000.0 + self.loop.time()
 
 
+def service_of(endpoint):
+    """Return the service of an endpoint by its name."""
+    return "desk" if endpoint.startswith("desk") else "engines"
+
+
 async def _return_at_once(*, seconds):
     return True
