--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -11,7 +11,10 @@
 import math
 from collections.abc import Iterable
 
-from linnetladder.forwarding.coordination.brittleness import Brittleness
+from linnetladder.forwarding.coordination.brittleness import (
+    Brittleness,
+    RoomBasis,
+)
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
 from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
@@ -94,12 +97,20 @@
         self.clock = clock
 
     def learn_answer(
-        self, endpoint: Endpoint, head: ResponseHead, *, sent_at: float
+        self,
+        endpoint: Endpoint,
+        head: ResponseHead,
+        *,
+        sent_at: float,
+        basis: RoomBasis = RoomBasis.UNAWARE,
     ) -> None:
-        """Record what an answer says of its endpoint's limit, pace and brittleness."""
+        """Record what an answer says of its endpoint's limit, pace and brittleness.
+
+        ``basis`` is why the endpoint was taken to have room for the request.
+        """
         self.limits.learn_answer(endpoint, head, sent_at=sent_at)
         self.limits.paces.learn_head(endpoint, head, sent_at=sent_at)
-        self.brittleness.learn_answer(endpoint, head, sent_at=sent_at)
+        self.brittleness.learn_answer(endpoint, head, sent_at=sent_at, basis=basis)
 
     def obstacle(self, endpoint: Endpoint) -> Obstacle | None:
         """Return the strictest obstacle, ``None`` if a request may be sent now."""
--- a/linnetladder/forwarding/coordination/brittleness.py
+++ b/linnetladder/forwarding/coordination/brittleness.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 import math
 from collections.abc import Iterable
 
@@ -18,7 +19,7 @@
 from linnetladder.state import Clock, Endpoint, EndpointTable
 from linnetladder.telemetry import Metrics, log_change
 
-__all__ = ["Brittleness"]
+__all__ = ["Brittleness", "RoomBasis"]
 
 # Beyond its own slots a daemon sends while at most this share of all is in use. What it
 # knows of the others' requests lags behind.
@@ -31,6 +32,18 @@
 SERVICE_EXPIRY_SECONDS = 10.0
 
 
+class RoomBasis(enum.StrEnum):
+    """Why a daemon took an endpoint to have room for a request.
+
+    ``OWN`` is a slot of the daemon's own part, ``FREE`` one that was known to be free,
+    and ``UNAWARE`` stands for a daemon that took the endpoint for a sound one.
+    """
+
+    OWN = "own"
+    FREE = "free"
+    UNAWARE = "unaware"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Statement:
     """What an incarnation of an endpoint said last; ``limit`` is ``None`` if sound.
@@ -103,12 +116,25 @@
         )
         return 0.0 if has_room else ROOM_CHECK_SECONDS
 
+    def basis_of(self, endpoint: Endpoint) -> RoomBasis:
+        """Return why a request may be sent to an endpoint that is not full."""
+        if self.limit_of(endpoint) is None:
+            return RoomBasis.UNAWARE
+        is_own = endpoint.in_flight < self._own_slots(endpoint)
+        return RoomBasis.OWN if is_own else RoomBasis.FREE
+
     def learn_answer(
-        self, endpoint: Endpoint, head: ResponseHead, *, sent_at: float
+        self,
+        endpoint: Endpoint,
+        head: ResponseHead,
+        *,
+        sent_at: float,
+        basis: RoomBasis = RoomBasis.UNAWARE,
     ) -> None:
-        """Record what an answer says; ``sent_at`` is when its request was sent.
+        """Record what an answer says.
 
-        Answers may overtake each other, so only the one to the latest request decides.
+        ``sent_at`` is when its request was sent, and ``basis`` why. Answers may
+        overtake each other, so only the one to the latest request decides.
         """
         if head.misdirected:
             return
@@ -119,7 +145,7 @@
         if statement is None or sent_at >= statement.sent_at:
             statement = self._record(endpoint, head.brittle_limit, sent_at, statement)
         if head.not_run and not head.names_pause and statement.limit is not None:
-            self.metrics.count("brittle_rejections")
+            self.metrics.count("brittle_rejections", label=basis)
             statement.rejected_at = self.clock.monotonic()
 
     def _record(
--- a/linnetladder/forwarding/coordination/relaying.py
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -55,6 +55,7 @@
         call.address = endpoint.address
         pause = self.availability.pauses.begin(endpoint)
         sent_at = self.availability.clock.monotonic()
+        basis = self.availability.brittleness.basis_of(endpoint)
         call.may_send = functools.partial(self._may_send, endpoint, sent_at)
         head = None
         try:
@@ -64,7 +65,7 @@
             self.availability.pauses.end(pause, endpoint, head)
         if head.leaving and not head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
-        self.availability.learn_answer(endpoint, head, sent_at=sent_at)
+        self.availability.learn_answer(endpoint, head, sent_at=sent_at, basis=basis)
         self.metrics.count("relayed_calls", label="served")
         return exchange
 
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -23,6 +23,7 @@
     EndpointAvailability,
     ObstacleReason,
 )
+from linnetladder.forwarding.coordination.brittleness import RoomBasis
 from linnetladder.forwarding.coordination.budget import RetryBudget
 from linnetladder.forwarding.coordination.calls import (
     CallFault,
@@ -403,6 +404,7 @@
         if self.paces.pace_of(endpoint) is not None:
             self.metrics.count("paced_attempts")
         peer = self._peer_for(request, endpoint)
+        basis = self.availability.brittleness.basis_of(endpoint)
         load = self.begin_load(request, endpoint, model)
         pause = self.pauses.begin(endpoint)
         head = None
@@ -434,11 +436,13 @@
             self.pauses.end(pause, endpoint, head)
         if exchange.head.leaving and not exchange.head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
-        self.availability.learn_answer(endpoint, exchange.head, sent_at=load.started)
+        self.availability.learn_answer(
+            endpoint, exchange.head, sent_at=load.started, basis=basis
+        )
         if exchange.head.not_run or exchange.head.misdirected:
             request.ran = ran_before
             request.attempts -= 1
-            self._record_not_run(request, endpoint, exchange)
+            self._record_not_run(request, endpoint, exchange, basis)
             exchange.close()
             self.loads.end(endpoint, load)
             return None
@@ -575,9 +579,15 @@
             self.metrics.count("connections_closed")
 
     def _record_not_run(
-        self, request: ForwardRequest, endpoint: Endpoint, exchange: Exchange
+        self,
+        request: ForwardRequest,
+        endpoint: Endpoint,
+        exchange: Exchange,
+        basis: RoomBasis,
     ) -> None:
         step = f"{endpoint.name}=not_run:{exchange.head.status}"
+        if self.availability.brittleness.limit_of(endpoint) is not None:
+            step += f" sent:{basis}"
         if exchange.head.pause_seconds is not None:
             step += f" pause {exchange.head.pause_seconds:.3f}"
         request.history.append(step)
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -64,7 +64,9 @@
     ),
     "shed": Family("Requests refused on arrival because room was short", "reason"),
     "retries": Family("Attempts after the first"),
-    "brittle_rejections": Family("Requests that brittle endpoints turned away"),
+    "brittle_rejections": Family(
+        "Requests that brittle endpoints turned away", "basis"
+    ),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
--- a/tests/forwarding/test_brittle_endpoints.py
+++ b/tests/forwarding/test_brittle_endpoints.py
@@ -58,6 +58,17 @@
     assert daemon.availability_of(engine(daemon)) is None
 
 
+# Guards against rejections whose cause the metrics don't tell.
+def test_rejections_are_counted_by_why_the_requests_were_sent():
+    daemon = ready_daemon()
+    daemon.limits.update_members([f"daemon-{number}" for number in range(8)])
+    rejected = [TURNED_AWAY] * 3
+    daemon.answer(head("/draft/1"), *rejected)
+    value = daemon.metrics.value
+    assert value("brittle_rejections", label="unaware") == 1
+    assert value("brittle_rejections", label="own") == 2
+
+
 def test_an_endpoint_that_said_nothing_yet_is_as_brittle_as_its_service():
     daemon = ready_daemon()
     brittleness = daemon.selection.availability.brittleness
