--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -252,23 +252,25 @@
         """Start a daemon, or start one again that remembers nothing."""
         self.lives[name] += 1
         incarnation = f"{name}-{self.lives[name]}"
+        number = list(self.lives).index(name)
+        failure_domain = DOMAINS[number % len(DOMAINS)]
         daemon = LocalDaemon(
             name=name,
             incarnation=incarnation,
             source=self.source,
             clock=FleetClock(self.loop),
+            failure_domain=failure_domain,
         )
         calls = FleetCalls(fleet=self, daemon=name)
         daemon.sender.calls = daemon.quarantine.calls = calls
         daemon.relay_control.calls = daemon.sender.confirmation.calls = calls
         daemon.bill_flusher.ensure_durable = _return_at_once
-        number = len(self.source.daemons)
         self.source.daemons.setdefault(
             name,
             DaemonAddress(
                 instance=name,
                 incarnation=incarnation,
-                failure_domain=DOMAINS[number % len(DOMAINS)],
+                failure_domain=failure_domain,
                 host=name,
                 port=1,
             ),
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -471,6 +471,7 @@
         clock=None,
         policy=None,
         regions=None,
+        failure_domain="east",
     ):
         self.clock = clock or ManualClock()
         self.source = source or MemorySource(table=table())
@@ -479,7 +480,7 @@
         self.holder = SettingsHolder(
             settings=FleetSettings(
                 instance=name,
-                failure_domain="east",
+                failure_domain=failure_domain,
                 failure_domains=("east", "west"),
                 address="10.1.0.1",
                 caller_port=80,
