Reserve the slots of brittle endpoints with one daemon that counts

Callers saw services whose endpoints fell over one after the other, and refusals while most slots were free. Cause: each daemon decided by counts that are old. It had a part of the slots, and beyond that sent while reports said that half was free. With 91 daemons most have no part of 6 slots; what they send for free slots takes those that other daemons count as their own, whose requests are turned away in their turn. Daemons that had had no answer yet took endpoints for sound.

Two daemons of an endpoint's failure domain now keep the account of its requests, and the first of them grants slots to those that ask before they send. Reports hold absolute numbers, so none has to arrive. Rejections lower what is granted. Without an arbiter a daemon uses its own part of the slots. That a service is brittle is told to peers.

They run with the mutations on four processors, since two of them take two minutes each.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,9 @@
 SECONDS ?= 60
 SEEDS ?= 5
 DAY ?= bench/days/outage-and-restarts.toml
+# Modules that take minutes and run on four processors.
+PARALLEL := tests/test_mutations.py tests/forwarding/test_mutations.py \
+	tests/forwarding/test_brittle_deployments.py
 
 .PHONY: install demo test bench fuzz faults soak day slopes policy clean
 
@@ -24,8 +27,8 @@
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports
 	$(BIN)/behave --format=progress
-	$(BIN)/python -m pytest --ignore=tests/test_mutations.py --ignore=tests/forwarding/test_mutations.py
-	$(BIN)/python -m pytest -n 4 tests/test_mutations.py tests/forwarding/test_mutations.py
+	$(BIN)/python -m pytest $(PARALLEL:%=--ignore=%)
+	$(BIN)/python -m pytest -n 4 $(PARALLEL)
 	@echo "Known to fail, and passed over:" && grep -v "^#" KNOWN-RED.txt || true
 
 bench: install
--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -90,6 +90,7 @@
         metrics=metrics,
         settings=peer_settings,
         shared_reads=core.shared_reads,
+        reservations=core.reservations,
     )
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
     relay_server = RelayServer(control=core.relay_control, peer_socket=peer_socket)
--- a/linnetladder/forwarding/coordination/attempt_refusals.py
+++ b/linnetladder/forwarding/coordination/attempt_refusals.py
@@ -10,6 +10,7 @@
 from linnetladder.forwarding.coordination.calls import CallFault
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
 from linnetladder.forwarding.state import ForwardRequest
+from linnetladder.state import Endpoint
 from linnetladder.telemetry import Metrics
 
 __all__ = ["AttemptRefusals", "attempt_refusal", "budget_spent"]
@@ -73,6 +74,9 @@
                 f"pauses, are cold or brittle and full; the first one takes requests "
                 f"again in {seconds:.2f} s"
             )
+        elif self._has_brittle(allowed):
+            kind = ErrorKind.OVERLOADED
+            detail = f"the endpoints of service {request.service!r} have no free slot"
         retry_after = max(seconds, RETRY_AFTER_SECONDS)
         if _is_all_evacuated(obstacles):
             self.metrics.count("evacuation_refusals")
@@ -89,6 +93,11 @@
             detail += f"; the last attempt failed: {last_fault.detail}"
         return attempt_refusal(request, kind, detail, retry_after_seconds=retry_after)
 
+    def _has_brittle(self, endpoints: list[Endpoint]) -> bool:
+        """Return whether requests need a free slot of an endpoint."""
+        brittleness = self.availability.brittleness
+        return any(brittleness.limit_of(e) is not None for e in endpoints)
+
 
 def attempt_refusal(
     request: ForwardRequest,
--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -19,6 +19,7 @@
 from linnetladder.forwarding.coordination.evacuations import Evacuations
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
 from linnetladder.forwarding.coordination.request_limits import RequestLimits
+from linnetladder.forwarding.coordination.slot_reservations import SlotReservations
 from linnetladder.forwarding.protocol import ResponseHead
 from linnetladder.state import Clock, Endpoint
 
@@ -86,6 +87,7 @@
         pauses: EndpointPauses,
         evacuations: Evacuations,
         brittleness: Brittleness,
+        reservations: SlotReservations,
         paths: PeerPaths,
         clock: Clock,
     ):
@@ -93,6 +95,7 @@
         self.pauses = pauses
         self.evacuations = evacuations
         self.brittleness = brittleness
+        self.reservations = reservations
         self.paths = paths
         self.clock = clock
 
@@ -125,7 +128,7 @@
             seconds = self.pauses.seconds_left(endpoint)
             reason = ObstacleReason.PAUSED if seconds else ObstacleReason.RETURNING
             return Obstacle(reason, seconds)
-        seconds = self.brittleness.seconds_until_room(endpoint)
+        seconds = self.reservations.seconds_until_room(endpoint)
         if seconds > 0:
             return Obstacle(ObstacleReason.FULL, seconds)
         if not self.limits.may_send(endpoint):
@@ -160,6 +163,16 @@
         obstacle = self.obstacle(endpoint)
         return obstacle is not None and obstacle.excludes
 
+    def is_excluded_for_peers(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get no request that a peer sends through here.
+
+        The peer has reserved the slot that it needs.
+        """
+        obstacle = self.obstacle(endpoint)
+        if obstacle is None or obstacle.reason is ObstacleReason.FULL:
+            return False
+        return obstacle.excludes
+
     def still_accepts(self, endpoint: Endpoint) -> bool:
         """Return whether a request that was chosen for an endpoint may still be sent.
 
--- a/linnetladder/forwarding/coordination/brittleness.py
+++ b/linnetladder/forwarding/coordination/brittleness.py
@@ -1,9 +1,8 @@
 """Endpoints that fall over if they have to turn too many requests away.
 
-They name in their answers how many they can turn away in a second. All daemons together
-have to stay below that, without telling each other: the slots of a brittle endpoint are
-divided among the daemons, in the turns that they also take at its limits. A daemon uses
-its own slots, and others only while it knows that most of the endpoint is free.
+They name in their answers how many they can turn away in a second, which all endpoints
+of a service do at the same time. What a daemon hears it tells its peers, so that those
+that have had no answer know it, too.
 """
 
 import dataclasses
@@ -11,36 +10,32 @@
 import math
 from collections.abc import Iterable
 
-import xxhash
-
-from linnetladder.forwarding.coordination.endpoint_load import EndpointLoads
-from linnetladder.forwarding.coordination.request_limits import RequestLimits
 from linnetladder.forwarding.protocol import ResponseHead
 from linnetladder.state import Clock, Endpoint, EndpointTable
 from linnetladder.telemetry import Metrics, log_change
 
 __all__ = ["Brittleness", "RoomBasis"]
 
-# Beyond its own slots a daemon sends while at most this share of all is in use. What it
-# knows of the others' requests lags behind.
-FREE_LOAD = 0.5
-# An endpoint without room is looked at again after this time.
-ROOM_CHECK_SECONDS = 0.3
 # Statements of endpoints that are listed no more are kept for this long.
 UNLISTED_TTL_SECONDS = 60.0
 # What an endpoint says binds the others of its service for this long.
 SERVICE_EXPIRY_SECONDS = 10.0
+# Peers are told what an endpoint has said within this time.
+NEWS_SECONDS = 3.0
+# Upper estimate of the compressed bytes of a row in a report.
+BRITTLE_ROW_BYTES = 12
 
 
 class RoomBasis(enum.StrEnum):
     """Why a daemon took an endpoint to have room for a request.
 
-    ``OWN`` is a slot of the daemon's own part, ``FREE`` one that was known to be free,
-    and ``UNAWARE`` stands for a daemon that took the endpoint for a sound one.
+    ``RESERVED`` is a slot that the endpoint's arbiter granted, ``OWN`` one of the
+    daemon's own part, and ``UNAWARE`` stands for a daemon that took the endpoint for a
+    sound one.
     """
 
+    RESERVED = "reserved"
     OWN = "own"
-    FREE = "free"
     UNAWARE = "unaware"
 
 
@@ -48,7 +43,8 @@
 class Statement:
     """What an incarnation of an endpoint said last; ``limit`` is ``None`` if sound.
 
-    It turned a request of this daemon away at ``rejected_at``.
+    It has turned ``rejections`` requests of this daemon away, the last one at
+    ``rejected_at``.
     """
 
     incarnation: str
@@ -56,72 +52,80 @@
     limit: float | None
     sent_at: float
     heard_at: float
+    rejections: int = 0
     rejected_at: float = -math.inf
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServiceStatement:
+    """What endpoints of a service said last, at ``heard_at``.
+
+    ``answered_at`` is the time of the last answer to this daemon that said so.
+    """
+
+    limit: float
+    heard_at: float
+    answered_at: float = -math.inf
+
+
 class Brittleness:
-    """Keeps what endpoints say of their brittleness, and whether they have room."""
+    """Keeps what endpoints say of their brittleness."""
 
     def __init__(
         self,
         *,
-        limits: RequestLimits,
         table: EndpointTable,
-        loads: EndpointLoads,
         clock: Clock,
         metrics: Metrics,
     ):
-        self.limits = limits
         self.table = table
-        self.loads = loads
         self.clock = clock
         self.metrics = metrics
         self.statements: dict[str, Statement] = {}
+        self.services: dict[str, ServiceStatement] = {}
 
     def limit_of(self, endpoint: Endpoint) -> float | None:
         """Return the requests that an endpoint can turn away in a second, if few.
 
-        One that has said nothing yet is as brittle as the others of its service.
+        One that has said nothing yet, or nothing since another one of its service said
+        that it is brittle, is as brittle as that.
         """
-        if not self.statements:
+        if not self.services:
             return None
         statement = self._statement(endpoint)
-        if statement is not None:
+        latest = self.services.get(endpoint.service)
+        if statement is not None and (
+            statement.limit is not None
+            or latest is None
+            or statement.heard_at >= latest.heard_at
+        ):
             return statement.limit
-        since = self.clock.monotonic() - SERVICE_EXPIRY_SECONDS
-        return min(
-            (
-                other.limit
-                for other in self.statements.values()
-                if other.limit is not None
-                and other.service == endpoint.service
-                and other.heard_at >= since
-            ),
-            default=None,
-        )
+        if latest is None or self._age(latest.heard_at) > SERVICE_EXPIRY_SECONDS:
+            return None
+        return latest.limit
 
-    def seconds_until_room(self, endpoint: Endpoint) -> float:
-        """Return the seconds until a request may be sent to an endpoint, 0 for now."""
-        if self.limit_of(endpoint) is None:
-            return 0.0
+    def rejections_of(self, endpoint: Endpoint) -> int:
+        """Return how many requests of this daemon an endpoint has turned away."""
         statement = self._statement(endpoint)
-        if statement is not None:
-            since = self.clock.monotonic() - statement.rejected_at
-            if since < ROOM_CHECK_SECONDS:
-                return ROOM_CHECK_SECONDS - since
-        in_use = self.loads.in_flight_of(endpoint)
-        has_room = (
-            endpoint.in_flight < self._own_slots(endpoint)
-            or in_use + 1 <= endpoint.capacity * FREE_LOAD
-        )
-        return 0.0 if has_room else ROOM_CHECK_SECONDS
+        return statement.rejections if statement is not None else 0
+
+    def rejected_at(self, endpoint: Endpoint) -> float:
+        """Return when an endpoint turned the last request of this daemon away."""
+        statement = self._statement(endpoint)
+        return statement.rejected_at if statement is not None else -math.inf
 
-    def basis_of(self, endpoint: Endpoint) -> RoomBasis:
-        """Return why a request may be sent to an endpoint that is not full."""
-        if self.limit_of(endpoint) is None:
-            return RoomBasis.UNAWARE
-        is_own = endpoint.in_flight < self._own_slots(endpoint)
-        return RoomBasis.OWN if is_own else RoomBasis.FREE
+    def learn_report(self, rows: Iterable[tuple[str, float]]) -> None:
+        """Record what endpoints have said to a peer, by their service."""
+        for service, limit in rows:
+            self._learn_service(service, limit)
+
+    def export(self) -> list[tuple[str, float]]:
+        """Return the services whose endpoints lately said so to this daemon."""
+        return [
+            (service, statement.limit)
+            for service, statement in self.services.items()
+            if self._age(statement.answered_at) <= NEWS_SECONDS
+        ]
 
     def learn_answer(
         self,
@@ -146,6 +150,7 @@
             statement = self._record(endpoint, head.brittle_limit, sent_at, statement)
         if head.not_run and not head.names_pause and statement.limit is not None:
             self.metrics.count("brittle_rejections", label=basis)
+            statement.rejections += 1
             statement.rejected_at = self.clock.monotonic()
 
     def _record(
@@ -160,26 +165,35 @@
             self._forget_unlisted(now)
         if limit != (previous.limit if previous is not None else None):
             log_change("endpoint is brittle", endpoint=endpoint.name, limit=limit)
+        if limit is not None:
+            latest = self._learn_service(endpoint.service, limit)
+            latest.answered_at = now
         statement = Statement(
             incarnation=endpoint.incarnation,
             service=endpoint.service,
             limit=limit,
             sent_at=sent_at,
             heard_at=now,
-            rejected_at=previous.rejected_at if previous is not None else -math.inf,
         )
+        if previous is not None:
+            statement.rejections = previous.rejections
+            statement.rejected_at = previous.rejected_at
         self.statements[endpoint.name] = statement
         return statement
 
-    def _own_slots(self, endpoint: Endpoint) -> int:
-        """Return this daemon's part of an endpoint's slots, which all add up to.
-
-        The daemons take the slots in turns, from an offset by the endpoint's name.
-        """
-        turns = self.limits.turns
-        offset = xxhash.xxh32_intdigest(endpoint.name.encode())
-        own_turn = (self.limits.rank - offset) % turns
-        return endpoint.capacity // turns + (own_turn < endpoint.capacity % turns)
+    def _learn_service(self, service: str, limit: float) -> ServiceStatement:
+        """Record what an endpoint of a service says; the lowest limit holds."""
+        now = self.clock.monotonic()
+        latest = self.services.get(service)
+        if latest is None or self._age(latest.heard_at) > SERVICE_EXPIRY_SECONDS:
+            latest = ServiceStatement(limit=limit, heard_at=now)
+            self.services[service] = latest
+        latest.limit = min(latest.limit, limit)
+        latest.heard_at = now
+        return latest
+
+    def _age(self, time: float) -> float:
+        return self.clock.monotonic() - time
 
     def _statement(self, endpoint: Endpoint) -> Statement | None:
         statement = self.statements.get(endpoint.name)
--- a/linnetladder/forwarding/coordination/endpoint_load.py
+++ b/linnetladder/forwarding/coordination/endpoint_load.py
@@ -94,6 +94,7 @@
         self.daemons = 1
         self.speeds = ReadingSpeeds(clock=clock)
         self.on_long_prompt: Callable[[], None] = _do_nothing
+        self.on_end: Callable[[Endpoint], None] = _ignore_end
 
     def begin(
         self, endpoint: Endpoint, *, model: str, tokens: int, cache_tokens: int = 0
@@ -147,6 +148,7 @@
         else:
             self.cache_tokens.pop(endpoint.name, None)
         load.cache_tokens = 0
+        self.on_end(endpoint)
 
     def token_seconds(self, model: str) -> float:
         """Return the seconds that a model takes to prefill one prompt token."""
@@ -250,3 +252,7 @@
 
 def _do_nothing() -> None:
     """Do nothing; the default action when a long prompt is sent."""
+
+
+def _ignore_end(endpoint: Endpoint) -> None:
+    """Do nothing; the default action when a request at an endpoint has ended."""
--- a/linnetladder/forwarding/coordination/peer_gossip.py
+++ b/linnetladder/forwarding/coordination/peer_gossip.py
@@ -17,6 +17,10 @@
 )
 from linnetladder.forwarding.coordination.bill_replicas import BillReplicas
 from linnetladder.forwarding.coordination.bills import BillBuffer
+from linnetladder.forwarding.coordination.brittleness import (
+    BRITTLE_ROW_BYTES,
+    Brittleness,
+)
 from linnetladder.forwarding.coordination.directory import (
     EndpointDirectory,
     group_name,
@@ -120,6 +124,7 @@
         outcomes: Outcomes,
         crashes: CrashLog,
         limits: RequestLimits,
+        brittleness: Brittleness,
         room: EndpointRoom,
         demand: ServiceDemand,
         shares: AccountShares,
@@ -139,6 +144,7 @@
         self.outcomes = outcomes
         self.crashes = crashes
         self.limits = limits
+        self.brittleness = brittleness
         self.room = room
         self.demand = demand
         self.shares = shares
@@ -338,7 +344,10 @@
         demand = []
         uses = []
         speeds = []
+        brittle = []
         if with_rows:
+            brittle = self.brittleness.export()
+            room -= len(brittle) * BRITTLE_ROW_BYTES
             demand = self.demand.export()
             uses = self.shares.export(maximum_bytes=room * USES_SHARE)
             room -= len(demand) * DEMAND_ROW_BYTES + len(uses) * USE_ROW_BYTES
@@ -366,6 +375,7 @@
             demand=demand,
             uses=uses,
             speeds=speeds,
+            brittle=brittle,
             sent_at=round(self.clock.unix(), 2) if demand else 0.0,
         )
         message = self._message(report=report)
@@ -544,6 +554,7 @@
             self.demand.learn(peer, report.demand, sent_at=report.sent_at)
             self.shares.learn(peer, report.uses)
             self.loads.speeds.learn_report(peer, report.speeds)
+            self.brittleness.learn_report(report.brittle)
         if report.outcomes is not None:
             self.outcomes.learn(peer, report.outcomes)
         for suspect, endpoint, age in report.crashes:
--- a/linnetladder/forwarding/coordination/relaying.py
+++ b/linnetladder/forwarding/coordination/relaying.py
@@ -55,7 +55,6 @@
         call.address = endpoint.address
         pause = self.availability.pauses.begin(endpoint)
         sent_at = self.availability.clock.monotonic()
-        basis = self.availability.brittleness.basis_of(endpoint)
         call.may_send = functools.partial(self._may_send, endpoint, sent_at)
         head = None
         try:
@@ -65,7 +64,7 @@
             self.availability.pauses.end(pause, endpoint, head)
         if head.leaving and not head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
-        self.availability.learn_answer(endpoint, head, sent_at=sent_at, basis=basis)
+        self.availability.learn_answer(endpoint, head, sent_at=sent_at)
         self.metrics.count("relayed_calls", label="served")
         return exchange
 
@@ -90,7 +89,7 @@
             if not self._reaches_service(endpoint.service):
                 raise CutOffError
             raise self._refused(call, CallFaultKind.CONNECT, "is unreachable")
-        if self.availability.is_excluded(endpoint):
+        if self.availability.is_excluded_for_peers(endpoint):
             raise self._refused(call, CallFaultKind.WITHDRAWN, "takes no requests")
         return endpoint
 
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -68,6 +68,9 @@
 MINIMUM_ATTEMPT_SECONDS = 0.01
 # Share of the time to its objective that a request may wait for an endpoint's permit.
 PERMIT_WAIT_SHARE = 0.5
+# Share of a route's objective for which a request may look for a free slot of a brittle
+# endpoint, of which one after the other is asked for.
+SLOT_SEARCH_SHARE = 0.1
 # A stream that waits for endpoints to return after their pause looks this often.
 RETURN_CHECK_SECONDS = 0.05
 PAUSE_REASONS = frozenset(
@@ -85,6 +88,14 @@
 MAXIMUM_FALLBACK_SHARE = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """An endpoint that is sent to, and why it is taken to have room."""
+
+    endpoint: Endpoint
+    basis: RoomBasis
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Attempt:
     """An attempt whose response has begun; `Sender.close` ends it.
@@ -138,6 +149,7 @@
         self.confirmation = confirmation
         self.availability = availability
         self.paths = availability.paths
+        self.reservations = availability.reservations
         self.limits = availability.limits
         self.paces = self.limits.paces
         self.pauses = availability.pauses
@@ -156,14 +168,16 @@
             refusal = self.refuse_attempt(request, last_fault)
             if refusal is not None:
                 return Failure(refusal)
-            endpoint = await self._choose(request, model)
-            if endpoint is None:
+            choice = await self._choose_slot(request, model)
+            if choice is None:
                 return Failure(self.no_endpoint_refusal(request, model, last_fault))
+            endpoint = choice.endpoint
             is_retry = request.times_sent > 0
             if is_retry and not self._spend_retry(request):
+                self.reservations.cancel(endpoint, choice.basis)
                 return Failure(budget_spent(request, last_fault))
             try:
-                attempt = await self._send(request, endpoint, model, resume_after)
+                attempt = await self._send(request, choice, model, resume_after)
             except CallFault as fault:
                 last_fault = fault
                 if is_retry and not fault.may_have_run:
@@ -188,6 +202,23 @@
             if self.selection.is_held(_affinity(request, model))
         )
 
+    async def _choose_slot(self, request: ForwardRequest, model: str) -> Choice | None:
+        """Return an endpoint with a slot for the request, or ``None``."""
+        share = request.route.objective_seconds * SLOT_SEARCH_SHARE
+        until = self.clock.monotonic() + share
+        asked = set()
+        while True:
+            endpoint = await self._choose(request, model)
+            if endpoint is None:
+                return None
+            basis = await self.reservations.reserve(endpoint)
+            if basis is not None:
+                return Choice(endpoint=endpoint, basis=basis)
+            is_over = endpoint.name in asked or self.clock.monotonic() >= until
+            if is_over and not request.events:
+                return None
+            asked.add(endpoint.name)
+
     async def _choose(self, request: ForwardRequest, model: str) -> Endpoint | None:
         """Return an endpoint that may be sent to, or ``None`` if there is none in time.
 
@@ -364,6 +395,8 @@
             self.selection.room.learn_answer(
                 attempt.endpoint, attempt.load, request.head.prompt
             )
+        if outcome in (None, AttemptOutcome.BROKEN):
+            self.reservations.note_given_up(attempt.endpoint)
         self.loads.end(attempt.endpoint, attempt.load)
         if outcome is None:
             return
@@ -394,18 +427,19 @@
     async def _send(
         self,
         request: ForwardRequest,
-        endpoint: Endpoint,
+        choice: Choice,
         model: str,
         resume_after: str,
     ) -> Attempt | None:
         """Send once; return ``None`` if the endpoint reports that it did not run it."""
+        endpoint = choice.endpoint
         if self.limits.named_limit_of(endpoint) is not None:
             self.metrics.count("limited_attempts")
         if self.paces.pace_of(endpoint) is not None:
             self.metrics.count("paced_attempts")
         peer = self._peer_for(request, endpoint)
-        basis = self.availability.brittleness.basis_of(endpoint)
         load = self.begin_load(request, endpoint, model)
+        self.reservations.begin(endpoint, choice.basis)
         pause = self.pauses.begin(endpoint)
         head = None
         request.endpoints_tried.append(endpoint.name)
@@ -418,6 +452,8 @@
             exchange = await self.calls.open(call)
             head = exchange.head
         except CallFault as fault:
+            if fault.may_have_run:
+                self.reservations.note_given_up(endpoint)
             self.loads.end(endpoint, load)
             request.ran = ran_before or fault.may_have_run
             if not fault.may_have_run:
@@ -427,6 +463,7 @@
             self._record_path_fault(request, endpoint, peer, fault)
             raise
         except BaseException:
+            self.reservations.note_given_up(endpoint)
             self.loads.end(endpoint, load)
             waited = self.clock.monotonic() - load.started
             state = "unanswered" if call.connected else "unconnected"
@@ -437,12 +474,12 @@
         if exchange.head.leaving and not exchange.head.misdirected:
             self.directory.mark_leaving(endpoint, reason="answer")
         self.availability.learn_answer(
-            endpoint, exchange.head, sent_at=load.started, basis=basis
+            endpoint, exchange.head, sent_at=load.started, basis=choice.basis
         )
         if exchange.head.not_run or exchange.head.misdirected:
             request.ran = ran_before
             request.attempts -= 1
-            self._record_not_run(request, endpoint, exchange, basis)
+            self._record_not_run(request, choice, exchange)
             exchange.close()
             self.loads.end(endpoint, load)
             return None
@@ -579,15 +616,12 @@
             self.metrics.count("connections_closed")
 
     def _record_not_run(
-        self,
-        request: ForwardRequest,
-        endpoint: Endpoint,
-        exchange: Exchange,
-        basis: RoomBasis,
+        self, request: ForwardRequest, choice: Choice, exchange: Exchange
     ) -> None:
+        endpoint = choice.endpoint
         step = f"{endpoint.name}=not_run:{exchange.head.status}"
         if self.availability.brittleness.limit_of(endpoint) is not None:
-            step += f" sent:{basis}"
+            step += f" sent:{choice.basis}"
         if exchange.head.pause_seconds is not None:
             step += f" pause {exchange.head.pause_seconds:.3f}"
         request.history.append(step)
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -52,6 +52,7 @@
 from linnetladder.forwarding.coordination.shared_reads import SharedReads
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
 from linnetladder.forwarding.coordination.sizing import ConfidenceCascade
+from linnetladder.forwarding.coordination.slot_reservations import SlotReservations
 from linnetladder.forwarding.coordination.sources import (
     DaemonAddress,
     OperatorSource,
@@ -104,6 +105,7 @@
     limits: RequestLimits
     paces: EndpointPaces
     pauses: EndpointPauses
+    reservations: SlotReservations
     evacuations: Evacuations
     paths: PeerPaths
     relay_control: RelayControl
@@ -152,6 +154,7 @@
     pauses = EndpointPauses(
         instance=settings.instance, table=table, clock=clock, metrics=metrics
     )
+    brittleness = Brittleness(table=table, clock=clock, metrics=metrics)
     room = EndpointRoom(in_force=in_force, loads=loads)
     evacuations = Evacuations(clock=clock)
     evacuations.on_return = paces.note_domain_returned
@@ -188,6 +191,7 @@
         outcomes=outcomes,
         crashes=crashes,
         limits=limits,
+        brittleness=brittleness,
         room=room,
         demand=demand,
         shares=shares,
@@ -201,17 +205,31 @@
     )
     homes = Homes(settings=holder)
     paths = PeerPaths(peers=peers, homes=homes, clock=clock, metrics=metrics)
+    own_address = DaemonAddress(
+        instance=settings.instance,
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        host=settings.address,
+        port=settings.peer_ports[0],
+    )
+    reservations = SlotReservations(
+        own_address=own_address,
+        brittleness=brittleness,
+        limits=limits,
+        table=table,
+        loads=loads,
+        room=room,
+        peers=peers,
+        clock=clock,
+        metrics=metrics,
+    )
+    loads.on_end = reservations.tell_arbiters
     availability = EndpointAvailability(
         limits=limits,
         pauses=pauses,
         evacuations=evacuations,
-        brittleness=Brittleness(
-            limits=limits,
-            table=table,
-            loads=loads,
-            clock=clock,
-            metrics=metrics,
-        ),
+        brittleness=brittleness,
+        reservations=reservations,
         paths=paths,
         clock=clock,
     )
@@ -243,13 +261,7 @@
         limits=limits,
         crash_records=crash_records,
         evacuations=evacuations,
-        address=DaemonAddress(
-            instance=settings.instance,
-            incarnation=incarnation,
-            failure_domain=settings.failure_domain,
-            host=settings.address,
-            port=settings.peer_ports[0],
-        ),
+        address=own_address,
         clock=clock,
         metrics=metrics,
         seed=seed,
@@ -352,6 +364,7 @@
         limits=limits,
         paces=paces,
         pauses=pauses,
+        reservations=reservations,
         evacuations=evacuations,
         paths=paths,
         relay_control=relay_control,
--- a/linnetladder/forwarding/protocol/daemon_messages.py
+++ b/linnetladder/forwarding/protocol/daemon_messages.py
@@ -54,6 +54,7 @@
 SENT_ROW = "#sent"
 SPEED_ROW = "#speed"
 SPEED_UNITS_PER_SECOND = 1_000_000_000
+BRITTLE_ROW = "#brittle"
 # The service's name follows.
 USE_ROW = "#use "
 USE_UNITS_PER_SECOND = 100
@@ -115,6 +116,8 @@
       in reports with ``loads``
     * ``speeds``: model, seconds in which it reads one token; only in reports with
       ``loads``
+    * ``brittle``: service whose endpoints fall over if they turn more than a number of
+      requests away in a second, and that number; only in reports with ``loads``
 
     ``sent_at`` is the sender's Unix time in a report with ``demand``, otherwise 0.
 
@@ -151,6 +154,7 @@
     sent_at: float = 0.0
     uses: list[tuple[str, str, float]] = dataclasses.field(default_factory=list)
     speeds: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    brittle: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -364,6 +368,11 @@
             for kind, model, units in sums
             if kind == SPEED_ROW
         ],
+        brittle=[
+            (service, units / UNITS_PER_REQUEST)
+            for kind, service, units in sums
+            if kind == BRITTLE_ROW
+        ],
         demand=_demand(sums),
         uses=[
             (kind.removeprefix(USE_ROW), account, units / USE_UNITS_PER_SECOND)
@@ -384,6 +393,10 @@
         (SPEED_ROW, model, round(seconds * SPEED_UNITS_PER_SECOND))
         for model, seconds in report.speeds
     ]
+    rows += [
+        (BRITTLE_ROW, service, round(limit * UNITS_PER_REQUEST))
+        for service, limit in report.brittle
+    ]
     if report.demand:
         sent_at = round(report.sent_at * SENT_UNITS_PER_SECOND)
         rows.append((SENT_ROW, report.demand[0][0], sent_at))
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -10,6 +10,7 @@
     PeerGossip,
 )
 from linnetladder.forwarding.coordination.shared_reads import SharedReads
+from linnetladder.forwarding.coordination.slot_reservations import SlotReservations
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.daemon_variables import PeerSettings
 from linnetladder.forwarding.protocol.daemon_messages import (
@@ -26,6 +27,12 @@
     decode_read_message,
     encode_read_message,
 )
+from linnetladder.forwarding.protocol.slot_messages import (
+    SlotAnswer,
+    SlotReport,
+    decode_slot_message,
+    encode_slot_message,
+)
 from linnetladder.telemetry import Metrics, log_failure
 
 __all__ = ["PeerSocket"]
@@ -74,11 +81,15 @@
         metrics: Metrics,
         settings: PeerSettings | None = None,
         shared_reads: SharedReads | None = None,
+        reservations: SlotReservations | None = None,
     ):
         self.gossip = gossip
         self.shared_reads = shared_reads
         if shared_reads is not None:
             shared_reads.send = self.send_read_message
+        self.reservations = reservations
+        if reservations is not None:
+            reservations.send = self.send_slot_message
         settings = settings or PeerSettings()
         self.budget = ByteBudget(bytes_per_second=settings.report_bytes_per_second)
         self.paces_budget = ByteBudget(
@@ -123,6 +134,10 @@
         if read_message is not None and self.shared_reads is not None:
             self.shared_reads.receive(read_message)
             return
+        slot_message = decode_slot_message(data, secrets=self.accepted_secrets())
+        if slot_message is not None and self.reservations is not None:
+            self.reservations.receive(slot_message)
+            return
         gossip = self._decode(data)
         if gossip is None:
             self.metrics.count("rejected_peers", label="news")
@@ -204,6 +219,8 @@
         carries news, and leaves enough of the budget for the regular ones.
         """
         self.budget.refill(now)
+        if self.reservations is not None and not urgent:
+            self.reservations.refresh()
         bill_peers = self.gossip.bill_peers()
         receivers = list(dict.fromkeys((*bill_peers, *self.gossip.receivers())))
         if not self.secret or not receivers:
@@ -306,6 +323,15 @@
         self.metrics.count("peer_bytes", len(datagram), label="sent")
         return True
 
+    def send_slot_message(
+        self, message: SlotReport | SlotAnswer, receiver: DaemonAddress
+    ) -> bool:
+        """Send a message on reservations; return false if that is not possible."""
+        if self.transport is None or not self.secret:
+            return False
+        self._send_to(receiver, encode_slot_message(message, secret=self.secret))
+        return True
+
     def _send_to(self, receiver: DaemonAddress, datagram: bytes) -> None:
         if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
             self.metrics.count("peer_messages", label="too_large")
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -49,6 +49,8 @@
     sender,
     shared_reads,
     shared_snapshots,
+    slot_ledger,
+    slot_reservations,
     store_polling,
 )
 from linnetladder.forwarding.coordination.account_shares import AccountShares
@@ -91,6 +93,7 @@
 from linnetladder.forwarding.coordination.service_demand import ServiceDemand
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.shared_snapshots import SharedSnapshots
+from linnetladder.forwarding.coordination.slot_reservations import SlotReservations
 from linnetladder.forwarding.coordination.sources import StoreSnapshot
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.coordination.store_polling import StorePoller
@@ -473,10 +476,17 @@
     ("check_others", quarantine.Quarantine, "_check_others_soon", always(None), CUT),
     ("relay_signature", relaying, "_sign", always("x"), CUT),
     ("relay_headers", relay_server, "RELAY_HEADERS", frozenset(), RELAYING),
-    ("brittle_full", Brittleness, "seconds_until_room", always(0.0), BRITTLE),
-    ("brittle_slots", Brittleness, "_own_slots", always(2), BRITTLE),
-    ("brittle_free", brittleness, "FREE_LOAD", 0.0, BRITTLE),
-    ("brittle_check", brittleness, "ROOM_CHECK_SECONDS", 0.0, BRITTLE),
+    ("brittle_full", SlotReservations, "seconds_until_room", always(0.0), BRITTLE),
+    ("brittle_slots", SlotReservations, "_own_slots", always(2), BRITTLE),
+    ("brittle_account", slot_ledger.SlotAccount, "in_use", always(0), BRITTLE),
+    ("brittle_learning", slot_ledger, "LEARNING_SHARE", 1.0, BRITTLE),
+    ("brittle_unsure", slot_ledger, "LEARNING_SECONDS", 9.0, BRITTLE),
+    ("brittle_rejections", slot_ledger, "REJECTION_SHARE", 2.0, BRITTLE),
+    ("brittle_ceiling", slot_ledger, "CEILING_SECONDS", 0.0, BRITTLE),
+    ("brittle_ended", SlotReservations, "tell_arbiters", always(None), BRITTLE),
+    ("brittle_pause", slot_reservations, "REJECTION_PAUSE_SECONDS", 0.0, BRITTLE),
+    ("brittle_given_up", slot_reservations, "GIVEN_UP_SECONDS", 0.0, BRITTLE),
+    ("brittle_news", Brittleness, "learn_report", always(None), BRITTLE),
     ("brittle_expiry", brittleness, "SERVICE_EXPIRY_SECONDS", 60.0, BRITTLE),
     ("brittle_header", headers, "SERVER_BRITTLE", "Unknown", BRITTLE),
     ("escalation_reserve", budget, "MAXIMUM_RESERVED_RETRIES", -99.0, "streams"),
--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -275,7 +275,11 @@
                 port=1,
             ),
         )
-        peer_socket = PeerSocket(gossip=daemon.peers, metrics=daemon.metrics)
+        peer_socket = PeerSocket(
+            gossip=daemon.peers,
+            metrics=daemon.metrics,
+            reservations=daemon.reservations,
+        )
         peer_socket.secret = SECRET
         peer_socket.transport = FleetLink(fleet=self)
         daemon.crashes.on_crash = peer_socket.send_soon
