Pass over odd entries of the store, and read on after content that fails

An operator of a similar system saw daemons that ended again and again, or stopped following the registry, after another writer had left one odd entry there. A port out of range, a name that no header can hold and an endless time of being cold were taken, and failed later: in calls, in probes and in reports to peers.

Numbers and addresses of workers are bounded where they are decoded. Any error of one entry passes over that entry alone. Content that can't be applied counts as a failed read and is read again, and a report that can't be sent does not end the others; both are logged.

--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -200,7 +200,19 @@
         return max(smallest_bound - READ_LEAD_SECONDS, MINIMUM_READ_INTERVAL_SECONDS)
 
     async def read_once(self) -> bool:
-        """Read the store, apply its content, and return whether the read succeeded."""
+        """Read the store, apply its content, and return whether the read succeeded.
+
+        Content that can't be applied is a failed read: the daemon goes on with what it
+        has, and reads again.
+        """
+        try:
+            return await self._read_and_apply()
+        except Exception as error:
+            self.metrics.count("platform_faults", label="unusable_content")
+            log_failure("the store's content can't be applied", error)
+            return False
+
+    async def _read_and_apply(self) -> bool:
         began = self.clock.monotonic()
         heard_before = self.newest_heard
         read = await self._read_source()
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -181,7 +181,10 @@
             if not urgent:
                 next_round = now + SEND_INTERVAL_SECONDS
                 self.loads_requested = False
-            self.send_round(now=now, urgent=urgent)
+            try:
+                self.send_round(now=now, urgent=urgent)
+            except Exception as error:
+                log_failure("sending reports to peers failed", error)
             if requested:
                 pause = min(MINIMUM_INTERVAL_SECONDS, next_round - now)
                 await asyncio.sleep(pause)
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -7,6 +7,7 @@
 regions; missing or empty, any region is allowed.
 """
 
+import ipaddress
 from typing import Literal
 
 import pydantic
@@ -25,9 +26,21 @@
 )
 from linnetladder.state import EndpointReport, VersionRef
 
-__all__ = ["ConfigurationModel", "RolloutModel", "ServerModel", "StatusModel"]
+__all__ = [
+    "MAXIMUM_PORT",
+    "ConfigurationModel",
+    "RolloutModel",
+    "ServerModel",
+    "StatusModel",
+]
 
 MILLISECONDS_PER_SECOND = 1000.0
+# Bounds of what a worker may say of itself. They are far beyond any real value, and
+# keep what is computed from it finite.
+MAXIMUM_SLOTS = 1_000_000
+MAXIMUM_COLD_MS = 86_400_000.0
+MAXIMUM_UNIX_MS = 253_402_300_799_999
+MAXIMUM_PORT = 65_535
 
 
 class SplitModel(pydantic.BaseModel):
@@ -207,16 +220,26 @@
     model_config = pydantic.ConfigDict(strict=True)
 
     Service: str = pydantic.Field(min_length=1)
-    Address: str = pydantic.Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    Address: str = pydantic.Field(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
     Zone: str
     Version: str
-    Slots: int = pydantic.Field(ge=1)
+    Slots: int = pydantic.Field(ge=1, le=MAXIMUM_SLOTS)
     State: Literal["ready", "draining"]
-    ColdMs: float | None = pydantic.Field(None, ge=0)
+    ColdMs: float | None = pydantic.Field(None, ge=0, le=MAXIMUM_COLD_MS)
     Seq: int
     Phase: str | None = None
     Models: list[dict] | None = None
-    born: int | None = None
+    born: int | None = pydantic.Field(None, ge=0, le=MAXIMUM_UNIX_MS)
+
+    @pydantic.field_validator("Address")
+    @classmethod
+    def check_address(cls, address: str) -> str:
+        """Return an address that can be connected to; raise `ValueError` for others."""
+        host, _, port = address.rpartition(":")
+        ipaddress.IPv4Address(host)
+        if not 0 < int(port) <= MAXIMUM_PORT:
+            raise ValueError(f"the port {port} is out of range")
+        return address
 
     def decode(self, *, name: str, revision: int) -> EndpointReport:
         """Return the state of the endpoint that registered under a name.
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -1,5 +1,6 @@
 """Access to the operator's and the daemons' keys in the platform's store."""
 
+import re
 from collections.abc import Iterable
 
 import orjson
@@ -29,6 +30,7 @@
     RoutingTable,
 )
 from linnetladder.platform.documents import (
+    MAXIMUM_PORT,
     ConfigurationModel,
     RolloutModel,
     ServerModel,
@@ -52,6 +54,8 @@
 # workers' keys, in this order. Keys that sort before it are not needed.
 LIST_AFTER_KEY = "op"
 LEDGER_PREFIX = "linnetladder/ledger/"
+# Workers are named in headers.
+SERVER_NAME = re.compile(r"[!-~]+")
 SECRET_KEY = "linnetladder/peer-secret"
 
 _RECORD_ADAPTER = pydantic.TypeAdapter(RolloutRecord)
@@ -253,7 +257,8 @@
                 self.decoded[record.key] = cached
                 values.append(cached[1])
                 return
-        except (ValueError, TypeError) as error:
+        except Exception as error:
+            # Whatever another writer left there, the other entries hold.
             self._report_unreadable(record, error)
 
     def _decode_table(self, record: Record, position: Position) -> None:
@@ -300,11 +305,16 @@
 def _decode_server(record: Record) -> EndpointReport:
     model = ServerModel.model_validate_json(record.value)
     name = record.key.removeprefix(SERVER_PREFIX)
+    if not SERVER_NAME.fullmatch(name):
+        raise ValueError("the key names no worker")
     return model.decode(name=name, revision=record.modify_revision)
 
 
 def _decode_daemon(record: Record) -> DaemonAddress:
-    return _DAEMON_ADAPTER.validate_json(record.value)
+    address = _DAEMON_ADAPTER.validate_json(record.value)
+    if not 0 < address.port <= MAXIMUM_PORT:
+        raise ValueError(f"the port {address.port} is out of range")
+    return address
 
 
 _DECODERS = {
