Believe no refusal that may be a copy of an earlier one

An operator of a similar system saw callers told "not run, try again" for requests that ran, or such requests run at a second endpoint: a faulty endpoint wrote an earlier refusal once more on a kept connection. Refusals that name another request were rejected here already. One without an id was believed on any connection, and so was a second one for the same request on the same connection.

A request is refused once on a connection, and a refusal without an id counts only for the only request on its connection. Others are invalid answers, after which the request may have run.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -2,7 +2,8 @@
 
 A connection is closed instead of returned to the pool after unsolicited bytes, an
 answer to another request or a truncated body. An answer without a length is complete
-only if its connection was closed in order and not reset.
+only if its connection was closed in order and not reset. A refusal that may be a copy
+of an earlier one on its connection does not show that the request has not run.
 
 Bytes that are no body, such as informational answers or the framing of chunks, and
 bodies that are held in memory are bounded, since an endpoint may send them without end.
@@ -61,7 +62,9 @@
     """Records whether the connection was reset; closes it on unsolicited bytes.
 
     It is also closed if an answer's framing exceeds its bound. ``received_bytes`` and
-    ``body_bytes`` count those of the current answer.
+    ``body_bytes`` count those of the current answer. ``requests`` counts the requests
+    on the connection, and ``refused`` holds the attempt ids of those that the endpoint
+    refused as not run.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -70,10 +73,13 @@
         self.idle = True
         self.received_bytes = 0
         self.body_bytes = 0
+        self.requests = 0
+        self.refused: set[str] = set()
 
     def set_response_params(self, **options: object) -> None:
         """Mark the connection as awaiting an answer."""
         self.idle = False
+        self.requests += 1
         self.received_bytes = self.body_bytes = 0
         super().set_response_params(**options)
 
@@ -490,8 +496,31 @@
             response.close()
             detail = f"{monitor.address} sent a success without its seal"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
+        is_refusal = head.not_run or head.misdirected
+        if is_refusal and not monitor.call.relay:
+            self._check_refusal(attempt_id, head, response, monitor)
         return HttpExchange(head=head, response=response, monitor=monitor)
 
+    def _check_refusal(
+        self,
+        attempt_id: str,
+        head: ResponseHead,
+        response: aiohttp.ClientResponse,
+        monitor: SilenceMonitor,
+    ) -> None:
+        """Raise `CallFault` for a refusal that may be a copy of an earlier one.
+
+        A request is refused at most once on a connection, and a refusal that names no
+        request is one of the only request on its connection.
+        """
+        protocol: CheckedResponseHandler = response._protocol
+        names_only = head.attempt_id and attempt_id not in protocol.refused
+        if not names_only and (head.attempt_id or protocol.requests > 1):
+            response.close()
+            detail = f"{monitor.address} may have sent an earlier refusal once more"
+            raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
+        protocol.refused.add(attempt_id)
+
     def _build_session(self, *, keepalive_timeout: float) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
             connector=CheckedConnector(
