Abort an answer that has begun instead of sending a second one

Operators of a similar system saw the text of an error, or its whole head, in the middle of a stream that had broken off, or the stream ended as if it were complete. But nothing kept a part of the daemon from sending an answer or a refusal after the head of another: it went out in the middle of the stream.

A reply that has begun is aborted then, with a log line.

--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -23,7 +23,7 @@
 from linnetladder.forwarding.protocol import CallerCodec, InvalidHeadError
 from linnetladder.forwarding.state import CallerLimits
 from linnetladder.state import Clock
-from linnetladder.telemetry import Metrics, log_failure, log_request
+from linnetladder.telemetry import Metrics, log_change, log_failure, log_request
 
 __all__ = ["ForwardingServer"]
 
@@ -54,15 +54,17 @@
     async def send(
         self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
     ) -> None:
-        """Send a complete answer."""
-        self.begun = True
+        """Send a complete answer, unless another one has begun."""
+        if not self._begins():
+            return
         self.written = len(body)
         self.response = Response(status=status, headers=headers, body=body)
         await self._send()
 
     async def refuse(self, refusal: Refusal) -> None:
-        """Send a refusal as plain text."""
-        self.begun = True
+        """Send a refusal as plain text, unless an answer has begun."""
+        if not self._begins():
+            return
         headers = {"Content-Type": REFUSAL_CONTENT_TYPE}
         if refusal.retry_after_seconds is not None and refusal.ran is Ran.NO:
             headers["Retry-After"] = f"{refusal.retry_after_seconds:.2f}"
@@ -73,8 +75,9 @@
         await self._send()
 
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Send the head of a stream."""
-        self.begun = True
+        """Send the head of a stream, unless an answer has begun."""
+        if not self._begins():
+            return
         self.response = StreamResponse(status=status, headers=headers)
         self._apply_connection_close()
         await self.response.prepare(self.request)
@@ -132,6 +135,18 @@
         if transport is not None:
             transport.abort()
 
+    def _begins(self) -> bool:
+        """Return whether no answer has begun; one that has is aborted.
+
+        A second answer would end up in the middle of the first one.
+        """
+        if self.begun:
+            log_change("answer aborted by another one", request=self.attempt_id)
+            self.abort_response()
+            return False
+        self.begun = True
+        return True
+
     async def _send(self) -> None:
         self._apply_connection_close()
         await self.response.prepare(self.request)
