--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -53,6 +53,7 @@
         self.crashing_parts: set[str] = set()
         self.cuts: list[Cut] = []
         self.store_faults: dict[str, list[tuple[float, float]]] = {}
+        self.odd_entries = 0
         self.brittle_periods: list[tuple[str, float, float]] = []
         self.evacuations: list[Evacuation] = []
 
@@ -259,6 +260,15 @@
             worker.brittle_limit = None
         self.record.brittle_periods.append((service, began, time.monotonic()))
 
+    async def leave_odd_entry(self, name: str, value: bytes) -> None:
+        """Write an entry of another writer among those of the workers."""
+        self.site.store.put_bytes(f"servers/{name}", value)
+        self.record.odd_entries += 1
+
+    async def repeat_refusals(self, worker: str) -> None:
+        """Let a worker write each refusal once more from now on."""
+        self._worker(worker).repeats_refusals = True
+
     async def drain(self, worker: str) -> None:
         """Make a worker announce that it is draining; further calls do nothing."""
         if worker not in self.record.drained_at:
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import json
 import random
 import tempfile
 import time
@@ -50,6 +51,28 @@
 # A partition, as shares of the run.
 PARTITION_BEGINS = 0.1
 PARTITION_SHARE = 0.7
+DAEMONS = 3
+ODD_WEIGHT = 2
+ODD_ENTRIES = (
+    b"[" * 100_000,
+    b"\xff\xfe",
+    *(
+        json.dumps(
+            {
+                "Service": "engines",
+                "Address": "127.0.0.1:9",
+                "Zone": "a",
+                "Version": "v1",
+                "Slots": 16,
+                "State": "ready",
+                "ColdMs": 0,
+                "Seq": 1,
+            }
+            | change
+        ).encode()
+        for change in ({"Address": "127.0.0.1:70000"}, {"born": 10**400}, {"Slots": 0})
+    ),
+)
 # The brittle period as shares of the run, and how many requests workers can turn away.
 # The engines have few slots, and further clients send more streams than these take.
 BRITTLE_BEGINS = 0.1
@@ -78,7 +101,9 @@
     ``brittle`` engines are brittle for a time and have too few slots. With ``cold``
     workers are cold after a start and at other times. With ``evacuations`` failure
     domains are evacuated. With ``homes`` some routes and accounts allow only some
-    regions. Without them the draw of a seed is the same as before there were any.
+    regions. With ``odd`` another writer leaves entries among those of the workers, and
+    workers write refusals once more. Without them the draw of a seed is the same as
+    before there were any.
     """
 
     def __init__(
@@ -96,6 +121,8 @@
         cold: bool = False,
         evacuations: bool = False,
         homes: bool = False,
+        odd: bool = False,
+        daemons: int = DAEMONS,
     ):
         self.drills = drills
         self.limits = limits
@@ -105,6 +132,7 @@
         self.brittle = brittle
         self.cold = cold
         self.evacuations = evacuations
+        self.odd = odd
         self.random = random.Random(seed)
         self.seconds = seconds
         engines = (
@@ -114,6 +142,7 @@
         )
         self.site = FleetSite(
             folder=folder,
+            daemons=daemons,
             own_links=partitions,
             spread=cold or evacuations or homes,
             cold=cold,
@@ -288,6 +317,10 @@
             return_cold = partial(faults.return_cold, domain)
             make_cold = partial(faults.make_cold, worker)
             injections += [return_cold, make_cold] * COLD_WEIGHT
+        if self.odd:
+            name = f"odd-{rng.randrange(3)}"
+            leave = partial(faults.leave_odd_entry, name, rng.choice(ODD_ENTRIES))
+            injections += [leave, partial(faults.repeat_refusals, worker)] * ODD_WEIGHT
         if self.evacuations:
             domain = rng.choice(self.site.workers).zone
             seconds = EVACUATE_MILLISECONDS / 1000 + rng.uniform(*EVACUATION_SECONDS)
@@ -306,10 +339,10 @@
             await self.faults.drain(worker)
 
 
-def run_seed(seed: int, seconds: float, **extras: bool) -> list[str]:
+def run_seed(seed: int, seconds: float, **extras: bool | int) -> list[str]:
     """Run one seed, print a summary and return the violations.
 
-    ``extras`` are the optional kinds of faults of `Soak`.
+    ``extras`` are the optional kinds of faults of `Soak`, and its size.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     soak = Soak(seed=seed, seconds=seconds, folder=folder, **extras)
@@ -337,6 +370,8 @@
         "cold": FLAGS.cold,
         "evacuations": FLAGS.evacuations,
         "homes": FLAGS.homes,
+        "odd": FLAGS.odd,
+        "daemons": FLAGS.daemons,
     }
     failed = [
         seed
@@ -359,5 +394,7 @@
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
     flags.DEFINE_bool("evacuations", False, "Whether failure domains are evacuated.")
     flags.DEFINE_bool("homes", False, "Whether routes and accounts allow regions.")
+    flags.DEFINE_bool("odd", False, "Whether odd entries and copied refusals come.")
+    flags.DEFINE_integer("daemons", DAEMONS, "How many daemons run.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -131,6 +131,9 @@
         self.rejections: list[tuple[float, str]] = []
         self.falls: list[list[tuple[float, str]]] = []
         self.has_fallen = False
+        self.repeats_refusals = False
+        self.refusals_to_repeat: dict[asyncio.Transport, bytes] = {}
+        self.repeated_refusals = 0
         self.on_crash: Callable[[str], None] = _ignore
         self.advertised = ""
         self.address = ""
@@ -217,6 +220,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request, subject to the next fault in the queue."""
         body = await request.read()
+        self._repeat_refusal(request)
         attempt_id = request.headers.get("Linnetladder-Attempt-Id", "")
         if request.path == HEALTH_PATH:
             headers = {"Linnetladder-Cold-Ms": str(self.cold_milliseconds)}
@@ -233,6 +237,8 @@
             self._count_rejection(attempt_id)
         if fault is Fault.SHED or is_full:
             headers = {"Linnetladder-Not-Run": "1"}
+            if self.repeats_refusals:
+                self.refusals_to_repeat[request.transport] = _refusal(attempt_id)
             return self._reply(503, attempt_id, b"", headers)
         if fault is Fault.RESET_BEFORE:
             request.transport.abort()
@@ -356,6 +362,13 @@
             self.falls.append(recent)
             self.on_crash(self.name)
 
+    def _repeat_refusal(self, request: web.BaseRequest) -> None:
+        """Write the refusal of the request before on a connection once more."""
+        refusal = self.refusals_to_repeat.pop(request.transport, None)
+        if refusal is not None and request.transport is not None:
+            self.repeated_refusals += 1
+            request.transport.write(refusal)
+
     def _ask_for_pause(self, attempt_id: str, seconds: float) -> web.Response:
         """Turn a request away and ask for no others for some seconds."""
         self.pauses_asked.append((time.monotonic(), attempt_id, seconds))
@@ -389,6 +402,12 @@
         await asyncio.sleep(SILENT_POLL_SECONDS)
 
 
+def _refusal(attempt_id: str) -> bytes:
+    head = "HTTP/1.1 503 Service Unavailable\r\nLinnetladder-Not-Run: 1\r\n"
+    named = f"Linnetladder-Attempt-Id: {attempt_id}\r\nContent-Length: 0\r\n\r\n"
+    return (head + named).encode()
+
+
 def _ignore(worker: str) -> None:
     """Do nothing; the default action on a crash."""
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -66,6 +66,17 @@
     assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
 
 
+def test_brittle_workers_stay_up_while_daemons_and_stores_fail(tmp_path):
+    """Guards against daemons that make workers fall over, or end on odd entries."""
+    faults = {"brittle": True, "odd": True}
+    soak = Soak(seed=23, seconds=12.0, folder=tmp_path, daemons=6, **faults)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert soak.record.odd_entries
+    assert sum(worker.repeated_refusals for worker in soak.site.workers)
+    assert check_brittle_workers(soak.site, soak.sent, soak.record) == []
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
 def test_daemons_that_are_cut_off_from_workers_serve_callers(tmp_path):
     """Guards against daemons that refuse what their peers could send to workers."""
     soak = Soak(seed=17, seconds=12.0, folder=tmp_path, partitions=True)
