--- a/tests/forwarding/test_brittle_deployments.py
+++ b/tests/forwarding/test_brittle_deployments.py
@@ -4,6 +4,8 @@
 its endpoints let none wait and fall over by what they have to turn away.
 """
 
+import asyncio
+
 import pytest
 
 from bench.brittle_checks import find_fall_violations
@@ -81,3 +83,25 @@
         seed=seed,
     )
     check(fleet, room, endpoints=endpoints)
+
+
+# Guards against slots that are granted twice, or by daemons that don't know of the
+# brittleness, where daemons start again one group after the other.
+@pytest.mark.parametrize(("daemons", "restarted"), [(6, 2), (91, 20)])
+def test_brittle_endpoints_stay_up_while_daemons_start_again(daemons, restarted):
+    fleet = EndpointFleet(
+        daemons=daemons, endpoints=1, desks=3, desk_slots=6, desk_share=1.0
+    )
+
+    async def restart():
+        names = fleet.random.sample(list(fleet.daemons), restarted)
+        await asyncio.gather(*map(fleet.restart_daemon, names))
+
+    restarts = ((STRICT_SECONDS + 0.3 + step, restart) for step in range(4))
+    begin = (
+        BRITTLE_SECONDS,
+        lambda: fleet.become_brittle(REJECTIONS_PER_SECOND, service="desk"),
+    )
+    fleet.run(seconds=END_SECONDS, per_second=60, events=(begin, *restarts))
+    falls = [time for time in fleet.falls if time > STRICT_SECONDS]
+    assert find_fall_violations(falls, workers=3) == []
