Let the daemon that sends a request alone count its rejection

A daemon that passed a peer's request on counted the rejection too, so the arbiter heard of two. Nothing is refreshed while no endpoint was ever brittle, and what is kept of endpoints that are gone is forgotten. The mutation of the pause without an arbiter was not noticed, since the test asked again too soon; it is now.

--- a/linnetladder/forwarding/coordination/availability.py
+++ b/linnetladder/forwarding/coordination/availability.py
@@ -105,11 +105,12 @@
         head: ResponseHead,
         *,
         sent_at: float,
-        basis: RoomBasis = RoomBasis.UNAWARE,
+        basis: RoomBasis | None = None,
     ) -> None:
         """Record what an answer says of its endpoint's limit, pace and brittleness.
 
-        ``basis`` is why the endpoint was taken to have room for the request.
+        ``basis`` is why the endpoint was taken to have room for the request, ``None``
+        if a peer sent it.
         """
         self.limits.learn_answer(endpoint, head, sent_at=sent_at)
         self.limits.paces.learn_head(endpoint, head, sent_at=sent_at)
--- a/linnetladder/forwarding/coordination/brittleness.py
+++ b/linnetladder/forwarding/coordination/brittleness.py
@@ -133,12 +133,13 @@
         head: ResponseHead,
         *,
         sent_at: float,
-        basis: RoomBasis = RoomBasis.UNAWARE,
+        basis: RoomBasis | None = None,
     ) -> None:
         """Record what an answer says.
 
-        ``sent_at`` is when its request was sent, and ``basis`` why. Answers may
-        overtake each other, so only the one to the latest request decides.
+        ``sent_at`` is when its request was sent, and ``basis`` why; it is ``None`` for
+        a peer's request, whose rejection the peer counts. Answers may overtake each
+        other, so only the one to the latest request decides.
         """
         if head.misdirected:
             return
@@ -148,7 +149,8 @@
                 return
         if statement is None or sent_at >= statement.sent_at:
             statement = self._record(endpoint, head.brittle_limit, sent_at, statement)
-        if head.not_run and not head.names_pause and statement.limit is not None:
+        is_rejected = head.not_run and not head.names_pause
+        if basis is not None and is_rejected and statement.limit is not None:
             self.metrics.count("brittle_rejections", label=basis)
             statement.rejections += 1
             statement.rejected_at = self.clock.monotonic()
--- a/linnetladder/forwarding/coordination/slot_reservations.py
+++ b/linnetladder/forwarding/coordination/slot_reservations.py
@@ -173,19 +173,24 @@
 
     def refresh(self) -> None:
         """Report what this daemon holds to the arbiters."""
+        if not self.told and not self.brittleness.services:
+            return
         self._forget_unlisted()
         rows: dict[DaemonAddress, list[HeldSlots]] = {}
         for endpoint in self.table.endpoints.values():
             key = _key(endpoint)
             if self._is_asking(key):
                 continue
+            is_brittle = self.brittleness.limit_of(endpoint) is not None
+            if not is_brittle and key not in self.told:
+                continue
             row = self._row(endpoint)
-            if self.brittleness.limit_of(endpoint) is None or not row.in_use:
-                if key not in self.told:
-                    continue
-                self.told.discard(key)
-            else:
+            if is_brittle and row.in_use:
                 self.told.add(key)
+            elif key in self.told:
+                self.told.remove(key)
+            else:
+                continue
             for arbiter in self._arbiters(endpoint):
                 rows.setdefault(arbiter, []).append(row)
         for arbiter, arbiter_rows in rows.items():
@@ -322,14 +327,14 @@
         return lock is not None and lock.locked()
 
     def _forget_unlisted(self) -> None:
-        if not self.asking:
-            return
         listed = set(map(_key, self.table.endpoints.values()))
-        for key in self.asking.keys() - listed:
-            del self.asking[key]
-            self.full_until.pop(key, None)
-            self.told.discard(key)
-            self.untold.discard(key)
+        for kept in (self.asking, self.full_until, self.given_up):
+            for key in kept.keys() - listed:
+                del kept[key]
+        self.told &= listed
+        self.untold &= listed
+        for name in self.ranked.keys() - self.table.endpoints.keys():
+            del self.ranked[name]
 
     def _note_full(self, endpoint: Endpoint) -> None:
         times = self.room.times_of(endpoint.service)
--- a/tests/forwarding/test_brittle_endpoints.py
+++ b/tests/forwarding/test_brittle_endpoints.py
@@ -46,7 +46,9 @@
     head = ScriptedExchange(script=script, attempt_id="a1").head
     sent_at = daemon.clock.monotonic() if sent_at is None else sent_at
     availability = daemon.selection.availability
-    availability.learn_answer(engine(daemon, name), head, sent_at=sent_at)
+    availability.learn_answer(
+        engine(daemon, name), head, sent_at=sent_at, basis=RoomBasis.RESERVED
+    )
 
 
 @pytest.mark.parametrize("members", [1, 3, 6, 195, 366])
@@ -220,6 +222,7 @@
     engine(daemon).in_flight = own
     assert reserve(daemon) is None
     engine(daemon).in_flight = 0
+    daemon.clock.now += 0.15
     learn(daemon, TURNED_AWAY)
     assert reserve(daemon) is None
     daemon.clock.now += 0.4
