--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -514,8 +514,10 @@
         request is one of the only request on its connection.
         """
         protocol: CheckedResponseHandler = response._protocol
-        names_only = head.attempt_id and attempt_id not in protocol.refused
-        if not names_only and (head.attempt_id or protocol.requests > 1):
+        may_be_copy = protocol.requests > 1
+        if head.attempt_id:
+            may_be_copy = attempt_id in protocol.refused
+        if may_be_copy:
             response.close()
             detail = f"{monitor.address} may have sent an earlier refusal once more"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
