--- a/tests/forwarding/test_repeated_refusals.py
+++ b/tests/forwarding/test_repeated_refusals.py
@@ -63,3 +63,18 @@
     assert reply.status == 502
     assert reply.refusal.ran is Ran.UNKNOWN
     assert len(daemon.calls.calls) == 1
+
+
+# Guards against a peer that is not believed when a second endpoint refuses a request.
+def test_a_peer_may_pass_on_several_refusals_of_a_request():
+    async def work(calls, endpoint):
+        for _ in range(2):
+            call = build_call(endpoint, "a1")
+            call.relay = endpoint.address
+            exchange = await calls.open(call)
+            assert exchange.head.not_run
+            await exchange.read()
+            exchange.close()
+        assert endpoint.connections == 1
+
+    run_with_calls(work, [refusal()], [refusal()])
