Read a configuration in full only when it has changed, and without a fixed time

Cause: each call to the store had one second for its whole answer, however long it was and though bytes arrived, and each read asked for the whole configuration again, changed or not. Class: a fixed bound on what grows, and work that is begun anew at full cost.

A call now fails when its answer stops progressing. A configuration of 32 KiB and more is left out of reads; a transaction without writes asks whether its revision is still the known one and returns the value once if it is not. A pending watch finds a change when it is written, so that the link has nearly the whole of the bound for it. One call at a time receives a large value. Meanwhile the other keys are read and applied, and nothing is confirmed. A change that takes longer than the bound is logged as late. Readers of a group pass on the revision of a large configuration instead of its value to members that say that they read it themselves.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -66,6 +66,7 @@
         clock=clock,
         metrics=metrics,
     )
+    store.late_after = settings_holder.bounds.configuration
     source = PlatformSource(store=store, metrics=metrics)
     calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=metrics)
     core = build_forwarding_core(
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -122,6 +122,7 @@
         )
         await self.parts.poller.read_once()
         self._start_task(self.parts.poller.run())
+        self._start_task(self.parts.poller.run_configuration_watch())
         self._start_task(self.parts.poller.run_registration())
         self._start_task(self.parts.crash_records.run())
         self._start_task(self.parts.poller.run_rollouts())
@@ -247,6 +248,7 @@
             return
         self.settings_holder.current = settings
         self.parts.store.address = settings.store_address
+        self.parts.store.late_after = settings.bounds.configuration
         log_change("settings reloaded", settings=dataclasses.asdict(settings))
 
 
--- a/linnetladder/forwarding/coordination/shared_reads.py
+++ b/linnetladder/forwarding/coordination/shared_reads.py
@@ -113,7 +113,7 @@
         """Read the store and answer the requests that came before that."""
         requests, self.requests = self.requests, []
         read = await self.source.read()
-        if isinstance(read, Failure):
+        if isinstance(read, Failure) or not read.unwrap().table_is_current:
             for request in requests:
                 self._answer(request, ReadAnswer(nonce=request.nonce, digest=0))
             return read
@@ -144,7 +144,9 @@
             base=request.known if known is not None else 0,
             era=content.era,
             rows={
-                key: row
+                key: ("", *row[1:])
+                if key in content.large_keys and request.reads_large_values
+                else row
                 for key, row in content.rows.items()
                 if known is None or known.get(key) != row[1:]
             },
@@ -170,6 +172,7 @@
             known=held.digest if held is not None else 0,
             host=host,
             port=port,
+            reads_large_values=True,
         )
         answered = asyncio.get_running_loop().create_future()
         self.answers[request.nonce] = answered
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -42,7 +42,9 @@
 class StoreSnapshot:
     """The content of one read; ``table`` is ``None`` until one is configured.
 
-    ``era`` is the era of the store in which it was read, 0 if it is unknown.
+    ``era`` is the era of the store in which it was read, 0 if it is unknown. While a
+    change of the table is being received, ``table`` is the one before and
+    ``table_is_current`` is false.
     """
 
     table: RoutingTable | None
@@ -53,6 +55,7 @@
     crashing_parts: tuple[CrashingPart, ...] = ()
     evacuated_domains: tuple[EvacuatedDomain, ...] = ()
     era: int = 0
+    table_is_current: bool = True
 
     @property
     def position(self) -> Position:
@@ -66,10 +69,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreContent:
-    """The content of one read as it is passed between daemons: rows by key."""
+    """The content of one read as it is passed between daemons: rows by key.
+
+    The values of ``large_keys`` are not passed on to daemons that read them themselves.
+    """
 
     era: int
     rows: dict[str, StoreRow]
+    large_keys: frozenset[str] = frozenset()
 
 
 class OperatorSource(abc.ABC):
@@ -87,13 +94,24 @@
         order of that roll-out.
         """
 
+    @abc.abstractmethod
+    async def wait_for_table(self) -> Result[RoutingTable | None, PlatformFault]:
+        """Wait for a change of the table and return the new one.
+
+        ``None`` means that it may not have changed. The other content is not read.
+        """
+
     @abc.abstractmethod
     def last_content(self) -> StoreContent:
         """Return the content of the last read, for `decode_content` of a peer."""
 
     @abc.abstractmethod
     def decode_content(self, content: StoreContent) -> StoreSnapshot | None:
-        """Return what a peer read, ``None`` if it is of an era that has ended."""
+        """Return what a peer read.
+
+        It is ``None`` if it is of an era that has ended, or lacks the value of a large
+        key that this daemon has not read yet.
+        """
 
     @abc.abstractmethod
     async def write_rollout(self, record: RolloutRecord) -> Result[bool, PlatformFault]:
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -5,6 +5,10 @@
 so usually one of them reads and its report confirms the content of the others. A newer
 position reported by a peer triggers a read at once. After a change of the store's era
 that read waits for a short random time.
+
+Beside the reads, each daemon waits at the store for a change of the configuration, and
+has it in force as soon as it has arrived. While a large one is on its way the reads go
+on without it, and confirm nothing.
 """
 
 import asyncio
@@ -35,7 +39,7 @@
     StoreSnapshot,
 )
 from linnetladder.forwarding.coordination.store_era import StoreEra
-from linnetladder.forwarding.state import Position
+from linnetladder.forwarding.state import Position, RoutingTable
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change, log_failure
 
@@ -62,6 +66,10 @@
 # grows, so that the number of checks per second stays the same.
 STEP_INTERVAL_SECONDS = 0.5
 DAEMONS_PER_STEP_INTERVAL = 12
+# Pause between waits for the next configuration, which may come in quick succession.
+WATCH_PAUSE_SECONDS = 0.2
+# A wait for the next configuration that failed is repeated after this time.
+WATCH_RETRY_SECONDS = 1.0
 # All daemons hear of a new era of the store within some tenths of a second.
 ERA_READ_JITTER_SECONDS = 0.4
 REGISTRATION_RENEWAL_SECONDS = 4.0
@@ -125,6 +133,8 @@
         self.registration_failed = False
         self.on_read: Callable[[], None] = _do_nothing
         self.content_confirmed_at = -math.inf
+        self.table_is_current = False
+        self.configuration_watch: asyncio.Future | None = None
         era.listeners.append(self.on_era_change)
         peers.on_position = self.on_peer_position
         self.on_lost: Callable[[], None] = _do_nothing
@@ -154,6 +164,10 @@
 
         The daemons of a group read at the same times, so that one read serves all.
         """
+        if not self.table_is_current:
+            seconds = self.read_interval() * (1 - READ_JITTER)
+            await _wait_for(self.read_requested, seconds)
+            return
         if not self.read_groups.active or not self.directory.is_settled:
             await self._wait_until_age(self._read_age())
             return
@@ -222,10 +236,12 @@
         snapshot = read.unwrap()
         self.rollouts.update_orders(snapshot.orders, era=snapshot.era)
         self.rollouts.update_records(snapshot.records, era=snapshot.era)
-        self.snapshots.record_snapshot(snapshot, began=began)
-        self.content_confirmed_at = began
-        self.in_force.confirm_read(snapshot.table, began=began)
-        self.peers.configuration_version = self.in_force.newest_version_known
+        self.table_is_current = snapshot.table_is_current
+        if snapshot.table_is_current:
+            self.snapshots.record_snapshot(snapshot, began=began)
+            self.content_confirmed_at = began
+            self.in_force.confirm_read(snapshot.table, began=began)
+            self.peers.configuration_version = self.in_force.newest_version_known
         self.evacuations.update(
             snapshot.evacuated_domains, era=snapshot.era, began=began
         )
@@ -234,8 +250,10 @@
         )
         self.crash_records.update(snapshot.crashing_parts)
         self.peers.update_daemons(snapshot.daemons)
-        self.position = max(self.position, self._position_of(snapshot, heard_before))
-        self.peers.position = self.position
+        if snapshot.table_is_current:
+            position = self._position_of(snapshot, heard_before)
+            self.position = max(self.position, position)
+            self.peers.position = self.position
         self.budget.daemons = self.rollouts.daemons = len(self.peers.peers) + 1
         self.limits.update_members(self.peers.members())
         self.peers.loads.daemons = self.budget.daemons
@@ -243,6 +261,42 @@
         self._note_success()
         return True
 
+    async def run_configuration_watch(self) -> None:
+        """Apply each new configuration as soon as it has arrived, until cancelled."""
+        while True:
+            began = self.clock.monotonic()
+            self.configuration_watch = asyncio.ensure_future(
+                self.source.wait_for_table()
+            )
+            try:
+                await asyncio.wait([self.configuration_watch])
+            finally:
+                self.configuration_watch.cancel()
+            if self.configuration_watch.cancelled():
+                # The store's era has changed.
+                continue
+            try:
+                found = self.configuration_watch.result()
+                if isinstance(found, Success):
+                    self._apply_table(found.unwrap(), began=began)
+                    await asyncio.sleep(WATCH_PAUSE_SECONDS)
+                    continue
+            except Exception as error:
+                log_failure("waiting for a configuration failed", error)
+            await self._wait_until_reachable()
+
+    def _apply_table(self, table: RoutingTable | None, *, began: float) -> None:
+        """Put a table into force, which the next read confirms."""
+        if table is not None:
+            self.in_force.confirm_read(table, began=began)
+            self.peers.configuration_version = self.in_force.newest_version_known
+
+    async def _wait_until_reachable(self) -> None:
+        """Wait before a retry, at least until a read of the store has succeeded."""
+        await asyncio.sleep(WATCH_RETRY_SECONDS * self.random.uniform(0.5, 1.0))
+        while not self.reachable:
+            await asyncio.sleep(WATCH_RETRY_SECONDS)
+
     def _position_of(self, snapshot: StoreSnapshot, heard: Position) -> Position:
         """Return the position that a read includes.
 
@@ -281,6 +335,9 @@
         self.in_force.note_era_change()
         self.peers.note_era_change()
         self.registration_lost.set()
+        if self.configuration_watch is not None:
+            # It waits for revisions after one that may not be reached again.
+            self.configuration_watch.cancel()
         if not self.reading:
             self.read_requested.set()
 
--- a/linnetladder/forwarding/protocol/read_messages.py
+++ b/linnetladder/forwarding/protocol/read_messages.py
@@ -27,13 +27,15 @@
     """A request for the store's content, read after this request arrived.
 
     ``known`` is the digest of the content that the sender holds, 0 without any. The
-    answer goes to ``host`` and ``port``.
+    answer goes to ``host`` and ``port``. The sender that ``reads_large_values`` needs
+    only the revisions of large keys.
     """
 
     nonce: int
     known: int
     host: str
     port: int
+    reads_large_values: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -1,5 +1,13 @@
-"""Access to the operator's and the daemons' keys in the platform's store."""
+"""Access to the operator's and the daemons' keys in the platform's store.
 
+A read returns all keys. A large configuration is left out of it: a second call asks
+whether its revision is still the known one, and returns the value only if it isn't. So
+a read costs what the fleet needs, and a change of a large configuration its size, once.
+A pending call learns of a change as soon as it is written.
+"""
+
+import asyncio
+import dataclasses
 import re
 from collections.abc import Iterable
 
@@ -36,7 +44,7 @@
     ServerModel,
     StatusModel,
 )
-from linnetladder.platform.store import PlatformStore
+from linnetladder.platform.store import KeyChange, PlatformStore
 from linnetladder.state import EndpointReport
 from linnetladder.telemetry import Metrics, log_change
 
@@ -53,6 +61,9 @@
 # One range call returns all keys after this one: the operator's, the daemons' and the
 # workers' keys, in this order. Keys that sort before it are not needed.
 LIST_AFTER_KEY = "op"
+# Larger configurations are not read again unless they have changed. Links of 5 Mbit/s
+# carry one of this size, in Base64, in 70 ms.
+LARGE_CONFIGURATION_BYTES = 32 * 1024
 LEDGER_PREFIX = "linnetladder/ledger/"
 # Workers are named in headers.
 SERVER_NAME = re.compile(r"[!-~]+")
@@ -70,6 +81,8 @@
     ``table_position`` is the position of ``table``.
     ``lease_era`` is the era in which the lease ``lease_id`` was granted.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
+    ``configuration`` is the newest one of ``configuration_era``, as of the store's
+    revision ``configuration_known_at``.
     """
 
     def __init__(self, *, store: PlatformStore, metrics: Metrics):
@@ -82,14 +95,139 @@
         self.table_position = Position(era=0, revision=0)
         self.decoded: dict[str, tuple[Position, object]] = {}
         self.records: tuple[Record, ...] = ()
+        self.configuration: Record | None = None
+        self.configuration_era: int | None = None
+        self.configuration_known_at = 0
+        self.recheck_configuration = False
 
     async def read(self) -> Result[StoreSnapshot, PlatformFault]:
-        """Read all keys after ``LIST_AFTER_KEY``, in one call if they fit on a page."""
-        listed = await self.store.list_prefix("", after=LIST_AFTER_KEY)
+        """Read all keys, with a large configuration only if it has changed.
+
+        While a change of the configuration is being received, the other keys alone are
+        read, and the snapshot's table is not current.
+        """
+        if self.store.transfer is None:
+            if self._large_configuration() is not None:
+                return await self._read_apart()
+            listed = await self.store.read_range(
+                "", after=LIST_AFTER_KEY, exclusive=True
+            )
+            if isinstance(listed, Success):
+                found = listed.unwrap()
+                self._keep_configuration(found.records, known_at=found.revision)
+                self.records = found.records
+                return Success(self._snapshot(self.records))
+            if self.store.transfer is None:
+                return listed
+        return await self._read_others()
+
+    async def _read_apart(self) -> Result[StoreSnapshot, PlatformFault]:
+        """Read the other keys, and the configuration if it has changed."""
+        era = self.store.era.current
+        listed, checked = await asyncio.gather(
+            self._list_others(), self._check_configuration()
+        )
         if isinstance(listed, Failure):
             return listed
-        self.records = listed.unwrap()
-        return Success(self._snapshot(self.records))
+        if self.store.era.current != era:
+            detail = "the era of the store rose between two calls"
+            return Failure(PlatformFault(FaultKind.UNREACHABLE, detail))
+        if isinstance(checked, Failure) and self.store.transfer is None:
+            return checked
+        is_current = isinstance(checked, Success)
+        return Success(self._join(listed.unwrap(), table_is_current=is_current))
+
+    async def _read_others(self) -> Result[StoreSnapshot, PlatformFault]:
+        """Read all keys except the configuration, of which a change is on its way."""
+        listed = await self._list_others()
+        return listed.map(lambda others: self._join(others, table_is_current=False))
+
+    async def _list_others(self) -> Result[tuple[Record, ...], PlatformFault]:
+        """Read all keys except the configuration."""
+        listed = await self.store.read_range("", after=CONFIGURATION_KEY)
+        return listed.map(lambda found: found.records)
+
+    def _join(
+        self, others: tuple[Record, ...], *, table_is_current: bool
+    ) -> StoreSnapshot:
+        """Return the snapshot of the newest configuration and the other records."""
+        kept = self._kept_configuration()
+        self.records = others if kept is None else (kept, *others)
+        return dataclasses.replace(
+            self._snapshot(self.records), table_is_current=table_is_current
+        )
+
+    def _kept_configuration(self) -> Record | None:
+        """Return the newest configuration of the current era."""
+        if self.configuration_era != (self.store.era.current or 0):
+            return None
+        return self.configuration
+
+    def _large_configuration(self) -> Record | None:
+        """Return the newest configuration if it is large."""
+        kept = self._kept_configuration()
+        if kept is None or len(kept.value) < LARGE_CONFIGURATION_BYTES:
+            return None
+        return kept
+
+    def _keep_configuration(self, records: Iterable[Record], *, known_at: int) -> None:
+        """Keep the configuration among some records, unless a newer one is known."""
+        era = self.store.era.current or 0
+        found = next((r for r in records if r.key == CONFIGURATION_KEY), None)
+        kept = self._kept_configuration()
+        if kept is not None and known_at < self.configuration_known_at:
+            return
+        self.configuration, self.configuration_era = found, era
+        self.configuration_known_at = known_at
+
+    def _apply_change(self, change: KeyChange) -> None:
+        """Keep what a call found out about the configuration."""
+        if not change.changed:
+            self.configuration_known_at = max(
+                self.configuration_known_at, change.revision
+            )
+            return
+        found = (change.record,) if change.record is not None else ()
+        self._keep_configuration(found, known_at=change.revision)
+
+    async def _check_configuration(self) -> Result[None, PlatformFault]:
+        """Read the configuration if its revision is not the known one."""
+        kept, era = self._kept_configuration(), self.store.era.current
+        revision = kept.modify_revision if kept is not None else 0
+        checked = await self.store.read_if_changed(CONFIGURATION_KEY, revision)
+        if isinstance(checked, Success) and self.store.era.current == era:
+            self._apply_change(checked.unwrap())
+        return checked.map(lambda change: None)
+
+    async def wait_for_table(self) -> Result[RoutingTable | None, PlatformFault]:
+        """Wait until the configuration changes and return the table, or ``None``."""
+        if self.store.transfer is not None:
+            await self.store.transfer_ended.wait()
+            return Success(None)
+        kept, era = self._kept_configuration(), self.store.era.current
+        if kept is None:
+            # The first read has to succeed before.
+            return Success(None)
+        if self.recheck_configuration:
+            # One copy, where a watch would return each that was written meanwhile.
+            watched = await self._check_configuration()
+            if isinstance(watched, Failure):
+                return watched
+            self.recheck_configuration = False
+        else:
+            watched = await self.store.wait_for_change(
+                CONFIGURATION_KEY, after=self.configuration_known_at
+            )
+            if isinstance(watched, Failure):
+                self.recheck_configuration = True
+                return watched
+            if self.store.era.current == era:
+                self._apply_change(watched.unwrap())
+        if self._kept_configuration() in (None, kept):
+            return Success(None)
+        self.recheck_configuration = self._large_configuration() is not None
+        self._update_table(self._kept_configuration())
+        return Success(self.table)
 
     def last_content(self) -> StoreContent:
         """Return the era and the records of the last read."""
@@ -97,29 +235,42 @@
             r.key: (r.value.decode("latin-1"), r.create_revision, r.modify_revision)
             for r in self.records
         }
-        return StoreContent(era=self.store.era.current or 0, rows=rows)
+        large = {CONFIGURATION_KEY} if self._large_configuration() is not None else ()
+        return StoreContent(
+            era=self.store.era.current or 0, rows=rows, large_keys=frozenset(large)
+        )
 
     def decode_content(self, content: StoreContent) -> StoreSnapshot | None:
         """Return what a peer read, unless a newer era is known."""
         if content.era and not self.store.era.observe(content.era):
             return None
-        records = (
-            Record(
+        records = {
+            key: Record(
                 key=key,
                 value=value.encode("latin-1"),
                 create_revision=created,
                 modify_revision=modified,
             )
             for key, (value, created, modified) in sorted(content.rows.items())
-        )
-        return self._snapshot(records)
+        }
+        configuration = records.get(CONFIGURATION_KEY)
+        if configuration is not None and not configuration.value:
+            # A large one is not passed on; each daemon reads it from the store.
+            kept = self._kept_configuration()
+            if kept is None or kept.modify_revision != configuration.modify_revision:
+                return None
+            records[CONFIGURATION_KEY] = kept
+        elif configuration is not None:
+            self._keep_configuration(
+                records.values(), known_at=configuration.modify_revision
+            )
+        return self._snapshot(records.values())
 
     def _snapshot(self, records: Iterable[Record]) -> StoreSnapshot:
         """Decode the records of one read; values that did not change are reused."""
         values_by_prefix: dict[str, list] = {prefix: [] for prefix in _DECODERS}
         era = self.store.era.current or 0
-        if self.table_position.era != era:
-            self.table = None
+        self._forget_table_of_ended_era()
         previously_decoded, self.decoded = self.decoded, {}
         for record in records:
             self._decode(record, values_by_prefix, previously_decoded)
@@ -246,7 +397,7 @@
         position = Position(self.store.era.current or 0, record.modify_revision)
         try:
             if record.key == CONFIGURATION_KEY:
-                self._decode_table(record, position)
+                self._decode_table(record)
                 return
             for prefix, values in values_by_prefix.items():
                 if not record.key.startswith(prefix):
@@ -261,8 +412,21 @@
             # Whatever another writer left there, the other entries hold.
             self._report_unreadable(record, error)
 
-    def _decode_table(self, record: Record, position: Position) -> None:
+    def _update_table(self, record: Record) -> None:
+        """Decode a configuration that was read by itself."""
+        self._forget_table_of_ended_era()
+        try:
+            self._decode_table(record)
+        except Exception as error:
+            self._report_unreadable(record, error)
+
+    def _forget_table_of_ended_era(self) -> None:
+        if self.table_position.era != (self.store.era.current or 0):
+            self.table = None
+
+    def _decode_table(self, record: Record) -> None:
         """Decode the configuration if its position is new."""
+        position = Position(self.store.era.current or 0, record.modify_revision)
         if self.table is None or self.table_position < position:
             model = ConfigurationModel.model_validate_json(record.value)
             self.table = model.decode(revision=position.revision)
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -67,6 +67,7 @@
         self.returned_keys: list[list[str]] = []
         self.changed = asyncio.Event()
         self.down = False
+        self.stopping = False
         self.runners: list[web.ServerRunner] = []
 
     async def start(
@@ -90,7 +91,9 @@
         return f"127.0.0.1:{bound_port}"
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """End the pending watches and stop listening."""
+        self.stopping = True
+        self.changed.set()
         for runner in self.runners:
             await runner.cleanup()
 
@@ -240,7 +243,7 @@
                         if event["Rev"] > after
                         and event["Key"].startswith(query["PathPrefix"])
                     ]
-                    if events:
+                    if events or self.stopping:
                         return {"events": events, "At": self.revision}
                     self.changed.clear()
                     await self.changed.wait()
@@ -253,7 +256,7 @@
         for condition in conditions:
             item = self.items.get(condition["Key"])
             if (item.revision if item is not None else 0) != condition["Rev"]:
-                return 412, {"Entries": []}
+                return 412, self._condition_entries(conditions)
         if any(w.get("Lease") and w["Lease"] not in self.leases for w in writes):
             return 404, {}
         for write in writes:
@@ -263,6 +266,15 @@
             self.remove(key)
         return 200, {"Rev": self.revision}
 
+    def _condition_entries(self, conditions: list[dict]) -> dict:
+        """Return the keys of conditions, which don't hold, in their current state."""
+        keys = [condition["Key"] for condition in conditions]
+        entries = [
+            self._entry(key) if key in self.items else {"Key": key, "Rev": 0}
+            for key in keys
+        ]
+        return {"Entries": entries, "At": self.revision}
+
     def _entry(self, key: str) -> dict:
         item = self.items[key]
         return {
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -353,6 +353,9 @@
         )
         return Success(self.last_read)
 
+    async def wait_for_table(self):
+        await asyncio.Event().wait()
+
     def last_content(self):
         digest = content_digest(self.last_read)
         self.contents[str(digest)] = self.last_read
@@ -428,6 +431,9 @@
     async def read(self):
         return self.observe(await self.source.read())
 
+    async def wait_for_table(self):
+        return await self.source.wait_for_table()
+
     def last_content(self):
         return self.source.last_content()
 
