Pass nothing on in a planned stop that its end would cut, and answer what is left

Callers whose request's head came before a daemon of a planned stop took no more requests, and whose body was complete late in the grace, saw their connection closed without an answer after their request had been passed on, also where it may not be repeated. So did those whose request was sent again late, or had waited until then.

Cause: whether the daemon still takes requests was asked when a head arrived, and never again; nothing compared the end of the grace with the time that a request needs. At the end connections were closed whatever was in progress.

Once load balancers have taken the daemon out of service, a request is passed on, or sent again, only if its deadline comes before the end, or the longest request of its route lately took no longer than what is left; another one is refused at once, as not run if it has not. At the end, requests whose answers have not begun are answered.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -50,6 +50,8 @@
 EXIT_USAGE = 2
 # Part of GRACE_MARGIN_SECONDS that the final write of bills may use.
 FINAL_BILL_WRITE_SECONDS = 0.7
+# Time in which the final answers are passed to the callers' connections.
+FINAL_ANSWERS_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 1.0
 # End of the grace period that is reserved for the final writes and the exit.
 GRACE_MARGIN_SECONDS = 0.9
@@ -157,7 +159,9 @@
         """Drain: report not ready, finish requests in flight, write the bills, close.
 
         New requests are accepted for ``DRAIN_NOTICE_SECONDS``, until the load balancer
-        has removed the instance.
+        has removed the instance. After that, a request that was not passed on yet is
+        passed on only if its deadline comes before the end. What is in progress then is
+        answered or cut off.
         """
         loop = asyncio.get_running_loop()
         deadline = (
@@ -173,11 +177,15 @@
         while loop.time() < deadline:
             if loop.time() >= notice_end:
                 if not self.parts.callers.refusing:
+                    remaining = deadline - loop.time()
+                    stop = self.parts.planned_stop
+                    stop.ends_at = self.parts.ports.clock.monotonic() + remaining
                     self.parts.callers.refuse_new_requests()
                 if self._active_requests() == 0:
                     break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         unfinished = self._active_requests()
+        await self._end_requests()
         write_timeout = max(deadline - loop.time(), 0.0) + FINAL_BILL_WRITE_SECONDS
         all_bills_written = await self.parts.bill_flusher.flush_before_exit(
             seconds=write_timeout
@@ -197,6 +205,16 @@
         await self.parts.store.close()
         log_change("stopped", unfinished=unfinished, bills_written=all_bills_written)
 
+    async def _end_requests(self) -> None:
+        """Answer what can still be answered, so that its bills are written too."""
+        self.parts.forwarder.end_requests()
+        ended_by = asyncio.get_running_loop().time() + FINAL_ANSWERS_SECONDS
+        while (
+            self.parts.callers.active_requests
+            and asyncio.get_running_loop().time() < ended_by
+        ):
+            await asyncio.sleep(FINAL_ANSWERS_SECONDS / 10)
+
     def _active_requests(self) -> int:
         """Return the requests of callers and calls of peers that are in progress."""
         return self.parts.callers.active_requests + self.parts.relay_server.active_calls
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -21,6 +21,7 @@
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
+from linnetladder.forwarding.coordination.planned_stop import shutdown_refusal
 from linnetladder.forwarding.coordination.reporting import RequestReporter
 from linnetladder.forwarding.coordination.sender import Attempt, Sender
 from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
@@ -105,6 +106,7 @@
         self.metrics = metrics
         self.reporter = RequestReporter(in_force=in_force, clock=clock, metrics=metrics)
         self.active_requests = 0
+        self.time_limits: set[asyncio.Timeout] = set()
 
     async def answer(
         self, head: RequestHead, body: bytes, *, received: float, reply: Reply
@@ -158,16 +160,33 @@
     async def _serve_before_deadline(
         self, request: ForwardRequest, reply: Reply
     ) -> None:
-        remaining = request.deadline - self.clock.monotonic()
+        began = self.clock.monotonic()
+        remaining = request.deadline - began
         try:
-            async with asyncio.timeout(max(remaining, 0.0)):
+            async with asyncio.timeout(max(remaining, 0.0)) as limit:
+                self.time_limits.add(limit)
                 if request.route.kind is RequestKind.STREAMING:
                     await self._serve_stream(request, reply)
                 else:
                     await self._serve_buffered(request, reply)
             self.load_admission.learn_end(request, served=True)
+            self.sender.planned_stop.learn_duration(
+                request.route.name, self.clock.monotonic() - began
+            )
         except TimeoutError:
             await self._end_at_deadline(request, reply)
+        finally:
+            self.time_limits.discard(limit)
+
+    def end_requests(self) -> None:
+        """End all requests in progress, as at their deadlines, before the daemon does.
+
+        Those whose answers have not begun are answered; the others are cut off.
+        """
+        now = asyncio.get_running_loop().time()
+        for limit in self.time_limits:
+            if not limit.expired():
+                limit.reschedule(now)
 
     def _learn_escalation(self, request: ForwardRequest) -> None:
         """Record when a larger model's answer began, or that it did not."""
@@ -183,6 +202,10 @@
             reply.abort_response()
             self.reporter.broken_off(request, _describe_time_limit(request))
             return
+        is_stopping = self.sender.planned_stop.ends_at < request.deadline
+        if is_stopping and not request.ran:
+            await self._refuse(request.head, request, shutdown_refusal(), reply)
+            return
         ran = Ran.UNKNOWN if request.ran else Ran.NO
         kind = ErrorKind.DEADLINE_EXCEEDED if request.ran else ErrorKind.OVERLOADED
         detail = f"{_describe_time_limit(request)} before an endpoint had answered"
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -41,6 +41,7 @@
 )
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome, Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
+from linnetladder.forwarding.coordination.planned_stop import PlannedStop
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
 from linnetladder.forwarding.coordination.rollouts import RolloutController
@@ -133,10 +134,12 @@
         quarantine: Quarantine,
         confirmation: CrashConfirmation,
         availability: EndpointAvailability,
+        planned_stop: PlannedStop,
         clock: Clock,
         metrics: Metrics,
     ):
         self.calls = calls
+        self.planned_stop = planned_stop
         self.selection = selection
         self.directory = directory
         self.loads = loads
@@ -169,6 +172,11 @@
             if refusal is not None:
                 return Failure(refusal)
             choice = await self._choose_slot(request, model)
+            stopping = self.planned_stop.refuse(request)
+            if stopping is not None:
+                if choice is not None:
+                    self.reservations.cancel(choice.endpoint, choice.basis)
+                return Failure(stopping)
             if choice is None:
                 return Failure(self.no_endpoint_refusal(request, model, last_fault))
             endpoint = choice.endpoint
@@ -344,6 +352,8 @@
         """Return whether the request may run once more, apart from the retry budget."""
         if request.ran and not request.route.retryable:
             return False
+        if not self.planned_stop.allows(request):
+            return False
         return request.attempts < request.route.maximum_attempts
 
     def reserve_retry(self, request: ForwardRequest, model: str) -> bool:
@@ -764,6 +774,9 @@
         self, request: ForwardRequest, last_fault: CallFault | None
     ) -> Refusal | None:
         """Return a refusal if no further attempt is allowed."""
+        stopping = self.planned_stop.refuse(request)
+        if stopping is not None:
+            return stopping
         remaining = request.deadline - self.clock.monotonic()
         if remaining < MINIMUM_ATTEMPT_SECONDS:
             return attempt_refusal(
@@ -791,6 +804,8 @@
         self, request: ForwardRequest, endpoint: Endpoint, chosen_at: float
     ) -> bool:
         """Return whether a call may be sent now that its connection is made."""
+        if not self.planned_stop.allows(request):
+            return False
         if self._refuse_crashing(request) is not None:
             return False
         if not self.selection.homes.allow_endpoint(request.homes, endpoint):
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -39,6 +39,7 @@
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
+from linnetladder.forwarding.coordination.planned_stop import PlannedStop
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.quarantine import Quarantine
 from linnetladder.forwarding.coordination.read_groups import ReadGroups
@@ -112,6 +113,7 @@
     selection: Selection
     load_admission: LoadAdmission
     sender: Sender
+    planned_stop: PlannedStop
     forwarder: Forwarder
     explainer: RouteExplainer
 
@@ -293,6 +295,7 @@
         table=table, calls=calls, background=background, clock=clock, metrics=metrics
     )
     quarantine.on_return = paces.note_returned
+    planned_stop = PlannedStop(clock=clock)
     sender = Sender(
         calls=calls,
         selection=selection,
@@ -306,6 +309,7 @@
         quarantine=quarantine,
         confirmation=CrashConfirmation(calls=calls, paths=paths, clock=clock),
         availability=availability,
+        planned_stop=planned_stop,
         clock=clock,
         metrics=metrics,
     )
@@ -371,6 +375,7 @@
         selection=selection,
         load_admission=load_admission,
         sender=sender,
+        planned_stop=planned_stop,
         forwarder=forwarder,
         explainer=RouteExplainer(
             instance=settings.instance, forwarder=forwarder, clock=clock
--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -20,6 +20,7 @@
 from linnetladder.forwarding.coordination.calls import Reply
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.planned_stop import shutdown_refusal
 from linnetladder.forwarding.protocol import CallerCodec, InvalidHeadError
 from linnetladder.forwarding.state import CallerLimits
 from linnetladder.state import Clock
@@ -33,8 +34,6 @@
 # while its caller still observes the limit in force.
 KEEPALIVE_SECONDS = 120.0
 BODY_TIMEOUT_SECONDS = 10.0
-# A caller may retry almost immediately, since another instance takes the request.
-SHUTDOWN_RETRY_SECONDS = 0.02
 REFUSAL_CONTENT_TYPE = "text/plain; charset=utf-8"
 
 
@@ -280,7 +279,7 @@
         received = self.clock.monotonic()
         try:
             if self.refusing:
-                await reply.refuse(_shutdown_refusal())
+                await reply.refuse(shutdown_refusal())
             else:
                 await self._answer(request, reply, received)
         finally:
@@ -329,10 +328,3 @@
             detail = f"the body was not complete after {BODY_TIMEOUT_SECONDS:g} s"
             return b"", Refusal(ErrorKind.REQUEST_TIMEOUT, detail)
         return bytes(content), None
-
-
-def _shutdown_refusal() -> Refusal:
-    detail = "the daemon is shutting down; another one takes the request"
-    return Refusal(
-        ErrorKind.DRAINING, detail, retry_after_seconds=SHUTDOWN_RETRY_SECONDS
-    )
