Give a write of much content to the store time for it

A block of bills that had gathered in an outage was written anew each second and never got through over a link of 5 Mbit/s, so its bills stayed unwritten.

Cause: as for reads, a call had one second whatever its size. The time until its answer begins now grows with its own content, at 128 KiB a second.

The largest block (4,000 bills) over 5 Mbit/s: not written before, written after (test_the_largest_block_of_bills_is_written_over_a_slow_link).

--- a/linnetladder/platform/store.py
+++ b/linnetladder/platform/store.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlencode
 
 import aiohttp
+import orjson
 import pydantic
 from returns.result import Failure, Result, Success
 
@@ -33,6 +34,9 @@
 # An answer may take longer while this many bytes of it arrive within each time-out, a
 # fortieth of what the slowest links carry.
 MINIMUM_PROGRESS_BYTES = 16 * 1024
+# A call whose own content is large may take longer by this rate, a fifth of that of the
+# slowest links.
+MINIMUM_UPLOAD_BYTES_PER_SECOND = 128 * 1024
 # Answers from this size on take a noticeable part of a slow link.
 LARGE_ANSWER_BYTES = 32 * 1024
 WATCH_WAIT_SECONDS = 10.0
@@ -41,6 +45,7 @@
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_PAGES = 50
 ERA_HEADER = "Store-Era"
+JSON_CONTENT_TYPE = "application/json"
 
 ResponseModel = TypeVar("ResponseModel", bound=pydantic.BaseModel)
 
@@ -376,6 +381,7 @@
     ) -> Result[ResponseModel | None, PlatformFault]:
         """Make one call, whose answer begins within some seconds and then progresses.
 
+        The time for the answer's beginning grows with the size of the call's content.
         Return ``not_found`` for status 404. A read without an answer is a fault of kind
         ``UNREACHABLE``. A write without an answer may have been applied and is a fault
         of kind ``UNKNOWN_OUTCOME``, unless its connection was never established.
@@ -387,9 +393,16 @@
             FaultKind.UNREACHABLE if method == "GET" else FaultKind.UNKNOWN_OUTCOME
         )
         url = f"http://{self.address}{path}"
+        data = headers = None
+        if body is not None:
+            data = orjson.dumps(body)
+            headers = {"Content-Type": JSON_CONTENT_TYPE}
+            seconds += len(data) / MINIMUM_UPLOAD_BYTES_PER_SECOND
         try:
             async with asyncio.timeout(seconds) as limit:
-                async with self.session.request(method, url, json=body) as response:
+                async with self.session.request(
+                    method, url, data=data, headers=headers
+                ) as response:
                     content = await self._receive(operation, response, limit, exclusive)
                     era = response.headers.get(ERA_HEADER, "")
         except aiohttp.ClientConnectorError as error:
--- a/tests/forwarding/test_large_configurations.py
+++ b/tests/forwarding/test_large_configurations.py
@@ -4,9 +4,11 @@
 import contextlib
 import dataclasses
 
+import orjson
 import pytest
 from returns.result import Failure
 
+from linnetladder.forwarding.coordination.bills import MAXIMUM_BLOCK_BILLS
 from linnetladder.forwarding.coordination.shared_snapshots import content_digest
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.platform import PlatformSource, PlatformStore
@@ -328,3 +330,22 @@
     seconds, version = run(scenario)
     assert seconds <= CONFIGURATION_SECONDS
     assert version == 3
+
+
+# Guards against a block of bills that takes longer than a fixed time over a slow link:
+# it was written anew each time, and never whole.
+def test_the_largest_block_of_bills_is_written_over_a_slow_link():
+    async def scenario(site):
+        bills = {
+            f"{number:032x}": ("account-1234567890", "route-1234567890", "m" * 24, 1234)
+            for number in range(MAXIMUM_BLOCK_BILLS)
+        }
+        block = orjson.dumps(bills)
+        written = await site.source.write_bills(
+            incarnation="d1", name="1", content=block
+        )
+        return written, site.server.value("linnetladder/ledger/d1/1") == block
+
+    written, is_whole = run(scenario)
+    assert written.unwrap()
+    assert is_whole
