--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -53,7 +53,8 @@
     take ``engine_slots`` requests at once and ``event_seconds`` for each event. With
     ``spread`` each daemon's failure domain has a worker of each service. With ``cold``
     workers are cold after a start. With ``homes`` they and the daemons lie in two
-    regions, and some routes and accounts allow only one.
+    regions, and some routes and accounts allow only one. The configuration has
+    ``added_routes`` that no caller asks for.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         spread: bool = False,
         cold: bool = False,
         homes: bool = False,
+        added_routes: int = 0,
     ):
         self.folder = folder
         self.variables = variables or {}
@@ -77,6 +79,7 @@
         self.spread = spread
         self.cold = cold
         self.homes = homes
+        self.added_routes = added_routes
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
@@ -259,6 +262,10 @@
             }
             for name, fields in ROUTES.items()
         ]
+        routes += [
+            {**routes[0], "Name": f"r-{number:07x}", "PathPrefix": f"/added{number}/"}
+            for number in range(self.added_routes)
+        ]
         models = [
             {"Name": model, "Cost": cost}
             for model, cost in zip(MODELS, (0.02, 0.16, 0.31), strict=True)
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -53,6 +53,7 @@
 PARTITION_SHARE = 0.7
 DAEMONS = 3
 ODD_WEIGHT = 2
+LARGE_ROUTES = 2_800
 ODD_ENTRIES = (
     b"[" * 100_000,
     b"\xff\xfe",
@@ -102,8 +103,9 @@
     workers are cold after a start and at other times. With ``evacuations`` failure
     domains are evacuated. With ``homes`` some routes and accounts allow only some
     regions. With ``odd`` another writer leaves entries among those of the workers, and
-    workers write refusals once more. Without them the draw of a seed is the same as
-    before there were any.
+    workers write refusals once more. With ``large`` the configuration is so large that it
+    is not read whole each time. Without them the draw of a seed is the same as before
+    there were any.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         evacuations: bool = False,
         homes: bool = False,
         odd: bool = False,
+        large: bool = False,
         daemons: int = DAEMONS,
     ):
         self.drills = drills
@@ -147,6 +150,7 @@
             spread=cold or evacuations or homes,
             cold=cold,
             homes=homes,
+            added_routes=LARGE_ROUTES if large else 0,
             **engines,
         )
         self.sent: list[SentRequest] = []
@@ -371,6 +375,7 @@
         "evacuations": FLAGS.evacuations,
         "homes": FLAGS.homes,
         "odd": FLAGS.odd,
+        "large": FLAGS.large,
         "daemons": FLAGS.daemons,
     }
     failed = [
@@ -395,6 +400,9 @@
     flags.DEFINE_bool("evacuations", False, "Whether failure domains are evacuated.")
     flags.DEFINE_bool("homes", False, "Whether routes and accounts allow regions.")
     flags.DEFINE_bool("odd", False, "Whether odd entries and copied refusals come.")
+    flags.DEFINE_bool(
+        "large", False, "Whether the configuration has 2,800 more routes."
+    )
     flags.DEFINE_integer("daemons", DAEMONS, "How many daemons run.")
     flags.DEFINE_float("seconds", 20.0, "How long faults and requests last.")
     absl_app.run(main)
--- a/bench/store_reads.py
+++ b/bench/store_reads.py
@@ -39,10 +39,9 @@
 class MeasuredSite(FleetSite):
     """A site whose daemons reach the store over links that count bytes."""
 
-    def __init__(self, *, bits_per_second: float, routes: int, **options):
+    def __init__(self, *, bits_per_second: float, **options):
         super().__init__(**options)
         self.bits_per_second = bits_per_second
-        self.routes = routes
         self.links: dict[str, SlowLink] = {}
 
     async def _start_relay(self, name: str, to_port: int) -> int:
@@ -52,15 +51,6 @@
         self.links[name] = link
         return int((await link.start()).rpartition(":")[2])
 
-    def _configuration(self) -> dict:
-        document = super()._configuration()
-        first = document["Routes"][0]
-        added = [
-            {**first, "Name": f"r-{number:07x}", "PathPrefix": f"/added{number}/"}
-            for number in range(self.routes)
-        ]
-        return {**document, "Routes": [*document["Routes"], *added]}
-
     async def wait_until_ready(self) -> None:
         """Wait until all daemons say that they are ready."""
         async with aiohttp.ClientSession() as session:
@@ -102,7 +92,7 @@
     site = MeasuredSite(
         folder=folder,
         daemons=daemons,
-        routes=routes,
+        added_routes=routes,
         bits_per_second=mbps * BITS_PER_MEGABIT,
     )
     figures: dict[str, float] = {"daemons": daemons, "routes": routes, "mbps": mbps}
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -77,6 +77,13 @@
     assert sum(sent.status == 200 for sent in soak.sent) > 50
 
 
+def test_a_large_configuration_changes_while_daemons_and_stores_fail(tmp_path):
+    """Guards against daemons that keep an older large configuration after a fault."""
+    soak = Soak(seed=31, seconds=8.0, folder=tmp_path, large=True, drills=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
 def test_daemons_that_are_cut_off_from_workers_serve_callers(tmp_path):
     """Guards against daemons that refuse what their peers could send to workers."""
     soak = Soak(seed=17, seconds=12.0, folder=tmp_path, partitions=True)
