--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -103,9 +103,9 @@
     workers are cold after a start and at other times. With ``evacuations`` failure
     domains are evacuated. With ``homes`` some routes and accounts allow only some
     regions. With ``odd`` another writer leaves entries among those of the workers, and
-    workers write refusals once more. With ``large`` the configuration is so large that it
-    is not read whole each time. Without them the draw of a seed is the same as before
-    there were any.
+    workers write refusals once more. With ``large`` the configuration is so large that
+    it is not read whole each time. Without them the draw of a seed is the same as
+    before there were any.
     """
 
     def __init__(
