Say of requests in progress at a daemon's end that it ends, not that their time passed

Their refusals named a time limit that had not passed. Tests of the rule by which requests are passed on, and of the final answers, without a process.

--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -21,7 +21,6 @@
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.load_admission import LoadAdmission
 from linnetladder.forwarding.coordination.outcomes import AttemptOutcome
-from linnetladder.forwarding.coordination.planned_stop import shutdown_refusal
 from linnetladder.forwarding.coordination.reporting import RequestReporter
 from linnetladder.forwarding.coordination.sender import Attempt, Sender
 from linnetladder.forwarding.coordination.sizing import SizingInputs, SizingPolicy
@@ -202,9 +201,9 @@
             reply.abort_response()
             self.reporter.broken_off(request, _describe_time_limit(request))
             return
-        is_stopping = self.sender.planned_stop.ends_at < request.deadline
-        if is_stopping and not request.ran:
-            await self._refuse(request.head, request, shutdown_refusal(), reply)
+        stopping = self.sender.planned_stop.refuse(request)
+        if stopping is not None:
+            await self._refuse(request.head, request, stopping, reply)
             return
         ran = Ran.UNKNOWN if request.ran else Ran.NO
         kind = ErrorKind.DEADLINE_EXCEEDED if request.ran else ErrorKind.OVERLOADED
--- a/linnetladder/forwarding/coordination/planned_stop.py
+++ b/linnetladder/forwarding/coordination/planned_stop.py
@@ -46,12 +46,15 @@
         return longest <= remaining
 
     def refuse(self, request: ForwardRequest) -> Refusal | None:
-        """Return the refusal of a request that may not be sent any more."""
+        """Return the refusal of a request that may not be sent any more.
+
+        It is also that of one that is in progress when the daemon ends.
+        """
         if self.allows(request):
             return None
         if not request.ran:
             return shutdown_refusal()
-        detail = "the daemon is shutting down; the request is not sent again"
+        detail = "the daemon is shutting down, and the request may have run"
         return Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
 
 
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -80,6 +80,7 @@
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
 from linnetladder.forwarding.coordination.peer_paths import PeerPaths
+from linnetladder.forwarding.coordination.planned_stop import PlannedStop
 from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.read_groups import ReadGroups
 from linnetladder.forwarding.coordination.reading_speeds import ReadingSpeeds
@@ -447,6 +448,7 @@
     ("absence_margin", in_force, "ABSENCE_MARGIN_SECONDS", -60.0, "admission"),
     ("retry_budget", RetryBudget, "spend", always(True), "attempts"),
     ("retry_limits", Sender, "may_retry", always(True), "attempts"),
+    ("planned_stop", PlannedStop, "allows", always(True), "planned_stop"),
     ("completion", rollouts, "COMPLETION_EVIDENCE", 1e9, "rollouts"),
     ("poison", poison, "CRASHES_BEFORE_REFUSAL", 99, "attempts"),
     ("poison_parts", poison, "CRASHES_BEFORE_PART_REFUSAL", 99, CRASHING),
--- a/tests/forwarding/test_planned_stop.py
+++ b/tests/forwarding/test_planned_stop.py
@@ -4,7 +4,11 @@
 import signal
 import time
 
+import pytest
+
 from bench.fleet_site import GRACE_SECONDS
+from linnetladder.errors import ErrorKind, Ran
+from tests.support.forwarding import RecordedReply, Script, head, ready_daemon
 from tests.support.wire_site import WireSite, answer_bytes, read_answer
 
 KINDS = ("stream", "fetch", "save")
@@ -195,3 +199,59 @@
     ]
     assert {a for a in in_time if "-kept-" not in a or a in ran} <= set(served)
     assert ended < GRACE_SECONDS
+
+
+# Guards against a request that is cut at the daemon's end, or told that it has not run
+# though it may have, and against attempts that the end would cut.
+@pytest.mark.parametrize("ran", [False, True])
+@pytest.mark.parametrize("kind", ["fetch", "save"])
+def test_requests_in_progress_at_the_end_are_answered(kind, ran):
+    daemon = ready_daemon()
+
+    async def scenario():
+        reply = RecordedReply()
+        opened = asyncio.Event()
+
+        async def wait_for_ever(*arguments):
+            opened.set()
+            await asyncio.Event().wait()
+
+        # A request that ran waits for its answer, the other one for an endpoint.
+        if ran:
+            daemon.sender.calls.open = wait_for_ever
+        else:
+            daemon.sender._choose_slot = wait_for_ever
+        answering = asyncio.ensure_future(
+            daemon.forwarder.answer(
+                head(f"/{kind}/1"),
+                b"",
+                received=daemon.clock.monotonic(),
+                reply=reply,
+            )
+        )
+        await opened.wait()
+        daemon.planned_stop.ends_at = daemon.clock.monotonic()
+        daemon.forwarder.end_requests()
+        await answering
+        return reply
+
+    reply = asyncio.run(scenario())
+    refusal = reply.refusal
+    expected = (ErrorKind.DRAINING, Ran.NO)
+    if ran:
+        expected = (ErrorKind.ENDPOINT_FAILED, Ran.UNKNOWN)
+    assert (refusal.kind, refusal.ran) == expected
+
+
+# Guards against refusing what there is time for, and passing on what there is not.
+@pytest.mark.parametrize(
+    ("seconds_left", "longest", "status"),
+    [(5.0, None, 503), (5.0, 4.0, 200), (5.0, 6.0, 503), (60.0, 6.0, 200)],
+)
+def test_the_time_that_is_left_decides_over_a_request(seconds_left, longest, status):
+    daemon = ready_daemon()
+    daemon.planned_stop.ends_at = daemon.clock.monotonic() + seconds_left
+    if longest is not None:
+        daemon.planned_stop.learn_duration("save", longest)
+    reply = daemon.answer(head("/save/1"), Script(chunks=(b"done",)))
+    assert reply.status == status
