Let the stand-in's watches look at new events alone

With 90 daemons, each of whose watches looked through the whole history at every heartbeat, the stand-in took a processor and daemons were not ready in 90 s.

--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -12,6 +12,7 @@
 import base64
 import collections
 import dataclasses
+import itertools
 import time
 
 import orjson
@@ -233,22 +234,27 @@
         }
 
     async def _watch(self, query) -> dict:
-        after = int(query["After"])
+        after, prefix = int(query["After"]), query["PathPrefix"]
         try:
             async with asyncio.timeout(int(query["WaitMs"]) / 1000):
-                while True:
-                    events = [
-                        event
-                        for event in self.history
-                        if event["Rev"] > after
-                        and event["Key"].startswith(query["PathPrefix"])
-                    ]
-                    if events or self.stopping:
-                        return {"events": events, "At": self.revision}
+                events = self._events_since(after, prefix)
+                while not events and not self.stopping:
+                    era, looked_at = self.era, self.revision
                     self.changed.clear()
                     await self.changed.wait()
+                    # Many watches wait: each looks at new events alone.
+                    since = looked_at if era == self.era else after
+                    events = self._events_since(max(since, after), prefix)
         except TimeoutError:
-            return {"events": [], "At": self.revision}
+            events = []
+        return {"events": events, "At": self.revision}
+
+    def _events_since(self, revision: int, prefix: str) -> list[dict]:
+        """Return the events below a prefix after a revision, oldest first."""
+        newer = itertools.takewhile(
+            lambda event: event["Rev"] > revision, reversed(self.history)
+        )
+        return [event for event in newer if event["Key"].startswith(prefix)][::-1]
 
     def _transact(self, body: dict) -> tuple[int, dict]:
         conditions = body.get("ExpectRev", [])
