Add failing tests for requests and parts that go on to crash endpoints

The check of crashes counted from the fifth crash and knew parts of prompts only. The users' rule counts from the third, for a whole request or a part, so the check does now.

--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -276,7 +276,7 @@
         ]
     return find_crash_violations(
         runs,
-        crashing_parts=record.crashing_parts,
+        causes=record.crashing_parts,
         notice_seconds=CONTACT_SECONDS,
         excused=record.stopped,
     )
--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of daemons before endpoints that crash on certain parts of prompts.
+"""A fleet of daemons before endpoints that crash on certain requests or their parts.
 
 Daemons may be cut off from all endpoints for a time. Engines may be brittle: they let
 no request wait, and fall over if they turn too many away.
@@ -20,6 +20,7 @@
     PromptRun,
     SoundRequest,
     find_crash_violations,
+    find_late_runs,
     find_unserved_violations,
 )
 from bench.partition_checks import Cut, FirstAttempt, find_partition_violations
@@ -64,6 +65,7 @@
 DESKS = 4
 DESK_PATHS = ("/fetch/1", "/save/1")
 COMMON_PARTS = ("style-1", "style-2")
+SESSIONS = 60
 
 
 class FleetExchange(ScriptedExchange):
@@ -136,7 +138,12 @@
         prompt = call.request.head.prompt
         parts = tuple(p.part_id for p in prompt.shared_parts) if prompt else ()
         run = len(fleet.runs)
-        fleet.runs.append(PromptRun(sent_at=fleet.now, daemon=self.daemon, parts=parts))
+        content = call.request.body.decode()
+        fleet.runs.append(
+            PromptRun(
+                sent_at=fleet.now, daemon=self.daemon, parts=parts, content=content
+            )
+        )
         await fleet.wait_for_stall(call.instance)
         if not fleet.admit(call.instance):
             fleet.rejections.append((fleet.now, call.instance, self.daemon))
@@ -152,7 +159,7 @@
         if call.instance in fleet.down:
             fleet.leave(call.instance)
             raise broken()
-        crashes = bool(fleet.crashing_parts & set(parts))
+        crashes = bool(fleet.causes & {*parts, content})
         return FleetExchange(
             fleet=fleet,
             endpoint=call.instance,
@@ -188,6 +195,9 @@
 
     There are ``endpoints`` of the service ``engines``, with ``slots`` each, and
     ``desks`` of the service ``desk``, which gets ``desk_share`` of the requests.
+    Prompts begin with one of the ``common_parts``. ``causes`` holds the contents of
+    requests and the parts of prompts on which endpoints crash, which are then down for
+    ``restart_seconds``.
     """
 
     def __init__(
@@ -200,12 +210,16 @@
         desk_slots=64,
         desk_share=0.0,
         event_seconds=EVENT_SECONDS,
+        common_parts=COMMON_PARTS,
+        restart_seconds=RESTART_SECONDS,
         seed=1,
     ):
         self.loop = looptime.new_event_loop()
         self.random = random.Random(seed)
         self.source = MemorySource(table=table())
-        self.crashing_parts = set()
+        self.causes = set()
+        self.common_parts = common_parts
+        self.restart_seconds = restart_seconds
         self.down = set()
         self.runs = []
         self.sound = []
@@ -353,9 +367,15 @@
         self.runs[run] = dataclasses.replace(self.runs[run], crashed_at=self.now)
         self._end(endpoint)
 
+    def end_all_endpoints(self):
+        """End all engines for a reason that lies in no request."""
+        for endpoint in list(self.source.endpoints):
+            if service_of(endpoint) == "engines" and endpoint not in self.down:
+                self._end(endpoint)
+
     def _end(self, endpoint):
         self.down.add(endpoint)
-        self.loop.call_later(RESTART_SECONDS, self._bring_back, endpoint)
+        self.loop.call_later(self.restart_seconds, self._bring_back, endpoint)
 
     def _bring_back(self, endpoint):
         self.source.endpoints.pop(endpoint, None)
@@ -378,20 +398,63 @@
         It comes first in their prompts if ``sessions`` are given, one of which follows,
         and last of the shared parts otherwise.
         """
-        self.crashing_parts.add(part)
+        self.causes.add(part)
         prompts = [(part, session) for session in sessions]
-        prompts = prompts or [(COMMON_PARTS[0], part)]
+        prompts = prompts or [(self.common_parts[0], part)]
         return self._send_crashing(prompts, per_second, seconds)
 
+    async def repeat_crashing(self, content, session, *, per_second, seconds):
+        """Send a request again and again that crashes endpoints as a whole."""
+        self.causes.add(content)
+        shared = (self.common_parts[0], session)
+        tasks = []
+        until = self.now + seconds
+        while self.now < until:
+            attempt = self._attempt(shared, body=content.encode())
+            tasks.append(asyncio.create_task(attempt))
+            await asyncio.sleep(self.random.expovariate(per_second))
+        await asyncio.gather(*tasks)
+
+    async def send_until_bad(self, session, *, per_second, seconds, bad_after):
+        """Send requests of a session that begins to crash endpoints some time later."""
+        prompts = [(self.common_parts[0], session)]
+        self.loop.call_later(bad_after, self.causes.add, session)
+        await self._send_crashing(prompts, per_second, seconds)
+
     def crash_violations(self):
         """Return the violations by requests that crash endpoints."""
         return find_crash_violations(
             self.runs,
-            crashing_parts=self.crashing_parts,
+            causes=self.causes,
             notice_seconds=CONTACT_SECONDS,
             excused=self.excused,
         )
 
+    def late_runs(self, cause):
+        """Return the requests with a cause that daemons in touch sent too late."""
+        return find_late_runs(
+            self.runs,
+            cause=cause,
+            notice_seconds=CONTACT_SECONDS,
+            excused=self.excused,
+        )
+
+    def crashes_of(self, cause):
+        """Return how many endpoints crashed on a request with a cause."""
+        return sum(
+            run.crashed_at is not None and cause in (run.content, *run.parts)
+            for run in self.runs
+        )
+
+    def served_ratio(self, *, before):
+        """Return the share of sound requests that were served after a time.
+
+        It is relative to the share before that time.
+        """
+        earlier = [sound.served for sound in self.sound if sound.sent_at < before]
+        later = [sound.served for sound in self.sound if sound.sent_at >= before]
+        return sum(later) / len(later) / (sum(earlier) / len(earlier))
+
     def unserved_violations(self, *, before):
         """Return the violations by sound requests that were not served."""
         crashes = sorted(r.crashed_at for r in self.runs if r.crashed_at is not None)
@@ -443,8 +506,9 @@
             assert await daemon.poller.read_once()
 
     async def _send_sound(self):
-        session = f"s{self.random.randrange(60)}"
-        common = COMMON_PARTS[len(session) % 2]
+        number = self.random.randrange(SESSIONS)
+        session = f"s{number}"
+        common = self.common_parts[number % len(self.common_parts)]
         began = self.now
         served = await self._attempt((common, session))
         self.sound.append(SoundRequest(sent_at=began, served=served))
