Refuse what crashed three endpoints, whatever else may explain the crashes

Callers saw a request that had crashed three endpoints end ten more, and their own requests fail with them. The request was sent on, and sound requests were refused for ten minutes. The same rule broke since crashes were forgotten after 30 s, and since an answer spoke for its suspects for 6 s.

Suspects that others explain are tried at once, those that were answered before after a second, and those that never were not at all or after ten minutes. Findings on whole requests go to peers and the store like those on parts, with no lease, since leases end after ten minutes.

test_crashing_prompts lets a second pass before it looks for findings, which are told once the news has settled, and now asserts that records exist which it checked to be unchanged or deleted.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -92,6 +92,7 @@
         settings=peer_settings,
         shared_reads=core.shared_reads,
         reservations=core.reservations,
+        trials=core.trials,
     )
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
     relay_server = RelayServer(control=core.relay_control, peer_socket=peer_socket)
--- a/linnetladder/forwarding/coordination/crash_records.py
+++ b/linnetladder/forwarding/coordination/crash_records.py
@@ -1,13 +1,13 @@
-"""Records in the platform's store of prompt parts that crash endpoints.
+"""Records in the platform's store of requests and prompt parts that crash endpoints.
 
-Daemons tell each other of such parts, but none remembers one if all are started again.
+Daemons tell each other of them, but none remembers one if all are started again.
 """
 
 import asyncio
 
 from returns.result import Failure
 
-from linnetladder.forwarding.coordination.poison import PART_EXPIRY_SECONDS, CrashLog
+from linnetladder.forwarding.coordination.poison import CrashLog
 from linnetladder.forwarding.coordination.sources import OperatorSource
 from linnetladder.forwarding.protocol.daemon_messages import PartFinding
 from linnetladder.forwarding.state import CrashingPart
@@ -19,9 +19,10 @@
 class CrashRecords:
     """Reads the records with the rest of the store, and writes and deletes them.
 
-    A part is recorded by a daemon that saw one of its crashes itself, unless another
-    one was faster. A record that an answer refutes is deleted. ``records`` are those of
-    the last read. What fails is tried again after the next read.
+    A finding is recorded by a daemon that saw one of its crashes itself, unless another
+    one was faster. A record that an answer refutes, or that has expired, is deleted.
+    ``records`` are those of the last read. What fails is tried again after the next
+    read.
     """
 
     def __init__(self, *, source: OperatorSource, crashes: CrashLog, clock: Clock):
@@ -51,11 +52,9 @@
         for record in self._refuted():
             await self.source.delete_crashing_part(record)
         for part in self._missing():
-            age = self.clock.monotonic() - self.crashes.crashing_parts[part]
+            age = self.clock.monotonic() - self.crashes.findings[part]
             record = CrashingPart(part=part, crashed_unix=self.clock.unix() - age)
-            written = await self.source.write_crashing_part(
-                record, seconds=PART_EXPIRY_SECONDS
-            )
+            written = await self.source.write_crashing_part(record)
             if isinstance(written, Failure):
                 return
 
@@ -63,7 +62,7 @@
         return [r for r in self.records if self.crashes.refutes(self._finding(r))]
 
     def _missing(self) -> list[str]:
-        return self.crashes.unrecorded_parts(record.part for record in self.records)
+        return self.crashes.unrecorded_findings(record.part for record in self.records)
 
     def _finding(self, record: CrashingPart) -> PartFinding:
         age = max(self.clock.unix() - record.crashed_unix, 0.0)
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -133,6 +133,7 @@
             raise
         finally:
             self.sender.release_retry(request)
+            self.sender.trials.end(request)
             self._record_bill(request)
             self.active_requests -= 1
 
--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -2,11 +2,15 @@
 
 A request that is in flight at an endpoint when that crashes is a suspect as a whole, by
 the fingerprint of its content, and by each part of its prompt that other requests may
-share. Most suspects are innocent. An answer clears them, and a crash that a part is
-known to cause counts against nothing else.
+share. Most suspects are innocent. All crashes count against all of them, whatever else
+may explain a crash: only an answer to a request that was sent after a crash shows that
+a suspect did not cause it. A suspect of too many crashes is sent on trial at most: one
+request in the fleet at a time, and the longer it has to wait for it, the more likely it
+is the cause.
 """
 
 import collections
+import itertools
 import math
 from collections.abc import Callable, Iterable, Sequence
 
@@ -24,26 +28,45 @@
 CRASHES_BEFORE_REFUSAL = 2
 # Innocent parts are in flight at crashing endpoints more often than innocent requests.
 CRASHES_BEFORE_PART_REFUSAL = 3
-# A part that the crashes of another suspect contain as often as this share of its own
-# is the more likely cause if it is the more specific of the two.
-SPECIFIC_SHARE = 0.5
-CRASH_EXPIRY_SECONDS = 30.0
-# Requests with a part may come seldom.
-PART_CRASH_EXPIRY_SECONDS = 300.0
-# A part that crashes endpoints is refused for this long after the last crash.
+# From this many crashes on nothing may be sent that was never answered.
+CRASHES_OF_CAUSE = 3
+# Crashes and findings count for a day.
+CRASH_EXPIRY_SECONDS = 86_400.0
+# Crashes of suspects that are not refused are told to peers for this long.
+CRASH_NEWS_SECONDS = 30.0
+# While a suspect was answered this lately, requests with it that were sent after the
+# crashes are likely to be answered soon, and clear it.
+FRESH_ANSWER_SECONDS = 1.0
+# The longest time for which such a suspect is still sent freely. It is shorter than the
+# time that daemons have to stop a cause.
+CLEARANCE_SECONDS = 2.0
+# Seconds from the last crash until a suspect that was answered before may be tried, by
+# the number of trials that crashed an endpoint. Three failed ones are all for a day.
+TRIAL_PAUSES_SECONDS = (1.0, 5.0, 60.0, CRASH_EXPIRY_SECONDS)
+# A crash so long after the one before was that of a trial: those before trials come in
+# quick succession.
+TRIAL_GAP_SECONDS = 0.9
+# Endpoints that end within this time of each other, and how many of them do so for a
+# reason that lies in no request, as long as requests are on trial one at a time.
+OUTAGE_SECONDS = 0.3
+OUTAGE_ENDPOINTS = 3
+MAXIMUM_ENDED = 1_024
+# A part that was never answered is tried after this time.
 PART_EXPIRY_SECONDS = 600.0
-# An answer speaks for its suspects in crashes until this long after it, since an
-# innocent suspect may be in flight at several endpoints that crash one after the other.
-ANSWER_VALIDITY_SECONDS = 6.0
+# A request that was never answered, and crashed two endpoints, is tried after this.
+REQUEST_EXPIRY_SECONDS = 30.0
+# A request with several suspects is tried if they were not tried apart for this long.
+JOINT_TRIAL_SECONDS = 5.0
+# Daemons need this long to hear of all that was in flight at a crashed endpoint. After
+# it a suspect is told as a finding and recorded.
+SETTLING_SECONDS = 1.0
 # Findings on sound suspects are told to peers for this long.
 CLEARANCE_NEWS_SECONDS = 4.0
 # Ages are rounded on the way between daemons: a smaller difference is the same event.
 SAME_EVENT_SECONDS = 0.15
-MAXIMUM_SUSPECTS = 2_000
+MAXIMUM_SUSPECTS = 4_000
 MAXIMUM_ANSWERED = 4_096
-# The evidence against a whole request may be explained by a part at any time.
-RETRY_AFTER_SECONDS = 5.0
-EXPIRY_CHECK_SECONDS = 0.1
+EXPIRY_CHECK_SECONDS = 10.0
 PART_PREFIX = "p"
 
 
@@ -51,9 +74,13 @@
     """Crashes of endpoints by suspect, answers that clear suspects, and the findings.
 
     ``crash_times`` maps a suspect to the endpoints that crashed while it was in flight
-    there. ``crashing_parts`` maps a part to the time of its last known crash, and
-    ``answered_at`` a suspect to the last answer to a request with it. ``observed``
-    holds the suspects of crashes that this daemon saw itself.
+    there, and ``refused`` holds those that crashed too many. ``findings`` maps a
+    suspect that nothing explains to the time of its last known crash, also one of which
+    this daemon knows no crash itself. ``sound_at`` maps a suspect to the time at which
+    the last request with it was sent that was answered, and ``answered_at`` to that of
+    the answer. ``ended_at`` maps an endpoint to the time of its crash, whatever was in
+    flight there. ``observed`` holds the suspects of crashes that this daemon saw
+    itself.
     """
 
     def __init__(self, *, clock: Clock):
@@ -61,13 +88,13 @@
         self.crash_times: collections.OrderedDict[str, dict[str, float]] = (
             collections.OrderedDict()
         )
-        self.answered_at: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self.crashing_parts: dict[str, float] = {}
+        self.refused: set[str] = set()
+        self.findings: dict[str, float] = {}
+        self.sound_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self.answered_at: dict[str, float] = {}
+        self.ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.cleared_since: dict[str, float] = {}
         self.observed: set[str] = set()
-        self.changed = False
         self.expired_at = -math.inf
         self.on_crash: Callable[[], None] = _do_nothing
 
@@ -100,45 +127,39 @@
         if age >= CRASH_EXPIRY_SECONDS:
             return False
         crashed = self.clock.monotonic() - age
-        if self._is_refuted(suspect, crashed):
-            self._tell_cleared(suspect)
-            return False
-        crash_times = self.crash_times.setdefault(suspect, {})
-        if endpoint in crash_times:
-            return False
-        crash_times[endpoint] = crashed
-        if suspect in self.crashing_parts:
-            self.crashing_parts[suspect] = max(self.crashing_parts[suspect], crashed)
-        self.changed = True
-        self.on_crash()
-        if len(self.crash_times) > MAXIMUM_SUSPECTS:
-            self.crash_times.popitem(last=False)
-        return True
+        return self._learn(suspect, endpoint, crashed)
 
-    def learn_answer(self, suspects: Iterable[str]) -> None:
-        """Record that a request with these suspects was answered."""
+    def learn_answer(
+        self, suspects: Iterable[str], *, sent_at: float | None = None
+    ) -> None:
+        """Record that a request with these suspects was answered, or runs soundly.
+
+        ``sent_at`` is when it was sent, the present if it is not known.
+        """
         now = self.clock.monotonic()
         for suspect in suspects:
-            self._record_answer(suspect, now)
+            self._record_answer(suspect, now if sent_at is None else sent_at)
 
     def learn_finding(self, finding: PartFinding) -> None:
         """Apply a finding of another daemon or of the store."""
         time = self.clock.monotonic() - finding.age
         if finding.sound:
-            known = self.answered_at.get(finding.part, -math.inf)
+            known = self.sound_at.get(finding.part, -math.inf)
             if time > known + SAME_EVENT_SECONDS:
                 self._record_answer(finding.part, time)
             return
-        if finding.age >= PART_EXPIRY_SECONDS:
+        if finding.age >= CRASH_EXPIRY_SECONDS:
             return
         if self._is_refuted(finding.part, time):
             self._tell_cleared(finding.part)
             return
-        known = self.crashing_parts.get(finding.part)
+        known = self.findings.get(finding.part)
         if known is None:
+            if self.crashes(finding.part) and self._is_explained(finding.part):
+                return
             self._condemn(finding.part, time)
         elif time > known + SAME_EVENT_SECONDS:
-            self.crashing_parts[finding.part] = time
+            self.findings[finding.part] = time
 
     def export(self) -> list[tuple[str, str, float]]:
         """Return suspect, endpoint and age of each crash that peers may not know.
@@ -151,21 +172,21 @@
             (suspect, endpoint, math.ceil((now - crashed) * 10) / 10)
             for suspect, crash_times in self.crash_times.items()
             for endpoint, crashed in crash_times.items()
-            if now - crashed < CRASH_EXPIRY_SECONDS
+            if now - crashed < CRASH_NEWS_SECONDS or suspect in self.refused
         ]
 
     def export_findings(self) -> list[PartFinding]:
-        """Return the parts that crash endpoints, then suspects that were cleared."""
+        """Return what crashes endpoints, then suspects that were cleared."""
         self._update()
         now = self.clock.monotonic()
         findings = [
-            PartFinding(part, False, max(now - crashed, 0.0))
-            for part, crashed in self.crashing_parts.items()
+            PartFinding(suspect, False, max(now - crashed, 0.0))
+            for suspect, crashed in self.findings.items()
         ]
         findings += [
-            PartFinding(suspect, True, max(now - self.answered_at[suspect], 0.0))
+            PartFinding(suspect, True, max(now - self.sound_at[suspect], 0.0))
             for suspect in self.cleared_since
-            if suspect in self.answered_at
+            if suspect in self.sound_at
         ]
         return findings
 
@@ -173,153 +194,263 @@
         """Return the number of endpoints that crashed with a suspect in flight."""
         return len(self.crash_times.get(suspect, ()))
 
+    def is_cause(self, suspect: str) -> bool:
+        """Return whether so many endpoints crashed that nothing may go on with it."""
+        return suspect in self.findings or self.crashes(suspect) >= CRASHES_OF_CAUSE
+
     def refuse(self, suspects: Sequence[str]) -> Refusal | None:
-        """Return a refusal if a request with these suspects would crash endpoints."""
-        if not self.crash_times and not self.crashing_parts:
+        """Return a refusal if a request with these suspects may not be sent now.
+
+        If it may, it may have to be on trial; see `trial_suspect`.
+        """
+        if self.refused.isdisjoint(suspects):
             return None
         self._update()
+        refused = self._refused_of(suspects)
+        if not refused:
+            return None
         now = self.clock.monotonic()
-        for suspect in suspects:
-            crashed = self.crashing_parts.get(suspect)
-            if crashed is not None:
-                return Refusal(
-                    ErrorKind.SUSPECTED_POISON,
-                    f"a part of the prompt ({suspect}) crashes endpoints",
-                    retry_after_seconds=crashed + PART_EXPIRY_SECONDS - now,
-                )
-        for suspect in suspects:
-            if is_part(suspect):
-                continue
-            times = self._unexplained(suspect)
-            if len(times) >= CRASHES_BEFORE_REFUSAL:
-                return Refusal(
-                    ErrorKind.SUSPECTED_POISON,
-                    f"the same request crashed {len(times)} endpoints",
-                    retry_after_seconds=RETRY_AFTER_SECONDS,
-                )
-        return None
-
-    def unrecorded_parts(self, recorded: Iterable[str]) -> list[str]:
-        """Return crashing parts that this daemon saw and the store does not list."""
+        unexplained = [s for s in refused if not self._is_explained(s, suspects)]
+        trial_at = max(map(self._trial_at, unexplained), default=-math.inf)
+        if len(unexplained) > 1:
+            last = max(map(self._last_crash, unexplained))
+            trial_at = max(trial_at, last + JOINT_TRIAL_SECONDS)
+        if trial_at <= now:
+            return None
+        suspect = max(unexplained, key=self._trial_at)
+        crashes = max(self.crashes(suspect), CRASHES_BEFORE_REFUSAL)
+        detail = f"the same request crashed {crashes} endpoints"
+        if is_part(suspect):
+            detail = f"a part of the prompt ({suspect}) crashes endpoints"
+        return Refusal(
+            ErrorKind.SUSPECTED_POISON, detail, retry_after_seconds=trial_at - now
+        )
+
+    def trial_suspect(self, suspects: Sequence[str]) -> str | None:
+        """Return the suspect for which a request may be sent on trial only, if any.
+
+        If there are several, this is the one that is most likely the cause.
+        """
+        if self.refused.isdisjoint(suspects):
+            return None
+        refused = self._refused_of(suspects)
+        return next(
+            (s for s in refused if not self._is_explained(s, suspects)),
+            refused[-1] if refused else None,
+        )
+
+    def unrecorded_findings(self, recorded: Iterable[str]) -> list[str]:
+        """Return findings that this daemon saw and the store does not list."""
         self._update()
-        missing = self.crashing_parts.keys() - set(recorded)
+        missing = self.findings.keys() - set(recorded)
         return sorted(missing & self.observed)
 
     def refutes(self, finding: PartFinding) -> bool:
-        """Return whether an answer shows that a part does not crash endpoints."""
+        """Return whether a finding is known to be wrong, or has expired."""
+        if finding.age >= CRASH_EXPIRY_SECONDS:
+            return True
         crashed = self.clock.monotonic() - finding.age
-        return self._is_refuted(finding.part, crashed)
+        if self._is_refuted(finding.part, crashed):
+            return True
+        return bool(self.crashes(finding.part)) and self._is_explained(finding.part)
+
+    def _learn(self, suspect: str, endpoint: str, crashed: float) -> bool:
+        if self._is_refuted(suspect, crashed):
+            self._tell_cleared(suspect)
+            return False
+        crash_times = self.crash_times.setdefault(suspect, {})
+        if endpoint in crash_times:
+            return False
+        crash_times[endpoint] = crashed
+        self.ended_at.setdefault(endpoint, crashed)
+        if len(self.ended_at) > MAXIMUM_ENDED:
+            self.ended_at.popitem(last=False)
+        if suspect in self.findings:
+            self.findings[suspect] = max(self.findings[suspect], crashed)
+        self._update_refused(suspect)
+        self.on_crash()
+        if len(self.crash_times) > MAXIMUM_SUSPECTS:
+            self._forget_one()
+        return True
 
     def _is_refuted(self, suspect: str, crashed: float) -> bool:
-        answered = self.answered_at.get(suspect)
-        return answered is not None and crashed <= answered + ANSWER_VALIDITY_SECONDS
-
-    def _record_answer(self, suspect: str, answered: float) -> None:
-        answered = max(answered, self.answered_at.get(suspect, -math.inf))
-        self.answered_at[suspect] = answered
-        self.answered_at.move_to_end(suspect)
-        if len(self.answered_at) > MAXIMUM_ANSWERED:
-            self.answered_at.popitem(last=False)
+        return crashed <= self.sound_at.get(suspect, -math.inf)
+
+    def _record_answer(self, suspect: str, sent_at: float) -> None:
+        sent_at = max(sent_at, self.sound_at.get(suspect, -math.inf))
+        self.sound_at[suspect] = sent_at
+        self.sound_at.move_to_end(suspect)
+        self.answered_at[suspect] = self.clock.monotonic()
+        if len(self.sound_at) > MAXIMUM_ANSWERED:
+            oldest, _ = self.sound_at.popitem(last=False)
+            self.answered_at.pop(oldest, None)
         crash_times = self.crash_times.get(suspect)
         if crash_times is not None:
+            matters = is_part(suspect) or len(crash_times) >= CRASHES_BEFORE_REFUSAL
             for endpoint, crashed in list(crash_times.items()):
-                if self._is_refuted(suspect, crashed):
+                if crashed <= sent_at:
                     del crash_times[endpoint]
             if not crash_times:
                 del self.crash_times[suspect]
+            if matters:
+                self._tell_cleared(suspect)
+        found = self.findings.get(suspect)
+        if found is not None and found <= sent_at:
+            del self.findings[suspect]
             self._tell_cleared(suspect)
-        crashed = self.crashing_parts.get(suspect)
-        if crashed is not None and self._is_refuted(suspect, crashed):
-            del self.crashing_parts[suspect]
-            self._tell_cleared(suspect)
-            log_change("prompt part is sound", part=suspect)
+            log_change("suspect of crashes is sound", suspect=suspect)
+        self._update_refused(suspect)
 
     def _tell_cleared(self, suspect: str) -> None:
-        """Tell peers, once in a while, that an answer speaks for a part."""
-        if is_part(suspect) and suspect not in self.cleared_since:
+        """Tell peers, once in a while, that an answer speaks for a suspect."""
+        if suspect not in self.cleared_since:
             self.cleared_since[suspect] = self.clock.monotonic()
             self.on_crash()
 
-    def _condemn(self, part: str, crashed: float) -> None:
-        self.crashing_parts[part] = crashed
-        log_change(
-            "prompt part crashes endpoints", part=part, endpoints=self.crashes(part)
-        )
-        self.on_crash()
+    def _update_refused(self, suspect: str) -> None:
+        if suspect in self.findings or self.crashes(suspect) >= _limit(suspect):
+            self.refused.add(suspect)
+        else:
+            self.refused.discard(suspect)
 
-    def _update(self) -> None:
-        """Drop what has expired and draw conclusions from what is new."""
-        self._expire()
-        if self.changed:
-            self.changed = False
-            while (part := self._most_suspect_part()) is not None:
-                self._condemn(part, max(self._unexplained(part)))
+    def _refused_of(self, suspects: Sequence[str]) -> list[str]:
+        """Return those of a request's suspects for which it may be on trial only."""
+        return [
+            suspect
+            for suspect in suspects
+            if suspect in self.refused and not self._may_be_cleared_soon(suspect)
+        ]
 
-    def _most_suspect_part(self) -> str | None:
-        """Return the part that explains most crashes that nothing else explains.
+    def _may_be_cleared_soon(self, suspect: str) -> bool:
+        """Return whether answers on their way are likely to clear a suspect."""
+        now = self.clock.monotonic()
+        answered = self.answered_at.get(suspect, -math.inf)
+        if suspect in self.findings or answered < now - FRESH_ANSWER_SECONDS:
+            return False
+        times = sorted(self.crash_times[suspect].values())
+        return now < times[_limit(suspect) - 1] + CLEARANCE_SECONDS
+
+    def _is_explained(self, suspect: str, own: Sequence[str] = ()) -> bool:
+        """Return whether another suspect is more likely the cause of all crashes.
 
-        Of parts that explain nearly as many, the last one in the prompts is returned:
-        those before it are in other requests, too.
+        That is one which was in flight at all the endpoints, and which fewer requests
+        have than this one. A request is also explained by a part of others; ``own`` are
+        the suspects of the request in question.
         """
-        crashed_endpoints = {
-            part: self._unexplained_endpoints(part)
-            for part, crash_times in self.crash_times.items()
-            if len(crash_times) >= CRASHES_BEFORE_PART_REFUSAL
-            and is_part(part)
-            and part not in self.crashing_parts
-        }
-        likely = {
-            part: len(endpoints)
-            for part, endpoints in crashed_endpoints.items()
-            if len(endpoints) >= CRASHES_BEFORE_PART_REFUSAL
-            and not self._is_one_request(endpoints)
-        }
-        if not likely:
-            return None
-        least = max(likely.values()) * SPECIFIC_SHARE
-        return max(
-            (part for part, crashes in likely.items() if crashes >= least),
-            key=lambda part: (_position(part), likely[part]),
+        endpoints = self.crash_times.get(suspect)
+        if not endpoints:
+            return False
+        whole = not is_part(suspect)
+        if whole and len(endpoints) >= CRASHES_OF_CAUSE:
+            return False
+        for other in self.refused:
+            if other == suspect or (whole and other in own):
+                continue
+            if not whole and _rank(other) <= _rank(suspect):
+                continue
+            if endpoints.keys() <= self.crash_times.get(other, {}).keys():
+                return True
+        return False
+
+    def _last_crash(self, suspect: str) -> float:
+        times = self.crash_times.get(suspect, {}).values()
+        return max((self.findings.get(suspect, -math.inf), *times))
+
+    def _trial_at(self, suspect: str) -> float:
+        """Return the time from which an unexplained suspect may be tried."""
+        last = self._last_crash(suspect)
+        if suspect in self.sound_at:
+            failed = min(self._failed_trials(suspect), len(TRIAL_PAUSES_SECONDS) - 1)
+            return last + TRIAL_PAUSES_SECONDS[failed]
+        if is_part(suspect):
+            return last + PART_EXPIRY_SECONDS
+        pause = REQUEST_EXPIRY_SECONDS
+        return last + (CRASH_EXPIRY_SECONDS if self.is_cause(suspect) else pause)
+
+    def _failed_trials(self, suspect: str) -> int:
+        """Return how many trials of a suspect have crashed an endpoint.
+
+        One of which only a finding is known may have been tried. A crash does not count
+        at which a more specific suspect was in flight, too, or with which several other
+        endpoints ended.
+        """
+        limit = _limit(suspect)
+        crash_times = self.crash_times.get(suspect, {})
+        if len(crash_times) < limit:
+            return 1
+        crashes = sorted((time, endpoint) for endpoint, time in crash_times.items())
+        specific = [s for s in self.refused if _rank(s) > _rank(suspect)]
+        return sum(
+            crashed - before >= TRIAL_GAP_SECONDS
+            and not any(endpoint in self.crash_times.get(s, ()) for s in specific)
+            and not self._is_outage(crashed)
+            for (before, _), (crashed, endpoint) in itertools.pairwise(
+                crashes[limit - 1 :]
+            )
         )
 
-    def _is_one_request(self, endpoints: set[str]) -> bool:
-        """Return whether one request, as a whole, was at all of these endpoints."""
-        return any(
-            not is_part(suspect) and endpoints <= crash_times.keys()
-            for suspect, crash_times in self.crash_times.items()
+    def _is_outage(self, crashed: float) -> bool:
+        """Return whether several endpoints ended at about the same time."""
+        ended = sum(
+            abs(time - crashed) <= OUTAGE_SECONDS for time in self.ended_at.values()
         )
+        return ended >= OUTAGE_ENDPOINTS
 
-    def _unexplained(self, suspect: str) -> list[float]:
-        """Return the times of a suspect's crashes that no crashing part explains."""
-        times = self.crash_times.get(suspect, {})
-        return [times[endpoint] for endpoint in self._unexplained_endpoints(suspect)]
+    def _condemn(self, suspect: str, crashed: float) -> None:
+        self.findings[suspect] = crashed
+        self._update_refused(suspect)
+        log_change(
+            "suspect crashes endpoints",
+            suspect=suspect,
+            endpoints=self.crashes(suspect),
+        )
+        self.on_crash()
 
-    def _unexplained_endpoints(self, suspect: str) -> set[str]:
-        endpoints = set(self.crash_times.get(suspect, ()))
-        for part in self.crashing_parts:
-            endpoints -= self.crash_times.get(part, {}).keys()
-        return endpoints
+    def _update(self) -> None:
+        """Drop what has expired, and find what has settled."""
+        self._expire()
+        settled = self.clock.monotonic() - SETTLING_SECONDS
+        for suspect in list(self.refused):
+            if self.crashes(suspect) < CRASHES_OF_CAUSE:
+                continue
+            explained = self._is_explained(suspect)
+            if suspect in self.findings:
+                if explained:
+                    del self.findings[suspect]
+            elif not explained and not self._may_be_cleared_soon(suspect):
+                last = self._last_crash(suspect)
+                if last <= settled:
+                    self._condemn(suspect, last)
+
+    def _forget_one(self) -> None:
+        """Forget the oldest suspect of one crash, or else the oldest."""
+        oldest = next(iter(self.crash_times))
+        forgotten = next(
+            (s for s, times in self.crash_times.items() if len(times) == 1), oldest
+        )
+        del self.crash_times[forgotten]
+        self._update_refused(forgotten)
 
     def _expire(self) -> None:
         now = self.clock.monotonic()
+        for suspect, since in list(self.cleared_since.items()):
+            if since <= now - CLEARANCE_NEWS_SECONDS:
+                del self.cleared_since[suspect]
         if now - self.expired_at < EXPIRY_CHECK_SECONDS:
             return
         self.expired_at = now
+        expired = now - CRASH_EXPIRY_SECONDS
         for suspect, crash_times in list(self.crash_times.items()):
-            expiry = (
-                PART_CRASH_EXPIRY_SECONDS if is_part(suspect) else CRASH_EXPIRY_SECONDS
-            )
             for endpoint, crashed in list(crash_times.items()):
-                if crashed <= now - expiry:
+                if crashed <= expired:
                     del crash_times[endpoint]
             if not crash_times:
                 del self.crash_times[suspect]
-        for part, crashed in list(self.crashing_parts.items()):
-            if crashed <= now - PART_EXPIRY_SECONDS:
-                del self.crashing_parts[part]
-        for suspect, since in list(self.cleared_since.items()):
-            if since <= now - CLEARANCE_NEWS_SECONDS:
-                del self.cleared_since[suspect]
+            self._update_refused(suspect)
+        for suspect, crashed in list(self.findings.items()):
+            if crashed <= expired:
+                del self.findings[suspect]
+                self._update_refused(suspect)
         self.observed &= self.crash_times.keys()
 
 
@@ -354,5 +485,16 @@
     return int(position) if separator and position.isdecimal() else None
 
 
+def _rank(suspect: str) -> float:
+    """Return how specific a suspect is; a request as a whole is so most."""
+    position = _position(suspect)
+    return math.inf if position is None else position
+
+
+def _limit(suspect: str) -> int:
+    """Return from how many crashes on a suspect is refused."""
+    return CRASHES_BEFORE_PART_REFUSAL if is_part(suspect) else CRASHES_BEFORE_REFUSAL
+
+
 def _do_nothing() -> None:
     """Do nothing; the default action after a crash."""
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -33,6 +33,7 @@
     ProbeOutcome,
 )
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
+from linnetladder.forwarding.coordination.crash_trials import CrashTrials
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
     FIRST_TOKEN_OVERHEAD_SECONDS,
@@ -103,6 +104,8 @@
 
     ``peer`` is the daemon that passes it on, if there is one. ``events`` is the number
     of events of its stream that have arrived, the first of them at ``first_event_at``.
+    ``is_sound`` is set once it has gone on for so long that no part of its prompt
+    crashes the endpoint.
     """
 
     endpoint: Endpoint
@@ -113,6 +116,7 @@
     peer: DaemonAddress | None = None
     events: int = 0
     first_event_at: float = math.inf
+    is_sound: bool = False
     closed: bool = False
 
 
@@ -130,6 +134,7 @@
         rollouts: RolloutController,
         budget: RetryBudget,
         crashes: CrashLog,
+        trials: CrashTrials,
         ejector: Ejector,
         quarantine: Quarantine,
         confirmation: CrashConfirmation,
@@ -147,6 +152,7 @@
         self.rollouts = rollouts
         self.budget = budget
         self.crashes = crashes
+        self.trials = trials
         self.ejector = ejector
         self.quarantine = quarantine
         self.confirmation = confirmation
@@ -168,6 +174,7 @@
         """Return an attempt whose response has begun, or the reason why none has."""
         last_fault: CallFault | None = None
         for _ in range(MAXIMUM_SENDS):
+            await self.trials.begin(request)
             refusal = self.refuse_attempt(request, last_fault)
             if refusal is not None:
                 return Failure(refusal)
@@ -364,7 +371,7 @@
         remaining = request.deadline - self.clock.monotonic()
         if remaining < MINIMUM_SUCCESSOR_SECONDS or not self.may_retry(request):
             return False
-        if self._refuse_crashing(request) is not None:
+        if self.trials.refuse(request) is not None:
             return False
         inputs = self.selection_inputs(request, model)
         if not self.selection.has_healthy_candidate(inputs):
@@ -414,7 +421,7 @@
         if outcome is not AttemptOutcome.BROKEN:
             self.ejector.succeeded(attempt.endpoint)
         if attempt.exchange.head.succeeded and outcome is AttemptOutcome.GOOD:
-            self.crashes.learn_answer(request.suspects)
+            self.crashes.learn_answer(request.suspects, sent_at=attempt.load.started)
 
     async def record_broken_response(
         self, request: ForwardRequest, attempt: Attempt, fault: CallFault
@@ -533,6 +540,11 @@
         now = self.clock.monotonic()
         attempt.events += events
         attempt.first_event_at = min(attempt.first_event_at, now)
+        streamed = now - attempt.first_event_at
+        if not attempt.is_sound and streamed > CRASH_AFTER_FIRST_EVENT_SECONDS:
+            attempt.is_sound = True
+            sent_at = attempt.load.started
+            self.crashes.learn_answer(request.part_suspects, sent_at=sent_at)
         self._record_pace(request, attempt, attempt.pace.add_events(now, events))
 
     def record_stream_end(self, request: ForwardRequest, attempt: Attempt) -> None:
@@ -712,7 +724,7 @@
     def _record_crash(
         self, request: ForwardRequest, endpoint: Endpoint, with_parts: bool
     ) -> None:
-        name = f"{endpoint.name}:{endpoint.incarnation}"
+        name = _start_of(endpoint)
         self.crashes.record_crash(request, name, with_parts=with_parts)
 
     def _may_try_through_peer(
@@ -787,26 +799,18 @@
                 last_fault.detail if last_fault is not None else "all attempts are used"
             )
             return attempt_refusal(request, ErrorKind.ENDPOINT_FAILED, detail)
-        poison = self._refuse_crashing(request)
+        poison = self.trials.refuse(request)
         if poison is not None and request.ran:
             return attempt_refusal(request, ErrorKind.ENDPOINT_FAILED, poison.detail)
         return poison
 
-    def _refuse_crashing(self, request: ForwardRequest) -> Refusal | None:
-        """Return a refusal if the request is known to crash endpoints.
-
-        A stream that has begun is not stopped for what it may have crashed as a whole.
-        """
-        suspects = request.part_suspects if request.events else request.suspects
-        return self.crashes.refuse(suspects)
-
     def _may_send(
         self, request: ForwardRequest, endpoint: Endpoint, chosen_at: float
     ) -> bool:
         """Return whether a call may be sent now that its connection is made."""
         if not self.planned_stop.allows(request):
             return False
-        if self._refuse_crashing(request) is not None:
+        if self.trials.refuse(request) is not None:
             return False
         if not self.selection.homes.allow_endpoint(request.homes, endpoint):
             return False
@@ -815,6 +819,11 @@
         return self.limits.still_permitted(endpoint, chosen_at=chosen_at)
 
 
+def _start_of(endpoint: Endpoint) -> str:
+    """Return the name of one start of an endpoint."""
+    return f"{endpoint.name}:{endpoint.incarnation}"
+
+
 def _probe_after_seconds(request: ForwardRequest) -> float | None:
     """Return the seconds of silence after which an endpoint is probed."""
     if not request.route.retryable:
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -134,9 +134,9 @@
 
     @abc.abstractmethod
     async def write_crashing_part(
-        self, record: CrashingPart, *, seconds: float
+        self, record: CrashingPart
     ) -> Result[bool, PlatformFault]:
-        """Record for a number of seconds that a part of prompts crashes endpoints.
+        """Record that a request or a part of prompts crashes endpoints.
 
         Return false if it was already recorded.
         """
--- a/linnetladder/forwarding/core.py
+++ b/linnetladder/forwarding/core.py
@@ -25,6 +25,7 @@
 from linnetladder.forwarding.coordination.canary_analysis import CanaryAnalysis
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
+from linnetladder.forwarding.coordination.crash_trials import CrashTrials
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_load import (
     EndpointLoads,
@@ -90,6 +91,7 @@
     outcomes: Outcomes
     crashes: CrashLog
     crash_records: CrashRecords
+    trials: CrashTrials
     directory: EndpointDirectory
     budget: RetryBudget
     rollouts: RolloutController
@@ -225,6 +227,13 @@
         clock=clock,
         metrics=metrics,
     )
+    trials = CrashTrials(
+        own_address=own_address,
+        crashes=crashes,
+        peers=peers,
+        clock=clock,
+        metrics=metrics,
+    )
     loads.on_end = reservations.tell_arbiters
     availability = EndpointAvailability(
         limits=limits,
@@ -305,6 +314,7 @@
         rollouts=rollouts,
         budget=budget,
         crashes=crashes,
+        trials=trials,
         ejector=Ejector(clock=clock),
         quarantine=quarantine,
         confirmation=CrashConfirmation(calls=calls, paths=paths, clock=clock),
@@ -352,6 +362,7 @@
         outcomes=outcomes,
         crashes=crashes,
         crash_records=crash_records,
+        trials=trials,
         directory=directory,
         budget=budget,
         rollouts=rollouts,
--- a/linnetladder/forwarding/state/__init__.py
+++ b/linnetladder/forwarding/state/__init__.py
@@ -1,6 +1,6 @@
 """State of the forwarding daemon: routing tables, requests and rollouts."""
 
-from linnetladder.forwarding.state.crashes import CrashingPart
+from linnetladder.forwarding.state.crashes import CrashingPart, Trial
 from linnetladder.forwarding.state.evacuations import EvacuatedDomain
 from linnetladder.forwarding.state.positions import Position
 from linnetladder.forwarding.state.requests import (
@@ -45,5 +45,6 @@
     "RoutingTable",
     "ServiceShare",
     "ServiceSpec",
+    "Trial",
     "credential_digest",
 ]
--- a/linnetladder/forwarding/state/requests.py
+++ b/linnetladder/forwarding/state/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from linnetladder.forwarding.state.crashes import Trial
 from linnetladder.forwarding.state.routes import ClientAccount, Route
 
 __all__ = ["ANY_MODEL", "ForwardRequest", "Prompt", "PromptPart", "RequestHead"]
@@ -88,7 +89,8 @@
     started to run the request. ``attempts`` counts the endpoints that may have run it,
     ``times_sent`` also those that reported that they did not. ``expected_share`` is the
     time in which the request was expected to be served when it arrived, as a share of
-    the time left, 0 unless room was short. ``fallback_seconds`` is set while a larger
+    the time left, 0 unless room was short. ``trial`` is its right to be sent although
+    it may crash an endpoint. ``fallback_seconds`` is set while a larger
     model is asked: the time that the smaller one took, which is asked again if the
     larger one fails. ``model`` is the model of the latest attempt and ``events`` the
     number of stream events forwarded to the caller. ``history`` lists the steps of the
@@ -114,6 +116,7 @@
     expected_share: float = 0.0
     retry_reserved: bool = False
     retry_spent_at: float = 0.0
+    trial: Trial | None = None
     fallback_seconds: float | None = None
     model: str = ""
     events: int = 0
--- a/linnetladder/forwarding/transport/peer_socket.py
+++ b/linnetladder/forwarding/transport/peer_socket.py
@@ -4,6 +4,7 @@
 import math
 
 from linnetladder.forwarding.coordination.byte_budget import ByteBudget
+from linnetladder.forwarding.coordination.crash_trials import CrashTrials
 from linnetladder.forwarding.coordination.peer_gossip import (
     MAXIMUM_REPORT_BYTES,
     PEERS_PER_ROUND,
@@ -33,6 +34,12 @@
     decode_slot_message,
     encode_slot_message,
 )
+from linnetladder.forwarding.protocol.trial_messages import (
+    TrialAnswer,
+    TrialRequest,
+    decode_trial_message,
+    encode_trial_message,
+)
 from linnetladder.telemetry import Metrics, log_failure
 
 __all__ = ["PeerSocket"]
@@ -82,6 +89,7 @@
         settings: PeerSettings | None = None,
         shared_reads: SharedReads | None = None,
         reservations: SlotReservations | None = None,
+        trials: CrashTrials | None = None,
     ):
         self.gossip = gossip
         self.shared_reads = shared_reads
@@ -90,6 +98,9 @@
         self.reservations = reservations
         if reservations is not None:
             reservations.send = self.send_slot_message
+        self.trials = trials
+        if trials is not None:
+            trials.send = self.send_trial_message
         settings = settings or PeerSettings()
         self.budget = ByteBudget(bytes_per_second=settings.report_bytes_per_second)
         self.paces_budget = ByteBudget(
@@ -138,6 +149,10 @@
         if slot_message is not None and self.reservations is not None:
             self.reservations.receive(slot_message)
             return
+        trial_message = decode_trial_message(data, secrets=self.accepted_secrets())
+        if trial_message is not None and self.trials is not None:
+            self.trials.receive(trial_message)
+            return
         gossip = self._decode(data)
         if gossip is None:
             self.metrics.count("rejected_peers", label="news")
@@ -335,6 +350,15 @@
         self._send_to(receiver, encode_slot_message(message, secret=self.secret))
         return True
 
+    def send_trial_message(
+        self, message: TrialRequest | TrialAnswer, receiver: DaemonAddress
+    ) -> bool:
+        """Send a message on trials; return false if that is not possible."""
+        if self.transport is None or not self.secret:
+            return False
+        self._send_to(receiver, encode_trial_message(message, secret=self.secret))
+        return True
+
     def _send_to(self, receiver: DaemonAddress, datagram: bytes) -> None:
         if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
             self.metrics.count("peer_messages", label="too_large")
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -353,16 +353,12 @@
         return written.map(lambda outcome: outcome.succeeded)
 
     async def write_crashing_part(
-        self, record: CrashingPart, *, seconds: float
+        self, record: CrashingPart
     ) -> Result[bool, PlatformFault]:
-        """Create the record under a lease of its own."""
-        granted = await self.store.grant_lease(seconds=seconds)
-        if isinstance(granted, Failure):
-            return granted
+        """Create the record, which no lease ends: leases are shorter than findings."""
         key = CRASHING_PART_PREFIX + record.part
         written = await self.store.transact(
-            conditions=(Condition(key),),
-            puts=(Put(key, orjson.dumps(record), granted.unwrap()),),
+            conditions=(Condition(key),), puts=(Put(key, orjson.dumps(record)),)
         )
         return written.map(lambda outcome: outcome.succeeded)
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -68,6 +68,7 @@
         "Requests that brittle endpoints turned away", "basis"
     ),
     "slot_reservations": Family("Slots of brittle endpoints asked for", "answer"),
+    "crash_trials": Family("Trials of requests that may crash endpoints", "answer"),
     "relayed_calls": Family("Calls to endpoints through peers, or for them", "step"),
     "escalations": Family("Answers replaced by one of a better version"),
     "versions_pulled": Family("Versions pulled because they turned bad"),
--- a/tests/forwarding/test_crashing_prompts.py
+++ b/tests/forwarding/test_crashing_prompts.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from linnetladder.errors import ErrorKind, Ran
-from linnetladder.forwarding.coordination.poison import part_suspects
+from linnetladder.forwarding.coordination.poison import (
+    SETTLING_SECONDS,
+    part_suspects,
+)
 from linnetladder.forwarding.protocol.daemon_messages import PartFinding
 from linnetladder.forwarding.state import Prompt, PromptPart
 from tests.support.forwarding import (
@@ -58,6 +61,7 @@
     for serial in range(crashes):
         crash_with(daemon, ("style", "bad"), serial=serial)
     daemon.calls.reachable = True
+    daemon.clock.now += SETTLING_SECONDS
     return daemon
 
 
@@ -218,6 +222,7 @@
     asyncio.run(second.crash_records.write_changes())
     assert first.source.crashing_parts == {}
     asyncio.run(first.crash_records.write_changes())
+    assert set(first.source.crashing_parts) == {suspect("style", "bad")}
     assert first.read()
     revision = first.source.revision
     asyncio.run(first.crash_records.write_changes())
@@ -227,6 +232,7 @@
 def test_a_record_that_an_answer_refutes_is_deleted():
     first = crashing_daemon()
     asyncio.run(first.crash_records.write_changes())
+    assert first.source.crashing_parts
     second = ready_daemon(name="daemon-2", source=first.source, clock=first.clock)
     second.crashes.learn_answer(part_suspects(prompt("style", "bad")))
     assert second.read()
--- a/tests/support/endpoint_fleet.py
+++ b/tests/support/endpoint_fleet.py
@@ -293,6 +293,7 @@
             gossip=daemon.peers,
             metrics=daemon.metrics,
             reservations=daemon.reservations,
+            trials=daemon.trials,
         )
         peer_socket.secret = SECRET
         peer_socket.transport = FleetLink(fleet=self)
