Count a crash against a request that was given up just before it

A daemon now remembers what it gave up, for a larger model, since the caller left or since the endpoint was silent, and counts a crash of that endpoint within half a second against it.

--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import dataclasses
 import itertools
 import math
 from collections.abc import Callable, Iterable, Sequence
@@ -60,6 +61,9 @@
 # Daemons need this long to hear of all that was in flight at a crashed endpoint. After
 # it a suspect is told as a finding and recorded.
 SETTLING_SECONDS = 1.0
+# An endpoint that crashes so soon after a request was given up may crash on that.
+GIVEN_UP_SECONDS = 0.5
+MAXIMUM_GIVEN_UP = 1_024
 # Findings on sound suspects are told to peers for this long.
 CLEARANCE_NEWS_SECONDS = 4.0
 # Ages are rounded on the way between daemons: a smaller difference is the same event.
@@ -70,6 +74,15 @@
 PART_PREFIX = "p"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GivenUp:
+    """A request that was given up at an endpoint while it may have been running."""
+
+    ended_at: float
+    endpoint: str
+    suspects: tuple[str, ...]
+
+
 class CrashLog:
     """Crashes of endpoints by suspect, answers that clear suspects, and the findings.
 
@@ -95,6 +108,9 @@
         self.ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.cleared_since: dict[str, float] = {}
         self.observed: set[str] = set()
+        self.given_up: collections.deque[GivenUp] = collections.deque(
+            maxlen=MAXIMUM_GIVEN_UP
+        )
         self.expired_at = -math.inf
         self.on_crash: Callable[[], None] = _do_nothing
 
@@ -118,6 +134,12 @@
             crashes=[self.crashes(suspect) for suspect in suspects],
         )
 
+    def note_given_up(self, request: ForwardRequest, endpoint: str) -> None:
+        """Record that a request is given up that an endpoint may be running."""
+        self.given_up.append(
+            GivenUp(self.clock.monotonic(), endpoint, request.suspects)
+        )
+
     def learn(self, suspect: str, endpoint: str, *, age: float = 0.0) -> bool:
         """Record a crash and return whether it was new.
 
@@ -127,7 +149,15 @@
         if age >= CRASH_EXPIRY_SECONDS:
             return False
         crashed = self.clock.monotonic() - age
-        return self._learn(suspect, endpoint, crashed)
+        if not self._learn(suspect, endpoint, crashed):
+            return False
+        for given_up in self.given_up:
+            passed = crashed - given_up.ended_at
+            if given_up.endpoint == endpoint and passed <= GIVEN_UP_SECONDS:
+                self.observed.update(given_up.suspects)
+                for other in given_up.suspects:
+                    self._learn(other, endpoint, crashed)
+        return True
 
     def learn_answer(
         self, suspects: Iterable[str], *, sent_at: float | None = None
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -416,6 +416,7 @@
             self.reservations.note_given_up(attempt.endpoint)
         self.loads.end(attempt.endpoint, attempt.load)
         if outcome is None:
+            self._note_given_up(request, attempt.endpoint)
             return
         self.outcomes.add(attempt.endpoint.name, request.route.name, outcome)
         if outcome is not AttemptOutcome.BROKEN:
@@ -484,6 +485,8 @@
             self.loads.end(endpoint, load)
             waited = self.clock.monotonic() - load.started
             state = "unanswered" if call.connected else "unconnected"
+            if call.connected:
+                self._note_given_up(request, endpoint)
             request.history.append(f"{endpoint.name}/{model}={state}@{waited:.3f}")
             raise
         finally:
@@ -669,6 +672,8 @@
         self.metrics.count("attempts", label=fault.kind)
         if fault.kind is CallFaultKind.WITHDRAWN:
             return
+        if fault.kind is CallFaultKind.SILENT and fault.may_have_run:
+            self._note_given_up(request, endpoint)
         if fault.relay:
             await self._record_relayed_fault(request, endpoint, fault, with_parts)
             return
@@ -727,6 +732,9 @@
         name = _start_of(endpoint)
         self.crashes.record_crash(request, name, with_parts=with_parts)
 
+    def _note_given_up(self, request: ForwardRequest, endpoint: Endpoint) -> None:
+        self.crashes.note_given_up(request, _start_of(endpoint))
+
     def _may_try_through_peer(
         self, request: ForwardRequest, endpoint: Endpoint, fault: CallFault
     ) -> bool:
