Free a trial at once whose request was sent to no endpoint

With all endpoints down, each trial of a sound part that found none kept the others from trying for a second.

--- a/linnetladder/forwarding/coordination/crash_trials.py
+++ b/linnetladder/forwarding/coordination/crash_trials.py
@@ -103,7 +103,7 @@
         self.end(request)
         if self.denied_until.get(suspect, -math.inf) > self.clock.monotonic():
             return
-        request.trial = await self._reserve(suspect)
+        request.trial = await self._reserve(suspect, times_sent=request.times_sent)
         label = "granted" if request.trial is not None else "denied"
         self.metrics.count("crash_trials", label=label)
         if request.trial is not None:
@@ -114,7 +114,13 @@
         trial, request.trial = request.trial, None
         if trial is None:
             return
-        message = self._request(trial.suspect, trial.nonce, ended=True)
+        message = TrialRequest(
+            sender=self.own_address.instance,
+            nonce=trial.nonce,
+            suspect=trial.suspect,
+            ended=True,
+            sent=request.times_sent > trial.times_sent,
+        )
         self._end(message)
         arbiter = self._peer(trial.arbiter)
         if arbiter is not None:
@@ -146,9 +152,12 @@
             return False
         return self.clock.monotonic() < trial.until
 
-    async def _reserve(self, suspect: str) -> Trial | None:
-        nonce = secrets.randbits(NONCE_BITS) or 1
-        message = self._request(suspect, nonce)
+    async def _reserve(self, suspect: str, *, times_sent: int) -> Trial | None:
+        message = TrialRequest(
+            sender=self.own_address.instance,
+            nonce=secrets.randbits(NONCE_BITS) or 1,
+            suspect=suspect,
+        )
         granted, arbiter = None, self.own_address
         for arbiter in self._arbiters(suspect):
             if self._has_failed(arbiter):
@@ -168,9 +177,10 @@
         self.denied_until.pop(suspect, None)
         return Trial(
             suspect=suspect,
-            nonce=nonce,
+            nonce=message.nonce,
             until=now + TRIAL_SECONDS,
             arbiter=arbiter.instance,
+            times_sent=times_sent,
         )
 
     async def _ask(self, arbiter: DaemonAddress, message: TrialRequest) -> bool | None:
@@ -209,17 +219,14 @@
 
     def _end(self, message: TrialRequest) -> None:
         trial = self.granted.get(message.suspect)
-        if trial is not None and trial.nonce == message.nonce:
+        if trial is None or trial.nonce != message.nonce:
+            return
+        if not message.sent:
+            del self.granted[message.suspect]
+        else:
             until = min(trial.until, self.clock.monotonic() + NEWS_SECONDS)
             self.granted[message.suspect] = dataclasses.replace(trial, until=until)
 
-    def _request(
-        self, suspect: str, nonce: int, *, ended: bool = False
-    ) -> TrialRequest:
-        return TrialRequest(
-            sender=self.own_address.instance, nonce=nonce, suspect=suspect, ended=ended
-        )
-
     def _arbiters(self, suspect: str) -> list[DaemonAddress]:
         """Return the daemons that grant trials of a suspect, in their order."""
         daemons = filter(self._stays, (self.own_address, *self.peers.peers))
--- a/linnetladder/forwarding/protocol/trial_messages.py
+++ b/linnetladder/forwarding/protocol/trial_messages.py
@@ -29,13 +29,15 @@
 class TrialRequest:
     """A daemon asks whether it may send a request with a suspect, or has ``ended`` one.
 
-    The request has the same ``nonce`` each time.
+    Both have the same ``nonce``. ``sent`` is set if an endpoint got the request before
+    its trial ended.
     """
 
     sender: str
     nonce: int
     suspect: str
     ended: bool = False
+    sent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,7 +48,7 @@
     granted: bool
 
 
-_REQUEST_ADAPTER = pydantic.TypeAdapter(tuple[str, int, str, bool])
+_REQUEST_ADAPTER = pydantic.TypeAdapter(tuple[str, int, str, bool, bool])
 _ANSWER_ADAPTER = pydantic.TypeAdapter(tuple[int, bool])
 
 
@@ -70,7 +72,10 @@
         if kind == ANSWER_KIND:
             nonce, granted = _ANSWER_ADAPTER.validate_json(fields)
             return TrialAnswer(nonce=nonce, granted=granted)
-        sender, nonce, suspect, ended = _REQUEST_ADAPTER.validate_json(fields)
+        request = _REQUEST_ADAPTER.validate_json(fields)
     except pydantic.ValidationError:
         return None
-    return TrialRequest(sender=sender, nonce=nonce, suspect=suspect, ended=ended)
+    sender, nonce, suspect, ended, sent = request
+    return TrialRequest(
+        sender=sender, nonce=nonce, suspect=suspect, ended=ended, sent=sent
+    )
--- a/linnetladder/forwarding/state/crashes.py
+++ b/linnetladder/forwarding/state/crashes.py
@@ -22,11 +22,13 @@
 class Trial:
     """The right to send a request with a suspect of crashes until a time.
 
-    ``until`` is in seconds of the daemon's monotonic clock, and ``arbiter`` the
-    instance that granted the right.
+    ``until`` is in seconds of the daemon's monotonic clock, ``arbiter`` the instance
+    that granted the right, and ``times_sent`` how often the request had been sent
+    before.
     """
 
     suspect: str
     nonce: int
     until: float
     arbiter: str
+    times_sent: int = 0
