--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -23,6 +23,7 @@
     brittleness,
     budget,
     caller_buffers,
+    crash_trials,
     directory,
     endpoint_load,
     endpoint_paces,
@@ -67,6 +68,7 @@
 from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
 from linnetladder.forwarding.coordination.crash_confirmation import CrashConfirmation
 from linnetladder.forwarding.coordination.crash_records import CrashRecords
+from linnetladder.forwarding.coordination.crash_trials import CrashTrials
 from linnetladder.forwarding.coordination.directory import EndpointDirectory
 from linnetladder.forwarding.coordination.endpoint_paces import EndpointPaces
 from linnetladder.forwarding.coordination.endpoint_pauses import EndpointPauses
@@ -122,6 +124,7 @@
 
 ERA_ROLLOUTS = "store_eras_rollouts"
 CRASHING = "crashing_prompts"
+TRIALS = "crash_trials"
 CUT = "cut_off_daemons"
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
@@ -263,9 +266,15 @@
     return float(wait < (enough_wait + latest_wait) / 2)
 
 
-def all_crashes(self, suspect):
-    """Count all crashes against a suspect, whatever else explains them."""
-    return set(self.crash_times.get(suspect, ()))
+def forget_oldest(self):
+    """Forget the oldest suspect, however many crashes it has."""
+    self.crash_times.popitem(last=False)
+
+
+def answer_without_time(self, suspects, *, sent_at=None):
+    """Let an answer clear its suspects, whenever its request was sent."""
+    for suspect in suspects:
+        self._record_answer(suspect, self.clock.monotonic())
 
 
 def through_peers(self, inputs):
@@ -452,12 +461,22 @@
     ("completion", rollouts, "COMPLETION_EVIDENCE", 1e9, "rollouts"),
     ("poison", poison, "CRASHES_BEFORE_REFUSAL", 99, "attempts"),
     ("poison_parts", poison, "CRASHES_BEFORE_PART_REFUSAL", 99, CRASHING),
-    ("poison_before_call", Sender, "_refuse_crashing", always(None), CRASHING),
+    ("poison_before_call", CrashTrials, "refuse", always(None), CRASHING),
     ("poison_expiry", poison, "PART_EXPIRY_SECONDS", 20.0, CRASHING),
     ("poison_answers", CrashLog, "_is_refuted", always(False), CRASHING),
     ("poison_clearance", CrashLog, "_tell_cleared", always(None), CRASHING),
-    ("poison_explained", CrashLog, "_unexplained_endpoints", all_crashes, CRASHING),
-    ("poison_whole", CrashLog, "_is_one_request", always(False), CRASHING),
+    ("poison_explained", CrashLog, "_is_explained", always(False), CRASHING),
+    ("poison_whole", poison, "CRASHES_OF_CAUSE", 99, TRIALS),
+    ("poison_day", poison, "CRASH_EXPIRY_SECONDS", 600.0, TRIALS),
+    ("poison_forgotten", CrashLog, "_forget_one", forget_oldest, TRIALS),
+    ("poison_sent", CrashLog, "learn_answer", answer_without_time, TRIALS),
+    ("trials_one", CrashTrials, "_grant", always(True), TRIALS),
+    ("trials_end", CrashTrials, "_end", always(None), TRIALS),
+    ("trials_news", crash_trials, "NEWS_SECONDS", 0.0, TRIALS),
+    ("trials_arbiters", crash_trials, "TRIES", 0, TRIALS),
+    ("trials_pauses", CrashLog, "_failed_trials", always(0), TRIALS),
+    ("trials_outage", CrashLog, "_is_outage", always(False), TRIALS),
+    ("trials_joint", poison, "JOINT_TRIAL_SECONDS", 0.0, TRIALS),
     ("poison_late", sender, "CRASH_AFTER_FIRST_EVENT_SECONDS", 60.0, CRASHING),
     ("poison_findings", PeerGossip, "_findings", always([]), CRASHING),
     ("poison_records", CrashRecords, "update", always(None), CRASHING),
