--- a/bench/fleet_callers.py
+++ b/bench/fleet_callers.py
@@ -47,7 +47,7 @@
         headers["Linnetladder-Prompt-Prefix"] = ",".join(
             [f"{part}:400" for part in shared_parts] + [f"{sent.attempt}:100"]
         )
-    url = f"{front_url}/{sent.route}/{sent.attempt}"
+    url = f"{front_url}{sent.path}"
     try:
         async with asyncio.timeout(REQUEST_DEADLINE_SECONDS + CLIENT_SLACK_SECONDS):
             async with session.post(url, headers=headers, data=b"x") as response:
--- a/bench/fleet_checks.py
+++ b/bench/fleet_checks.py
@@ -42,7 +42,7 @@
     "SentRequest",
     "check_brittle_workers",
     "check_cold_workers",
-    "check_crashing_parts",
+    "check_crash_causes",
     "check_evacuations",
     "check_homes",
     "check_notices",
@@ -61,7 +61,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SentRequest:
-    """One request of a client; ``status`` is 0 if no complete response arrived."""
+    """One request of a client; ``status`` is 0 if no complete response arrived.
+
+    ``repeated_path`` is set if the client sends the same request more than once.
+    """
 
     attempt: str
     route: str
@@ -72,6 +75,12 @@
     status: int = 0
     body: bytes = b""
     error: str = ""
+    repeated_path: str = ""
+
+    @property
+    def path(self) -> str:
+        """The path of the request, which is its own unless it repeats another one."""
+        return self.repeated_path or f"/{self.route}/{self.attempt}"
 
 
 def find_violations(
@@ -100,7 +109,7 @@
         violations += _check_leaving(site, record)
         violations += check_request_limits(site, requests, record)
         violations += check_notices(site, requests, record)
-        violations += check_crashing_parts(site, requests, record)
+        violations += check_crash_causes(site, requests, record)
         violations += check_partitions(requests, record)
         violations += check_brittle_workers(site, requests, record)
         violations += check_cold_workers(site)
@@ -136,8 +145,7 @@
             violations.append(f"{attempt}: ran and was never sent")
             continue
         for run in attempt_runs:
-            path = f"/{sent.route}/{sent.attempt}"
-            if (run["path"], run["body"]) != (path, b"x"):
+            if (run["path"], run["body"]) != (sent.path, b"x"):
                 violations.append(f"{attempt}: ran with another path or body")
             if run["tenant"] != sent.account or run["key"]:
                 violations.append(
@@ -254,10 +262,10 @@
     return violations
 
 
-def check_crashing_parts(
+def check_crash_causes(
     site: FleetSite, requests: list[SentRequest], record: "FaultRecord"
 ) -> list[str]:
-    """Check that parts of prompts that crash workers soon reach no more of them.
+    """Check that what crashes workers, in whole or in part, soon reaches no more.
 
     A daemon that was restarted or suspended is excused for that time.
     """
@@ -270,13 +278,14 @@
                 sent_at=run["time"],
                 daemon=daemons.get(run["attempt"], ""),
                 parts=run["parts"],
+                content=run["path"],
                 crashed_at=crashed_at.get(run["attempt"]),
             )
             for run in worker.runs
         ]
     return find_crash_violations(
         runs,
-        causes=record.crashing_parts,
+        causes=record.crash_causes,
         notice_seconds=CONTACT_SECONDS,
         excused=record.stopped,
     )
--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import signal
 import time
+from collections.abc import Awaitable, Callable, Sequence
 
 from bench.evacuation_checks import Evacuation
 from bench.fleet_site import FleetSite
@@ -35,12 +36,12 @@
     ``revoked_at`` is when the guest's credential was revoked, or 0. ``stopped`` holds,
     for each daemon, the periods in which it was restarted or suspended, and
     ``lives_began`` the times at which its process was started again.
-    ``crashing_parts`` are the parts of prompts on which workers crash, and ``cuts`` the
-    periods in which daemons were cut off from all workers. ``store_faults`` holds, by
-    daemon, the periods in which the store or its link to it was disturbed, those of all
-    daemons under an empty name. ``brittle_periods`` holds the services whose workers
-    said that they are brittle, from when and until when, and ``evacuations`` those of
-    failure domains.
+    ``crash_causes`` are the paths of requests and the parts of prompts on which workers
+    crash, and ``cuts`` the periods in which daemons were cut off from all workers.
+    ``store_faults`` holds, by daemon, the periods in which the store or its link to it
+    was disturbed, those of all daemons under an empty name. ``brittle_periods`` holds
+    the services whose workers said that they are brittle, from when and until when, and
+    ``evacuations`` those of failure domains.
     """
 
     def __init__(self):
@@ -50,7 +51,7 @@
         self.revoked_at = 0.0
         self.stopped: dict[str, list[tuple[float, float]]] = {}
         self.lives_began: dict[str, list[float]] = {}
-        self.crashing_parts: set[str] = set()
+        self.crash_causes: set[str] = set()
         self.cuts: list[Cut] = []
         self.store_faults: dict[str, list[tuple[float, float]]] = {}
         self.odd_entries = 0
@@ -130,6 +131,19 @@
         """Make a daemon reload its settings."""
         self.site.process_manager.send(daemon, signal.SIGHUP)
 
+    async def change_configuration(self) -> None:
+        """Write the next version of the configuration."""
+        self.site.publish_configuration()
+
+    async def disturb_in_series(
+        self, faults: Sequence[Callable[[], Awaitable[None]]], gaps: Sequence[float]
+    ) -> None:
+        """Inject faults with gaps in seconds between their starts; they may overlap."""
+        async with asyncio.TaskGroup() as tasks:
+            for fault, gap in zip(faults, gaps, strict=True):
+                tasks.create_task(fault())
+                await asyncio.sleep(gap)
+
     async def store_outage(self, seconds: float) -> None:
         """Make the store unavailable for a time."""
         with Disturbance(self.record, seconds, store_of=""):
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -11,7 +11,7 @@
 import random
 import tempfile
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from functools import partial
 from pathlib import Path
 
@@ -48,6 +48,16 @@
 # A part of all prompts, and the time from one request with a crashing part to the next.
 COMMON_PART = "style"
 CRASHING_GAP_SECONDS = 0.3
+# At most this many things crash workers in one run.
+CRASH_CAUSES = 3
+# The shares of the run after which they are first sent, and crash workers.
+CAUSES_BEGIN = (0.05, 0.4)
+SOUND_SHARE = 0.25
+SESSIONS = 12
+# A series of signals and changes, and the longest pause between two of them.
+SERIES_LENGTHS = (3, 7)
+SERIES_GAP_SECONDS = 0.8
+SERIES_WEIGHT = 6
 # A partition, as shares of the run.
 PARTITION_BEGINS = 0.1
 PARTITION_SHARE = 0.7
@@ -97,7 +107,9 @@
 
     With ``drills`` the store also returns from older copies, and with ``limits``
     workers name limits on their requests. With ``notices`` they ask for pauses, and say
-    in answers that they leave. With ``crashes`` they crash on some parts of prompts.
+    in answers that they leave. With ``crashes`` they crash on some requests or parts of
+    prompts, from the beginning or after they had answered them for a time. With
+    ``series`` signals and changes of the configuration come in quick succession.
     With ``partitions`` some daemons are cut off from all workers for a time. With
     ``brittle`` engines are brittle for a time and have too few slots. With ``cold``
     workers are cold after a start and at other times. With ``evacuations`` failure
@@ -125,6 +137,7 @@
         homes: bool = False,
         odd: bool = False,
         large: bool = False,
+        series: bool = False,
         daemons: int = DAEMONS,
     ):
         self.drills = drills
@@ -136,6 +149,8 @@
         self.cold = cold
         self.evacuations = evacuations
         self.odd = odd
+        self.series = series
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         engines = (
@@ -183,8 +198,9 @@
                     for number in range(BRITTLE_CLIENTS):
                         tasks.create_task(self._send_streams(number))
                 if self.crashes:
-                    tasks.create_task(self._send_crashing("bad-1", 0.1))
-                    tasks.create_task(self._send_crashing("bad-2", 0.4))
+                    rng = random.Random(f"causes of {self.seed}")
+                    for number in range(rng.randint(1, CRASH_CAUSES)):
+                        tasks.create_task(self._send_crashing(f"bad-{number}", rng))
             await asyncio.sleep(SETTLE_SECONDS)
         finally:
             await self.site.stop()
@@ -234,19 +250,34 @@
                 )
                 await asyncio.sleep(BRITTLE_PAUSE_SECONDS * rng.random())
 
-    async def _send_crashing(self, part: str, delay_share: float) -> None:
-        """Send requests with a part that crashes workers, in a part of the run."""
-        self.record.crashing_parts.add(part)
-        await asyncio.sleep(delay_share * self.seconds)
-        for worker in self.site.workers:
-            worker.crashing_parts.add(part)
-        rng = random.Random(part)
+    async def _send_crashing(self, name: str, rng: random.Random) -> None:
+        """Send requests that crash workers as a whole, or by a part at any position."""
+        position = rng.choice((None, 0, 1, 2))
+        begins = rng.uniform(*CAUSES_BEGIN) * self.seconds
+        is_answered_first = rng.random() < 0.5
+        cause = f"/stream/{name}" if position is None else name
+        self.record.crash_causes.add(cause)
+        rng = random.Random(f"{name} of {self.seed}")
+        await asyncio.sleep(begins)
+        turns_bad_at = time.monotonic()
+        if is_answered_first:
+            turns_bad_at += SOUND_SHARE * self.seconds
         async with open_session() as session:
             while time.monotonic() < self.end_time:
+                if time.monotonic() >= turns_bad_at:
+                    for worker in self.site.workers:
+                        worker.crash_causes.add(cause)
                 sent = self._add_request(rng, "stream", "studio")
-                front_url = self.site.front_url(sent.daemon)
+                parts = [COMMON_PART, f"{name}-group", f"c{rng.randrange(SESSIONS)}"]
+                if position is None:
+                    sent.repeated_path = cause
+                else:
+                    parts[position] = cause
                 await send(
-                    session, sent, front_url=front_url, shared_parts=(COMMON_PART, part)
+                    session,
+                    sent,
+                    front_url=self.site.front_url(sent.daemon),
+                    shared_parts=tuple(parts),
                 )
                 await asyncio.sleep(CRASHING_GAP_SECONDS * rng.random())
 
@@ -316,6 +347,8 @@
             pause = partial(faults.pause_requests, worker, rng.choice(PAUSES))
             leave = partial(faults.leave, worker, rng.choice(LEAVING_SECONDS))
             injections += [pause, leave] * NOTICE_WEIGHT
+        if self.series:
+            injections += [self._draw_series()] * SERIES_WEIGHT
         if self.cold:
             domain = rng.choice(self.site.workers).zone
             return_cold = partial(faults.return_cold, domain)
@@ -332,6 +365,18 @@
             injections += [evacuate] * EVACUATION_WEIGHT
         return rng.choice(injections)()
 
+    def _draw_series(self) -> Callable[[], Coroutine[None, None, None]]:
+        """Return an injection of signals and changes in quick succession."""
+        rng, faults = self.random, self.faults
+        drawn, gaps = [], []
+        for _ in range(rng.randint(*SERIES_LENGTHS)):
+            daemon = rng.choice(self.site.daemon_names)
+            signals = [faults.reload, faults.terminate, faults.kill]
+            changes = [partial(signal, daemon) for signal in signals]
+            drawn.append(rng.choice([*changes, faults.change_configuration]))
+            gaps.append(SERIES_GAP_SECONDS * rng.random())
+        return partial(faults.disturb_in_series, drawn, gaps)
+
     def _is_disturbed(self) -> bool:
         """Return whether the run is in the part with faults of daemons and store."""
         begins, ends = DISTURBED_PART
@@ -376,6 +421,7 @@
         "homes": FLAGS.homes,
         "odd": FLAGS.odd,
         "large": FLAGS.large,
+        "series": FLAGS.series,
         "daemons": FLAGS.daemons,
     }
     failed = [
@@ -393,7 +439,8 @@
     flags.DEFINE_bool("drills", False, "Whether the store returns from older copies.")
     flags.DEFINE_bool("limits", False, "Whether workers name limits on requests.")
     flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
-    flags.DEFINE_bool("crashes", False, "Whether workers crash on parts of prompts.")
+    flags.DEFINE_bool("crashes", False, "Whether workers crash on some requests.")
+    flags.DEFINE_bool("series", False, "Whether signals and changes come in series.")
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -4,9 +4,10 @@
 that can be resumed, and records every run. ``faults`` is a queue of faults for the next
 requests: see `Fault`. It can name a limit on the requests that it takes a second, which
 it does not enforce, say in its answers that it will stop, turn requests away with a
-time to come back, and crash when it begins an answer on certain parts of prompts. While
-it is brittle it lets few requests wait, and crashes if it has to turn too many away.
-While it is cold it is slow, which its entry and its answers to health checks say.
+time to come back, and crash when it begins an answer on certain paths or parts of
+prompts. While it is brittle it lets few requests wait, and crashes if it has to turn
+too many away. While it is cold it is slow, which its entry and its answers to health
+checks say.
 """
 
 import asyncio
@@ -125,7 +126,7 @@
         self.restarts: list[float] = []
         self.pause_seconds: float | None = None
         self.pauses_asked: list[tuple[float, str, float]] = []
-        self.crashing_parts: set[str] = set()
+        self.crash_causes: set[str] = set()
         self.crashes: list[tuple[float, str]] = []
         self.brittle_limit: int | None = None
         self.rejections: list[tuple[float, str]] = []
@@ -295,7 +296,7 @@
         answer = web.StreamResponse(headers=self._headers(attempt_id))
         answer.headers["Linnetladder-Confidence"] = str(_confidence(attempt_id))
         await answer.prepare(request)
-        if self.crashing_parts & set(shared_parts(request.headers)):
+        if self.crash_causes & {request.path, *shared_parts(request.headers)}:
             self.crashes.append((time.monotonic(), attempt_id))
             self.on_crash(self.name)
             return answer
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -12,7 +12,7 @@
     SentRequest,
     check_brittle_workers,
     check_cold_workers,
-    check_crashing_parts,
+    check_crash_causes,
     check_evacuations,
     check_homes,
     check_notices,
@@ -60,10 +60,10 @@
 
 def test_workers_crash_few_times_on_a_part_while_daemons_and_stores_fail(tmp_path):
     """Guards against prompts that crash one worker after the other."""
-    soak = Soak(seed=13, seconds=10.0, folder=tmp_path, crashes=True)
+    soak = Soak(seed=13, seconds=10.0, folder=tmp_path, crashes=True, series=True)
     assert asyncio.run(soak.run(timed=False)) == []
     assert sum(len(worker.crashes) for worker in soak.site.workers) >= 3
-    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+    assert check_crash_causes(soak.site, soak.sent, soak.record) == []
 
 
 def test_brittle_workers_stay_up_while_daemons_and_stores_fail(tmp_path):
@@ -289,19 +289,19 @@
 
 def test_check_detects_workers_that_crash_on_and_on(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
-    soak.record.crashing_parts.add("bad")
+    soak.record.crash_causes.add("bad")
     worker = soak.site.add_unstarted_worker()
-    for number in range(9):
+    for number in range(7):
         add_request(soak, worker, f"a{number}", route="stream", runs=1, status=502)
         worker.runs[-1].update(time=100.0 + 2 * number, parts=("style", "bad"))
         worker.crashes.append((100.1 + 2 * number, f"a{number}"))
-    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+    assert check_crash_causes(soak.site, soak.sent, soak.record) == []
     add_request(soak, worker, "a9", route="stream", runs=1, status=502)
-    worker.runs[-1].update(time=118.0, parts=("style", "bad"))
-    (violation,) = check_crashing_parts(soak.site, soak.sent, soak.record)
-    assert "part bad: 4 requests" in violation
-    soak.record.stopped["daemon-1"] = [(117.0, 119.0)]
-    assert check_crashing_parts(soak.site, soak.sent, soak.record) == []
+    worker.runs[-1].update(time=114.0, parts=("style", "bad"))
+    (violation,) = check_crash_causes(soak.site, soak.sent, soak.record)
+    assert "bad: 4 requests" in violation
+    soak.record.stopped["daemon-1"] = [(113.0, 115.0)]
+    assert check_crash_causes(soak.site, soak.sent, soak.record) == []
 
 
 def test_check_detects_requests_to_workers_that_want_none(tmp_path):
