Bound what a daemon does and tells for suspects of earlier crashes

Each report looked at all suspects against all others, and rows of crashes were told to peers for as long as their suspects were refused. Suspects are looked at once they have settled, and rows are told for 30 s; findings stand for them after that.

--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -33,7 +33,7 @@
 CRASHES_OF_CAUSE = 3
 # Crashes and findings count for a day.
 CRASH_EXPIRY_SECONDS = 86_400.0
-# Crashes of suspects that are not refused are told to peers for this long.
+# Crashes are told to peers for this long, findings as long as they hold.
 CRASH_NEWS_SECONDS = 30.0
 # While a suspect was answered this lately, requests with it that were sent after the
 # crashes are likely to be answered soon, and clear it.
@@ -87,7 +87,8 @@
     """Crashes of endpoints by suspect, answers that clear suspects, and the findings.
 
     ``crash_times`` maps a suspect to the endpoints that crashed while it was in flight
-    there, and ``refused`` holds those that crashed too many. ``findings`` maps a
+    there. ``refused`` holds those that crashed too many, and ``unsettled`` those of
+    which it is not known yet whether something explains them. ``findings`` maps a
     suspect that nothing explains to the time of its last known crash, also one of which
     this daemon knows no crash itself. ``sound_at`` maps a suspect to the time at which
     the last request with it was sent that was answered, and ``answered_at`` to that of
@@ -102,6 +103,7 @@
             collections.OrderedDict()
         )
         self.refused: set[str] = set()
+        self.unsettled: set[str] = set()
         self.findings: dict[str, float] = {}
         self.sound_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.answered_at: dict[str, float] = {}
@@ -136,9 +138,10 @@
 
     def note_given_up(self, request: ForwardRequest, endpoint: str) -> None:
         """Record that a request is given up that an endpoint may be running."""
-        self.given_up.append(
-            GivenUp(self.clock.monotonic(), endpoint, request.suspects)
-        )
+        now = self.clock.monotonic()
+        while self.given_up and self.given_up[0].ended_at < now - CRASH_NEWS_SECONDS:
+            self.given_up.popleft()
+        self.given_up.append(GivenUp(now, endpoint, request.suspects))
 
     def learn(self, suspect: str, endpoint: str, *, age: float = 0.0) -> bool:
         """Record a crash and return whether it was new.
@@ -202,7 +205,7 @@
             (suspect, endpoint, math.ceil((now - crashed) * 10) / 10)
             for suspect, crash_times in self.crash_times.items()
             for endpoint, crashed in crash_times.items()
-            if now - crashed < CRASH_NEWS_SECONDS or suspect in self.refused
+            if now - crashed < CRASH_NEWS_SECONDS
         ]
 
     def export_findings(self) -> list[PartFinding]:
@@ -297,6 +300,9 @@
             self.ended_at.popitem(last=False)
         if suspect in self.findings:
             self.findings[suspect] = max(self.findings[suspect], crashed)
+        if len(crash_times) >= CRASHES_OF_CAUSE:
+            self.unsettled.add(suspect)
+            self.unsettled.update(self.findings)
         self._update_refused(suspect)
         self.on_crash()
         if len(self.crash_times) > MAXIMUM_SUSPECTS:
@@ -370,15 +376,17 @@
         endpoints = self.crash_times.get(suspect)
         if not endpoints:
             return False
+        some = next(iter(endpoints))
         whole = not is_part(suspect)
         if whole and len(endpoints) >= CRASHES_OF_CAUSE:
             return False
         for other in self.refused:
-            if other == suspect or (whole and other in own):
+            others = self.crash_times.get(other, {})
+            if some not in others or other == suspect or (whole and other in own):
                 continue
             if not whole and _rank(other) <= _rank(suspect):
                 continue
-            if endpoints.keys() <= self.crash_times.get(other, {}).keys():
+            if endpoints.keys() <= others.keys():
                 return True
         return False
 
@@ -440,17 +448,18 @@
         """Drop what has expired, and find what has settled."""
         self._expire()
         settled = self.clock.monotonic() - SETTLING_SECONDS
-        for suspect in list(self.refused):
+        for suspect in list(self.unsettled):
             if self.crashes(suspect) < CRASHES_OF_CAUSE:
+                self.unsettled.discard(suspect)
+                continue
+            last = self._last_crash(suspect)
+            if last > settled or self._may_be_cleared_soon(suspect):
                 continue
-            explained = self._is_explained(suspect)
-            if suspect in self.findings:
-                if explained:
-                    del self.findings[suspect]
-            elif not explained and not self._may_be_cleared_soon(suspect):
-                last = self._last_crash(suspect)
-                if last <= settled:
-                    self._condemn(suspect, last)
+            self.unsettled.discard(suspect)
+            if self._is_explained(suspect):
+                self.findings.pop(suspect, None)
+            elif suspect not in self.findings:
+                self._condemn(suspect, last)
 
     def _forget_one(self) -> None:
         """Forget the oldest suspect of one crash, or else the oldest."""
