--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -299,6 +299,7 @@
         if self.crash_causes & {request.path, *shared_parts(request.headers)}:
             self.crashes.append((time.monotonic(), attempt_id))
             self.on_crash(self.name)
+            request.transport.abort()
             return answer
         after = int(request.headers.get("Last-Event-Id") or 0)
         for number in range(after + 1, EVENT_COUNT + 1):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -46,6 +46,10 @@
         except OSError:
             writer.transport.abort()
             return
+        if self.is_cut:
+            writer.transport.abort()
+            upstream[1].transport.abort()
+            return
         writers = {writer, upstream[1]}
         self.writers |= writers
         generation = self.generation
