--- a/bench/processes.py
+++ b/bench/processes.py
@@ -29,12 +29,17 @@
     return FIRST_PORT + os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)
 
 
-def free_port(_last_port: list[int] = []) -> int:  # noqa: B006
+def free_port(
+    _last_port: list[int] = [],  # noqa: B006
+    _claims: list[socket.socket] = [],  # noqa: B006
+) -> int:
     """Return a loopback port on which nothing listens, at most once per process.
 
     The ports lie below the system's range for outgoing connections, so an outgoing
-    connection can't take one between this check and its use. The default of
-    ``_last_port`` is shared by all calls and holds the last port that was tried.
+    connection can't take one between this check and its use. No other process gets it
+    while this one lives. The defaults are shared by all calls: ``_last_port`` holds the
+    last port that was tried, and ``_claims`` a socket for each one that was returned,
+    whose name says so to other processes.
     """
     if not _last_port:
         _last_port.append(_first_port())
@@ -46,7 +51,14 @@
                 probe.bind(("127.0.0.1", _last_port[0]))
             except OSError:
                 continue
-            return _last_port[0]
+        claim = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        try:
+            claim.bind(f"\0linnetladder-port-{_last_port[0]}")
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return _last_port[0]
     raise RuntimeError("no free loopback port between FIRST_PORT and LAST_PORT")
 
 
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -23,6 +23,7 @@
 from bench.fleet_soak import Soak
 from bench.limit_checks import Arrival, LimitHistory, find_limit_violations
 from bench.partition_checks import Cut
+from bench.processes import FIRST_PORT, free_port
 from standins.fleet_store import FleetStore
 from standins.fleet_worker import HEALTH_PATH, FleetWorker, expected_body
 
@@ -92,6 +93,13 @@
     assert check_partitions(soak.sent, soak.record) == []
 
 
+# Guards against two soaks on one machine whose daemons talk to the other's stand-ins.
+def test_a_port_that_another_run_has_taken_is_not_given_out():
+    claims = []
+    port = free_port([FIRST_PORT], claims)
+    assert free_port([FIRST_PORT], claims) > port
+
+
 def test_check_detects_daemons_that_serve_far_less_than_others(tmp_path):
     soak = Soak(seed=1, seconds=0.0, folder=tmp_path)
     worker = soak.site.add_unstarted_worker()
