--- a/linnetladder/forwarding/protocol/trial_messages.py
+++ b/linnetladder/forwarding/protocol/trial_messages.py
@@ -52,7 +52,9 @@
 _ANSWER_ADAPTER = pydantic.TypeAdapter(tuple[int, bool])
 
 
-def encode_trial_message(message: TrialRequest | TrialAnswer, *, secret: bytes):
+def encode_trial_message(
+    message: TrialRequest | TrialAnswer, *, secret: bytes
+) -> bytes:
     """Return a message as a signed datagram."""
     kind = ANSWER_KIND if isinstance(message, TrialAnswer) else REQUEST_KIND
     fields = [getattr(message, f.name) for f in dataclasses.fields(message)]
