--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -54,7 +54,9 @@
     ``spread`` each daemon's failure domain has a worker of each service. With ``cold``
     workers are cold after a start. With ``homes`` they and the daemons lie in two
     regions, and some routes and accounts allow only one. The configuration has
-    ``added_routes`` that no caller asks for.
+    ``added_routes`` that no caller asks for. ``settings`` are further lines of the
+    daemons' settings files, and ``limits`` those on clients in the configuration. Each
+    daemon may open ``descriptors`` at most, if that is given.
     """
 
     def __init__(
@@ -70,6 +72,9 @@
         cold: bool = False,
         homes: bool = False,
         added_routes: int = 0,
+        settings: dict[str, object] | None = None,
+        limits: dict[str, object] | None = None,
+        descriptors: int | None = None,
     ):
         self.folder = folder
         self.variables = variables or {}
@@ -80,6 +85,9 @@
         self.cold = cold
         self.homes = homes
         self.added_routes = added_routes
+        self.settings = settings or {}
+        self.limits = limits or {}
+        self.descriptors = descriptors
         self.store = FleetStore()
         self.process_manager = ProcessManager(folder=folder)
         self.workers: list[FleetWorker] = []
@@ -137,6 +145,7 @@
                 "LINNETLADDER_BOOT": str(self.folder / f"{name}.conf"),
                 **self.variables,
             },
+            descriptors=self.descriptors,
         )
 
     async def restart(self, name: str, signal_number: signal.Signals) -> None:
@@ -285,6 +294,7 @@
                 {"Name": name, "ApiKeys": [key], **self._homes_of(name)}
                 for name, key in self.keys.items()
             ],
+            "Limits": self.limits,
         }
 
     def _homes_of(self, name: str) -> dict:
@@ -311,5 +321,6 @@
             f"Bounds.DrainMs={DRAIN_MILLISECONDS}",
             f"Bounds.EvacuateMs={EVACUATE_MILLISECONDS}",
             f"Bounds.GraceS={GRACE_SECONDS}",
+            *(f"{field}={value}" for field, value in self.settings.items()),
         ]
         (self.folder / f"{name}.conf").write_text("\n".join(lines) + "\n")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -76,8 +77,12 @@
         module: str,
         *flags: str,
         environment: dict[str, str] | None = None,
+        descriptors: int | None = None,
     ) -> subprocess.Popen:
-        """Start ``python -m module`` with flags and additional environment."""
+        """Start ``python -m module`` with flags and additional environment.
+
+        It may open as many ``descriptors`` at most, if that is given.
+        """
         with (self.folder / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *flags],
@@ -86,6 +91,9 @@
                 stderr=output,
                 env={**_base_environment(), **(environment or {})},
             )
+        if descriptors is not None:
+            limits = (descriptors, descriptors)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
         self.processes[name] = process
         return process
 
