Bound what all clients of a daemon hold together

Callers saw daemons that ended for their memory, or had no descriptor left, because of clients that send large bodies, unfinished heads or nothing.

Cause: each body, head and connection had a bound or none, and all of them together had none. HeaderTimeoutMs and IdleTimeoutMs were read and not used, a declared length was checked only after that many bytes, a body was held twice, 32 requests were parsed ahead on each connection, and the ports for peers and readiness accepted anything. Bodies in tiny chunks kept the event loop busy.

Change: one account of held bytes under a share of the instance's memory, one bound on the connections of each port under a share of its sockets, and limits on the time and size of whole heads, for all ports. Bodies are counted at their heads and held once. Expensive bodies take turns.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -1,9 +1,14 @@
 """Construct and connect the objects of a forwarding daemon on the platform."""
 
 import dataclasses
+import resource
 import secrets
 
 from linnetladder.forwarding.coordination.caller_buffers import CallerBuffers
+from linnetladder.forwarding.coordination.memory_account import (
+    MemoryAccount,
+    memory_capacity,
+)
 from linnetladder.forwarding.coordination.shared_secret import SharedSecret
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.forwarding.core import (
@@ -35,13 +40,25 @@
 __all__ = ["FleetDaemonParts", "assemble_fleet_daemon"]
 
 INCARNATION_BYTES = 8
+# Descriptors that are kept for files, and the largest share of them.
+FILE_DESCRIPTORS = 200
+FILE_DESCRIPTORS_SHARE = 0.25
+# Shares of the sockets for the connections of peers, and for each port for operators.
+# What is left, with that of callers, is for endpoints, the store and peers.
+PEER_CONNECTION_SHARE = 0.05
+OPERATOR_CONNECTION_SHARE = 0.02
+MINIMUM_CONNECTIONS = 16
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class FleetDaemonParts(ForwardingCore):
-    """The long-lived objects of one forwarding daemon."""
+    """The long-lived objects of one forwarding daemon.
+
+    ``operator_connections`` is the number that each port for operators accepts.
+    """
 
     metrics: Metrics
+    operator_connections: int
     store: PlatformStore
     source: PlatformSource
     calls: HttpEndpointCalls
@@ -78,11 +95,23 @@
         incarnation=secrets.token_hex(INCARNATION_BYTES),
         seed=secrets.randbits(64),
     )
+    memory = MemoryAccount(
+        capacity=memory_capacity(
+            memory_megabytes=settings_holder.current.memory_megabytes,
+            share=caller_settings.memory_share,
+        ),
+        metrics=metrics,
+    )
+    sockets = _count_sockets(settings_holder.current.descriptors)
     callers = ForwardingServer(
         forwarder=core.forwarder,
         in_force=core.in_force,
         codec=PlatformCallerCodec(),
-        buffers=CallerBuffers(settings=caller_settings, clock=clock, metrics=metrics),
+        buffers=CallerBuffers(
+            settings=caller_settings, memory=memory, clock=clock, metrics=metrics
+        ),
+        memory=memory,
+        maximum_connections=_share_of(sockets, caller_settings.connection_share),
         clock=clock,
         metrics=metrics,
     )
@@ -95,7 +124,13 @@
         trials=core.trials,
     )
     shared_secret = SharedSecret(source=source, era=era, seed=secrets.randbits(64))
-    relay_server = RelayServer(control=core.relay_control, peer_socket=peer_socket)
+    relay_server = RelayServer(
+        control=core.relay_control,
+        peer_socket=peer_socket,
+        memory=memory,
+        maximum_connections=_share_of(sockets, PEER_CONNECTION_SHARE),
+        limits=core.in_force.limits,
+    )
 
     def use_secret(secret: bytes) -> None:
         peer_socket.use_secret(secret)
@@ -120,6 +155,7 @@
     return FleetDaemonParts(
         **fields,
         metrics=metrics,
+        operator_connections=_share_of(sockets, OPERATOR_CONNECTION_SHARE),
         store=store,
         source=source,
         calls=calls,
@@ -128,3 +164,17 @@
         relay_server=relay_server,
         shared_secret=shared_secret,
     )
+
+
+def _count_sockets(descriptors: int) -> int:
+    """Return the sockets that the process may open, by its settings and the system."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, allowed)
+    files = min(FILE_DESCRIPTORS, int(descriptors * FILE_DESCRIPTORS_SHARE))
+    return descriptors - files
+
+
+def _share_of(sockets: int, share: float) -> int:
+    """Return the connections that a port accepts."""
+    return max(int(sockets * share), MINIMUM_CONNECTIONS)
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -107,12 +107,17 @@
         )
         self.log_writer.on_dropped = partial(parts.metrics.count, "log_lines_dropped")
         self.ready_server = ReadyServer(
-            ready_path=READY_PATH, reasons=self.unready_reasons, metrics=parts.metrics
+            ready_path=READY_PATH,
+            reasons=self.unready_reasons,
+            metrics=parts.metrics,
+            maximum_connections=parts.operator_connections,
         )
         self.operations_server = ReadyServer(
             ready_path=READY_PATH,
             reasons=self.unready_reasons,
             metrics=parts.metrics,
+            maximum_connections=parts.operator_connections,
+            port_name="operations",
             explainer=parts.explainer,
         )
         await self._listen_for_operators(settings)
--- a/linnetladder/forwarding/coordination/caller_buffers.py
+++ b/linnetladder/forwarding/coordination/caller_buffers.py
@@ -12,6 +12,7 @@
 import dataclasses
 import math
 
+from linnetladder.forwarding.coordination.memory_account import MemoryAccount
 from linnetladder.forwarding.daemon_variables import CallerSettings
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_request
@@ -56,8 +57,16 @@
 class CallerBuffers:
     """Keeps what is held for all callers within the bounds of the settings."""
 
-    def __init__(self, *, settings: CallerSettings, clock: Clock, metrics: Metrics):
+    def __init__(
+        self,
+        *,
+        settings: CallerSettings,
+        memory: MemoryAccount,
+        clock: Clock,
+        metrics: Metrics,
+    ):
         self.settings = settings
+        self.memory = memory
         self.clock = clock
         self.metrics = metrics
         self.progress: dict[CallerBuffer, Progress] = {}
@@ -84,6 +93,7 @@
                 progress.since = now
             progress.taken = max(taken, progress.taken)
         self.held = sum(progress.held for progress in self.progress.values())
+        self.memory.record_unread(self.held)
         by_stall = sorted(self.progress.items(), key=lambda item: item[1].since)
         for buffer, progress in by_stall:
             if now - progress.since < self._tolerated_seconds(progress):
@@ -92,7 +102,8 @@
 
     def _tolerated_seconds(self, progress: Progress) -> float:
         """Return for how long a caller may take nothing of what is held now."""
-        if self.held > self.settings.daemon_buffer_bytes and progress.held:
+        bound = min(self.settings.daemon_buffer_bytes, self.memory.capacity // 2)
+        if self.held > bound and progress.held:
             return STALLED_SECONDS
         if progress.held > self.settings.caller_buffer_bytes:
             return CALLER_STALLED_SECONDS
@@ -109,4 +120,5 @@
             stalled=round(stalled, 3),
         )
         self.held -= progress.held
+        self.memory.record_unread(self.held)
         buffer.end()
--- a/linnetladder/forwarding/coordination/calls.py
+++ b/linnetladder/forwarding/coordination/calls.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from linnetladder.errors import Refusal
+from linnetladder.forwarding.coordination.memory_account import MemoryLease
 from linnetladder.forwarding.protocol import EndpointCall, ResponseHead
 from linnetladder.forwarding.protocol.relaying import RelayedCall
 
@@ -77,7 +78,12 @@
 
 
 class Exchange(abc.ABC):
-    """A call whose response has begun."""
+    """A call whose response has begun.
+
+    ``memory`` counts a body that is read whole, if it is set.
+    """
+
+    memory: MemoryLease | None = None
 
     def __init__(self, *, head: ResponseHead):
         self.head = head
@@ -131,9 +137,11 @@
     """The response to one caller; ``begun`` is set once bytes may have been sent.
 
     ``read_ahead_bytes`` returns what is held of the endpoint's response besides.
+    ``memory`` counts responses that are read whole before they are sent.
     """
 
     begun: bool = False
+    memory: MemoryLease | None = None
     read_ahead_bytes: Callable[[], int] = staticmethod(int)
 
     @abc.abstractmethod
--- a/linnetladder/forwarding/coordination/forwarder.py
+++ b/linnetladder/forwarding/coordination/forwarder.py
@@ -220,6 +220,7 @@
                 await self._send_failure(request, reply, failed, opened.failure())
                 return
             attempt = opened.unwrap()
+            attempt.exchange.memory = reply.memory
             try:
                 body = await self._read_body(request, attempt)
             except CallFault as fault:
@@ -419,6 +420,7 @@
     ) -> bool:
         """Relay an error response; return false if another endpoint should be tried."""
         head = attempt.exchange.head
+        attempt.exchange.memory = reply.memory
         try:
             body = await attempt.exchange.read()
         except CallFault as fault:
--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -4,7 +4,7 @@
 
 from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.forwarding.settings import SettingsHolder
-from linnetladder.forwarding.state import RoutingTable
+from linnetladder.forwarding.state import CallerLimits, RoutingTable
 from linnetladder.state import Clock
 from linnetladder.telemetry import log_change
 
@@ -44,6 +44,10 @@
         self.era_began_at = clock.monotonic()
         self.rewrite_expected_until = -math.inf
 
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers in force, the defaults before there are any."""
+        return self.table.limits if self.table is not None else CallerLimits()
+
     def confirm_read(self, table: RoutingTable | None, *, began: float) -> bool:
         """Record a read of the store and return whether a new table came into force.
 
--- a/linnetladder/forwarding/daemon_variables.py
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -60,7 +60,7 @@
 
 
 class CallerSettings(pydantic.BaseModel):
-    """Settings of the memory that is held for callers that read slowly."""
+    """Settings of what callers and peers may take of the daemon's resources."""
 
     model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
 
@@ -74,6 +74,20 @@
         ge=64 * 1024,
         description="Bytes held for all callers, beyond which stalled ones are ended.",
     )
+    memory_share: float = pydantic.Field(
+        0.25,
+        ge=0.05,
+        le=0.5,
+        description=(
+            "Share of the instance's memory for requests and answers that are held."
+        ),
+    )
+    connection_share: float = pydantic.Field(
+        0.4,
+        ge=0.1,
+        le=0.45,
+        description="Share of the instance's sockets for callers' connections.",
+    )
 
 
 class PolicySettings(pydantic.BaseModel):
--- a/linnetladder/forwarding/settings.py
+++ b/linnetladder/forwarding/settings.py
@@ -51,7 +51,8 @@
 
     ``peer_ports`` holds the first and the last port that daemons may use for messages
     to each other. ``store_address`` is the ``IP:port`` of the platform's store.
-    ``regions`` gives the regions of failure domains.
+    ``regions`` gives the regions of failure domains. The process may use
+    ``memory_megabytes``, and open ``descriptors`` of files and sockets.
     """
 
     instance: str
@@ -64,6 +65,8 @@
     store_address: str
     bounds: Bounds = Bounds()
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    memory_megabytes: int = 300
+    descriptors: int = 4096
 
 
 class SettingsHolder:
--- a/linnetladder/forwarding/transport/caller_server.py
+++ b/linnetladder/forwarding/transport/caller_server.py
@@ -5,13 +5,10 @@
 import struct
 import termios
 
-from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
 
-from linnetladder.errors import ErrorKind, Ran, Refusal
+from linnetladder.errors import ErrorKind, Refusal
 from linnetladder.forwarding.coordination.caller_buffers import (
     CHECK_SECONDS,
     CallerBuffer,
@@ -20,21 +17,29 @@
 from linnetladder.forwarding.coordination.calls import Reply
 from linnetladder.forwarding.coordination.forwarder import Forwarder
 from linnetladder.forwarding.coordination.in_force import TableInForce
+from linnetladder.forwarding.coordination.memory_account import (
+    MemoryAccount,
+    MemoryHolder,
+    MemoryLease,
+)
 from linnetladder.forwarding.coordination.planned_stop import shutdown_refusal
 from linnetladder.forwarding.protocol import CallerCodec, InvalidHeadError
-from linnetladder.forwarding.state import CallerLimits
+from linnetladder.forwarding.state import (
+    RequestHead,
+    credential_digest,
+)
+from linnetladder.forwarding.transport.body_reader import BodyReader
+from linnetladder.forwarding.transport.guarded_server import (
+    GuardedServer,
+    refusal_response,
+)
 from linnetladder.state import Clock
-from linnetladder.telemetry import Metrics, log_change, log_failure, log_request
+from linnetladder.telemetry import Metrics, log_change, log_request
 
 __all__ = ["ForwardingServer"]
 
-LISTEN_BACKLOG = 1024
-READ_BUFFER_BYTES = 256 * 1024
-# At least the longest idle limit of any configuration, so that no connection is closed
-# while its caller still observes the limit in force.
-KEEPALIVE_SECONDS = 120.0
-BODY_TIMEOUT_SECONDS = 10.0
-REFUSAL_CONTENT_TYPE = "text/plain; charset=utf-8"
+# Bytes of a header field besides its name and its value.
+FIELD_FRAMING_BYTES = 4
 
 
 class HttpReply(Reply, CallerBuffer):
@@ -43,8 +48,11 @@
     ``written`` are the bytes that were passed to the caller's transport.
     """
 
-    def __init__(self, *, request: BaseRequest, closes_connection: bool):
+    def __init__(
+        self, *, request: BaseRequest, closes_connection: bool, memory: MemoryLease
+    ):
         self.request = request
+        self.memory = memory
         self.closes_connection = closes_connection
         self.written = 0
         self.response: StreamResponse | None = None
@@ -64,13 +72,7 @@
         """Send a refusal as plain text, unless an answer has begun."""
         if not self._begins():
             return
-        headers = {"Content-Type": REFUSAL_CONTENT_TYPE}
-        if refusal.retry_after_seconds is not None and refusal.ran is Ran.NO:
-            headers["Retry-After"] = f"{refusal.retry_after_seconds:.2f}"
-        text = f"{refusal.kind}: {refusal.title}; ran: {refusal.ran}; {refusal.detail}"
-        self.response = Response(
-            status=refusal.status, headers=headers, body=text.encode()
-        )
+        self.response = refusal_response(refusal)
         await self._send()
 
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
@@ -152,53 +154,11 @@
         await self.response.write_eof()
 
     def _apply_connection_close(self) -> None:
-        if self.closes_connection:
+        if self.closes_connection or self.request.protocol.is_closing:
             self.response.force_close()
             self.response.headers["Connection"] = "close"
 
 
-class ForwardingHandler(RequestHandler):
-    """Handles one connection and answers requests that can't be parsed."""
-
-    def is_idle(self) -> bool:
-        """Return whether no request is being read or answered."""
-        waiting = self._waiter is not None and not self._waiter.done()
-        return waiting and not self._messages
-
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> StreamResponse:
-        """Return an answer with a documented error kind that closes the connection."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("can't send an error: the answer has already begun")
-        kind = ErrorKind.INTERNAL
-        if isinstance(exc, LineTooLong):
-            kind = ErrorKind.HEADER_TOO_LARGE
-        elif status < 500:
-            kind = ErrorKind.MALFORMED_HTTP
-        if kind is ErrorKind.INTERNAL and exc is not None:
-            log_failure("request failed", exc)
-        refusal = Refusal(kind, str(message or exc), Ran.UNKNOWN)
-        log_request("unreadable", kind=kind, detail=refusal.detail[:200])
-        response = Response(
-            status=refusal.status, text=f"{kind}: {refusal.title}; ran: unknown"
-        )
-        response.force_close()
-        return response
-
-
-class HandlerServer(Server):
-    """A server whose connections are handled by `ForwardingHandler`."""
-
-    def __call__(self) -> RequestHandler:
-        """Return the handler for a new connection."""
-        return ForwardingHandler(self, loop=self._loop, **self._kwargs)
-
-
 class ForwardingServer:
     """Reads callers' requests, passes them to the forwarder and sends its answers."""
 
@@ -209,6 +169,8 @@
         in_force: TableInForce,
         codec: CallerCodec,
         buffers: CallerBuffers,
+        memory: MemoryAccount,
+        maximum_connections: int,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -216,34 +178,34 @@
         self.in_force = in_force
         self.codec = codec
         self.buffers = buffers
+        self.memory = memory
+        self.maximum_connections = maximum_connections
         self.clock = clock
         self.metrics = metrics
         self.active_requests = 0
         self.leaving = False
         self.refusing = False
-        self.handlers: HandlerServer | None = None
-        self.server: asyncio.Server | None = None
+        self.server: GuardedServer | None = None
+        self.bodies: BodyReader | None = None
         self.check_task: asyncio.Task | None = None
 
     async def start(self, *, address: str, port: int) -> None:
         """Listen on a port; raise `OSError` if that fails."""
-        limits = CallerLimits()
-        self.handlers = HandlerServer(
+        self.server = GuardedServer(
             self.handle,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            max_headers=512,
-            lingering_time=0.0,
-            access_log=None,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
+            port_name="callers",
+            maximum_connections=self.maximum_connections,
+            metrics=self.metrics,
+            limits=self.in_force.limits,
+            memory=self.memory,
         )
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            self.handlers, host=address, port=port, backlog=LISTEN_BACKLOG
+        self.bodies = BodyReader(
+            account=self.memory,
+            holder=MemoryHolder.BODIES,
+            refusals=self.server.refusals,
         )
+        self.server.bodies = self.bodies
+        await self.server.listen(address=address, port=port)
         self.check_task = asyncio.ensure_future(self._check_buffers())
 
     async def _check_buffers(self) -> None:
@@ -256,9 +218,7 @@
         if self.check_task is not None:
             self.check_task.cancel()
         if self.server is not None:
-            self.server.close()
-        if self.handlers is not None:
-            await self.handlers.shutdown(0.1)
+            await self.server.stop()
 
     def refuse_new_requests(self) -> None:
         """Close idle connections and refuse all further requests.
@@ -267,64 +227,90 @@
         refused.
         """
         self.refusing = True
-        for handler in self.handlers.connections:
+        for handler in self.server.connections:
             if handler.is_idle():
                 handler.force_close()
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request."""
         self.active_requests += 1
-        reply = HttpReply(request=request, closes_connection=self.leaving)
+        body_lease = self.bodies.lease()
+        reply = HttpReply(
+            request=request,
+            closes_connection=self.leaving,
+            memory=MemoryLease(account=self.memory, holder=MemoryHolder.ANSWERS),
+        )
         self.buffers.add(reply)
         received = self.clock.monotonic()
         try:
             if self.refusing:
                 await reply.refuse(shutdown_refusal())
             else:
-                await self._answer(request, reply, received)
+                await self._answer(request, reply, body_lease, received)
         finally:
             self.active_requests -= 1
             self.buffers.remove(reply)
+            body_lease.release()
+            reply.memory.release()
         if reply.response is None:
             raise ConnectionError("the answer was aborted before its head was sent")
+        if not request.content.is_eof():
+            await self.bodies.discard(request)
         return reply.response
 
     async def _answer(
-        self, request: BaseRequest, reply: HttpReply, received: float
+        self,
+        request: BaseRequest,
+        reply: HttpReply,
+        body_lease: MemoryLease,
+        received: float,
     ) -> None:
+        limits = self.in_force.limits()
+        if _head_size(request) > limits.header_bytes:
+            await self._refuse_unread(reply, self.server.refuse_large_head())
+            return
         try:
             head = self.codec.decode_request_head(
                 request.method, request.raw_path, request.headers
             )
         except InvalidHeadError as problem:
-            detail = str(problem)
-            log_request("refused", kind=ErrorKind.INVALID_HEADER, detail=detail)
-            await reply.refuse(Refusal(ErrorKind.INVALID_HEADER, detail))
+            refusal = Refusal(ErrorKind.INVALID_HEADER, str(problem))
+            await self._refuse_unread(reply, refusal)
             return
         reply.attempt_id = head.attempt_id
-        body, refusal = await self._read_body(request)
+        client = self._describe_client(head, request)
+        body, refusal = await self.bodies.read(
+            request, body_lease, limit=limits.body_bytes, client=client
+        )
         if refusal is not None:
-            log_request("refused", request=head.attempt_id, kind=refusal.kind)
-            await reply.refuse(refusal)
+            await self._refuse_unread(reply, refusal)
             return
         reply.closes_connection = reply.closes_connection or self.leaving
         await self.forwarder.answer(head, body, received=received, reply=reply)
 
-    async def _read_body(self, request: BaseRequest) -> tuple[bytes, Refusal | None]:
-        """Return the whole body, or the refusal if it is too large or too slow."""
-        if not request.body_exists:
-            return b"", None
+    async def _refuse_unread(self, reply: HttpReply, refusal: Refusal) -> None:
+        """Refuse a request before its body was read whole."""
+        if not reply.request.content.is_eof():
+            reply.closes_connection = True
+        log_request(
+            "refused",
+            request=reply.attempt_id,
+            kind=refusal.kind,
+            detail=refusal.detail,
+        )
+        await reply.refuse(refusal)
+
+    def _describe_client(self, head: RequestHead, request: BaseRequest) -> str:
+        """Return the client account that a request names, or its address."""
         table = self.in_force.table
-        limits = table.limits if table is not None else CallerLimits()
-        content = bytearray()
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                async for chunk in request.content.iter_any():
-                    content += chunk
-                    if len(content) > limits.body_bytes:
-                        detail = f"the body exceeds {limits.body_bytes} bytes"
-                        return b"", Refusal(ErrorKind.BODY_TOO_LARGE, detail)
-        except TimeoutError:
-            detail = f"the body was not complete after {BODY_TIMEOUT_SECONDS:g} s"
-            return b"", Refusal(ErrorKind.REQUEST_TIMEOUT, detail)
-        return bytes(content), None
+        account = None
+        if table is not None and head.credential is not None:
+            account = table.find_account(credential_digest(head.credential))
+        return account.name if account is not None else str(request.remote)
+
+
+def _head_size(request: BaseRequest) -> int:
+    """Return the bytes of a request's head, about as they were sent."""
+    fields = request._message.raw_headers
+    size = sum(len(name) + len(value) for name, value in fields)
+    return size + FIELD_FRAMING_BYTES * len(fields) + len(request.raw_path)
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -11,11 +11,13 @@
 
 import asyncio
 import functools
+import io
 import math
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import aiohttp
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
@@ -45,7 +47,9 @@
 KEEPALIVE_SECONDS = 4.0
 # A request that must not be sent twice only reuses a connection that was idle for less.
 FRESH_KEEPALIVE_SECONDS = 1.0
-READ_BUFFER_BYTES = 256 * 1024
+READ_BUFFER_BYTES = 64 * 1024
+# Parts in which a long body is written, so that no second copy of it waits.
+BODY_PART_BYTES = 64 * 1024
 # Bytes of an answer that are no body: its head with all informational answers before
 # it, and the framing of chunks, for which more is allowed as the body grows.
 MAXIMUM_FRAMING_BYTES = 64 * 1024
@@ -247,13 +251,16 @@
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        body = bytearray()
+        # The bytes of the whole are those of this buffer, not a copy.
+        body = io.BytesIO()
         async for data in self.chunks():
-            body += data
-            if len(body) > MAXIMUM_BUFFERED_BODY_BYTES:
+            if self.memory is not None:
+                await self.memory.grow_when_free(len(data))
+            body.write(data)
+            if body.tell() > MAXIMUM_BUFFERED_BODY_BYTES:
                 detail = f"the body exceeds {MAXIMUM_BUFFERED_BODY_BYTES} bytes"
                 raise CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
-        return bytes(body)
+        return body.getvalue()
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks of the body as they arrive."""
@@ -378,7 +385,7 @@
         sending = session.request(
             method,
             URL(f"http://{monitor.address}{target}", encoded=True),
-            data=body or None,
+            data=_build_payload(body),
             headers=headers,
             skip_auto_headers=SUPPRESSED_HEADERS,
             allow_redirects=False,
@@ -557,6 +564,28 @@
         return config
 
 
+class BodyParts(aiohttp.payload.BytesPayload):
+    """A long body that is written in parts, as fast as the endpoint takes them."""
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Write the body, of which nothing is left out."""
+        for part in _split(self._value):
+            await writer.write(part)
+
+
+def _split(body: bytes) -> Iterator[bytes]:
+    view = memoryview(body)
+    for begin in range(0, len(body), BODY_PART_BYTES):
+        yield bytes(view[begin : begin + BODY_PART_BYTES])
+
+
+def _build_payload(body: bytes) -> aiohttp.payload.Payload | bytes | None:
+    """Return what aiohttp writes as the body of a call."""
+    return BodyParts(body) if len(body) > BODY_PART_BYTES else body or None
+
+
 def _build_socket(address_info) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family=family, type=kind, proto=protocol)
--- a/linnetladder/forwarding/transport/ready_server.py
+++ b/linnetladder/forwarding/transport/ready_server.py
@@ -6,7 +6,6 @@
 import orjson
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
 
 from linnetladder.forwarding.coordination.explaining import RouteExplainer
 from linnetladder.forwarding.protocol.route_questions import (
@@ -14,11 +13,13 @@
     RouteQuestionError,
     decode_question,
 )
+from linnetladder.forwarding.transport.guarded_server import GuardedServer
 from linnetladder.telemetry import Metrics
 
 __all__ = ["ReadyServer"]
 
 QUESTION_TIMEOUT_SECONDS = 5.0
+MAXIMUM_QUESTION_BYTES = 64 * 1024
 
 
 class ReadyServer:
@@ -34,26 +35,28 @@
         ready_path: str,
         reasons: Callable[[], list[str]],
         metrics: Metrics,
+        maximum_connections: int,
+        port_name: str = "readiness",
         explainer: RouteExplainer | None = None,
     ):
         self.ready_path = ready_path
         self.reasons = reasons
         self.metrics = metrics
         self.explainer = explainer
-        self.handlers = Server(self.handle, access_log=None)
-        self.servers: list[asyncio.Server] = []
+        self.server = GuardedServer(
+            self.handle,
+            port_name=port_name,
+            maximum_connections=maximum_connections,
+            metrics=metrics,
+        )
 
     async def listen(self, *, address: str, port: int) -> None:
         """Listen on an additional port; raise `OSError` if that fails."""
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(self.handlers, host=address, port=port)
-        self.servers.append(server)
+        await self.server.listen(address=address, port=port)
 
     async def stop(self) -> None:
         """Close the listening sockets and all connections."""
-        for server in self.servers:
-            server.close()
-        await self.handlers.shutdown(0.1)
+        await self.server.stop()
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request."""
@@ -75,9 +78,14 @@
             return Response(status=405, headers={"Allow": "POST"})
         try:
             async with asyncio.timeout(QUESTION_TIMEOUT_SECONDS):
-                question = decode_question(await request.read())
+                content = await _read_question(request)
         except TimeoutError:
             return Response(status=408, text="the question was not complete in time")
+        if content is None:
+            text = f"the question exceeds {MAXIMUM_QUESTION_BYTES} bytes"
+            return Response(status=413, text=text)
+        try:
+            question = decode_question(content)
         except RouteQuestionError as problem:
             return Response(status=400, text=str(problem))
         explanation = self.explainer.explain(question)
@@ -85,3 +93,13 @@
             return Response(status=404, text="there is no such route")
         content = orjson.dumps(explanation)
         return Response(body=content, content_type="application/json")
+
+
+async def _read_question(request: BaseRequest) -> bytes | None:
+    """Return the body of a question, ``None`` if it is too large."""
+    content = bytearray()
+    async for part in request.content.iter_any():
+        content += part
+        if len(content) > MAXIMUM_QUESTION_BYTES:
+            return None
+    return bytes(content)
--- a/linnetladder/forwarding/transport/relay_server.py
+++ b/linnetladder/forwarding/transport/relay_server.py
@@ -1,16 +1,21 @@
 """The HTTP server through which peers reach endpoints that they can't reach."""
 
-import asyncio
+import dataclasses
+from collections.abc import Callable
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
 
 from linnetladder.forwarding.coordination.calls import (
     CallFault,
     CallFaultKind,
     Exchange,
 )
+from linnetladder.forwarding.coordination.memory_account import (
+    MemoryAccount,
+    MemoryHolder,
+    MemoryLease,
+)
 from linnetladder.forwarding.coordination.relaying import CutOffError, RelayControl
 from linnetladder.forwarding.protocol.relaying import (
     RELAY_HEADERS,
@@ -18,15 +23,19 @@
     RelayFault,
     is_signed,
 )
+from linnetladder.forwarding.state import CallerLimits
+from linnetladder.forwarding.transport.body_reader import BodyReader
+from linnetladder.forwarding.transport.guarded_server import (
+    GuardedServer,
+    default_limits,
+)
 from linnetladder.forwarding.transport.peer_socket import PeerSocket
 from linnetladder.telemetry import log_change
 
 __all__ = ["RelayServer"]
 
-LISTEN_BACKLOG = 256
-KEEPALIVE_SECONDS = 15.0
-READ_BUFFER_BYTES = 256 * 1024
-MAXIMUM_HEADER_BYTES = 64 * 1024
+# What daemons add to a caller's head.
+RELAY_HEADER_BYTES = 16 * 1024
 FAULT_STATUS = 502
 BODILESS_STATUSES = frozenset((204, 304))
 # Headers of the connection between the daemons.
@@ -36,46 +45,64 @@
 
 # The fault of a daemon that can pass nothing on.
 CUT_OFF = RelayFault(kind=CallFaultKind.CONNECT, may_have_run=False, cut_off=True)
+# The fault of a call whose body this daemon can't hold.
+NOT_HELD = RelayFault(kind=CallFaultKind.WITHDRAWN, may_have_run=False)
 
 
 class RelayServer:
     """Reads peers' calls, passes them on and returns the answers as they come.
 
-    The calls are signed with the secret of the messages between daemons.
+    The calls are signed with the secret of the messages between daemons. ``limits``
+    returns the limits on callers in force, which also bound what peers pass on.
     """
 
-    def __init__(self, *, control: RelayControl, peer_socket: PeerSocket):
+    def __init__(
+        self,
+        *,
+        control: RelayControl,
+        peer_socket: PeerSocket,
+        memory: MemoryAccount,
+        maximum_connections: int,
+        limits: Callable[[], CallerLimits] = default_limits,
+    ):
         self.control = control
         self.peer_socket = peer_socket
+        self.memory = memory
+        self.maximum_connections = maximum_connections
+        self.limits = limits
         self.active_calls = 0
         self.leaving = False
-        self.handlers: Server | None = None
-        self.server: asyncio.Server | None = None
+        self.server: GuardedServer | None = None
+        self.bodies: BodyReader | None = None
 
     async def start(self, *, address: str, port: int) -> None:
         """Listen on a port; raise `OSError` if that fails."""
-        self.handlers = Server(
+        self.server = GuardedServer(
             self.handle,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            max_line_size=MAXIMUM_HEADER_BYTES,
-            max_field_size=MAXIMUM_HEADER_BYTES,
-            max_headers=512,
-            lingering_time=0.0,
-            access_log=None,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
+            port_name="peers",
+            maximum_connections=self.maximum_connections,
+            metrics=self.control.metrics,
+            limits=self._connection_limits,
+            memory=self.memory,
         )
-        self.server = await asyncio.get_running_loop().create_server(
-            self.handlers, host=address, port=port, backlog=LISTEN_BACKLOG
+        self.bodies = BodyReader(
+            account=self.memory,
+            holder=MemoryHolder.RELAYS,
+            refusals=self.server.refusals,
         )
+        self.server.bodies = self.bodies
+        await self.server.listen(address=address, port=port)
+
+    def _connection_limits(self) -> CallerLimits:
+        """Return the limits on peers' connections."""
+        limits = self.limits()
+        header_bytes = limits.header_bytes + RELAY_HEADER_BYTES
+        return dataclasses.replace(limits, header_bytes=header_bytes)
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
         if self.server is not None:
-            self.server.close()
-        if self.handlers is not None:
-            await self.handlers.shutdown(0.1)
+            await self.server.stop()
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Pass one call on."""
@@ -89,12 +116,32 @@
         if call.probe_only:
             outcome = await self.control.probe(call.instance)
             return Response(text=str(outcome))
-        call.body = await request.content.read()
+        lease = self.bodies.lease()
         self.active_calls += 1
         try:
-            return await self._answer(request, call)
+            return await self._read_and_answer(request, call, lease)
         finally:
             self.active_calls -= 1
+            lease.release()
+
+    async def _read_and_answer(
+        self, request: BaseRequest, call: RelayedCall, lease: MemoryLease
+    ) -> StreamResponse:
+        call.body, refusal = await self.bodies.read(
+            request,
+            lease,
+            limit=self.limits().body_bytes,
+            client=str(request.remote),
+        )
+        if refusal is not None:
+            self.control.metrics.count("relayed_calls", label="not_held")
+            response = _fault_response(NOT_HELD)
+            response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
+            await self.bodies.discard(request)
+            return response
+        return await self._answer(request, call)
 
     async def _answer(self, request: BaseRequest, call: RelayedCall) -> StreamResponse:
         if self.leaving:
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -74,6 +74,13 @@
     Address: str
 
 
+class LimitsModel(pydantic.BaseModel):
+    """The memory and the descriptors that the platform gives a process."""
+
+    MemoryMb: int = pydantic.Field(300, gt=0)
+    MaxFds: int = pydantic.Field(4096, ge=64)
+
+
 class SettingsModel(pydantic.BaseModel):
     """The fields of the file that the daemon uses; others are ignored.
 
@@ -88,6 +95,7 @@
     PortRange: str
     Provider: ProviderModel
     Bounds: BoundsModel = BoundsModel()
+    Limits: LimitsModel = LimitsModel()
 
     def decode(self) -> FleetSettings:
         """Return the daemon's settings."""
@@ -103,6 +111,8 @@
             store_address=self.Provider.Address,
             bounds=self.Bounds.decode(),
             regions=dict(self.Zones),
+            memory_megabytes=self.Limits.MemoryMb,
+            descriptors=self.Limits.MaxFds,
         )
 
 
--- a/linnetladder/telemetry/metrics.py
+++ b/linnetladder/telemetry/metrics.py
@@ -47,6 +47,9 @@
     "answered": Family("Requests answered whole", "target"),
     "refused": Family("Requests refused", "kind"),
     "refused_ran": Family("Requests refused, by whether they ran", "ran"),
+    "clients_refused": Family(
+        "Clients refused or disconnected by port and limit", "reason"
+    ),
     "attempts": Family("Attempts sent to endpoints", "outcome"),
     "limited_attempts": Family(
         "Attempts sent to endpoints that had named a limit on their requests"
--- a/tests/forwarding/test_caller_buffers.py
+++ b/tests/forwarding/test_caller_buffers.py
@@ -18,7 +18,12 @@
 from linnetladder.state import SystemClock
 from linnetladder.telemetry import Metrics
 from tests.forwarding.test_transport import ANSWER_HEAD, RawEndpoint, build_call
-from tests.support.forwarding import ManualClock, Script, ready_daemon
+from tests.support.forwarding import (
+    ManualClock,
+    Script,
+    memory_account,
+    ready_daemon,
+)
 
 MIB = 1024 * 1024
 REQUEST = (
@@ -48,7 +53,10 @@
 
 def caller_buffers(clock, **settings):
     return CallerBuffers(
-        settings=CallerSettings(**settings), clock=clock, metrics=Metrics()
+        settings=CallerSettings(**settings),
+        memory=memory_account(),
+        clock=clock,
+        metrics=Metrics(),
     )
 
 
@@ -128,6 +136,8 @@
             in_force=daemon.in_force,
             codec=PlatformCallerCodec(),
             buffers=caller_buffers(SystemClock(), **settings),
+            memory=memory_account(),
+            maximum_connections=100,
             clock=daemon.clock,
             metrics=daemon.metrics,
         )
@@ -154,7 +164,7 @@
 def held_by_transports(server):
     return sum(
         handler.transport.get_write_buffer_size()
-        for handler in server.handlers.connections
+        for handler in server.server.connections
         if handler.transport is not None
     )
 
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -25,7 +25,7 @@
     RawEndpoint,
     build_call,
 )
-from tests.support.forwarding import ready_daemon, report
+from tests.support.forwarding import memory_account, ready_daemon, report
 
 SECRET = b"secret"
 # A head without a length, whose body ends with the connection.
@@ -54,7 +54,10 @@
         peer_socket = PeerSocket(gossip=self.daemon.peers, metrics=self.daemon.metrics)
         peer_socket.secret = SECRET
         self.server = RelayServer(
-            control=self.daemon.relay_control, peer_socket=peer_socket
+            control=self.daemon.relay_control,
+            peer_socket=peer_socket,
+            memory=memory_account(),
+            maximum_connections=100,
         )
         await self.server.start(address="127.0.0.1", port=0)
         port = self.server.server.sockets[0].getsockname()[1]
@@ -131,7 +134,7 @@
         chunks = exchange.chunks()
         assert await anext(chunks) == b"partial"
         if ending is not None:
-            relay.server.handlers.connections[0].transport.close()
+            relay.server.server.connections[0].transport.close()
         with pytest.raises(CallFault) as raised:
             async for _ in chunks:
                 pass
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -21,7 +21,13 @@
 )
 from linnetladder.platform import PlatformCallerCodec, PlatformEndpointCodec
 from linnetladder.telemetry import Metrics
-from tests.support.forwarding import Script, head, ready_daemon, route
+from tests.support.forwarding import (
+    Script,
+    head,
+    memory_account,
+    ready_daemon,
+    route,
+)
 
 ANSWER_HEAD = (
     b"HTTP/1.1 200 OK\r\nLinnetladder-Attempt-Id: %s\r\nLinnetladder-Server-Seal: s\r\n"
@@ -321,10 +327,11 @@
 )
 
 
-def run_with_server(work, *scripts):
+def run_with_server(work, *scripts, memory=None, maximum_connections=100):
     """Run a coroutine function with a callers' server over scripted endpoints."""
     daemon = ready_daemon()
     daemon.calls.scripts = list(scripts)
+    memory = memory or memory_account()
 
     async def scenario():
         server = ForwardingServer(
@@ -332,8 +339,13 @@
             in_force=daemon.in_force,
             codec=PlatformCallerCodec(),
             buffers=CallerBuffers(
-                settings=CallerSettings(), clock=daemon.clock, metrics=daemon.metrics
+                settings=CallerSettings(),
+                memory=memory,
+                clock=daemon.clock,
+                metrics=daemon.metrics,
             ),
+            memory=memory,
+            maximum_connections=maximum_connections,
             clock=daemon.clock,
             metrics=daemon.metrics,
         )
@@ -463,10 +475,12 @@
     async def serve_and_fetch():
         metrics = Metrics()
         metrics.count("requests")
-        server = ReadyServer(ready_path="/ready", reasons=list, metrics=metrics)
+        server = ReadyServer(
+            ready_path="/ready", reasons=list, metrics=metrics, maximum_connections=10
+        )
         for _ in range(2):
             await server.listen(address="127.0.0.1", port=0)
-        ports = [one.sockets[0].getsockname()[1] for one in server.servers]
+        ports = [one.getsockname()[1] for one in server.server.sockets]
         answers = [await fetch_metrics(port) for port in ports]
         await server.stop()
         return ports, answers
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -14,6 +14,7 @@
     ProbeOutcome,
     Reply,
 )
+from linnetladder.forwarding.coordination.memory_account import MemoryAccount
 from linnetladder.forwarding.coordination.shared_snapshots import content_digest
 from linnetladder.forwarding.coordination.sources import (
     OperatorSource,
@@ -44,6 +45,12 @@
 from linnetladder.telemetry import Metrics
 
 MODELS = ("small", "middle", "large")
+MEMORY_CAPACITY = 64 * 1024 * 1024
+
+
+def memory_account(capacity: int = MEMORY_CAPACITY) -> MemoryAccount:
+    """Return an account for a server under test."""
+    return MemoryAccount(capacity=capacity, metrics=Metrics())
 
 
 class ManualClock(Clock):
