Free bodies that tracebacks hold once many were given back

Cause: failed attempts leave tracebacks in reference cycles, whose frames hold the bodies of requests that have ended; the collector's thresholds count objects, not bytes. Found with the collector's saved garbage in a scratch copy: each body of 4 MB was held by ForwardRequest and BodyParts in frames of Sender.open and of aiohttp.

--- a/linnetladder/forwarding/coordination/memory_account.py
+++ b/linnetladder/forwarding/coordination/memory_account.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+import gc
 
 from linnetladder.telemetry import Metrics
 
@@ -19,6 +20,9 @@
 SMALL_BODIES_SHARE = 0.25
 BODIES_SHARE = 0.5
 FREE_POLL_SECONDS = 0.02
+# Share of the bound that may be given back before garbage is collected. Tracebacks of
+# failed attempts are reference cycles, which hold their requests' bodies until then.
+COLLECTION_SHARE = 0.125
 
 
 class MemoryHolder(enum.StrEnum):
@@ -54,6 +58,8 @@
         self.capacity = capacity
         self.metrics = metrics
         self.held = dict.fromkeys(MemoryHolder, 0)
+        # Bytes of large bodies that were given back since garbage was collected.
+        self.given_back = 0
         # The lease that may exceed the bound, so that not all of them wait.
         self.overdrawn: MemoryLease | None = None
         for holder in MemoryHolder:
@@ -92,6 +98,15 @@
         self.held[MemoryHolder.READ_AHEAD] += size
         return True
 
+    def note_given_back(self, size: int) -> None:
+        """Collect garbage once many bytes of large bodies were given back."""
+        if size <= SMALL_BYTES:
+            return
+        self.given_back += size
+        if self.given_back >= self.capacity * COLLECTION_SHARE:
+            self.given_back = 0
+            gc.collect()
+
     def record_unread(self, size: int) -> None:
         """Replace the count of what callers have not taken yet."""
         self.held[MemoryHolder.CALLERS] = size
@@ -135,6 +150,7 @@
 
     def release(self) -> None:
         """Give all bytes back."""
+        self.account.note_given_back(self.size)
         self.shrink_to(0)
         if self.account.overdrawn is self:
             self.account.overdrawn = None
--- a/tests/forwarding/test_client_limits.py
+++ b/tests/forwarding/test_client_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import weakref
 
 import pytest
 
@@ -278,6 +279,21 @@
     asyncio.run(scenario())
 
 
+# Guards against bodies that tracebacks of failed attempts hold without being counted.
+def test_bodies_in_reference_cycles_are_freed_once_many_were_given_back():
+    account = memory_account(capacity=8 * MIB)
+    failures = []
+    for _ in range(8):
+        lease = MemoryLease(account=account, holder=MemoryHolder.BODIES)
+        assert lease.grow(MIB // 2)
+        failure = CallFault(CallFaultKind.BROKEN, "broke off", may_have_run=True)
+        failure.cause = failure
+        failures.append(weakref.ref(failure))
+        del failure
+        lease.release()
+    assert sum(failure() is not None for failure in failures) <= 2
+
+
 def test_the_resources_of_the_instance_are_read_and_checked(tmp_path):
     lines = (
         "Node=n\nZone=z\nIp=127.0.0.1\nListen.Front=127.0.0.1:1\n"
