--- a/linnetladder/forwarding/coordination/poison.py
+++ b/linnetladder/forwarding/coordination/poison.py
@@ -52,8 +52,9 @@
 OUTAGE_SECONDS = 0.3
 OUTAGE_ENDPOINTS = 3
 MAXIMUM_ENDED = 1_024
-# A part that was never answered is tried after this time.
+# The same for a part that was never answered.
 PART_EXPIRY_SECONDS = 600.0
+NEW_PART_PAUSES_SECONDS = (*(PART_EXPIRY_SECONDS,) * 3, CRASH_EXPIRY_SECONDS)
 # A request that was never answered, and crashed two endpoints, is tried after this.
 REQUEST_EXPIRY_SECONDS = 30.0
 # A request with several suspects is tried if they were not tried apart for this long.
@@ -109,6 +110,8 @@
         self.answered_at: dict[str, float] = {}
         self.ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.cleared_since: dict[str, float] = {}
+        # Findings of others, by the last crash that they knew of.
+        self.learned_at: dict[str, float] = {}
         self.observed: set[str] = set()
         self.given_up: collections.deque[GivenUp] = collections.deque(
             maxlen=MAXIMUM_GIVEN_UP
@@ -190,6 +193,8 @@
         if known is None:
             if self.crashes(finding.part) and self._is_explained(finding.part):
                 return
+            if self.crashes(finding.part) < _limit(finding.part):
+                self.learned_at[finding.part] = time
             self._condemn(finding.part, time)
         elif time > known + SAME_EVENT_SECONDS:
             self.findings[finding.part] = time
@@ -227,6 +232,10 @@
         """Return the number of endpoints that crashed with a suspect in flight."""
         return len(self.crash_times.get(suspect, ()))
 
+    def was_answered(self, suspect: str) -> bool:
+        """Return whether a request with a suspect was answered, as is known here."""
+        return suspect in self.sound_at
+
     def is_cause(self, suspect: str) -> bool:
         """Return whether so many endpoints crashed that nothing may go on with it."""
         return suspect in self.findings or self.crashes(suspect) >= CRASHES_OF_CAUSE
@@ -332,7 +341,7 @@
                 self._tell_cleared(suspect)
         found = self.findings.get(suspect)
         if found is not None and found <= sent_at:
-            del self.findings[suspect]
+            self._drop_finding(suspect)
             self._tell_cleared(suspect)
             log_change("suspect of crashes is sound", suspect=suspect)
         self._update_refused(suspect)
@@ -397,11 +406,12 @@
     def _trial_at(self, suspect: str) -> float:
         """Return the time from which an unexplained suspect may be tried."""
         last = self._last_crash(suspect)
-        if suspect in self.sound_at:
-            failed = min(self._failed_trials(suspect), len(TRIAL_PAUSES_SECONDS) - 1)
-            return last + TRIAL_PAUSES_SECONDS[failed]
-        if is_part(suspect):
-            return last + PART_EXPIRY_SECONDS
+        if self.was_answered(suspect) or is_part(suspect):
+            pauses = TRIAL_PAUSES_SECONDS
+            if not self.was_answered(suspect):
+                pauses = NEW_PART_PAUSES_SECONDS
+            failed = min(self._failed_trials(suspect), len(pauses) - 1)
+            return last + pauses[failed]
         pause = REQUEST_EXPIRY_SECONDS
         return last + (CRASH_EXPIRY_SECONDS if self.is_cause(suspect) else pause)
 
@@ -412,19 +422,20 @@
         at which a more specific suspect was in flight, too, or with which several other
         endpoints ended.
         """
-        limit = _limit(suspect)
         crash_times = self.crash_times.get(suspect, {})
-        if len(crash_times) < limit:
-            return 1
         crashes = sorted((time, endpoint) for endpoint, time in crash_times.items())
+        learned = self.learned_at.get(suspect)
+        if learned is None:
+            failed, crashes = 0, crashes[_limit(suspect) - 1 :]
+        else:
+            later = [c for c in crashes if c[0] > learned + SAME_EVENT_SECONDS]
+            failed, crashes = 1, [(learned, ""), *later]
         specific = [s for s in self.refused if _rank(s) > _rank(suspect)]
-        return sum(
+        return failed + sum(
             crashed - before >= TRIAL_GAP_SECONDS
             and not any(endpoint in self.crash_times.get(s, ()) for s in specific)
             and not self._is_outage(crashed)
-            for (before, _), (crashed, endpoint) in itertools.pairwise(
-                crashes[limit - 1 :]
-            )
+            for (before, _), (crashed, endpoint) in itertools.pairwise(crashes)
         )
 
     def _is_outage(self, crashed: float) -> bool:
@@ -444,6 +455,10 @@
         )
         self.on_crash()
 
+    def _drop_finding(self, suspect: str) -> None:
+        self.findings.pop(suspect, None)
+        self.learned_at.pop(suspect, None)
+
     def _update(self) -> None:
         """Drop what has expired, and find what has settled."""
         self._expire()
@@ -457,7 +472,7 @@
                 continue
             self.unsettled.discard(suspect)
             if self._is_explained(suspect):
-                self.findings.pop(suspect, None)
+                self._drop_finding(suspect)
             elif suspect not in self.findings:
                 self._condemn(suspect, last)
 
@@ -488,7 +503,7 @@
             self._update_refused(suspect)
         for suspect, crashed in list(self.findings.items()):
             if crashed <= expired:
-                del self.findings[suspect]
+                self._drop_finding(suspect)
                 self._update_refused(suspect)
         self.observed &= self.crash_times.keys()
 
--- a/tests/forwarding/test_crash_trials.py
+++ b/tests/forwarding/test_crash_trials.py
@@ -11,6 +11,7 @@
     TRIAL_PAUSES_SECONDS,
 )
 from linnetladder.forwarding.coordination.sources import DaemonAddress
+from linnetladder.forwarding.protocol.daemon_messages import PartFinding
 from linnetladder.forwarding.protocol.trial_messages import (
     decode_trial_message,
     encode_trial_message,
@@ -163,6 +164,33 @@
         daemon.clock.now += pause if number < 2 else 0.0
 
 
+def count_trials_of_a_day(daemon):
+    """Try a part as soon as that is allowed, each time crashing an endpoint."""
+    trials, until = 0, daemon.clock.now + 86_000.0
+    while True:
+        refusal = daemon.crashes.refuse((PART,))
+        if refusal is not None:
+            daemon.clock.now += refusal.retry_after_seconds
+        if daemon.clock.now >= until:
+            return trials
+        crash(daemon, PART, f"trial-{trials}:1")
+        trials += 1
+
+
+# Guards against a part that crashes an endpoint every ten minutes for a whole day.
+def test_a_part_that_was_never_answered_is_tried_three_times_a_day():
+    daemon = ready_daemon()
+    crash(daemon, PART, "e1:1", "e2:1", "e3:1")
+    assert count_trials_of_a_day(daemon) == 3
+
+
+# Guards against trials that a daemon does not count, since it knows a finding only.
+def test_a_part_of_which_only_a_finding_is_known_is_tried_as_often_at_most():
+    daemon = ready_daemon()
+    daemon.crashes.learn_finding(PartFinding(PART, sound=False, age=0.0))
+    assert 1 <= count_trials_of_a_day(daemon) <= 3
+
+
 # Guards against common parts that are refused since all endpoints ended in a trial.
 def test_an_outage_of_several_endpoints_is_no_failed_trial():
     daemon = ready_daemon()
