Let requests wait for the trial of another one

Sound requests that share a part with others were refused after an outage of all endpoints, although the endpoints were back: one request in the fleet is on trial at a time, and the others got suspected_poison with a second to wait.

Change: a request whose suspect was answered before waits for half of its objective at most. If the trial is answered, it is served, and sooner than if it came back; if the trial crashes its endpoint, it is refused as before.

A mutation without the wait is found.

--- a/linnetladder/forwarding/coordination/crash_trials.py
+++ b/linnetladder/forwarding/coordination/crash_trials.py
@@ -37,6 +37,8 @@
 TRIAL_SECONDS = 3.0
 # After a refused trial the arbiter is asked again no sooner than this.
 DENIAL_SECONDS = 0.05
+# Share of its objective for which a request waits for the trial of another one.
+TRIAL_WAIT_SHARE = 0.5
 # After the end of a trial, daemons first have to hear what came of it.
 NEWS_SECONDS = 1.0
 # When callers whose request waits for a trial of another one may come back.
@@ -93,14 +95,36 @@
         )
 
     async def begin(self, request: ForwardRequest) -> None:
-        """Ask for a trial of a request that may be sent on trial only."""
+        """Ask for a trial of a request that may be sent on trial only.
+
+        While another request is on trial, one whose suspect was answered before waits
+        for a part of its objective: the suspect is likely to be cleared by then.
+        """
+        loop = asyncio.get_running_loop()
+        wait_seconds = request.route.objective_seconds * TRIAL_WAIT_SHARE
+        passed = self.clock.monotonic() - request.received
+        latest = loop.time() + wait_seconds - passed
+        while (suspect := self._untried_suspect(request)) is not None:
+            self.end(request)
+            await self._ask_for_trial(request, suspect)
+            is_over = loop.time() + DENIAL_SECONDS > latest
+            if request.trial is not None or is_over:
+                return
+            if not self.crashes.was_answered(suspect):
+                return
+            await asyncio.sleep(DENIAL_SECONDS)
+
+    def _untried_suspect(self, request: ForwardRequest) -> str | None:
+        """Return the suspect for which a request needs a trial that it doesn't have."""
         suspects = self._suspects_of(request)
         if self.crashes.refuse(suspects) is not None:
-            return
+            return None
         suspect = self.crashes.trial_suspect(suspects)
         if suspect is None or self._is_on_trial(request, suspect):
-            return
-        self.end(request)
+            return None
+        return suspect
+
+    async def _ask_for_trial(self, request: ForwardRequest, suspect: str) -> None:
         if self.denied_until.get(suspect, -math.inf) > self.clock.monotonic():
             return
         request.trial = await self._reserve(suspect, times_sent=request.times_sent)
--- a/tests/forwarding/test_crash_trials.py
+++ b/tests/forwarding/test_crash_trials.py
@@ -191,6 +191,24 @@
     assert 1 <= count_trials_of_a_day(daemon) <= 3
 
 
+# Guards against sound requests that are refused while one like them is answered.
+def test_a_request_waits_for_the_trial_of_another_one_if_its_suspect_was_sound():
+    daemon = ready_daemon()
+    suspected(daemon)
+    first, second = (request_with(daemon, PART, name) for name in "ab")
+
+    async def scenario():
+        await daemon.trials.begin(first)
+        waiting = asyncio.ensure_future(daemon.trials.begin(second))
+        await asyncio.sleep(0.06)
+        assert not waiting.done()
+        daemon.crashes.learn_answer((PART,))
+        await waiting
+
+    asyncio.run(scenario())
+    assert second.trial is None and daemon.trials.refuse(second) is None
+
+
 # Guards against common parts that are refused since all endpoints ended in a trial.
 def test_an_outage_of_several_endpoints_is_no_failed_trial():
     daemon = ready_daemon()
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -473,6 +473,7 @@
     ("trials_one", CrashTrials, "_grant", always(True), TRIALS),
     ("trials_end", CrashTrials, "_end", always(None), TRIALS),
     ("trials_new_part", poison, "NEW_PART_PAUSES_SECONDS", (600.0,), TRIALS),
+    ("trials_wait", crash_trials, "TRIAL_WAIT_SHARE", 0.0, TRIALS),
     ("trials_news", crash_trials, "NEWS_SECONDS", 0.0, TRIALS),
     ("trials_arbiters", crash_trials, "TRIES", 0, TRIALS),
     ("trials_pauses", CrashLog, "_failed_trials", always(0), TRIALS),
