Take an endpoint out of use only if a 421 shows another instance

Cause: every 421 was taken for "address taken over", whoever answered it and whatever the request had asked for, and a request's model was not checked against the route's sizes.

Change: such a request is refused before any endpoint, as not run and with the models that the route offers. Two raw requests of tests on a route with sizes named no model, which no endpoint would run; they name one now.

--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -47,6 +47,7 @@
     UNKNOWN_PATH = "unknown_path"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     UNKNOWN_MODEL = "unknown_model"
+    MODEL_NOT_OFFERED = "model_not_offered"
     UNKNOWN_SERVICE = "unknown_service"
     MODEL_NOT_ALLOWED = "model_not_allowed"
     SERVICE_NOT_ALLOWED = "service_not_allowed"
@@ -102,6 +103,9 @@
     ErrorKind.UNKNOWN_PATH: ErrorResponse(404, "The path does not exist"),
     ErrorKind.METHOD_NOT_ALLOWED: ErrorResponse(405, "The method is not allowed"),
     ErrorKind.UNKNOWN_MODEL: ErrorResponse(404, "The model or version is not declared"),
+    ErrorKind.MODEL_NOT_OFFERED: ErrorResponse(
+        421, "The route does not offer the model"
+    ),
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404, "The service is not declared"),
     ErrorKind.MODEL_NOT_ALLOWED: ErrorResponse(
         403, "The model or version is not allowed"
--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -16,6 +16,7 @@
     RoutingTable,
     credential_digest,
 )
+from linnetladder.forwarding.state.requests import ANY_MODEL
 
 __all__ = ["RESPONSE_MARGIN_SECONDS", "AdmissionControl"]
 
@@ -71,6 +72,10 @@
             if isinstance(account_result, Failure):
                 return account_result
             account = account_result.unwrap()
+        if not _offers_model(route, head.model):
+            detail = f"the route offers {', '.join((ANY_MODEL, *route.models))}"
+            kind = ErrorKind.MODEL_NOT_OFFERED
+            return Failure(self.in_force.refuse_absent(kind, detail))
         request = self._build_request(
             head, body, received, route, account, table.version
         )
@@ -134,3 +139,8 @@
             part_suspects=part_suspects(prompt),
             homes=homes_of(route, account),
         )
+
+
+def _offers_model(route: Route, model: str) -> bool:
+    """Return whether a route's endpoints may have the model that a request names."""
+    return not route.models or model == ANY_MODEL or model in route.models
--- a/linnetladder/forwarding/coordination/sender.py
+++ b/linnetladder/forwarding/coordination/sender.py
@@ -49,8 +49,9 @@
 from linnetladder.forwarding.coordination.selection import Selection, SelectionInputs
 from linnetladder.forwarding.coordination.sources import DaemonAddress
 from linnetladder.forwarding.coordination.urgency import urgency
-from linnetladder.forwarding.protocol import EndpointCall
+from linnetladder.forwarding.protocol import EndpointCall, ResponseHead
 from linnetladder.forwarding.state import ForwardRequest, RequestKind
+from linnetladder.forwarding.state.requests import ANY_MODEL
 from linnetladder.state import Clock, Endpoint
 from linnetladder.telemetry import Metrics, log_change
 
@@ -651,7 +652,9 @@
             step += f" pause {exchange.head.pause_seconds:.3f}"
         request.history.append(step)
         self.metrics.count("attempts", label="not_run")
-        if exchange.head.misdirected:
+        if exchange.head.misdirected and _shows_another_instance(
+            request, endpoint, exchange.head
+        ):
             self.directory.mark_leaving(endpoint, reason="address taken over")
 
     async def _record_fault(
@@ -865,3 +868,15 @@
     """Return the tokens that a request occupies in the memory of an engine."""
     prompt = request.head.prompt
     return prompt.input_tokens + prompt.output_tokens if prompt is not None else 0
+
+
+def _shows_another_instance(
+    request: ForwardRequest, endpoint: Endpoint, head: ResponseHead
+) -> bool:
+    """Return whether a misdirected call has reached another instance.
+
+    An answer that names no instance may as well concern a model that the caller chose.
+    """
+    if head.answered_by:
+        return head.answered_by != endpoint.name
+    return request.head.model in ("", ANY_MODEL)
--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -74,7 +74,9 @@
     """The head of an endpoint's response.
 
     ``not_run`` is set if the endpoint declares that it did not and will not run the
-    request, ``misdirected`` if it is not the instance that the call was addressed to.
+    request, ``misdirected`` if it says that the call was not for it: it is another
+    instance, or has not got what the request asks for. ``answered_by`` is the instance
+    that the answer names, ``""`` if it names none.
     ``sealed`` is set if the head carries the endpoint's digest as its seal.
     ``confidence`` is the model's confidence in its response, 0 to 100. ``length`` is
     the declared length of the body in bytes. ``headers`` holds the headers to forward.
@@ -108,6 +110,7 @@
     names_pause: bool = False
     brittle_limit: float | None = None
     cold_seconds: float | None = None
+    answered_by: str = ""
 
     @property
     def succeeded(self) -> bool:
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -25,6 +25,7 @@
 LAST_EVENT_ID = "Last-Event-Id"
 TENANT = "Linnetladder-Tenant"
 EXPECT_INSTANCE = "Linnetladder-Expect-Instance"
+INSTANCE = "Linnetladder-Instance-Id"
 NOT_RUN = "Linnetladder-Not-Run"
 SERVER_SEAL = "Linnetladder-Server-Seal"
 URGENCY_CLASS = "Linnetladder-Urgency-Class"
@@ -142,6 +143,7 @@
             attempt_id=headers.get(ATTEMPT_ID, ""),
             not_run=NOT_RUN in headers,
             misdirected=status == MISDIRECTED_STATUS,
+            answered_by=headers.get(INSTANCE, ""),
             sealed=SERVER_SEAL in headers,
             confidence=_parse_number(headers.get(CONFIDENCE)),
             request_limit=_parse_limit(headers.get(SERVER_LIMIT)),
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -1,11 +1,20 @@
 """Retries: which requests, at which endpoints, and what is reported to the caller."""
 
+import asyncio
+
 import pytest
 
 from linnetladder.errors import ErrorKind, Ran
 from linnetladder.forwarding.coordination import reporting
 from linnetladder.forwarding.coordination.calls import CallFaultKind
-from tests.support.forwarding import Script, broken, head, ready_daemon
+from tests.support.forwarding import (
+    MODELS,
+    RecordedReply,
+    Script,
+    broken,
+    head,
+    ready_daemon,
+)
 
 SERVER_ERROR = Script(status=500, chunks=(b"failed",))
 
@@ -65,6 +74,50 @@
     assert daemon.table.endpoints[misdirected_endpoint].leaving
 
 
+# Guards against a request that takes all endpoints of a service out of use.
+@pytest.mark.parametrize("model", ["m7", ""])
+def test_a_model_that_the_route_does_not_offer_is_refused_before_any_endpoint(model):
+    daemon = ready_daemon()
+    reply = daemon.answer(head("/draft/1", model=model))
+    assert (reply.refusal.kind, reply.refusal.ran) == ("model_not_offered", "no")
+    assert all(name in reply.refusal.detail for name in ("*", *MODELS))
+    assert daemon.calls.calls == []
+
+
+# Guards against an answer on what one request asks for that speaks for its endpoint.
+@pytest.mark.parametrize(
+    ("names_itself", "model", "leaves"),
+    [(True, "*", False), (True, "small", False), (None, "small", False)]
+    + [(False, "*", True), (False, "small", True), (None, "*", True)],
+)
+def test_an_endpoint_leaves_only_if_the_answer_shows_another_instance(
+    names_itself, model, leaves
+):
+    daemon = ready_daemon()
+    script = Script(status=421, misdirected=True)
+    daemon.calls.scripts = [script]
+
+    async def scenario():
+        original = daemon.calls.open
+
+        async def open_call(call):
+            if names_itself is not None:
+                script.answered_by = call.instance if names_itself else "another"
+            return await original(call)
+
+        daemon.calls.open = open_call
+        await daemon.forwarder.answer(
+            head("/draft/1", model=model),
+            b"x",
+            received=daemon.clock.now,
+            reply=RecordedReply(),
+        )
+
+    asyncio.run(scenario())
+    first = daemon.table.endpoints[daemon.calls.calls[0].instance]
+    assert first.leaving is leaves
+
+
 def test_a_service_without_endpoints_is_refused_as_not_run_with_a_retry_time():
     daemon = ready_daemon()
     for name in ("desk-1", "desk-2"):
--- a/tests/forwarding/test_caller_buffers.py
+++ b/tests/forwarding/test_caller_buffers.py
@@ -29,6 +29,7 @@
 REQUEST = (
     b"POST /%s/1 HTTP/1.1\r\nHost: api.example\r\nLinnetladder-Attempt-Id: a%d\r\n"
     b"Linnetladder-Deadline-Ms: 12000\r\nAuthorization: Bearer key-1\r\n"
+    b"Linnetladder-Model: *\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
 EVENTS = tuple(b"id: %d\ndata: %s\n\n" % (n, b"x" * 50_000) for n in range(1, 400))
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -174,6 +174,7 @@
     confidence: float | None = 90.0
     not_run: bool = False
     misdirected: bool = False
+    answered_by: str = ""
     fault: CallFault | None = None
     cut_after: int | None = None
     seconds: float = 0.0
@@ -194,6 +195,7 @@
                 attempt_id=attempt_id,
                 not_run=script.not_run,
                 misdirected=script.misdirected,
+                answered_by=script.answered_by,
                 sealed=True,
                 confidence=script.confidence,
                 closes_connection=False,
