--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -18,10 +18,12 @@
 from absl import app as absl_app
 from absl import flags
 
-from bench.fleet_callers import open_session, send
+from bench.fleet_callers import StubbornConnection, open_session, send
 from bench.fleet_checks import SentRequest, find_violations
 from bench.fleet_faults import READY_TIMEOUT_SECONDS, FaultInjector, FaultRecord
 from bench.fleet_site import ACCOUNTS, EVACUATE_MILLISECONDS, ROUTES, FleetSite
+from bench.misbehaving_clients import MisbehavingClients
+from bench.process_gauge import ProcessGauge
 from bench.processes import wait_for
 from standins.fleet_worker import Fault
 
@@ -64,6 +66,12 @@
 DAEMONS = 3
 ODD_WEIGHT = 2
 LARGE_ROUTES = 2_800
+# The limits of a daemon among clients that don't behave, and the clients beside them
+# that use their connections until the process at the other end is gone.
+CROWD_MEMORY_MEGABYTES = 160
+CROWD_DESCRIPTORS = 400
+STUBBORN_CLIENTS = 6
+GAUGE_SECONDS = 0.1
 ODD_ENTRIES = (
     b"[" * 100_000,
     b"\xff\xfe",
@@ -116,8 +124,10 @@
     domains are evacuated. With ``homes`` some routes and accounts allow only some
     regions. With ``odd`` another writer leaves entries among those of the workers, and
     workers write refusals once more. With ``large`` the configuration is so large that
-    it is not read whole each time. Without them the draw of a seed is the same as
-    before there were any.
+    it is not read whole each time. With ``crowds`` clients that don't behave hold what
+    they can of daemons with low limits, which these must keep to, and other clients use
+    their connections until the process at the other end is gone. Without them the draw
+    of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -138,6 +148,7 @@
         odd: bool = False,
         large: bool = False,
         series: bool = False,
+        crowds: bool = False,
         daemons: int = DAEMONS,
     ):
         self.drills = drills
@@ -150,6 +161,7 @@
         self.evacuations = evacuations
         self.odd = odd
         self.series = series
+        self.crowds = crowds
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -166,8 +178,16 @@
             cold=cold,
             homes=homes,
             added_routes=LARGE_ROUTES if large else 0,
+            settings={
+                "Limits.MemoryMb": CROWD_MEMORY_MEGABYTES,
+                "Limits.MaxFds": CROWD_DESCRIPTORS,
+            }
+            if crowds
+            else None,
+            descriptors=CROWD_DESCRIPTORS if crowds else None,
             **engines,
         )
+        self.highest_megabytes: dict[str, float] = {}
         self.sent: list[SentRequest] = []
         self.record = FaultRecord()
         self.faults = FaultInjector(site=self.site, record=self.record)
@@ -191,6 +211,11 @@
                 for number in range(CLIENTS):
                     tasks.create_task(self._client(number))
                 tasks.create_task(self._inject_faults())
+                if self.crowds:
+                    tasks.create_task(self._crowd())
+                    tasks.create_task(self._watch_memory())
+                    for number in range(STUBBORN_CLIENTS):
+                        tasks.create_task(self._send_stubbornly(number))
                 if self.partitions:
                     tasks.create_task(self._partition())
                 if self.brittle:
@@ -204,7 +229,42 @@
             await asyncio.sleep(SETTLE_SECONDS)
         finally:
             await self.site.stop()
-        return find_violations(self.site, self.sent, self.record, timed=timed)
+        violations = find_violations(self.site, self.sent, self.record, timed=timed)
+        return violations + [
+            f"{name}: held {megabytes:.0f} MB of {CROWD_MEMORY_MEGABYTES}"
+            for name, megabytes in self.highest_megabytes.items()
+            if megabytes > CROWD_MEMORY_MEGABYTES
+        ]
+
+    async def _crowd(self) -> None:
+        """Let clients that don't behave work, from a time after the start."""
+        clients = MisbehavingClients(site=self.site, seed=self.seed)
+        await clients.run(until=self.end_time)
+
+    async def _watch_memory(self) -> None:
+        """Keep the highest memory of each daemon, over all of its processes."""
+        while time.monotonic() < self.end_time:
+            for name, process in self.site.process_manager.processes.items():
+                gauge = ProcessGauge(process.pid, set(self.site.ports[name].values()))
+                gauge.sample()
+                highest = self.highest_megabytes.get(name, 0.0)
+                self.highest_megabytes[name] = max(highest, gauge.highest_megabytes)
+            await asyncio.sleep(GAUGE_SECONDS)
+
+    async def _send_stubbornly(self, number: int) -> None:
+        """Send requests on connections that are used until they break."""
+        rng = random.Random(f"stubborn {number} of {self.seed}")
+        connections = {
+            name: StubbornConnection(port=self.site.ports[name]["front"])
+            for name in self.site.daemon_names
+        }
+        while time.monotonic() < self.end_time:
+            sent = self._add_request(rng, rng.choice(tuple(ROUTES)), "studio")
+            connection = connections[sent.daemon]
+            await connection.send(sent, shared_parts=(COMMON_PART, f"k{number}"))
+            await asyncio.sleep(MAXIMUM_PAUSE_SECONDS * rng.random())
+        for connection in connections.values():
+            connection.close()
 
     async def _client(self, number: int) -> None:
         """Send requests one after the other over persistent connections."""
@@ -422,6 +482,7 @@
         "odd": FLAGS.odd,
         "large": FLAGS.large,
         "series": FLAGS.series,
+        "crowds": FLAGS.crowds,
         "daemons": FLAGS.daemons,
     }
     failed = [
@@ -441,6 +502,7 @@
     flags.DEFINE_bool("notices", False, "Whether workers ask for pauses and leave.")
     flags.DEFINE_bool("crashes", False, "Whether workers crash on some requests.")
     flags.DEFINE_bool("series", False, "Whether signals and changes come in series.")
+    flags.DEFINE_bool("crowds", False, "Whether crowds of clients don't behave.")
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -93,6 +93,13 @@
     assert check_partitions(soak.sent, soak.record) == []
 
 
+def test_daemons_keep_to_their_memory_among_clients_that_do_not_behave(tmp_path):
+    """Guards against daemons that a crowd ends while signals come in series."""
+    soak = Soak(seed=41, seconds=8.0, folder=tmp_path, crowds=True)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
 # Guards against two soaks on one machine whose daemons talk to the other's stand-ins.
 def test_a_port_that_another_run_has_taken_is_not_given_out():
     claims = []
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -7,27 +7,26 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
 
 from bench.fleet_site import ACCOUNTS, HOST, FleetSite
+from bench.process_gauge import ProcessGauge
 from bench.processes import wait_for
 
 __all__ = ["BODY_LIMIT", "Crowd", "HEADER_LIMIT", "MEMORY_MEGABYTES", "run_crowd"]
 
-MEBIBYTE = 1024 * 1024
 MEMORY_MEGABYTES = 128
 DESCRIPTORS = 400
-BODY_LIMIT = MEBIBYTE
+BODY_LIMIT = 1024 * 1024
 HEADER_LIMIT = 16_384
 LIMITS = {
     "MaxHeaderBytes": HEADER_LIMIT,
     "HeaderTimeoutMs": 1000,
     "IdleTimeoutMs": 4000,
 }
-SAMPLE_SECONDS = 0.02
 # Tries of the ordinary caller, and what it allows for each.
 ORDINARY_TRIES = 5
 ORDINARY_SECONDS = 6.0
@@ -83,49 +82,6 @@
         return ("\r\n".join(rows) + "\r\n\r\n").encode()
 
 
-class Gauge:
-    """The highest memory and descriptors of a process while it is watched."""
-
-    def __init__(self, pid: int, ports: set[int]):
-        self.folder = Path(f"/proc/{pid}")
-        self.ports = ports
-        self.highest_megabytes = 0.0
-        self.highest_descriptors = 0
-
-    async def watch(self) -> None:
-        """Sample until cancelled."""
-        while True:
-            self.sample()
-            await asyncio.sleep(SAMPLE_SECONDS)
-
-    def sample(self) -> None:
-        """Read the process's figures, unless it has ended."""
-        try:
-            status = (self.folder / "status").read_text()
-            descriptors = len(list((self.folder / "fd").iterdir()))
-        except OSError:
-            return
-        resident = next(_values_after("VmRSS:", status), 0) / 1024
-        megabytes = resident + self._unread_bytes() / MEBIBYTE
-        self.highest_megabytes = max(self.highest_megabytes, megabytes)
-        self.highest_descriptors = max(self.highest_descriptors, descriptors)
-
-    def _unread_bytes(self) -> int:
-        """Return the bytes that wait in the sockets of the daemon's ports."""
-        unread = 0
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            _, local, _, state, queues, *_ = line.split()
-            if state != "0A" and int(local.rpartition(":")[2], 16) in self.ports:
-                unread += int(queues.partition(":")[2], 16)
-        return unread
-
-
-def _values_after(name: str, text: str) -> Iterator[int]:
-    for line in text.splitlines():
-        if line.startswith(name):
-            yield int(line.split()[1])
-
-
 async def request(site: FleetSite, body: bytes, *, route: str = "fetch") -> int:
     """Send one request on a connection of its own and return its status, 0 if none."""
     headers = {
@@ -195,7 +151,7 @@
         await site.start()
         assert await wait_for(site.ready_url("daemon-1"))
         process = site.process_manager.processes["daemon-1"]
-        gauge = Gauge(process.pid, set(site.ports["daemon-1"].values()))
+        gauge = ProcessGauge(process.pid, set(site.ports["daemon-1"].values()))
         watching = asyncio.ensure_future(gauge.watch())
         await work(crowd)
         await asyncio.sleep(seconds)
