Follow changed resources and idle limits

A settings file that changes MemoryMb or MaxFds was reloaded without effect on what callers may hold, and a shorter IdleTimeoutMs closed connections whose clients still observed the longer one. The bounds follow a reload now, and a connection keeps the longer of both limits until its next request; test_client_limits.py shows the latter.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -21,7 +21,7 @@
     PeerSettings,
     PolicySettings,
 )
-from linnetladder.forwarding.settings import SettingsHolder
+from linnetladder.forwarding.settings import FleetSettings, SettingsHolder
 from linnetladder.forwarding.transport import (
     ForwardingServer,
     HttpEndpointCalls,
@@ -37,7 +37,7 @@
 from linnetladder.state import BootClock
 from linnetladder.telemetry import Metrics
 
-__all__ = ["FleetDaemonParts", "assemble_fleet_daemon"]
+__all__ = ["FleetDaemonParts", "apply_resources", "assemble_fleet_daemon"]
 
 INCARNATION_BYTES = 8
 # Descriptors that are kept for files, and the largest share of them.
@@ -166,6 +166,19 @@
     )
 
 
+def apply_resources(
+    parts: FleetDaemonParts, settings: FleetSettings, caller_settings: CallerSettings
+) -> None:
+    """Bound what callers may hold by the instance's resources, which have changed."""
+    parts.callers.memory.capacity = memory_capacity(
+        memory_megabytes=settings.memory_megabytes, share=caller_settings.memory_share
+    )
+    sockets = _count_sockets(settings.descriptors)
+    parts.callers.server.maximum_connections = _share_of(
+        sockets, caller_settings.connection_share
+    )
+
+
 def _count_sockets(descriptors: int) -> int:
     """Return the sockets that the process may open, by its settings and the system."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -14,7 +14,11 @@
 
 import aiomisc
 
-from linnetladder.fleet_assembly import FleetDaemonParts, assemble_fleet_daemon
+from linnetladder.fleet_assembly import (
+    FleetDaemonParts,
+    apply_resources,
+    assemble_fleet_daemon,
+)
 from linnetladder.forwarding.daemon_variables import (
     CallerSettings,
     OperationsSettings,
@@ -272,6 +276,7 @@
         self.settings_holder.current = settings
         self.parts.store.address = settings.store_address
         self.parts.store.late_after = settings.bounds.configuration
+        apply_resources(self.parts, settings, self.caller_settings)
         log_change("settings reloaded", settings=dataclasses.asdict(settings))
 
 
--- a/linnetladder/forwarding/transport/guarded_server.py
+++ b/linnetladder/forwarding/transport/guarded_server.py
@@ -107,6 +107,8 @@
         )
         self.client = ""
         self.active_at = self._loop.time()
+        # The client may observe this limit until its next request, if it is the longer.
+        self.idle_seconds = server.limits().idle_seconds
         self.head_bytes = 0
         self.head_began_at: float | None = None
         self.head_tail = b""
@@ -438,11 +440,14 @@
         for handler in list(self.open):
             if not handler.is_idle():
                 handler.active_at = now
+                handler.idle_seconds = limits.idle_seconds
             elif handler.head_began_at is not None:
                 if now - handler.head_began_at > limits.header_seconds:
                     self.refusals.record("head_timeout", handler.client)
                     handler.reject(_refuse_late_head(limits.header_seconds))
-            elif now - handler.active_at > limits.idle_seconds:
+            elif now - handler.active_at > max(
+                handler.idle_seconds, limits.idle_seconds
+            ):
                 self.refusals.record("idle_timeout", handler.client)
                 handler.force_close()
 
--- a/tests/forwarding/test_client_limits.py
+++ b/tests/forwarding/test_client_limits.py
@@ -139,6 +139,19 @@
     run_with_server(work, Script(), Script(), Script())
 
 
+# Guards against connections that are closed while their clients observe a longer limit.
+def test_a_shorter_idle_limit_binds_a_connection_after_its_next_request():
+    async def work(daemon, server, port):
+        reader, writer = await connect(port, HEAD % (1, NO_BODY))
+        assert (await read_answer(reader))[0] == 200
+        set_limits(daemon, idle_seconds=0.3)
+        await asyncio.sleep(0.8)
+        writer.write(HEAD % (2, NO_BODY))
+        assert (await read_answer(reader))[0] == 200
+
+    run_with_server(work, Script(), Script())
+
+
 @pytest.mark.parametrize(("size", "status"), [(1000, 200), (3000, 431)])
 def test_the_limit_in_force_bounds_the_whole_head(size, status):
     async def work(daemon, server, port):
--- a/tests/forwarding/test_crowds.py
+++ b/tests/forwarding/test_crowds.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.support.crowds import BODY_LIMIT, HEADER_LIMIT, run_crowd
 
 CROWD = 100
@@ -123,34 +125,20 @@
     run_crowd(tmp_path, work, seconds=2.0)
 
 
-# Guards against silent connections that take all descriptors.
-def test_connections_that_send_nothing(tmp_path):
-    async def work(crowd):
-        async def send(reader, writer):
-            await stay(writer)
-
-        crowd.open(DESCRIPTOR_CROWD, send)
-
-    run_crowd(tmp_path, work, seconds=2.0)
-
-
-# Guards against descriptors that are bounded on the port for callers only.
-def test_silent_connections_on_the_readiness_port(tmp_path):
-    async def work(crowd):
-        async def send(reader, writer):
-            await stay(writer, b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n")
-
-        crowd.open(DESCRIPTOR_CROWD, send, port="ready")
-
-    run_crowd(tmp_path, work, seconds=2.0)
-
-
-# Guards against descriptors that are bounded on the port for callers only.
-def test_silent_connections_on_the_port_for_peers(tmp_path):
+# Guards against connections that take all descriptors, on any port.
+@pytest.mark.parametrize(
+    ("port", "sent"),
+    [
+        ("front", b""),
+        ("ready", b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n"),
+        ("peer", b"POST / HTTP/1.1\r\nHost: x\r\n"),
+    ],
+)
+def test_connections_without_a_request(tmp_path, port, sent):
     async def work(crowd):
         async def send(reader, writer):
-            await stay(writer, b"POST / HTTP/1.1\r\nHost: x\r\n")
+            await stay(writer, sent)
 
-        crowd.open(DESCRIPTOR_CROWD, send, port="peer")
+        crowd.open(DESCRIPTOR_CROWD, send, port=port)
 
     run_crowd(tmp_path, work, seconds=2.0)
