Count every request that waits behind another one, and connections by memory

Found in the last read, by reckoning: the body of one request behind one in progress was buffered without being counted, up to 190 KB a connection with the system's buffer, so the 1,560 connections of an instance of 300 MB could hold all of its memory. An instance of 160 MB with 10,250 descriptors accepted 4,020 connections, whose unfinished heads alone take 37 KB each by the findings.

Change: reading stops with the first request that waits, which is counted, and callers get no more connections than half of the bound on memory allows at 24 KiB each.

--- a/linnetladder/fleet_assembly.py
+++ b/linnetladder/fleet_assembly.py
@@ -48,6 +48,10 @@
 PEER_CONNECTION_SHARE = 0.05
 OPERATOR_CONNECTION_SHARE = 0.02
 MINIMUM_CONNECTIONS = 16
+# What a connection may hold beside bodies, which is mostly its head, and the share of
+# what the daemon may hold for others that these take at most.
+CONNECTION_BYTES = 24 * 1024
+CONNECTIONS_MEMORY_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -96,13 +100,11 @@
         seed=secrets.randbits(64),
     )
     memory = MemoryAccount(
-        capacity=memory_capacity(
-            memory_megabytes=settings_holder.current.memory_megabytes,
-            share=caller_settings.memory_share,
-        ),
+        capacity=_memory_capacity(settings_holder.current, caller_settings),
         metrics=metrics,
     )
-    sockets = _count_sockets(settings_holder.current.descriptors)
+    settings = settings_holder.current
+    sockets = _count_sockets(settings.descriptors)
     callers = ForwardingServer(
         forwarder=core.forwarder,
         in_force=core.in_force,
@@ -111,7 +113,7 @@
             settings=caller_settings, memory=memory, clock=clock, metrics=metrics
         ),
         memory=memory,
-        maximum_connections=_share_of(sockets, caller_settings.connection_share),
+        maximum_connections=_count_caller_connections(settings, caller_settings),
         clock=clock,
         metrics=metrics,
     )
@@ -170,12 +172,27 @@
     parts: FleetDaemonParts, settings: FleetSettings, caller_settings: CallerSettings
 ) -> None:
     """Bound what callers may hold by the instance's resources, which have changed."""
-    parts.callers.memory.capacity = memory_capacity(
+    parts.callers.memory.capacity = _memory_capacity(settings, caller_settings)
+    parts.callers.server.maximum_connections = _count_caller_connections(
+        settings, caller_settings
+    )
+
+
+def _memory_capacity(settings: FleetSettings, caller_settings: CallerSettings) -> int:
+    return memory_capacity(
         memory_megabytes=settings.memory_megabytes, share=caller_settings.memory_share
     )
+
+
+def _count_caller_connections(
+    settings: FleetSettings, caller_settings: CallerSettings
+) -> int:
+    """Return the connections of callers, for which there are sockets and memory."""
     sockets = _count_sockets(settings.descriptors)
-    parts.callers.server.maximum_connections = _share_of(
-        sockets, caller_settings.connection_share
+    memory = _memory_capacity(settings, caller_settings) * CONNECTIONS_MEMORY_SHARE
+    return min(
+        _share_of(sockets, caller_settings.connection_share),
+        int(memory // CONNECTION_BYTES),
     )
 
 
--- a/linnetladder/forwarding/transport/guarded_server.py
+++ b/linnetladder/forwarding/transport/guarded_server.py
@@ -49,7 +49,7 @@
 MAXIMUM_HEAD_BYTES = 1024 * 1024
 MAXIMUM_HEADERS = 512
 # Requests that are parsed while another one is answered.
-MAXIMUM_WAITING_REQUESTS = 2
+MAXIMUM_WAITING_REQUESTS = 1
 CHECK_SECONDS = 0.2
 # After a longer pause of the process, bytes have arrived that are not read yet.
 LATE_CHECK_SECONDS = 1.0
@@ -93,7 +93,7 @@
         super().__init__(server, **options)
         self.guard = server
         self._max_msg_queue_size = MAXIMUM_WAITING_REQUESTS
-        self._msg_queue_resume_size = MAXIMUM_WAITING_REQUESTS // 2
+        self._msg_queue_resume_size = 0
         self._parser = HttpRequestParser(
             self,
             self._loop,
@@ -159,6 +159,8 @@
             self.head_tail = (self.head_tail + data)[1 - len(HEAD_END) :]
             if self.head_began_at is None:
                 self.head_began_at = self.active_at
+        if self._messages and self._waiter is None:
+            self._hold_read_ahead()
 
     def _exceeds_head_limit(self, data: bytes) -> bool:
         """Return whether a head is too large with what has arrived of it now."""
@@ -187,8 +189,7 @@
 
     def shed_requests(self) -> None:
         """Forget the requests behind the current one, and close after its answer."""
-        while len(self._messages) > (self._current_request is None):
-            self._messages.pop()
+        self._messages.clear()
         self._close = True
         self.guard.release_read_ahead(self)
 
@@ -197,12 +198,13 @@
         """Whether the connection closes after the current answer."""
         return self._close
 
-    def _pause_reading_for_buffer(self) -> None:
-        super()._pause_reading_for_buffer()
+    def _hold_read_ahead(self) -> None:
+        """Count what waits behind a request in progress, unless it is counted."""
+        if self.read_ahead_bytes or self._close:
+            return
         queued = sum(payload.total_bytes for _, payload in self._messages)
         size = queued + self.last_read_bytes + RECEIVE_BUFFER_BYTES
-        if not self.read_ahead_bytes:
-            self.guard.hold_read_ahead(self, size)
+        self.guard.hold_read_ahead(self, size)
 
     def _resume_reading_for_buffer(self) -> None:
         self.guard.release_read_ahead(self)
