Test that the limits on clients are noticed when they are absent

Seven mutations take away one limit each: the bound on memory, that on what is read ahead, the collection of garbage, stalled bodies, limits on time, the size of heads, room for new connections. One of them was not noticed at first: no test of this module sent a head that is too large before its end. There is one now.

--- a/tests/forwarding/test_client_limits.py
+++ b/tests/forwarding/test_client_limits.py
@@ -167,6 +167,18 @@
     run_with_server(work, Script())
 
 
+# Guards against heads that grow without an end until their time is over.
+def test_a_head_that_is_not_complete_is_refused_once_it_is_too_large():
+    async def work(daemon, server, port):
+        set_limits(daemon, header_bytes=2000)
+        unfinished = HEAD % (1, b"X-Long: " + b"x" * 3000)
+        reader, _ = await connect(port, unfinished[:-2])
+        status, _, text = await read_answer(reader)
+        assert status == 431 and "ran: no" in text
+
+    run_with_server(work)
+
+
 # Guards against requests behind another one that are forgotten in calm.
 def test_pipelined_requests_are_all_answered_in_order():
     async def work(daemon, server, port):
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -33,6 +33,7 @@
     forwarder,
     in_force,
     load_admission,
+    memory_account,
     outcomes,
     pace,
     peer_gossip,
@@ -78,6 +79,7 @@
 from linnetladder.forwarding.coordination.homes import Homes
 from linnetladder.forwarding.coordination.in_force import TableInForce
 from linnetladder.forwarding.coordination.load_admission import LoadAdmission
+from linnetladder.forwarding.coordination.memory_account import MemoryAccount
 from linnetladder.forwarding.coordination.outcomes import Outcomes
 from linnetladder.forwarding.coordination.pace import PaceMeter
 from linnetladder.forwarding.coordination.peer_gossip import PeerGossip
@@ -105,11 +107,16 @@
 from linnetladder.forwarding.state import RolloutOrder
 from linnetladder.forwarding.transport import (
     PeerSocket,
+    body_reader,
     endpoint_calls,
     relay_server,
 )
 from linnetladder.forwarding.transport.caller_server import HttpReply
 from linnetladder.forwarding.transport.endpoint_calls import HttpExchange
+from linnetladder.forwarding.transport.guarded_server import (
+    GuardedHandler,
+    GuardedServer,
+)
 from linnetladder.platform import PlatformSource, headers, source
 
 
@@ -125,6 +132,7 @@
 ERA_ROLLOUTS = "store_eras_rollouts"
 CRASHING = "crashing_prompts"
 TRIALS = "crash_trials"
+CLIENTS = "client_limits"
 CUT = "cut_off_daemons"
 BRITTLE = "brittle_endpoints"
 RELAYING = "relaying"
@@ -526,6 +534,13 @@
     ("fallback", Forwarder, "_fall_back", always(False), GAIN),
     ("fallback_attempt", sender, "_is_last_for_fallback", always(False), GAIN),
     ("fallback_time", sender, "FALLBACK_TIME_FACTOR", 0.0, GAIN),
+    ("clients_memory", MemoryAccount, "fits", always(True), CLIENTS),
+    ("clients_read_ahead", MemoryAccount, "take_read_ahead", always(True), CLIENTS),
+    ("clients_garbage", memory_account, "COLLECTION_SHARE", 99.0, CLIENTS),
+    ("clients_stalled", body_reader, "STALLED_SECONDS", 99.0, CLIENTS),
+    ("clients_times", GuardedServer, "check_times", always(None), CLIENTS),
+    ("clients_heads", GuardedHandler, "_exceeds_head_limit", always(False), CLIENTS),
+    ("clients_room", GuardedServer, "_make_room", always(False), CLIENTS),
     ("callers_bounds", CallerBuffers, "_tolerated_seconds", always(math.inf), SLOW),
     ("callers_stalled", caller_buffers, "STALLED_SECONDS", 0.0, SLOW),
     ("callers_alone", caller_buffers, "CALLER_STALLED_SECONDS", 60.0, SLOW),
