--- a/linnetladder/forwarding/transport/guarded_server.py
+++ b/linnetladder/forwarding/transport/guarded_server.py
@@ -117,6 +117,12 @@
         self.read_ahead_bytes = 0
         self.read_seconds = 0.0
         self.rejected = False
+        self.started = False
+
+    async def start(self) -> None:
+        """Answer the requests of the connection."""
+        self.started = True
+        await super().start()
 
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
@@ -159,9 +165,13 @@
             self.head_tail = (self.head_tail + data)[1 - len(HEAD_END) :]
             if self.head_began_at is None:
                 self.head_began_at = self.active_at
-        if self._messages and self._waiter is None:
+        if self._messages and self._is_answering():
             self._hold_read_ahead()
 
+    def _is_answering(self) -> bool:
+        """Return whether a request has been taken from the queue and not ended."""
+        return self.started and self._waiter is None
+
     def _exceeds_head_limit(self, data: bytes) -> bool:
         """Return whether a head is too large with what has arrived of it now."""
         limit = self.guard.limits().header_bytes
--- a/tests/forwarding/test_client_limits.py
+++ b/tests/forwarding/test_client_limits.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import dataclasses
+import socket
 import weakref
+from unittest import mock
 
 import pytest
 
@@ -209,6 +211,27 @@
     run_with_server(work, Script())
 
 
+# Guards against the first request of a connection that is taken for one behind another.
+def test_a_request_that_arrives_before_its_connection_is_served_is_answered():
+    async def work(daemon, server, port):
+        server.memory.held[MemoryHolder.CALLERS] = server.memory.capacity
+        transport = mock.MagicMock(spec=asyncio.Transport)
+        client, connection = socket.socketpair()
+        transport.get_extra_info = {"socket": connection}.get
+        transport.get_write_buffer_size.return_value = 0
+        transport.is_closing.return_value = False
+        handler = server.server()
+        handler.connection_made(transport)
+        handler.data_received(HEAD % (1, NO_BODY))
+        await asyncio.sleep(0.05)
+        assert len(daemon.calls.calls) == 1
+        handler.connection_lost(None)
+        client.close()
+        connection.close()
+
+    run_with_server(work, Script())
+
+
 def test_the_connection_that_was_idle_longest_makes_room_for_a_new_one():
     async def work(daemon, server, port):
         first, _ = await connect(port)
