End no body whose time is over already, and bound the log of lost connections

A body that is ended for a stall while its own time limit is just expiring raised RuntimeError in the request that asked for room, which got 500. A client that is gone before its connection is set up was logged with a traceback each time; it is counted and summed up now, like the others.

--- a/linnetladder/forwarding/transport/body_reader.py
+++ b/linnetladder/forwarding/transport/body_reader.py
@@ -166,7 +166,7 @@
         """End the body without progress for longest; return false if none stalled."""
         now = asyncio.get_running_loop().time()
         for read in self.reads:
-            if read.has_stalled:
+            if read.has_stalled or read.time_limit.expired():
                 continue
             if now - read.progress_at < STALLED_SECONDS:
                 return False
--- a/linnetladder/forwarding/transport/guarded_server.py
+++ b/linnetladder/forwarding/transport/guarded_server.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 import contextlib
+import functools
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -357,12 +358,12 @@
                 self._loop.connect_accepted_socket(self, connection)
             )
             self.connecting.add(task)
-            task.add_done_callback(self._connected)
+            task.add_done_callback(functools.partial(self._connected, client[0]))
 
-    def _connected(self, task: asyncio.Task) -> None:
+    def _connected(self, client: str, task: asyncio.Task) -> None:
         self.connecting.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log_failure("accepting a connection failed", task.exception())
+            self.refusals.record("accept_failed", client)
 
     def _pause_accepting(self, listener: socket.socket, error: OSError) -> None:
         """Stop accepting for a moment, since the process has no descriptor left."""
