Take a response only if its head is sound by RFC 9110 and RFC 9112

Callers got answers of endpoints in trouble that were no responses: "HTTP/1.1 0 " for a status of 000, the statuses 001 to 099, 101, 600 and 999, a 200 whose seal held the next, folded line, and a 200 whose body was the framing of an unknown transfer coding. A control byte in a value became an error 500 of the daemon itself.

Cause: the HTTP library parses responses leniently, and its result was believed. Heads of responses are now read by ResponseHeadReader before they are parsed: final status 200 to 599, names that are tokens, values without control characters, no folding, and one framing, which is a length, chunks alone, or the end of the connection. Informational responses are checked and dropped. A malformed head is a fault of the endpoint like any answer that breaks off: the request is retried where its kind allows that, or answered 502. The connection that checks is one class, StrictResponseHandler, for calls to endpoints, directly and through peers. Faults are described without bytes of the answer.

Evidence: tests/forwarding/test_broken_answers.py sends 156 kinds of broken answers on each kind of route to a caller that reads the bytes itself.

A head is now refused as soon as one line is malformed, and a status line without a reason, lines that end without a carriage return, and UTF-8 in values are still taken.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -5,12 +5,11 @@
 only if its connection was closed in order and not reset. A refusal that may be a copy
 of an earlier one on its connection does not show that the request has not run.
 
-Bytes that are no body, such as informational answers or the framing of chunks, and
-bodies that are held in memory are bounded, since an endpoint may send them without end.
+Heads and framing are checked where all responses are read. Bodies that are held in
+memory are bounded, since an endpoint may send them without end.
 """
 
 import asyncio
-import functools
 import io
 import math
 import socket
@@ -18,7 +17,6 @@
 
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from linnetladder.forwarding.coordination.calls import (
@@ -40,6 +38,11 @@
     build_relay_headers,
 )
 from linnetladder.telemetry import Metrics
+from linnetladder.transport.responses import (
+    MalformedResponseError,
+    StrictConnector,
+    StrictResponseHandler,
+)
 
 __all__ = ["HttpEndpointCalls"]
 
@@ -50,10 +53,6 @@
 READ_BUFFER_BYTES = 64 * 1024
 # Parts in which a long body is written, so that no second copy of it waits.
 BODY_PART_BYTES = 64 * 1024
-# Bytes of an answer that are no body: its head with all informational answers before
-# it, and the framing of chunks, for which more is allowed as the body grows.
-MAXIMUM_FRAMING_BYTES = 64 * 1024
-FRAMING_BYTES_PER_BODY_BYTE = 16
 # Bodies that are relayed only once they are complete.
 MAXIMUM_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 TCP_USER_TIMEOUT_MILLISECONDS = 4_000
@@ -62,67 +61,28 @@
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
-class CheckedResponseHandler(ResponseHandler):
-    """Records whether the connection was reset; closes it on unsolicited bytes.
+class EndpointConnection(StrictResponseHandler):
+    """A connection to an endpoint.
 
-    It is also closed if an answer's framing exceeds its bound. ``received_bytes`` and
-    ``body_bytes`` count those of the current answer. ``requests`` counts the requests
-    on the connection, and ``refused`` holds the attempt ids of those that the endpoint
-    refused as not run.
+    ``requests`` counts the requests on it, and ``refused`` holds the attempt ids of
+    those that the endpoint refused as not run.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
-        self.was_reset = False
-        self.idle = True
-        self.received_bytes = 0
-        self.body_bytes = 0
         self.requests = 0
         self.refused: set[str] = set()
 
     def set_response_params(self, **options: object) -> None:
-        """Mark the connection as awaiting an answer."""
-        self.idle = False
+        """Count a request."""
         self.requests += 1
-        self.received_bytes = self.body_bytes = 0
         super().set_response_params(**options)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """Close the connection if bytes arrive while no answer is awaited."""
-        if self.idle and data:
-            self.close()
-            return
-        super().data_received(data)
-        self.received_bytes += len(data)
-        if self._payload is not None:
-            self.body_bytes = self._payload.total_bytes
-        framing = self.received_bytes - self.body_bytes
-        allowed = self.body_bytes * FRAMING_BYTES_PER_BODY_BYTE + MAXIMUM_FRAMING_BYTES
-        if framing > allowed:
-            self._abort(aiohttp.ClientPayloadError(f"{framing} bytes are no body"))
-
-    def _abort(self, error: aiohttp.ClientPayloadError) -> None:
-        """Fail the current answer and drop its connection."""
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
-
-
-class CheckedConnector(aiohttp.TCPConnector):
-    """A connector whose connections are handled by `CheckedResponseHandler`."""
-
-    def __init__(self, **options: object):
-        super().__init__(**options)
-        self._factory = functools.partial(
-            CheckedResponseHandler, loop=asyncio.get_running_loop()
-        )
+class EndpointConnector(StrictConnector):
+    """A connector that asks whether a call may still be sent once it is connected."""
+
+    handler_class = EndpointConnection
 
     async def connect(
         self,
@@ -139,13 +99,6 @@
         monitor.call.connected = True
         return connection
 
-    def _release(
-        self, key, protocol: CheckedResponseHandler, *, should_close: bool = False
-    ) -> None:
-        """Mark a connection that returns to the pool as awaiting no answer."""
-        protocol.idle = True
-        super()._release(key, protocol, should_close=should_close)
-
 
 class WithdrawnCallError(Exception):
     """A call was withdrawn after its connection was made, before it was sent."""
@@ -419,7 +372,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise CallFault(
                 CallFaultKind.BROKEN,
-                f"{monitor.address} broke off: {error!r}",
+                f"{monitor.address} broke off: {_describe(error)}",
                 may_have_run=True,
             ) from error
         monitor.record_activity()
@@ -497,7 +450,7 @@
         head = self.codec.decode_response_head(response.status, response.headers)
         if head.attempt_id and head.attempt_id != attempt_id:
             response.close()
-            detail = f"{monitor.address} answered request {head.attempt_id!r} instead"
+            detail = f"{monitor.address} answered another request"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
         if head.succeeded and not (head.sealed and head.attempt_id):
             response.close()
@@ -520,7 +473,7 @@
         A request is refused at most once on a connection, and a refusal that names no
         request is one of the only request on its connection.
         """
-        protocol: CheckedResponseHandler = response._protocol
+        protocol: EndpointConnection = response._protocol
         may_be_copy = protocol.requests > 1
         if head.attempt_id:
             may_be_copy = attempt_id in protocol.refused
@@ -532,7 +485,7 @@
 
     def _build_session(self, *, keepalive_timeout: float) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
-            connector=CheckedConnector(
+            connector=EndpointConnector(
                 limit=0,
                 keepalive_timeout=keepalive_timeout,
                 socket_factory=_build_socket,
@@ -618,5 +571,14 @@
 
 def _truncated_answer_fault(error: Exception) -> CallFault:
     return CallFault(
-        CallFaultKind.BROKEN, f"the answer was cut: {error!r}", may_have_run=True
+        CallFaultKind.BROKEN,
+        f"the answer was cut: {_describe(error)}",
+        may_have_run=True,
     )
+
+
+def _describe(error: Exception) -> str:
+    """Return what failed, without bytes of an answer that could not be parsed."""
+    if isinstance(error, aiohttp.ClientResponseError):
+        return type(error).__name__
+    return str(error) if isinstance(error, MalformedResponseError) else repr(error)
--- a/tests/support/wire_site.py
+++ b/tests/support/wire_site.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bench.fleet_site import HOST, FleetSite
+from bench.processes import free_port
 
 __all__ = ["WireRequest", "WireSite", "answer_bytes", "read_answer"]
 
@@ -17,14 +18,31 @@
 
 
 class WireRequest:
-    """A request as an endpoint received it; ``connection_requests`` counts from 1."""
+    """A request as an endpoint received it; ``connection_requests`` counts from 1.
 
-    def __init__(self, *, attempt: str, path: str, connection_requests: int):
+    ``read_body`` reads its body of ``body_bytes`` and drops it.
+    """
+
+    def __init__(
+        self,
+        *,
+        attempt: str,
+        path: str,
+        connection_requests: int,
+        body_bytes: int,
+        reader: asyncio.StreamReader,
+    ):
         self.attempt = attempt
         self.path = path
         self.connection_requests = connection_requests
+        self.body_bytes = body_bytes
+        self.reader = reader
         self.received_at = time.monotonic()
 
+    async def read_body(self) -> None:
+        """Read the body; raise `IncompleteReadError` if it breaks off."""
+        await self.reader.readexactly(self.body_bytes)
+
 
 class WireEndpoint:
     """An endpoint on a raw socket; ``answer`` writes what it likes for each request."""
@@ -81,13 +99,16 @@
                     name.lower(): value.strip()
                     for name, _, value in (line.partition(":") for line in lines)
                 }
-                await reader.readexactly(int(headers.get("content-length", "0")))
                 count += 1
                 request = WireRequest(
                     attempt=headers.get("linnetladder-attempt-id", ""),
                     path=first.split(" ")[1],
                     connection_requests=count,
+                    body_bytes=int(headers.get("content-length", "0")),
+                    reader=reader,
                 )
+                if not self.site.answers_early:
+                    await request.read_body()
                 if request.attempt:
                     self.runs.append(request)
                 if not await self.site.answer(request, writer):
@@ -96,18 +117,25 @@
 
 
 class WireSite(FleetSite):
-    """A site whose endpoints answer by ``answer``, which returns false to close."""
+    """A site whose endpoints answer by ``answer``, which returns false to close.
+
+    With ``answers_early`` requests are answered before their bodies are read. With
+    ``through_peers`` the first daemon reaches endpoints only through the others.
+    """
 
     def __init__(
         self,
         *,
         answer: Callable[[WireRequest, asyncio.StreamWriter], Awaitable[bool]],
         endpoints: int = 2,
+        answers_early: bool = False,
+        through_peers: bool = False,
         **options,
     ):
-        super().__init__(**options)
+        super().__init__(own_links=through_peers, **options)
         self.answer = answer
         self.endpoints = endpoints
+        self.answers_early = answers_early
 
     async def _start_worker(self, name: str, service: str, zone: str) -> None:
         # FleetSite starts two endpoints of each service.
@@ -116,6 +144,14 @@
             await endpoint.start()
             self.workers.append(endpoint)
 
+    async def _start_own_links(self, daemon: str) -> str:
+        """Return an address of the store that gives the first daemon no way out."""
+        addresses = {}
+        if daemon == self.daemon_names[0]:
+            port = free_port()
+            addresses = {worker.name: f"127.0.0.1:{port}" for worker in self.workers}
+        return await self.store.start(worker_addresses=addresses)
+
     async def wait_until_ready(self) -> None:
         """Wait until all daemons say that they are ready."""
         async with (
