Take no success whose body is encoded

Callers got a 200 with a Content-Encoding, which no caller asks for and which by the platform's protocol is not the body of the endpoint.

Cause: the field was passed on like any other. A success with one is now an invalid answer, like one without a seal, directly and through peers. Failures are passed on as before, since what they say is in their status.

Evidence: "content coding gzip" of tests/forwarding/test_broken_answers.py failed before on the route that may not be repeated, directly and through a peer (200, 502 expected), and passes now.

--- a/linnetladder/forwarding/protocol/codecs.py
+++ b/linnetladder/forwarding/protocol/codecs.py
@@ -79,7 +79,8 @@
     that the answer names, ``""`` if it names none.
     ``sealed`` is set if the head carries the endpoint's digest as its seal.
     ``confidence`` is the model's confidence in its response, 0 to 100. ``length`` is
-    the declared length of the body in bytes. ``headers`` holds the headers to forward.
+    the declared length of the body in bytes. ``encoded`` is set if the body has an
+    encoding, which callers do not ask for. ``headers`` holds the headers to forward.
 
     ``request_limit`` is the number of requests a second that the endpoint takes from
     all daemons together, ``None`` if it names none. ``names_request_limit`` is also set
@@ -111,6 +112,7 @@
     brittle_limit: float | None = None
     cold_seconds: float | None = None
     answered_by: str = ""
+    encoded: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -446,7 +446,7 @@
         response: aiohttp.ClientResponse,
         monitor: SilenceMonitor,
     ) -> HttpExchange:
-        """Return the exchange; raise `CallFault` for a foreign or unsealed answer."""
+        """Return the exchange; raise `CallFault` for an answer that can't be used."""
         head = self.codec.decode_response_head(response.status, response.headers)
         if head.attempt_id and head.attempt_id != attempt_id:
             response.close()
@@ -456,6 +456,10 @@
             response.close()
             detail = f"{monitor.address} sent a success without its seal"
             raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
+        if head.succeeded and head.encoded:
+            response.close()
+            detail = f"{monitor.address} encoded a body without being asked"
+            raise CallFault(CallFaultKind.INVALID, detail, may_have_run=True)
         is_refusal = head.not_run or head.misdirected
         if is_refusal and not monitor.call.relay:
             self._check_refusal(attempt_id, head, response, monitor)
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -41,6 +41,8 @@
 # Beside 503: seconds in which the worker wants no requests from this daemon.
 RETRY_AFTER = "Retry-After"
 PAUSE_STATUS = 503
+# Callers request bodies without any encoding; with one it is not the worker's body.
+CONTENT_ENCODING = "Content-Encoding"
 BEARER_SCHEME = "Bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
@@ -155,6 +157,7 @@
             cold_seconds=_parse_cold(headers.get(COLD)),
             closes_connection="close" in headers.get("Connection", "").lower(),
             length=int(length) if length.isdigit() else None,
+            encoded=CONTENT_ENCODING in headers,
             headers=tuple(
                 (name, value)
                 for name, value in headers.items()
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -186,6 +186,7 @@
     answers = {name: chunked(framing) for name, framing in framings.items()}
     line = b"Content-Length: %s\r\n" % (b"9" * 30)
     answers["length of 30 digits"] = _answer(fields=line, framed=_close)
+    answers["content coding gzip"] = _answer(fields=b"Content-Encoding: gzip\r\n")
     return answers
 
 
