Take a body without a length for complete only at the server's orderly close

A caller could get the part of an answer that had arrived as the whole one, when the daemon itself closed the connection to the endpoint, as it does when it stops.

Cause: the library ends a body without a length with its connection, whoever closes it, and only a reset by the endpoint was looked at, after the body had been read, and only by calls to endpoints. The connection now fails a body that is not complete unless the other side has closed it in order, so that whoever reads it, and however late, gets a fault. It holds for everything that reads responses through StrictConnector.

Evidence: test_body_without_a_length_is_not_complete_if_this_side_closes_its_connection failed before (no fault was raised). Resets that come before the body is read, and those during uploads, were noticed before as well, and their tests pass as before.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -1,12 +1,10 @@
 """HTTP calls to endpoints over pooled connections, with checks that aiohttp lacks.
 
 A connection is closed instead of returned to the pool after unsolicited bytes, an
-answer to another request or a truncated body. An answer without a length is complete
-only if its connection was closed in order and not reset. A refusal that may be a copy
-of an earlier one on its connection does not show that the request has not run.
-
-Heads and framing are checked where all responses are read. Bodies that are held in
-memory are bounded, since an endpoint may send them without end.
+answer to another request or a truncated body. A refusal that may be a copy of an
+earlier one on its connection does not show that the request has not run. Heads, framing
+and ends are checked where all responses are read; bodies that are held in memory are
+bounded, since an endpoint may send them without end.
 """
 
 import asyncio
@@ -191,7 +189,6 @@
         super().__init__(head=head)
         self.response = response
         self.monitor = monitor
-        self.protocol = response._protocol
         self.complete = False
         self.yielded_bytes = 0
         self.closed = False
@@ -224,7 +221,6 @@
                 yield data
         except (aiohttp.ClientError, OSError) as error:
             raise _truncated_answer_fault(error) from error
-        self._check_orderly_close()
         self.complete = True
 
     async def _read_next(self, content: aiohttp.StreamReader) -> bytes:
@@ -255,14 +251,6 @@
             return
         self.response.close()
 
-    def _check_orderly_close(self) -> None:
-        """Raise `CallFault` if an answer without a length ended with a reset."""
-        if self.head.length is not None:
-            return
-        if self.protocol is not None and self.protocol.was_reset:
-            detail = "the connection was reset within an answer without a length"
-            raise CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
-
 
 class HttpEndpointCalls(EndpointCalls):
     """Calls endpoints at their ``IP:port`` addresses, directly or through peers.
--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -1,7 +1,7 @@
 """How responses are read, whichever server sends them.
 
 Connections made here take only responses that are sound by RFC 9110 and RFC 9112.
-aiohttp alone would return others as well.
+aiohttp alone would return others, and take some that broke off for complete ones.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 
 # Framing of chunks that is allowed for each byte of a body, beside that of a head.
 FRAMING_BYTES_PER_BODY_BYTE = 16
+BROKEN_OFF = "the connection ended within the response"
 
 
 class MalformedResponseError(aiohttp.ClientPayloadError):
@@ -31,19 +32,20 @@
 
 
 class StrictResponseHandler(ResponseHandler):
-    """A connection that fails responses whose head or framing is not sound.
+    """A connection that fails responses whose head, framing or end is not sound.
 
-    A head is checked before it is parsed. Bytes that are no body, such as the framing
-    of chunks, are bounded, since a server may send them without end. Unsolicited bytes
-    close the connection. ``idle`` is set while no response is awaited;
-    ``received_bytes`` and ``body_bytes`` count those of the current response.
+    A head is checked before it is parsed. A body without a length is complete only if
+    its connection was closed in order and not reset. Bytes that are no body, such as
+    the framing of chunks, are bounded, since a server may send them without end.
+    Unsolicited bytes close the connection. ``idle`` is set while no response is
+    awaited; ``received_bytes`` and ``body_bytes`` count those of the current response.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.idle = True
         self.head_reader = ResponseHeadReader()
-        self.was_reset = False
+        self.ended_in_order = False
         self.received_bytes = 0
         self.body_bytes = 0
 
@@ -78,17 +80,37 @@
 
     def fail(self, error: MalformedResponseError) -> None:
         """Fail the current response and drop its connection."""
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        self._fail_body(error)
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Record that the server has closed the connection in order."""
+        self.ended_in_order = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset."""
-        self.was_reset = exc is not None
+        """Fail a body that did not end with an orderly close."""
+        if exc is not None or not self.ended_in_order:
+            self._fail_body(MalformedResponseError(BROKEN_OFF))
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close the connection; a body that is not complete fails."""
+        self._fail_body(MalformedResponseError(BROKEN_OFF))
+        super().close()
+
+    def abort(self) -> None:
+        """Drop the connection; a body that is not complete fails."""
+        self._fail_body(MalformedResponseError(BROKEN_OFF))
+        super().abort()
+
+    def _fail_body(self, error: MalformedResponseError) -> None:
+        body = self._payload
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(error)
+
 
 class StrictConnector(aiohttp.TCPConnector):
     """A connector whose connections are handled by ``handler_class``."""
--- a/tests/forwarding/test_transport.py
+++ b/tests/forwarding/test_transport.py
@@ -195,6 +195,32 @@
     run_with_calls(work, parts)
 
 
+# Guards against the part that has arrived being taken for the whole answer when this
+# side closes the connection, as it does when it stops.
+def test_body_without_a_length_is_not_complete_if_this_side_closes_its_connection():
+    async def work(calls, endpoint):
+        exchange = await calls.open(build_call(endpoint))
+        reading = asyncio.ensure_future(exchange.read())
+        await asyncio.sleep(0.1)
+        await calls.close()
+        with pytest.raises(CallFault) as caught:
+            await reading
+        assert caught.value.kind is CallFaultKind.BROKEN
+
+    run_with_calls(work, [ANSWER_HEAD % b"a1" + b"\r\npart", 1.0])
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.3])
+def test_body_without_a_length_that_was_reset_before_it_is_read_is_not_complete(pause):
+    async def work(calls, endpoint):
+        exchange = await calls.open(build_call(endpoint))
+        await asyncio.sleep(pause)
+        with pytest.raises(CallFault):
+            await exchange.read()
+
+    run_with_calls(work, [ANSWER_HEAD % b"a1" + b"\r\npart", None])
+
+
 def test_body_without_a_length_is_complete_after_an_orderly_close():
     async def work(calls, endpoint):
         exchange = await calls.open(build_call(endpoint))
