Bound the memory of answers without end, and free it with the fault

A faulty endpoint that sends a body without end, to 80 calls at once, took a daemon to 268 to 294 MB of its 300, and sound bodies of 15 MB after that to 310 MB; a daemon over its limit is ended, with the requests of all other callers.

Causes: bodies without a declared length could use all that may be held for others; each was one growing buffer, and those of several calls left holes in the memory of the process; the traceback of a failed answer kept its buffer, and its memory stayed counted, until the request's end. Large answers now leave a quarter of the bound to small ones, and those without a length half of it, as large bodies of requests do. Bodies are held in parts of similar size, which are freed, and no longer counted, as soon as the answer has failed. A declared length over the bound fails the answer before any of it is read.

--- a/linnetladder/forwarding/coordination/memory_account.py
+++ b/linnetladder/forwarding/coordination/memory_account.py
@@ -133,14 +133,18 @@
         self.account.held[self.holder] -= surplus
         self.size -= surplus
 
-    async def grow_when_free(self, size: int) -> None:
+    async def grow_when_free(self, size: int, *, has_length: bool = True) -> None:
         """Count more bytes of an answer, once they fit.
 
-        One lease at a time goes on beyond the bound. Without it, answers that are read
-        in part could wait for each other.
+        Large answers leave a share of the bound free, a larger one those without a
+        declared length, which may have no end. One lease at a time goes on beyond the
+        bound. Without it, answers that are read in part could wait for each other.
         """
         account = self.account
-        while not account.fits(size):
+        spare_share = 0.0
+        if self.size + size > SMALL_BYTES:
+            spare_share = SMALL_BODIES_SHARE if has_length else BODIES_SHARE
+        while not account.fits(size, spare_share=spare_share):
             if account.overdrawn in (None, self):
                 account.overdrawn = self
                 break
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import io
 import math
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
@@ -49,7 +48,8 @@
 # A request that must not be sent twice only reuses a connection that was idle for less.
 FRESH_KEEPALIVE_SECONDS = 1.0
 READ_BUFFER_BYTES = 64 * 1024
-# Parts in which a long body is written, so that no second copy of it waits.
+# Parts in which a long body is written, so that no second copy of it waits, and in
+# which one is held that is read whole.
 BODY_PART_BYTES = 64 * 1024
 # Bodies that are relayed only once they are complete.
 MAXIMUM_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
@@ -201,16 +201,33 @@
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        # The bytes of the whole are those of this buffer, not a copy.
-        body = io.BytesIO()
-        async for data in self.chunks():
+        length = self.head.length
+        if length is not None and length > MAXIMUM_BUFFERED_BODY_BYTES:
+            raise _endless_body_fault()
+        # Parts of a similar size can be used again once they are free, unlike the
+        # growing buffers of several bodies.
+        parts: list[bytearray] = []
+        held = self.memory.size if self.memory is not None else 0
+        received = 0
+        try:
+            async for data in self.chunks():
+                received += len(data)
+                if received > MAXIMUM_BUFFERED_BODY_BYTES:
+                    raise _endless_body_fault()
+                if self.memory is not None:
+                    has_length = length is not None
+                    await self.memory.grow_when_free(len(data), has_length=has_length)
+                if parts and len(parts[-1]) < BODY_PART_BYTES:
+                    parts[-1] += data
+                else:
+                    parts.append(bytearray(data))
+        except BaseException:
+            # The traceback would hold the parts until garbage is collected.
+            parts.clear()
             if self.memory is not None:
-                await self.memory.grow_when_free(len(data))
-            body.write(data)
-            if body.tell() > MAXIMUM_BUFFERED_BODY_BYTES:
-                detail = f"the body exceeds {MAXIMUM_BUFFERED_BODY_BYTES} bytes"
-                raise CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
-        return body.getvalue()
+                self.memory.shrink_to(held)
+            raise
+        return b"".join(parts)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield chunks of the body as they arrive."""
@@ -561,6 +578,11 @@
     )
 
 
+def _endless_body_fault() -> CallFault:
+    detail = f"the body exceeds {MAXIMUM_BUFFERED_BODY_BYTES} bytes"
+    return CallFault(CallFaultKind.BROKEN, detail, may_have_run=True)
+
+
 def _truncated_answer_fault(error: Exception) -> CallFault:
     return CallFault(
         CallFaultKind.BROKEN,
