Bound a head while it is read, not once all that has arrived is read

Fields without end took 80 calls at once to 154 MB, and a second and a half in which other callers were not served, although the head was refused in the end: the bound was checked after all bytes that had arrived, up to 256 KB at once, had been read line by line. It is now checked with each line, and so is the number of fields, for which the parser had the same limit of 128.

Evidence: test_a_head_without_end_that_arrives_at_once_is_read_up_to_its_bound failed before (100,000 fields were kept).

--- a/linnetladder/protocol/response_heads.py
+++ b/linnetladder/protocol/response_heads.py
@@ -7,10 +7,16 @@
 
 import re
 
-__all__ = ["MAXIMUM_HEAD_BYTES", "ResponseHeadError", "ResponseHeadReader"]
-
-# Bytes of a head with all informational responses before it.
+__all__ = [
+    "MAXIMUM_FIELDS",
+    "MAXIMUM_HEAD_BYTES",
+    "ResponseHeadError",
+    "ResponseHeadReader",
+]
+
+# Bytes of a head with all informational responses before it, and fields of one head.
 MAXIMUM_HEAD_BYTES = 64 * 1024
+MAXIMUM_FIELDS = 128
 
 _VISIBLE = rb"[\t \x21-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: " + _VISIBLE + rb")?")
@@ -42,7 +48,7 @@
 
     def __init__(self):
         self.complete = False
-        self._received_bytes = 0
+        self._read_bytes = 0
         self._unread = b""
         self._begin_response()
 
@@ -58,25 +64,25 @@
 
         Raise `ResponseHeadError` as soon as a line is malformed or the head too long.
         """
-        self._received_bytes += len(data)
         data = self._unread + data
         begin = 0
         while (end := data.find(b"\n", begin)) >= 0:
             line = data[begin:end].removesuffix(b"\r")
+            self._check_size(end + 1 - begin)
+            self._read_bytes += end + 1 - begin
             begin = end + 1
             if self._read_line(line):
-                self._check_head_size(len(data) - begin)
                 self.complete = True
                 head = b"\r\n".join(self._lines)
                 return head + b"\r\n\r\n" + data[begin:]
+        self._check_size(len(data) - begin)
         self._unread = data[begin:]
-        self._check_head_size(0)
         if not self._lines and not _may_be_status_line(self._unread):
             raise ResponseHeadError("the response is not HTTP/1.x")
         return b""
 
-    def _check_head_size(self, body_bytes: int) -> None:
-        if self._received_bytes - body_bytes > MAXIMUM_HEAD_BYTES:
+    def _check_size(self, line_bytes: int) -> None:
+        if self._read_bytes + line_bytes > MAXIMUM_HEAD_BYTES:
             raise ResponseHeadError(f"the head exceeds {MAXIMUM_HEAD_BYTES} bytes")
 
     def _read_line(self, line: bytes) -> bool:
@@ -104,6 +110,8 @@
             raise ResponseHeadError("the protocol was switched without being asked")
 
     def _read_field(self, line: bytes) -> None:
+        if len(self._lines) > MAXIMUM_FIELDS:
+            raise ResponseHeadError(f"the head has over {MAXIMUM_FIELDS} fields")
         match = _FIELD_LINE.fullmatch(line)
         if match is None:
             raise ResponseHeadError(_describe_malformed_field(line))
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -3,6 +3,7 @@
 import pytest
 
 from linnetladder.protocol.response_heads import (
+    MAXIMUM_FIELDS,
     MAXIMUM_HEAD_BYTES,
     ResponseHeadError,
     ResponseHeadReader,
@@ -48,6 +49,17 @@
             reader.feed(b"a" * 1024)
 
 
+# Guards against informational responses and fields that are kept until all bytes that
+# have arrived are read, which may be many more than a head may have.
+@pytest.mark.parametrize("piece", [b"HTTP/1.1 102 P\r\nX-A: b\r\n\r\n", b"X-A: b\r\n"])
+def test_a_head_without_end_that_arrives_at_once_is_read_up_to_its_bound(piece):
+    reader = ResponseHeadReader()
+    with pytest.raises(ResponseHeadError):
+        reader.feed(b"HTTP/1.1 102 P\r\n" + piece * 100_000)
+    assert len(reader._lines) <= MAXIMUM_FIELDS + 1
+    assert reader._read_bytes <= MAXIMUM_HEAD_BYTES
+
+
 def test_a_large_body_in_the_same_bytes_does_not_count_as_the_head():
     answer = SOUND["length"]("a1", b"a" * MAXIMUM_HEAD_BYTES * 2)
     assert ResponseHeadReader().feed(answer) == answer
