Leave three quarters of the bound to what has a declared length

After bodies of tiny chunks had been read, bodies without end and length took a daemon of 300 MB to 194 to 207 MB, where 200 are allowed: they could hold half of the bound beside what their connections had read ahead, which is not counted. They now hold a quarter. Bytes of a failed answer that are given back count towards the next collection of garbage, like those of requests.

--- a/linnetladder/forwarding/coordination/memory_account.py
+++ b/linnetladder/forwarding/coordination/memory_account.py
@@ -16,9 +16,11 @@
 BYTES_PER_MEGABYTE = 1024 * 1024
 # A body of at most this size is small and may use the whole bound.
 SMALL_BYTES = 64 * 1024
-# Shares of the bound that stay free for small bodies, and for bodies of any size.
+# Shares of the bound that stay free for small bodies, for bodies of any size, and for
+# all that is not an answer without a declared length.
 SMALL_BODIES_SHARE = 0.25
 BODIES_SHARE = 0.5
+DECLARED_SHARE = 0.75
 FREE_POLL_SECONDS = 0.02
 # Share of the bound that may be given back before garbage is collected. Tracebacks of
 # failed attempts are reference cycles, which hold their requests' bodies until then.
@@ -133,17 +135,22 @@
         self.account.held[self.holder] -= surplus
         self.size -= surplus
 
+    def give_back_to(self, size: int) -> None:
+        """Give back what an answer held that has failed, down to a size before it."""
+        self.account.note_given_back(self.size - size)
+        self.shrink_to(size)
+
     async def grow_when_free(self, size: int, *, has_length: bool = True) -> None:
         """Count more bytes of an answer, once they fit.
 
-        Large answers leave a share of the bound free, a larger one those without a
+        Large answers leave a share of the bound free, most of it those without a
         declared length, which may have no end. One lease at a time goes on beyond the
         bound. Without it, answers that are read in part could wait for each other.
         """
         account = self.account
         spare_share = 0.0
         if self.size + size > SMALL_BYTES:
-            spare_share = SMALL_BODIES_SHARE if has_length else BODIES_SHARE
+            spare_share = SMALL_BODIES_SHARE if has_length else DECLARED_SHARE
         while not account.fits(size, spare_share=spare_share):
             if account.overdrawn in (None, self):
                 account.overdrawn = self
@@ -154,7 +161,6 @@
 
     def release(self) -> None:
         """Give all bytes back."""
-        self.account.note_given_back(self.size)
-        self.shrink_to(0)
+        self.give_back_to(0)
         if self.account.overdrawn is self:
             self.account.overdrawn = None
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -225,7 +225,7 @@
             # The traceback would hold the parts until garbage is collected.
             parts.clear()
             if self.memory is not None:
-                self.memory.shrink_to(held)
+                self.memory.give_back_to(held)
             raise
         return b"".join(parts)
 
