Let answers in tiny chunks leave half of the time to other callers

While 80 calls got bodies without end in chunks of one to eight bytes, other callers waited for 4 to 6 s and some were refused as overloaded: each part of such a body takes milliseconds to parse, and the event loop parsed one part of each call in turn.

After a part that took over two milliseconds to parse, a call now waits for a turn and then for as long as the part had taken, as bodies of requests in tiny chunks do. Usual answers and the events of streams take microseconds a part and never wait. ReadTurns has got a module of its own for that.

--- a/linnetladder/forwarding/transport/body_reader.py
+++ b/linnetladder/forwarding/transport/body_reader.py
@@ -19,9 +19,10 @@
     MemoryLease,
 )
 from linnetladder.forwarding.transport.guarded_server import BodySource
+from linnetladder.forwarding.transport.read_turns import EXPENSIVE_SECONDS, ReadTurns
 from linnetladder.telemetry import RefusalLog
 
-__all__ = ["BodyReader", "ReadTurns"]
+__all__ = ["BodyReader"]
 
 BODY_TIMEOUT_SECONDS = 10.0
 # What the system and the parser hold besides, while a body is being read.
@@ -31,8 +32,6 @@
 # A body that brings fewer bytes in this time has stalled.
 PROGRESS_BYTES = 16 * 1024
 STALLED_SECONDS = 1.0
-# Parsing that takes longer without a break waits for its turn.
-EXPENSIVE_SECONDS = 0.002
 # Time in which a refused body is read and dropped, so that its refusal arrives.
 DISCARD_SECONDS = 1.0
 # Refused callers return spread over this time, not all at once.
@@ -40,18 +39,6 @@
 RETRY_SPREAD_SECONDS = 0.5
 
 
-class ReadTurns:
-    """Lets expensive reads pause one after the other, for as long as they took."""
-
-    def __init__(self):
-        self.turn = asyncio.Lock()
-
-    async def rest(self, seconds: float) -> None:
-        """Wait for a turn, and then for a time."""
-        async with self.turn:
-            await asyncio.sleep(seconds)
-
-
 @dataclasses.dataclass(eq=False, slots=True)
 class BodyRead:
     """A body that is being read; progress was last seen at ``progress_at``.
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -34,6 +34,7 @@
     RelayFault,
     build_relay_headers,
 )
+from linnetladder.forwarding.transport.read_turns import EXPENSIVE_SECONDS, ReadTurns
 from linnetladder.telemetry import Metrics
 from linnetladder.transport.responses import (
     MalformedResponseError,
@@ -189,6 +190,7 @@
         super().__init__(head=head)
         self.response = response
         self.monitor = monitor
+        self.connection: EndpointConnection = response._protocol
         self.complete = False
         self.yielded_bytes = 0
         self.closed = False
@@ -236,10 +238,17 @@
             while data := await self._read_next(content):
                 self.yielded_bytes += len(data)
                 yield data
+                await self._rest()
         except (aiohttp.ClientError, OSError) as error:
             raise _truncated_answer_fault(error) from error
         self.complete = True
 
+    async def _rest(self) -> None:
+        """Pause if parsing the last part took long, as tiny chunks do."""
+        seconds = self.connection.take_read_seconds()
+        if seconds >= EXPENSIVE_SECONDS:
+            await self.monitor.calls.read_turns.rest(seconds)
+
     async def _read_next(self, content: aiohttp.StreamReader) -> bytes:
         """Return the next bytes, or ``b""`` at the end."""
         since = self.monitor.loop.time()
@@ -281,6 +290,7 @@
         self.codec = codec
         self.metrics = metrics
         self.last_activity: dict[str, float] = {}
+        self.read_turns = ReadTurns()
         self.connect_timeout = ConnectTimeout()
         self.relay_secret = b""
         self.loop = asyncio.get_running_loop()
--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import time
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -39,6 +40,7 @@
     the framing of chunks, are bounded, since a server may send them without end.
     Unsolicited bytes close the connection. ``idle`` is set while no response is
     awaited; ``received_bytes`` and ``body_bytes`` count those of the current response.
+    ``read_seconds`` is the time spent on parsing.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -48,6 +50,7 @@
         self.ended_in_order = False
         self.received_bytes = 0
         self.body_bytes = 0
+        self.read_seconds = 0.0
 
     def set_response_params(self, **options: object) -> None:
         """Mark the connection as awaiting a response."""
@@ -69,7 +72,9 @@
                 return
             if not data:
                 return
+        began = time.perf_counter()
         super().data_received(data)
+        self.read_seconds += time.perf_counter() - began
         self.received_bytes += len(data)
         if self._payload is not None:
             self.body_bytes = self._payload.total_bytes
@@ -78,6 +83,11 @@
         if framing > allowed:
             self.fail(MalformedResponseError(f"{framing} bytes are no body"))
 
+    def take_read_seconds(self) -> float:
+        """Return the time spent on parsing since the last call."""
+        seconds, self.read_seconds = self.read_seconds, 0.0
+        return seconds
+
     def fail(self, error: MalformedResponseError) -> None:
         """Fail the current response and drop its connection."""
         self._fail_body(error)
