Read the store's responses as strictly as those of endpoints, and up to a bound

A response of the store that is none was believed: with a status of 000 a write counted as rejected, although it may have been applied, and with others a read returned what was no content. A body without end was kept for as long as it came, since a call may go on while its answer progresses.

Cause: the store's client used the library's lenient connections and no bound. It now uses StrictConnector, so that a malformed head or an end out of order is a read without an answer, or a write of unknown outcome, and gives up a body over 16 MiB, which is more than pages and transactions can hold.

--- a/linnetladder/platform/store.py
+++ b/linnetladder/platform/store.py
@@ -26,6 +26,7 @@
 from linnetladder.forwarding.coordination.store_era import StoreEra
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics, log_change
+from linnetladder.transport.responses import StrictConnector, read_parts
 
 __all__ = ["KeyChange", "PlatformStore", "RangeRead", "Transfer"]
 
@@ -37,6 +38,8 @@
 # A call whose own content is large may take longer by this rate, a fifth of that of the
 # slowest links.
 MINIMUM_UPLOAD_BYTES_PER_SECOND = 128 * 1024
+# More than pages and transactions can hold, so a larger answer has no end.
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 # Answers from this size on take a noticeable part of a slow link.
 LARGE_ANSWER_BYTES = 32 * 1024
 WATCH_WAIT_SECONDS = 10.0
@@ -157,7 +160,7 @@
         self.transfer_ended = asyncio.Event()
         self.late_after = math.inf
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+            connector=StrictConnector(limit=0, keepalive_timeout=30.0),
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
         )
@@ -465,7 +468,7 @@
         limit.reschedule(min(limit.when(), loop.time() + CALL_TIMEOUT_SECONDS))
         parts = []
         received_in_time = 0
-        async for part in response.content.iter_any():
+        async for part in read_parts(response, maximum_bytes=MAXIMUM_ANSWER_BYTES):
             parts.append(part)
             transfer.received += len(part)
             received_in_time += len(part)
--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import time
+from collections.abc import AsyncIterator
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -21,6 +22,8 @@
     "MalformedResponseError",
     "StrictConnector",
     "StrictResponseHandler",
+    "read_body",
+    "read_parts",
 ]
 
 # Framing of chunks that is allowed for each byte of a body, beside that of a head.
@@ -139,3 +142,27 @@
         """Mark a connection that returns to the pool as awaiting no response."""
         protocol.idle = True
         super()._release(key, protocol, should_close=should_close)
+
+
+async def read_parts(
+    response: aiohttp.ClientResponse, *, maximum_bytes: int
+) -> AsyncIterator[bytes]:
+    """Yield a body as it arrives; raise `MalformedResponseError` over a bound."""
+    received = 0
+    if (response.content_length or 0) > maximum_bytes:
+        raise _oversized_body(maximum_bytes)
+    async for part in response.content.iter_any():
+        received += len(part)
+        if received > maximum_bytes:
+            raise _oversized_body(maximum_bytes)
+        yield part
+
+
+async def read_body(response: aiohttp.ClientResponse, *, maximum_bytes: int) -> bytes:
+    """Return a whole body; raise `MalformedResponseError` over a bound."""
+    parts = read_parts(response, maximum_bytes=maximum_bytes)
+    return b"".join([part async for part in parts])
+
+
+def _oversized_body(maximum_bytes: int) -> MalformedResponseError:
+    return MalformedResponseError(f"the body exceeds {maximum_bytes} bytes")
