Read responses strictly and up to a bound in the site's daemon, too

The daemon of a site believed responses as well that were none: its callers got bodies of answers with a status of 000 or an unknown framing, a part of a body without a length that was reset, and encoded bodies without the field that says so. Answers, events, reports, ratings, the instance list and the key-value service's answers were read to an end that may never come.

Cause: each client made lenient connections of its own and read whole bodies without a bound, or checked the size afterwards. All now use StrictConnector and read_body; an event may have 1 MiB, like those of forwarded streams, and a body over its bound closes the connection. An encoded success is a malformed answer.

--- a/linnetladder/transport/connections.py
+++ b/linnetladder/transport/connections.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from linnetladder.state import Endpoint
+from linnetladder.transport.responses import StrictConnector
 
 __all__ = ["ConnectionPool", "ConnectionPools"]
 
@@ -24,7 +25,7 @@
         self.incarnation = incarnation
         self.active_requests = 0
         self.retired = False
-        connector = aiohttp.TCPConnector(
+        connector = StrictConnector(
             limit=0, keepalive_timeout=KEEP_ALIVE_SECONDS, use_dns_cache=False
         )
         self.session = _create_session(connector, connect_seconds)
@@ -40,7 +41,7 @@
         self.connect_seconds = connect_seconds
         self.pools: dict[str, ConnectionPool] = {}
         self.retired: set[ConnectionPool] = set()
-        connector = aiohttp.TCPConnector(limit=0, force_close=True, use_dns_cache=False)
+        connector = StrictConnector(limit=0, force_close=True, use_dns_cache=False)
         self.fresh_session = _create_session(connector, connect_seconds)
 
     def get(self, endpoint: Endpoint) -> ConnectionPool:
@@ -84,7 +85,7 @@
 
 
 def _create_session(
-    connector: aiohttp.TCPConnector, connect_seconds: float
+    connector: StrictConnector, connect_seconds: float
 ) -> aiohttp.ClientSession:
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_seconds)
     return aiohttp.ClientSession(
--- a/linnetladder/transport/endpoint_client.py
+++ b/linnetladder/transport/endpoint_client.py
@@ -28,10 +28,13 @@
 from linnetladder.protocol.engines import split_events
 from linnetladder.state import Clock, Endpoint, EndpointReport
 from linnetladder.transport.connections import ConnectionPool, ConnectionPools
+from linnetladder.transport.responses import OversizedBodyError, read_body
 
 __all__ = ["HttpEndpointClient"]
 
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+MAXIMUM_EVENT_BYTES = 1024 * 1024
+MAXIMUM_STATUS_BYTES = 64 * 1024
 STATUS_TIMEOUT_SECONDS = 0.5
 CANCEL_TIMEOUT_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
@@ -83,6 +86,11 @@
                 yield Failure(self._fault(EndpointFaultKind.CUT, "ended early"))
                 return
             raw_events, buffer = split_events(buffer + data if buffer else data)
+            if len(buffer) > MAXIMUM_EVENT_BYTES:
+                await self.close()
+                reason = f"has an event over {MAXIMUM_EVENT_BYTES} bytes"
+                yield Failure(self._fault(EndpointFaultKind.CUT, reason))
+                return
             batch: list[StreamEvent] = []
             for raw in raw_events:
                 checked = self.check.event(raw)
@@ -187,7 +195,8 @@
         try:
             async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
                 async with self.connections.fresh_session.get(url) as response:
-                    body = _STATUS_ADAPTER.validate_json(await response.read())
+                    body = await read_body(response, maximum_bytes=MAXIMUM_STATUS_BYTES)
+                    body = _STATUS_ADAPTER.validate_json(body)
                     return RequestStatus(body.get("state", RequestStatus.NO_REPLY))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             return RequestStatus.NO_REPLY
@@ -247,7 +256,8 @@
     ) -> LoadBody:
         url = f"http://{endpoint.address}/load"
         async with session.get(url) as response:
-            return LoadBody.model_validate_json(await response.read())
+            body = await read_body(response, maximum_bytes=MAXIMUM_STATUS_BYTES)
+            return LoadBody.model_validate_json(body)
 
     async def _exchange(
         self,
@@ -326,9 +336,10 @@
                 events_to_skip=events_to_skip,
             )
             return Success(stream)
-        body = await response.read()
-        if len(body) > MAXIMUM_ANSWER_BYTES:
-            detail = f"endpoint {endpoint.name!r} answered {len(body)} bytes"
+        try:
+            body = await read_body(response, maximum_bytes=MAXIMUM_ANSWER_BYTES)
+        except OversizedBodyError as error:
+            detail = f"endpoint {endpoint.name!r}: {error}"
             fault = EndpointFault(
                 kind=EndpointFaultKind.FAILED, ran=Ran.YES, detail=detail
             )
@@ -365,6 +376,10 @@
             )
             kind = EndpointFaultKind.CROSSED
             return EndpointFault(kind=kind, ran=Ran.UNKNOWN, detail=detail)
+        if response.ok and "Content-Encoding" in headers:
+            detail = f"endpoint {endpoint.name!r} encoded a body without being asked"
+            kind = EndpointFaultKind.CUT
+            return EndpointFault(kind=kind, ran=Ran.UNKNOWN, detail=detail)
         if call.target is None:
             return None
         if response.status >= 500:
--- a/linnetladder/transport/instance_list.py
+++ b/linnetladder/transport/instance_list.py
@@ -10,9 +10,12 @@
 from linnetladder.protocol import InstanceListBody
 from linnetladder.state import EndpointReport
 from linnetladder.telemetry import Metrics
+from linnetladder.transport.responses import StrictConnector, read_body
 
 __all__ = ["HttpInstanceList"]
 
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+
 
 class HttpInstanceList(InstanceList):
     """Read the instance list from one URL."""
@@ -21,7 +24,7 @@
         self.url = url
         self.timeout_seconds = timeout_seconds
         self.metrics = metrics
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=StrictConnector())
 
     async def close(self) -> None:
         """Close the connections."""
@@ -33,7 +36,9 @@
         try:
             async with asyncio.timeout(self.timeout_seconds):
                 async with self.session.get(self.url) as response:
-                    received = await response.read()
+                    received = await read_body(
+                        response, maximum_bytes=MAXIMUM_ANSWER_BYTES
+                    )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
         self.metrics.count("platform_bytes", len(received), label="received")
--- a/linnetladder/transport/key_value.py
+++ b/linnetladder/transport/key_value.py
@@ -22,12 +22,14 @@
 from linnetladder.protocol import etcd
 from linnetladder.state import Clock
 from linnetladder.telemetry import Metrics
+from linnetladder.transport.responses import StrictConnector, read_body
 
 __all__ = ["EtcdKeyValue"]
 
 READ_PATHS = frozenset({"/v3/kv/range"})
 # A watch event arrives as one line, and aiohttp limits lines by the read buffer's size.
 WATCH_BUFFER_BYTES = 4 * 1024 * 1024
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 
 Answer = TypeVar("Answer", bound=pydantic.BaseModel)
 
@@ -48,7 +50,7 @@
         self.clock = clock
         self.metrics = metrics
         self.preferred_index = 0
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = StrictConnector(limit=0)
         self.session = aiohttp.ClientSession(
             connector=connector,
             timeout=aiohttp.ClientTimeout(total=None),
@@ -174,7 +176,9 @@
         try:
             async with asyncio.timeout(self.timeout_seconds):
                 async with self.session.post(url, data=content) as response:
-                    received = await response.read()
+                    received = await read_body(
+                        response, maximum_bytes=MAXIMUM_ANSWER_BYTES
+                    )
         except aiohttp.ClientConnectorError as error:
             return Failure(self._fault(FaultKind.UNREACHABLE, repr(error)))
         except TimeoutError:
--- a/linnetladder/transport/rating_service.py
+++ b/linnetladder/transport/rating_service.py
@@ -14,11 +14,13 @@
 from linnetladder.coordination.platform import FaultKind, PlatformFault
 from linnetladder.state.estimates import Rating
 from linnetladder.telemetry import Metrics
+from linnetladder.transport.responses import StrictConnector, read_body
 
 __all__ = ["HttpRatingService"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 PAGE_TIMEOUT_SECONDS = 1.0
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class VerdictBody(pydantic.BaseModel):
@@ -51,7 +53,7 @@
     def __init__(self, *, url: str, metrics: Metrics):
         self.url = url.rstrip("/")
         self.metrics = metrics
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=StrictConnector())
 
     async def close(self) -> None:
         """Close the connections."""
@@ -101,7 +103,9 @@
                 async with self.session.request(
                     method, self.url + path, headers=JSON_HEADERS, **options
                 ) as response:
-                    received = await response.read()
+                    received = await read_body(
+                        response, maximum_bytes=MAXIMUM_ANSWER_BYTES
+                    )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Failure(PlatformFault(FaultKind.UNREACHABLE, repr(error)))
         if response.status != 200:
--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "MalformedResponseError",
+    "OversizedBodyError",
     "StrictConnector",
     "StrictResponseHandler",
     "read_body",
@@ -35,6 +36,10 @@
     """A response that can't be used; the message contains none of its bytes."""
 
 
+class OversizedBodyError(MalformedResponseError):
+    """A body that exceeds its bound, which may have no end."""
+
+
 class StrictResponseHandler(ResponseHandler):
     """A connection that fails responses whose head, framing or end is not sound.
 
@@ -147,22 +152,25 @@
 async def read_parts(
     response: aiohttp.ClientResponse, *, maximum_bytes: int
 ) -> AsyncIterator[bytes]:
-    """Yield a body as it arrives; raise `MalformedResponseError` over a bound."""
+    """Yield a body as it arrives; raise `OversizedBodyError` over a bound.
+
+    The connection is closed if the body is not read to its end.
+    """
     received = 0
-    if (response.content_length or 0) > maximum_bytes:
-        raise _oversized_body(maximum_bytes)
-    async for part in response.content.iter_any():
-        received += len(part)
-        if received > maximum_bytes:
-            raise _oversized_body(maximum_bytes)
-        yield part
+    try:
+        if (response.content_length or 0) > maximum_bytes:
+            raise OversizedBodyError(f"the body exceeds {maximum_bytes} bytes")
+        async for part in response.content.iter_any():
+            received += len(part)
+            if received > maximum_bytes:
+                raise OversizedBodyError(f"the body exceeds {maximum_bytes} bytes")
+            yield part
+    except BaseException:
+        response.close()
+        raise
 
 
 async def read_body(response: aiohttp.ClientResponse, *, maximum_bytes: int) -> bytes:
-    """Return a whole body; raise `MalformedResponseError` over a bound."""
+    """Return a whole body; raise `OversizedBodyError` over a bound."""
     parts = read_parts(response, maximum_bytes=maximum_bytes)
     return b"".join([part async for part in parts])
-
-
-def _oversized_body(maximum_bytes: int) -> MalformedResponseError:
-    return MalformedResponseError(f"the body exceeds {maximum_bytes} bytes")
