Read peers' answers to probes strictly and up to a bound

A response of a peer that was none, such as "HTTP/1.1 000" with the word "accepted", counted as a probe that an endpoint accepted, and an answer without end would have been read for the whole time of a probe. Cause: probes through peers used the library's lenient connections and read whole bodies. They use StrictConnector and read_body now.

Evidence: test_a_malformed_response_of_a_peer_is_no_answer failed on at its first case, and passes for all broken answers, to probes and to relayed calls. Bodies without end were given up before, too, by the time limit of a probe.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -40,6 +40,7 @@
     MalformedResponseError,
     StrictConnector,
     StrictResponseHandler,
+    read_body,
 )
 
 __all__ = ["HttpEndpointCalls"]
@@ -55,8 +56,9 @@
 # Bodies that are relayed only once they are complete.
 MAXIMUM_BUFFERED_BODY_BYTES = 16 * 1024 * 1024
 TCP_USER_TIMEOUT_MILLISECONDS = 4_000
-# The longest time that a peer may take to probe an endpoint.
+# The longest time that a peer may take to probe an endpoint, and its longest answer.
 PEER_PROBE_SECONDS = 0.6
+MAXIMUM_PROBE_BYTES = 64
 SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -299,7 +301,7 @@
             keepalive_timeout=FRESH_KEEPALIVE_SECONDS
         )
         self.peer_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, socket_factory=_build_socket)
+            connector=StrictConnector(limit=0, socket_factory=_build_socket)
         )
 
     async def close(self) -> None:
@@ -425,7 +427,8 @@
                 asyncio.timeout(PEER_PROBE_SECONDS),
                 self.peer_session.get(f"http://{relay}/", headers=headers) as response,
             ):
-                return ProbeOutcome(await response.text())
+                outcome = await read_body(response, maximum_bytes=MAXIMUM_PROBE_BYTES)
+                return ProbeOutcome(outcome.decode())
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             self.metrics.count("relayed_calls", label="probe_failed")
             return None
