Take a fault of an unknown kind that a peer reports for a broken call

A request that a peer passed on and whose fault had a kind that this daemon doesn't know ended with an error 500. Cause: the kind was decoded outside of what turns failures into faults of the call. It now counts as a call that broke off, which may have run unless the peer says that it hasn't.

Evidence: test_a_fault_of_a_kind_that_is_not_known_may_have_run failed before with a ValueError.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -583,9 +583,12 @@
     if fault is None:
         return
     response.close()
+    kind = CallFaultKind.BROKEN
+    if fault.kind in set(CallFaultKind):
+        kind = CallFaultKind(fault.kind)
     raise CallFault(
-        CallFaultKind(fault.kind),
-        f"the peer at {call.relay} reports: {fault.kind} at {call.instance}",
+        kind,
+        f"the peer at {call.relay} reports: {kind} at {call.instance}",
         may_have_run=fault.may_have_run,
         peer_failed=fault.cut_off,
     )
--- a/tests/forwarding/test_peer_answers.py
+++ b/tests/forwarding/test_peer_answers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from linnetladder.forwarding.coordination.calls import CallFault
+from linnetladder.forwarding.coordination.calls import CallFault, CallFaultKind
 from linnetladder.forwarding.transport import HttpEndpointCalls
 from linnetladder.platform import PlatformEndpointCodec
 from linnetladder.telemetry import Metrics
@@ -60,3 +60,12 @@
 def test_a_peers_answer_to_a_probe_without_end_is_given_up(first):
     build_parts = functools.partial(endless, HEAD + first, b"accepted")
     assert ask_peer(build_parts, probe) is None
+
+
+# Guards against an error of this daemon for a fault that only a peer knows.
+def test_a_fault_of_a_kind_that_is_not_known_may_have_run():
+    head = b"HTTP/1.1 502 Bad Gateway\r\nRelay-Fault: odd\r\nRelay-Ran: 1\r\n"
+    with pytest.raises(CallFault) as caught:
+        ask_peer(lambda: [head + b"Content-Length: 0\r\n\r\n"], relay)
+    assert caught.value.kind is CallFaultKind.BROKEN
+    assert caught.value.may_have_run
