--- a/bench/fleet_faults.py
+++ b/bench/fleet_faults.py
@@ -13,6 +13,7 @@
 from bench.fleet_site import FleetSite
 from bench.partition_checks import Cut
 from bench.processes import wait_for
+from standins.broken_answers import Answer
 from standins.fleet_worker import Fault
 
 __all__ = ["FaultInjector", "FaultRecord"]
@@ -73,6 +74,10 @@
         """Make a worker answer its next requests with the given faults."""
         self._worker(worker).faults.extend(faults)
 
+    async def break_answers(self, worker: str, answers: list[Answer]) -> None:
+        """Make a worker send answers that are no sound responses."""
+        self._worker(worker).broken_answers.extend(answers)
+
     async def silence(self, link: str) -> None:
         """Stop forwarding on the open connections of a link; new ones work."""
         with self._link_disturbance(link, SILENCE_SECONDS):
--- a/bench/fleet_soak.py
+++ b/bench/fleet_soak.py
@@ -25,6 +25,7 @@
 from bench.misbehaving_clients import MisbehavingClients
 from bench.process_gauge import ProcessGauge
 from bench.processes import wait_for
+from standins.broken_answers import BROKEN, ENDLESS
 from standins.fleet_worker import Fault
 
 __all__ = ["Soak"]
@@ -65,6 +66,9 @@
 PARTITION_SHARE = 0.7
 DAEMONS = 3
 ODD_WEIGHT = 2
+BROKEN_ANSWERS = (*BROKEN.values(), *ENDLESS * 10)
+BROKEN_SERIES = (5, 15)
+BROKEN_WEIGHT = 8
 LARGE_ROUTES = 2_800
 # The limits of a daemon among clients that don't behave, and the clients beside them
 # that use their connections until the process at the other end is gone.
@@ -124,10 +128,11 @@
     domains are evacuated. With ``homes`` some routes and accounts allow only some
     regions. With ``odd`` another writer leaves entries among those of the workers, and
     workers write refusals once more. With ``large`` the configuration is so large that
-    it is not read whole each time. With ``crowds`` clients that don't behave hold what
-    they can of daemons with low limits, which these must keep to, and other clients use
-    their connections until the process at the other end is gone. Without them the draw
-    of a seed is the same as before there were any.
+    it is not read whole each time. With ``broken`` workers send answers that are no
+    sound responses, some without end. With ``crowds`` clients that don't behave hold
+    what they can of daemons with low limits, which these must keep to, and other
+    clients use their connections until the process at the other end is gone. Without
+    them the draw of a seed is the same as before there were any.
     """
 
     def __init__(
@@ -149,6 +154,7 @@
         large: bool = False,
         series: bool = False,
         crowds: bool = False,
+        broken: bool = False,
         daemons: int = DAEMONS,
     ):
         self.drills = drills
@@ -162,6 +168,7 @@
         self.odd = odd
         self.series = series
         self.crowds = crowds
+        self.broken = broken
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -418,6 +425,10 @@
             name = f"odd-{rng.randrange(3)}"
             leave = partial(faults.leave_odd_entry, name, rng.choice(ODD_ENTRIES))
             injections += [leave, partial(faults.repeat_refusals, worker)] * ODD_WEIGHT
+        if self.broken:
+            answers = rng.choices(BROKEN_ANSWERS, k=rng.randint(*BROKEN_SERIES))
+            break_answers = partial(faults.break_answers, worker, answers)
+            injections += [break_answers] * BROKEN_WEIGHT
         if self.evacuations:
             domain = rng.choice(self.site.workers).zone
             seconds = EVACUATE_MILLISECONDS / 1000 + rng.uniform(*EVACUATION_SECONDS)
@@ -483,6 +494,7 @@
         "large": FLAGS.large,
         "series": FLAGS.series,
         "crowds": FLAGS.crowds,
+        "broken": FLAGS.broken,
         "daemons": FLAGS.daemons,
     }
     failed = [
@@ -503,6 +515,7 @@
     flags.DEFINE_bool("crashes", False, "Whether workers crash on some requests.")
     flags.DEFINE_bool("series", False, "Whether signals and changes come in series.")
     flags.DEFINE_bool("crowds", False, "Whether crowds of clients don't behave.")
+    flags.DEFINE_bool("broken", False, "Whether workers send broken answers.")
     flags.DEFINE_bool("partitions", False, "Whether daemons are cut off from workers.")
     flags.DEFINE_bool("brittle", False, "Whether engines are brittle and short.")
     flags.DEFINE_bool("cold", False, "Whether workers are cold after a start.")
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -8,7 +8,7 @@
 import itertools
 from collections.abc import Callable
 
-__all__ = ["BROKEN", "BROKEN_HEADS", "MARK", "SOUND", "seal_of"]
+__all__ = ["Answer", "BROKEN", "BROKEN_HEADS", "ENDLESS", "MARK", "SOUND", "seal_of"]
 
 Answer = Callable[[str, bytes], bytes]
 
@@ -197,6 +197,14 @@
 }
 BROKEN: dict[str, Answer] = {**BROKEN_HEADS, **_broken_bodies()}
 
+# The beginnings of answers whose bytes have no end.
+ENDLESS: tuple[Answer, ...] = (
+    lambda attempt, body: b"",
+    _answer(framed=lambda body: b""),
+    _answer(framed=_close),
+    _answer(framed=lambda body: b"Transfer-Encoding: chunked\r\n\r\n1;"),
+)
+
 # Each is answered with the status in its name, 200 if there is none.
 SOUND: dict[str, Answer] = {
     "length": _answer(),
--- a/standins/fleet_worker.py
+++ b/standins/fleet_worker.py
@@ -19,6 +19,7 @@
 
 from aiohttp import ClientConnectionResetError, web
 
+from standins.broken_answers import ENDLESS, Answer
 from standins.fleet_store import FleetStore
 
 __all__ = [
@@ -42,6 +43,9 @@
 # In this time a brittle worker can turn away as many requests as it names.
 REJECTION_WINDOW_SECONDS = 1.0
 HEALTH_PATH = "/healthz"
+# What follows on the beginning of an answer without end, again and again.
+ENDLESS_BYTES = b"X-Odd: b\r\n" * 6_000
+ENDLESS_PAUSE_SECONDS = 0.005
 COLD_SLOWDOWN = 3
 
 
@@ -116,6 +120,9 @@
         self.sequence = 0
         self.started_at_ms = int(time.time() * 1000)
         self.faults: collections.deque[Fault] = collections.deque()
+        # Answers that are no sound responses, for the next requests that it runs.
+        self.broken_answers: collections.deque[Answer] = collections.deque()
+        self.broken_sent = 0
         self.runs: list[dict] = []
         self.limit: float | None = None
         self.limit_changes: list[tuple[float, float | None]] = []
@@ -268,6 +275,8 @@
             return self._reply(500, attempt_id, b"failed")
         if fault is Fault.CROSSED:
             return self._reply(200, "another", expected_body("another", path="/"))
+        if self.broken_answers and fault is None:
+            return await self._send_broken(request, attempt_id)
         if "/stream/" in request.path:
             return await self._stream(request, attempt_id, fault)
         answer = self._reply(200, attempt_id, expected_body(attempt_id, path="/"))
@@ -279,6 +288,21 @@
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
         return answer
 
+    async def _send_broken(
+        self, request: web.BaseRequest, attempt_id: str
+    ) -> web.StreamResponse:
+        """Send the bytes of a broken answer, some of which have no end."""
+        self.broken_sent += 1
+        build = self.broken_answers.popleft()
+        body = expected_body(attempt_id, path=request.path)
+        transport = request.transport
+        transport.write(build(attempt_id, body))
+        while build in ENDLESS and not transport.is_closing():
+            transport.write(ENDLESS_BYTES)
+            await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
+        transport.close()
+        return web.Response()
+
     async def _send_truncated(
         self, request: web.BaseRequest, attempt_id: str, body: bytes
     ) -> web.StreamResponse:
--- a/tests/forwarding/test_soak.py
+++ b/tests/forwarding/test_soak.py
@@ -67,6 +67,15 @@
     assert check_crash_causes(soak.site, soak.sent, soak.record) == []
 
 
+def test_callers_get_no_broken_answer_while_daemons_and_stores_fail(tmp_path):
+    """Guards against broken answers that are passed on, or that end a daemon."""
+    faults = {"broken": True, "series": True}
+    soak = Soak(seed=60, seconds=10.0, folder=tmp_path, **faults)
+    assert asyncio.run(soak.run(timed=False)) == []
+    assert sum(worker.broken_sent for worker in soak.site.workers) >= 20
+    assert sum(sent.status == 200 for sent in soak.sent) > 50
+
+
 def test_brittle_workers_stay_up_while_daemons_and_stores_fail(tmp_path):
     """Guards against daemons that make workers fall over, or end on odd entries."""
     faults = {"brittle": True, "odd": True}
