Take no success whose seal can't be returned unchanged

A seal with bytes that are not UTF-8 reached callers without these bytes.

Cause: such bytes are decoded to surrogates, which the library leaves out when it writes a head. A success with a seal like that is now an answer without a seal. Values of other fields are passed on as before.

Evidence: "a seal that is not UTF-8" of tests/forwarding/test_broken_answers.py failed before on all kinds of routes, directly and through a peer, and passes now.

--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -2,6 +2,7 @@
 
 import email.utils
 import math
+import re
 from collections.abc import Mapping
 
 from linnetladder.forwarding.protocol import (
@@ -46,6 +47,8 @@
 BEARER_SCHEME = "Bearer "
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
+# What bytes that are not UTF-8 are decoded to.
+SURROGATES = re.compile("[\ud800-\udfff]")
 
 # Hop-by-hop headers, and headers that only the router may set.
 NOT_FORWARDED = frozenset(
@@ -146,7 +149,7 @@
             not_run=NOT_RUN in headers,
             misdirected=status == MISDIRECTED_STATUS,
             answered_by=headers.get(INSTANCE, ""),
-            sealed=SERVER_SEAL in headers,
+            sealed=_is_returned_whole(headers.get(SERVER_SEAL)),
             confidence=_parse_number(headers.get(CONFIDENCE)),
             request_limit=_parse_limit(headers.get(SERVER_LIMIT)),
             names_request_limit=SERVER_LIMIT in headers,
@@ -241,6 +244,14 @@
         return None
 
 
+def _is_returned_whole(value: str | None) -> bool:
+    """Return whether there is a value, and the caller gets all bytes of it.
+
+    Bytes that are not UTF-8 are left out when a head is sent.
+    """
+    return value is not None and not SURROGATES.search(value)
+
+
 def _parse_prompt(tokens: str | None, prefix: str | None) -> Prompt | None:
     if tokens is None:
         return None
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -8,7 +8,16 @@
 import itertools
 from collections.abc import Callable
 
-__all__ = ["Answer", "BROKEN", "BROKEN_HEADS", "ENDLESS", "MARK", "SOUND", "seal_of"]
+__all__ = [
+    "BROKEN",
+    "BROKEN_HEADS",
+    "ENDLESS",
+    "MARK",
+    "ODD_SEALS",
+    "SOUND",
+    "Answer",
+    "seal_of",
+]
 
 Answer = Callable[[str, bytes], bytes]
 
@@ -49,6 +58,7 @@
     start: bytes = b"HTTP/1.1 200 OK",
     fields: bytes = b"",
     before: bytes = b"",
+    seal: bytes = b"",
     framed: Callable[[bytes], bytes] = _length,
 ) -> Answer:
     """Return an answer with one odd part; ``fields`` follow right after the seal."""
@@ -60,7 +70,7 @@
             b"Linnetladder-Confidence: 99",
             b"Linnetladder-Weight-Versions: 1",
             b"Linnetladder-Attempt-Id: " + attempt.encode(),
-            b"Linnetladder-Server-Seal: " + seal_of(attempt).encode(),
+            b"Linnetladder-Server-Seal: " + (seal or seal_of(attempt).encode()),
         ]
         return before + b"\r\n".join(head) + b"\r\n" + fields + framed(body)
 
@@ -197,6 +207,10 @@
 }
 BROKEN: dict[str, Answer] = {**BROKEN_HEADS, **_broken_bodies()}
 
+# Sound responses whose seal a daemon can't return unchanged.
+ODD_SEALS: dict[str, Answer] = {
+    "a seal that is not UTF-8": _answer(seal=b"seal-\xff" + MARK)
+}
 # The beginnings of answers whose bytes have no end.
 ENDLESS: tuple[Answer, ...] = (
     lambda attempt, body: b"",
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from standins.broken_answers import BROKEN, MARK, SOUND, seal_of
+from standins.broken_answers import BROKEN, MARK, ODD_SEALS, SOUND, seal_of
 from tests.support.wire_site import WireSite
 
 KINDS = ("save", "fetch", "stream")
@@ -186,7 +186,7 @@
 # the seal, and bodies of an unknown framing or coding.
 @pytest.mark.parametrize("through_peers", [False, True])
 def test_callers_get_no_broken_answer(tmp_path, through_peers):
-    run_answers(tmp_path, BROKEN, check_broken, through_peers=through_peers)
+    run_answers(tmp_path, BROKEN | ODD_SEALS, check_broken, through_peers=through_peers)
 
 
 # Guards against a check that also fails what RFC 9110 and RFC 9112 allow.
