Take an answer without a body whatever length it declares

The bound now looks at whether there is one. A lease that gives a failed answer back may no longer exceed the bound, either, so that another one may.

Evidence: test_a_large_length_of_a_body_that_is_not_sent_is_no_fault.

--- a/linnetladder/forwarding/coordination/memory_account.py
+++ b/linnetladder/forwarding/coordination/memory_account.py
@@ -139,6 +139,8 @@
         """Give back what an answer held that has failed, down to a size before it."""
         self.account.note_given_back(self.size - size)
         self.shrink_to(size)
+        if self.account.overdrawn is self:
+            self.account.overdrawn = None
 
     async def grow_when_free(self, size: int, *, has_length: bool = True) -> None:
         """Count more bytes of an answer, once they fit.
@@ -162,5 +164,3 @@
     def release(self) -> None:
         """Give all bytes back."""
         self.give_back_to(0)
-        if self.account.overdrawn is self:
-            self.account.overdrawn = None
--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -206,7 +206,8 @@
     async def read(self) -> bytes:
         """Return the whole body."""
         length = self.head.length
-        if length is not None and length > MAXIMUM_BUFFERED_BODY_BYTES:
+        has_body = not self.response.content.is_eof()
+        if has_body and (length or 0) > MAXIMUM_BUFFERED_BODY_BYTES:
             raise _endless_body_fault()
         # Parts of a similar size can be used again once they are free, unlike the
         # growing buffers of several bodies.
--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -9,7 +9,7 @@
 from linnetladder.forwarding.transport import HttpEndpointCalls, endpoint_calls
 from linnetladder.platform import PlatformEndpointCodec
 from linnetladder.telemetry import Metrics
-from tests.forwarding.test_transport import ANSWER_HEAD, build_call
+from tests.forwarding.test_transport import ANSWER_HEAD, build_call, run_with_calls
 from tests.support.forwarding import Script, ready_daemon
 
 HEAD = ANSWER_HEAD % b"a1"
@@ -112,6 +112,20 @@
     asyncio.run(scenario())
 
 
+# Guards against a bound that fails answers without a body, such as those to HEAD, whose
+# length is that of a body that is not sent.
+def test_a_large_length_of_a_body_that_is_not_sent_is_no_fault():
+    large = b"Content-Length: 99999999\r\n\r\n"
+
+    async def work(calls, endpoint):
+        exchange = await calls.open(build_call(endpoint))
+        assert await exchange.read() == b""
+        exchange.close()
+
+    unchanged = (ANSWER_HEAD % b"a1").replace(b"200 OK", b"304 Not Modified")
+    run_with_calls(work, [unchanged + large])
+
+
 def test_an_event_without_end_breaks_off_at_its_endpoint_and_goes_on_at_another():
     """Guards against a stream whose event fills the memory of the daemon."""
     daemon = ready_daemon()
