Test that the checks of responses are noticed when they are absent

Two mutations named what had moved to linnetladder/transport/responses.py, so that their module could not be collected; they name it now. Two more pass heads on as they are and let bodies end with any close. The bound on framing is a constant of its own again.

--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -13,7 +13,6 @@
 from aiohttp.client_proto import ResponseHandler
 
 from linnetladder.protocol.response_heads import (
-    MAXIMUM_HEAD_BYTES,
     ResponseHeadError,
     ResponseHeadReader,
 )
@@ -27,7 +26,9 @@
     "read_parts",
 ]
 
-# Framing of chunks that is allowed for each byte of a body, beside that of a head.
+# Bytes of a response that are no body, such as the framing of chunks, for which more is
+# allowed as the body grows.
+MAXIMUM_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
 BROKEN_OFF = "the connection ended within the response"
 
@@ -87,7 +88,7 @@
         if self._payload is not None:
             self.body_bytes = self._payload.total_bytes
         framing = self.received_bytes - self.body_bytes
-        allowed = self.body_bytes * FRAMING_BYTES_PER_BODY_BYTE + MAXIMUM_HEAD_BYTES
+        allowed = self.body_bytes * FRAMING_BYTES_PER_BODY_BYTE + MAXIMUM_FRAMING_BYTES
         if framing > allowed:
             self.fail(MalformedResponseError(f"{framing} bytes are no body"))
 
--- a/tests/forwarding/test_mutations.py
+++ b/tests/forwarding/test_mutations.py
@@ -118,6 +118,9 @@
     GuardedServer,
 )
 from linnetladder.platform import PlatformSource, headers, source
+from linnetladder.protocol.response_heads import ResponseHeadReader
+from linnetladder.transport import responses
+from linnetladder.transport.responses import StrictResponseHandler
 
 
 async def skip_wait(self):
@@ -364,6 +367,12 @@
     return share
 
 
+def pass_head(self, data):
+    """Pass a head on as it is."""
+    self.complete = True
+    return data
+
+
 MUTATIONS = [
     (
         "snapshots_echo",
@@ -651,15 +660,17 @@
     ),
     (
         "endless_framing",
-        endpoint_calls,
+        responses,
         "MAXIMUM_FRAMING_BYTES",
         math.inf,
         "endless_bytes",
     ),
+    ("heads_unread", ResponseHeadReader, "feed", pass_head, "peer_answers"),
+    ("ends_any", StrictResponseHandler, "_fail_body", always(None), "transport"),
     ("endless_events", forwarder, "MAXIMUM_EVENT_BYTES", math.inf, "endless_bytes"),
     (
         "withdrawn_unsent",
-        endpoint_calls.CheckedConnector,
+        endpoint_calls.EndpointConnector,
         "connect",
         aiohttp.TCPConnector.connect,
         "transport",
