Import the transport of a site's daemon only where it is used

The forwarding daemon held 77 MB after its imports instead of 59, and crowds of bodies in tiny chunks took it over its limit of 128 MB (130 to 133 MB, 114 to 119 before).

--- a/linnetladder/protocol/__init__.py
+++ b/linnetladder/protocol/__init__.py
@@ -3,16 +3,7 @@
 Input of callers, endpoints and the platform is validated here.
 """
 
-from linnetladder.protocol.callers import (
-    Submission,
-    parse_chat,
-    parse_credential,
-    parse_service_call,
-)
-from linnetladder.protocol.declarations import Declarations, load_declarations
-from linnetladder.protocol.engines import AnswerCheck, LoadBody, build_endpoint_report
-from linnetladder.protocol.instances import InstanceListBody
-from linnetladder.protocol.problems import encode_problem, problem_event, retry_after
+from linnetladder.lazy_exports import lazy_exports
 
 __all__ = [
     "AnswerCheck",
@@ -29,3 +20,22 @@
     "problem_event",
     "retry_after",
 ]
+
+__getattr__, __dir__ = lazy_exports(
+    __name__,
+    {
+        "Submission": "callers",
+        "parse_chat": "callers",
+        "parse_credential": "callers",
+        "parse_service_call": "callers",
+        "Declarations": "declarations",
+        "load_declarations": "declarations",
+        "AnswerCheck": "engines",
+        "LoadBody": "engines",
+        "build_endpoint_report": "engines",
+        "InstanceListBody": "instances",
+        "encode_problem": "problems",
+        "problem_event": "problems",
+        "retry_after": "problems",
+    },
+)
--- a/linnetladder/transport/__init__.py
+++ b/linnetladder/transport/__init__.py
@@ -1,13 +1,6 @@
 """Transport: servers and clients for HTTP and gRPC, and the connection pools."""
 
-from linnetladder.transport.caller_server import CallerServer
-from linnetladder.transport.connections import ConnectionPools
-from linnetladder.transport.endpoint_client import HttpEndpointClient
-from linnetladder.transport.instance_list import HttpInstanceList
-from linnetladder.transport.key_value import EtcdKeyValue
-from linnetladder.transport.operations_server import OperationsServer, StatusSource
-from linnetladder.transport.peer_links import Certificates, PeerTransport
-from linnetladder.transport.rating_service import HttpRatingService
+from linnetladder.lazy_exports import lazy_exports
 
 __all__ = [
     "CallerServer",
@@ -21,3 +14,19 @@
     "PeerTransport",
     "StatusSource",
 ]
+
+__getattr__, __dir__ = lazy_exports(
+    __name__,
+    {
+        "CallerServer": "caller_server",
+        "ConnectionPools": "connections",
+        "HttpEndpointClient": "endpoint_client",
+        "HttpInstanceList": "instance_list",
+        "EtcdKeyValue": "key_value",
+        "OperationsServer": "operations_server",
+        "StatusSource": "operations_server",
+        "Certificates": "peer_links",
+        "PeerTransport": "peer_links",
+        "HttpRatingService": "rating_service",
+    },
+)
