Count the framing of a response only once it is parsed

Callers got 502 for sound answers in chunks of one byte.

Cause: the parser stops when the reader of the body pauses it and keeps the rest of what has arrived, up to 256 KiB. All of that was counted as received, so that what was not yet parsed was taken for framing and exceeded its bound.

A connection now keeps itself what it has not parsed yet and parses 64 KiB at a time, none while it is paused, so that at most one such part is counted too early. That is within the bound. A connection that ends before the kept bytes are parsed fails its body.

--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -30,6 +30,9 @@
 # allowed as the body grows.
 MAXIMUM_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
+# Bytes that are parsed at once. The parser keeps those that it has not parsed when its
+# reader pauses it, so that they are counted before it is known what they are.
+PARSED_BYTES = 64 * 1024
 BROKEN_OFF = "the connection ended within the response"
 
 
@@ -49,6 +52,7 @@
     the framing of chunks, are bounded, since a server may send them without end.
     Unsolicited bytes close the connection. ``idle`` is set while no response is
     awaited; ``received_bytes`` and ``body_bytes`` count those of the current response.
+    ``unparsed`` are bytes that wait until the body before them is read.
     ``read_seconds`` is the time spent on parsing.
     """
 
@@ -59,6 +63,7 @@
         self.ended_in_order = False
         self.received_bytes = 0
         self.body_bytes = 0
+        self.unparsed = b""
         self.read_seconds = 0.0
 
     def set_response_params(self, **options: object) -> None:
@@ -66,6 +71,7 @@
         self.idle = False
         self.head_reader = ResponseHeadReader()
         self.received_bytes = self.body_bytes = 0
+        self.unparsed = b""
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -82,9 +88,35 @@
             if not data:
                 return
         began = time.perf_counter()
-        super().data_received(data)
+        self._parse(data)
         self.read_seconds += time.perf_counter() - began
-        self.received_bytes += len(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes until the reader of the body pauses it, and keep the others.
+
+        It is called without bytes once the reader goes on.
+        """
+        if not data:
+            # The parser has kept bytes, too, which come first.
+            super().data_received(data)
+        data = self.unparsed + data
+        self.unparsed = b""
+        for begin in range(0, len(data), PARSED_BYTES):
+            if self._reading_paused:
+                self.unparsed = data[begin:]
+                return
+            if self.idle:
+                self.close()
+                return
+            if self.exception() is not None:
+                return
+            part = data[begin : begin + PARSED_BYTES]
+            super().data_received(part)
+            self._count(len(part))
+
+    def _count(self, received: int) -> None:
+        """Count bytes; fail the response if too many of them are no body."""
+        self.received_bytes += received
         if self._payload is not None:
             self.body_bytes = self._payload.total_bytes
         framing = self.received_bytes - self.body_bytes
@@ -111,7 +143,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that did not end with an orderly close."""
-        if exc is not None or not self.ended_in_order:
+        if exc is not None or not self.ended_in_order or self.unparsed:
             self._fail_body(MalformedResponseError(BROKEN_OFF))
         super().connection_lost(exc)
 
--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -87,25 +87,29 @@
     assert time.process_time() - began < TIMEOUT_SECONDS / 2
 
 
-def test_many_small_chunks_of_a_sound_body_are_read_whole():
+# How many bytes arrive at once differs, so that a large body is read several times.
+@pytest.mark.parametrize(("size", "repetitions"), [(20_000, 1), (60_000, 20)])
+def test_many_small_chunks_of_a_sound_body_are_read_whole(size, repetitions):
     """Guards against a bound that cuts slow streams, which come in small chunks."""
-    body = b"a" * 20_000
+    body = b"a" * size
     answer = CHUNKED + b"1\r\na\r\n" * len(body) + b"0\r\n\r\n"
 
     async def scenario():
         calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=Metrics())
 
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(answer)
-            await writer.drain()
+            for _ in range(repetitions):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await writer.drain()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         endpoint = type("Endpoint", (), {"address": address})
-        exchange = await calls.open(build_call(endpoint))
-        assert await exchange.read() == body
-        exchange.close()
+        for _ in range(repetitions):
+            exchange = await calls.open(build_call(endpoint))
+            assert await exchange.read() == body
+            exchange.close()
         await calls.close()
         server.close()
 
