Let bodies in tiny chunks wait by what all of their parts took to parse

Cause: a body waited for its turn only if a single part of it took over two milliseconds to parse. The HTTP library pauses after about 4,000 chunks, which take less than that on a fast processor, so that no body ever waited and each pass over 80 of them took the event loop for long. The same code waits on a processor half as fast, which hid this.

The time now adds up over the parts of one body, so that the speed of the processor doesn't matter.

Evidence: test_bodies_wait_for_a_turn_once_their_parts_together_took_long failed before ("0 > 2") and passes now. The test now asks that callers beside typically get their answers within the goal of their route.

--- a/linnetladder/forwarding/transport/endpoint_calls.py
+++ b/linnetladder/forwarding/transport/endpoint_calls.py
@@ -247,9 +247,9 @@
         self.complete = True
 
     async def _rest(self) -> None:
-        """Pause if parsing the last part took long, as tiny chunks do."""
-        seconds = self.connection.take_read_seconds()
-        if seconds >= EXPENSIVE_SECONDS:
+        """Wait if parsing took long since the last time, as tiny chunks do."""
+        if self.connection.read_seconds >= EXPENSIVE_SECONDS:
+            seconds = self.connection.take_read_seconds()
             await self.monitor.calls.read_turns.rest(seconds)
 
     async def _read_next(self, content: aiohttp.StreamReader) -> bytes:
--- a/linnetladder/transport/responses.py
+++ b/linnetladder/transport/responses.py
@@ -53,7 +53,7 @@
     Unsolicited bytes close the connection. ``idle`` is set while no response is
     awaited; ``received_bytes`` and ``body_bytes`` count those of the current response.
     ``unparsed`` are bytes that wait until the body before them is read.
-    ``read_seconds`` is the time spent on parsing.
+    ``read_seconds`` is the time that parsing the current response took.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -72,6 +72,7 @@
         self.head_reader = ResponseHeadReader()
         self.received_bytes = self.body_bytes = 0
         self.unparsed = b""
+        self.read_seconds = 0.0
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -125,7 +126,7 @@
             self.fail(MalformedResponseError(f"{framing} bytes are no body"))
 
     def take_read_seconds(self) -> float:
-        """Return the time spent on parsing since the last call."""
+        """Return the time that parsing took since the last call."""
         seconds, self.read_seconds = self.read_seconds, 0.0
         return seconds
 
--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -6,11 +6,20 @@
 import pytest
 
 from linnetladder.forwarding.coordination.calls import CallFault, CallFaultKind
-from linnetladder.forwarding.transport import HttpEndpointCalls, endpoint_calls
+from linnetladder.forwarding.transport import (
+    HttpEndpointCalls,
+    endpoint_calls,
+    read_turns,
+)
+from linnetladder.forwarding.transport.read_turns import (
+    FREE_SECONDS,
+    ReadTurns,
+)
 from linnetladder.platform import PlatformEndpointCodec
 from linnetladder.telemetry import Metrics
 from tests.forwarding.test_transport import ANSWER_HEAD, build_call, run_with_calls
 from tests.support.forwarding import Script, ready_daemon
+from tests.support.odd_server import OddServer
 
 HEAD = ANSWER_HEAD % b"a1"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -28,6 +37,9 @@
     "chunked body": (CHUNKED, b"8\r\naaaaaaaa\r\n"),
 }
 TIMEOUT_SECONDS = 6.0
+# More than a part of a large body in chunks of a byte takes, less than all of it.
+EXPENSIVE_BODY_SECONDS = 0.05
+LARGE_BYTES = 2_000_000
 
 
 class EndlessEndpoint:
@@ -116,6 +128,51 @@
     asyncio.run(scenario())
 
 
+# Guards against bodies that take all the time, each part of them too little to count.
+def test_bodies_wait_for_a_turn_once_their_parts_together_took_long(monkeypatch):
+    monkeypatch.setattr(endpoint_calls, "EXPENSIVE_SECONDS", EXPENSIVE_BODY_SECONDS)
+    rested = []
+
+    async def rest(self, seconds):
+        rested.append(seconds)
+
+    monkeypatch.setattr(ReadTurns, "rest", rest)
+
+    async def scenario():
+        calls = HttpEndpointCalls(codec=PlatformEndpointCodec(), metrics=Metrics())
+        body = b"1\r\na\r\n" * LARGE_BYTES
+        async with OddServer(lambda: [CHUNKED, body, b"0\r\n\r\n"]) as endpoint:
+            exchange = await calls.open(build_call(endpoint))
+            assert await exchange.read() == b"a" * LARGE_BYTES
+            exchange.close()
+        await calls.close()
+
+    asyncio.run(scenario())
+    assert len(rested) > 2
+    assert min(rested) >= EXPENSIVE_BODY_SECONDS
+
+
+def test_bodies_wait_only_while_parsing_takes_much_of_the_time(monkeypatch):
+    waits = []
+
+    async def sleep(seconds):
+        waits.append(seconds)
+
+    monkeypatch.setattr(read_turns.asyncio, "sleep", sleep)
+    seconds = FREE_SECONDS / 10
+
+    async def read_bodies(count):
+        for _ in range(count):
+            await turns.rest(seconds)
+
+    turns = ReadTurns()
+    asyncio.run(read_bodies(9))
+    assert waits == []
+    asyncio.run(read_bodies(40))
+    assert len(waits) > 20
+    assert set(waits) == {seconds}
+
+
 # Guards against a bound that fails answers without a body, such as those to HEAD, whose
 # length is that of a body that is not sent.
 def test_a_large_length_of_a_body_that_is_not_sent_is_no_fault():
--- a/tests/forwarding/test_endless_memory.py
+++ b/tests/forwarding/test_endless_memory.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import itertools
+import statistics
 
 import pytest
 
@@ -22,6 +23,8 @@
 EVENT = b"id: 1\ndata: a\n\n"
 # More than the time limit of the routes, at which a daemon itself ends a request.
 ANSWER_SECONDS = 8.0
+# The routes' goal for answers.
+GOAL_SECONDS = 1.0
 # Endpoints that have failed take requests again after this time.
 EJECTION_SECONDS = 2.5
 PAUSE_SECONDS = 0.1
@@ -103,16 +106,19 @@
 
 
 async def call_beside(site, calls, route, serials):
-    """Return the statuses that another caller gets while the calls are there."""
-    statuses = []
-    while not all(call.done() for call in calls) or not statuses:
-        statuses.append(await status_of(site, route, f"ordinary.{next(serials)}"))
+    """Return what another caller gets while the calls are there: statuses, seconds."""
+    loop = asyncio.get_running_loop()
+    answers = []
+    while not all(call.done() for call in calls) or not answers:
+        began = loop.time()
+        status = await status_of(site, route, f"ordinary.{next(serials)}")
+        answers.append((status, loop.time() - began))
         await asyncio.sleep(PAUSE_SECONDS)
-    return statuses
+    return answers
 
 
 async def run_kinds(folder, kinds, route, other_route):
-    """Return, by kind, the highest memory and the statuses that callers got."""
+    """Return, by kind, the highest memory and what callers got."""
     site = WireSite(
         folder=folder,
         daemons=1,
@@ -160,4 +166,6 @@
             kind,
             figures,
         )
-        assert set(beside) == {200}, (kind, figures)
+        assert {status for status, _ in beside} == {200}, (kind, figures)
+        typical_seconds = statistics.median(seconds for _, seconds in beside)
+        assert typical_seconds <= GOAL_SECONDS, (kind, figures)
