--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -373,8 +373,8 @@
         self.ip = f"127.0.{rig.network}.{10 + number}"
         self.process: asyncio.subprocess.Process | None = None
         self.settings_file = rig.folder / f"{self.name}.conf"
-        self.bounds: dict[str, object] = {}
         self.store_address = ""
+        self.added_lines: list[str] = []
 
     @property
     def front(self) -> tuple[str, int]:
@@ -400,7 +400,8 @@
             "Limits.MemoryMb=300",
             "Limits.MaxFds=4100",
             f"HeartbeatMs={int(HEARTBEAT_SECONDS * 1000)}",
-            *(f"Bounds.{k}={v}" for k, v in {**BOUNDS, **self.bounds}.items()),
+            *(f"Bounds.{name}={value}" for name, value in BOUNDS.items()),
+            *self.added_lines,
             f"Provider.Address={address}",
             "Provider.form=kv",
         ]
