Read each figure of the settings by itself

Daemons that ran ignored the whole file, and so any later change in it.

Cause: the file was parsed into nested tables and validated as one document, so that one value refused all others. The same held for Bounds= and Limits=, for unknown names below a known one and for a byte that is no UTF-8. NaN, infinity and negative numbers were taken.

Change: names are looked up whole, and each figure is read by itself. A missing or empty one has its default; one that can't be read has it, too, and is logged and counted. A file that lacks the identity or an address is refused as before, with the names, also if they are empty.

--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -110,6 +110,11 @@
             self.caller_settings,
         )
         self.log_writer.on_dropped = partial(parts.metrics.count, "log_lines_dropped")
+        parts.metrics.gauge(
+            "unreadable_settings",
+            "Figures of the settings that have defaults since they can't be read",
+            lambda: len(self.settings_holder.current.problems),
+        )
         self.ready_server = ReadyServer(
             ready_path=READY_PATH,
             reasons=self.unready_reasons,
@@ -153,6 +158,7 @@
         gc.enable()
         gc.set_threshold(*GC_THRESHOLDS)
         log_change("started", settings=dataclasses.asdict(settings))
+        _report_problems(settings)
 
     async def _listen_for_operators(self, settings: FleetSettings) -> None:
         await self.ready_server.listen(
@@ -278,6 +284,13 @@
         self.parts.store.late_after = settings.bounds.configuration
         apply_resources(self.parts, settings, self.caller_settings)
         log_change("settings reloaded", settings=dataclasses.asdict(settings))
+        _report_problems(settings)
+
+
+def _report_problems(settings: FleetSettings) -> None:
+    """Log which figures of the settings have defaults since they can't be read."""
+    if settings.problems:
+        log_change("settings partly unreadable", problems=settings.problems)
 
 
 def _read_mtime_ns(path, fallback: int) -> int:
--- a/linnetladder/forwarding/settings.py
+++ b/linnetladder/forwarding/settings.py
@@ -52,7 +52,8 @@
     ``peer_ports`` holds the first and the last port that daemons may use for messages
     to each other. ``store_address`` is the ``IP:port`` of the platform's store.
     ``regions`` gives the regions of failure domains. The process may use
-    ``memory_megabytes``, and open ``descriptors`` of files and sockets.
+    ``memory_megabytes``, and open ``descriptors`` of files and sockets. ``problems``
+    name the figures that could not be read and have their defaults.
     """
 
     instance: str
@@ -67,6 +68,7 @@
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
     memory_megabytes: int = 300
     descriptors: int = 4096
+    problems: tuple[str, ...] = ()
 
 
 class SettingsHolder:
