Withdraw all credentials with an empty list of client accounts

Cause: a missing list was decoded like an empty one, and admission asked for a credential only if the table had an account, so a table without any opened all routes.

Change: the table tells an empty list of accounts from a missing one. With an empty list no credential is valid. Without the field requests need no key, and one that carries a key is refused, since no configuration in force holds it. An empty bearer token is no credential.

--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -65,7 +65,7 @@
             detail = f"no route for host {head.host!r} and path {head.path!r}"
             return Failure(self.in_force.refuse_absent(ErrorKind.UNKNOWN_PATH, detail))
         account = None
-        if table.accounts and not route.public:
+        if _checks_credential(table, route, head, account_name):
             if stale_refusal is not None:
                 return Failure(stale_refusal)
             account_result = self._find_account(table, head, account_name)
@@ -141,6 +141,18 @@
         )
 
 
+def _checks_credential(
+    table: RoutingTable, route: Route, head: RequestHead, account_name: str
+) -> bool:
+    """Return whether a request must come from one of the client accounts.
+
+    Without accounts a credential is not needed, but one that is given is not known.
+    """
+    if route.public:
+        return False
+    return table.has_accounts or head.credential is not None or account_name != ""
+
+
 def _offers_model(route: Route, model: str) -> bool:
     """Return whether a route's endpoints may have the model that a request names."""
     return not route.models or model == ANY_MODEL or model in route.models
--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -151,7 +151,11 @@
 
 
 class RoutingTable:
-    """One version of an operator's configuration, indexed for lookups."""
+    """One version of an operator's configuration, indexed for lookups.
+
+    ``accounts`` is ``None`` in a configuration that does without client accounts, whose
+    routes need no credential. With an empty one no credential is valid.
+    """
 
     def __init__(
         self,
@@ -160,14 +164,15 @@
         revision: int,
         routes: Iterable[Route],
         services: Iterable[ServiceSpec],
-        accounts: Iterable[ClientAccount],
+        accounts: Iterable[ClientAccount] | None,
         limits: CallerLimits,
     ):
         self.version = version
         self.revision = revision
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
-        self.accounts = {account.name: account for account in accounts}
+        self.has_accounts = accounts is not None
+        self.accounts = {account.name: account for account in accounts or ()}
         self.limits = limits
         self.accounts_by_credential = {
             digest: account
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -181,10 +181,16 @@
             revision=revision,
             routes=[route.decode() for route in self.Routes],
             services=[service.decode() for service in self.Services],
-            accounts=[tenant.decode() for tenant in self.Tenants],
+            accounts=self._decode_accounts(),
             limits=self.Limits.decode(),
         )
 
+    def _decode_accounts(self) -> list[ClientAccount] | None:
+        """Return the client accounts, ``None`` only if the field is missing."""
+        if "Tenants" not in self.model_fields_set:
+            return None
+        return [tenant.decode() for tenant in self.Tenants]
+
 
 class RolloutModel(pydantic.BaseModel):
     """The operator's order to move a service to a version."""
--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -183,7 +183,7 @@
 def _parse_credential(value: str | None) -> str | None:
     if value is None or not value.startswith(BEARER_SCHEME):
         return None
-    return value[len(BEARER_SCHEME) :].strip()
+    return value[len(BEARER_SCHEME) :].strip() or None
 
 
 def _parse_deadline(value: str | None) -> float | None:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -70,6 +70,45 @@
     assert daemon.answer(head("/fetch/1", key="key-2")).status == 200
 
 
+# Guards against the key of the last client account being accepted after its withdrawal,
+# and with it unknown keys and requests without one.
+@pytest.mark.parametrize("key", ["key-1", "never-given", None])
+def test_an_empty_list_of_accounts_withdraws_all_credentials(key):
+    daemon = ready_daemon()
+    daemon.source.table = table(2, accounts=())
+    assert daemon.read()
+    assert daemon.answer(head("/fetch/1", key=key)).status == 401
+    started = LocalDaemon(source=MemorySource(table=table(2, accounts=())))
+    assert started.read()
+    assert started.answer(head("/fetch/1", key=key)).status == 401
+    assert daemon.calls.calls == started.calls.calls == []
+
+
+# Guards against a withdrawn or unknown key being accepted since a configuration does
+# without accounts; requests without a key are what such a configuration is for.
+@pytest.mark.parametrize("before", [None, (("studio", "key-1"),)])
+def test_without_accounts_only_requests_without_a_key_are_served(before):
+    daemon = ready_daemon()
+    daemon.source.table = table(2, accounts=before)
+    assert daemon.read()
+    daemon.source.table = table(3, accounts=None)
+    assert daemon.read()
+    assert daemon.answer(head("/fetch/1", key=None)).status == 200
+    assert daemon.answer(head("/fetch/2", key="key-1")).status == 401
+    assert daemon.answer(head("/fetch/3", key="never-given")).status == 401
+
+
+# Guards against routes that a caller may use without a key being closed to others.
+@pytest.mark.parametrize("accounts", [None, (), (("studio", "key-1"),)])
+@pytest.mark.parametrize("key", ["never-given", None])
+def test_public_routes_are_served_whatever_the_accounts(accounts, key):
+    public = route("fetch", kind=RequestKind.IDEMPOTENT, public=True)
+    daemon = ready_daemon()
+    daemon.source.table = table(2, routes=(public,), accounts=accounts)
+    assert daemon.read()
+    assert daemon.answer(head("/fetch/1", key=key)).status == 200
+
+
 def test_configuration_age_counts_from_the_start_of_the_read():
     daemon = ready_daemon()
     daemon.in_force.confirm(daemon.clock.now - 4.0)
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -208,6 +208,22 @@
     assert decoded.accounts["t1"].allowed_regions == regions
 
 
+# Guards against a list of accounts that is there and empty being taken for none.
+@pytest.mark.parametrize(
+    ("change", "has_accounts", "accounts"),
+    [({}, True, {"t1"}), ({"Tenants": []}, True, set()), (None, False, set())],
+)
+def test_an_empty_list_of_accounts_differs_from_a_missing_one(
+    change, has_accounts, accounts
+):
+    document = CONFIGURATION | (change or {})
+    if change is None:
+        del document["Tenants"]
+    decoded = ConfigurationModel.model_validate(document).decode(revision=40)
+    assert decoded.has_accounts is has_accounts
+    assert set(decoded.accounts) == accounts
+
+
 def run_with_store(work):
     """Run a coroutine function against the store stand-in over HTTP."""
 
@@ -524,6 +540,14 @@
     assert (answer.request_limit, answer.names_request_limit) == (limit, named)
 
 
+# Guards against an empty credential, which an account could also have.
+@pytest.mark.parametrize("value", ["Bearer ", "Bearer", "Bearer   ", ""])
+def test_an_empty_credential_is_none(value):
+    headers = {"Linnetladder-Attempt-Id": "a1", "Authorization": value}
+    decoded = PlatformCallerCodec().decode_request_head("GET", "/a/", headers)
+    assert decoded.credential is None
+
+
 def test_fetch_request_head_has_no_prompt():
     assert head("/fetch/1").prompt is None
 
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -88,7 +88,10 @@
 
 
 def table(version=1, *, routes=None, accounts=(("studio", "key-1"),)) -> RoutingTable:
-    """Return a routing table with the usual routes and one client account."""
+    """Return a routing table with the usual routes and one client account.
+
+    ``accounts`` are ``None`` in a table that does without them.
+    """
     return RoutingTable(
         version=version,
         revision=version,
@@ -110,7 +113,9 @@
             ),
             ServiceSpec(name="desk", health_path="/healthz", maximum_connections=10),
         ),
-        accounts=[
+        accounts=None
+        if accounts is None
+        else [
             ClientAccount(name=name, credentials=(credential_digest(key),))
             for name, key in accounts
         ],
