Read the operator's configuration part by part

Callers saw: a version took a key away and had one value that can't be read (a route's TimeoutMs null, MaxBodyBytes "", a new Kind on another route). Daemons that ran went on serving the key, and with it the whole version before; one that started then never became ready.

Cause: the configuration was validated as one document, so that one field of one entry refused the version. NaN, infinity, negative and huge numbers were taken.

Change: what is valid as a whole is decoded as before. Otherwise each entry and each field is read by itself. Null and "" mean a missing field. An unreadable field has its default, unless that could allow what the value forbids: then the requests that the entry decides about are refused with configuration_unreadable (503, not run). Accounts of one name hold the keys of all of them, and what repeats is reported. Errors of entries name fields without values, which may be keys.

--- a/linnetladder/errors.py
+++ b/linnetladder/errors.py
@@ -62,6 +62,7 @@
     NO_ENDPOINT = "no_endpoint"
     CONFIGURATION_UNAVAILABLE = "configuration_unavailable"
     CONFIGURATION_STALE = "configuration_stale"
+    CONFIGURATION_UNREADABLE = "configuration_unreadable"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     ALREADY_CLAIMED = "already_claimed"
     ALREADY_ANSWERED = "already_answered"
@@ -126,6 +127,9 @@
         503, "No configuration is in force"
     ),
     ErrorKind.CONFIGURATION_STALE: ErrorResponse(503, "The configuration is too old"),
+    ErrorKind.CONFIGURATION_UNREADABLE: ErrorResponse(
+        503, "A part of the configuration can't be read"
+    ),
     ErrorKind.PLATFORM_UNAVAILABLE: ErrorResponse(503, "The platform can't be reached"),
     ErrorKind.ALREADY_CLAIMED: ErrorResponse(409, "The request was already started"),
     ErrorKind.ALREADY_ANSWERED: ErrorResponse(409, "The request was already answered"),
--- a/linnetladder/fleet_daemon.py
+++ b/linnetladder/fleet_daemon.py
@@ -115,6 +115,11 @@
             "Figures of the settings that have defaults since they can't be read",
             lambda: len(self.settings_holder.current.problems),
         )
+        parts.metrics.gauge(
+            "unreadable_configuration_parts",
+            "Parts of the newest configuration that can't be read",
+            parts.in_force.count_problems,
+        )
         self.ready_server = ReadyServer(
             ready_path=READY_PATH,
             reasons=self.unready_reasons,
--- a/linnetladder/forwarding/coordination/admission.py
+++ b/linnetladder/forwarding/coordination/admission.py
@@ -14,6 +14,7 @@
     RequestHead,
     Route,
     RoutingTable,
+    UnreadableRoute,
     credential_digest,
 )
 from linnetladder.forwarding.state.requests import ANY_MODEL
@@ -23,6 +24,8 @@
 # Responses are sent this long before the caller's time limit.
 RESPONSE_MARGIN_SECONDS = 0.02
 DEFAULT_DEADLINE_SECONDS = 30.0
+# An operator has to write the configuration again.
+UNREADABLE_RETRY_SECONDS = 5.0
 
 
 class AdmissionControl:
@@ -61,8 +64,12 @@
         if table is None:
             return Failure(stale_refusal)
         route = table.find_route(head.host, head.path)
+        if isinstance(route, UnreadableRoute):
+            return Failure(_refuse_unreadable(f"the route: {route.problem}"))
         if route is None:
             detail = f"no route for host {head.host!r} and path {head.path!r}"
+            if table.unreadable.hides_routes:
+                return Failure(_refuse_unreadable(f"{detail} can be read"))
             return Failure(self.in_force.refuse_absent(ErrorKind.UNKNOWN_PATH, detail))
         account = None
         if _checks_credential(table, route, head, account_name):
@@ -87,23 +94,22 @@
     def _find_account(
         self, table: RoutingTable, head: RequestHead, account_name: str
     ) -> Result[ClientAccount, Refusal]:
+        kind = ErrorKind.UNKNOWN_CREDENTIAL
         if account_name:
             account = table.accounts.get(account_name)
-            if account is not None:
-                return Success(account)
             detail = f"there is no client account {account_name!r}"
-            kind = ErrorKind.UNKNOWN_CREDENTIAL
-            return Failure(self.in_force.refuse_absent(kind, detail))
-        if head.credential is None:
+        elif head.credential is None:
             detail = "the request carries no credential"
             kind = ErrorKind.MISSING_CREDENTIAL
             return Failure(self.in_force.refuse_absent(kind, detail))
-        account = table.find_account(credential_digest(head.credential))
-        if account is None:
+        else:
+            account = table.find_account(credential_digest(head.credential))
             detail = "no client account has the request's credential"
-            kind = ErrorKind.UNKNOWN_CREDENTIAL
-            return Failure(self.in_force.refuse_absent(kind, detail))
-        return Success(account)
+        if account is not None:
+            return Success(account)
+        if table.unreadable.hides_accounts:
+            return Failure(_refuse_unreadable(f"{detail}, as far as they can be read"))
+        return Failure(self.in_force.refuse_absent(kind, detail))
 
     def _build_request(
         self,
@@ -141,6 +147,15 @@
         )
 
 
+def _refuse_unreadable(detail: str) -> Refusal:
+    """Return the refusal of a request that an unreadable part decides about."""
+    return Refusal(
+        ErrorKind.CONFIGURATION_UNREADABLE,
+        detail,
+        retry_after_seconds=UNREADABLE_RETRY_SECONDS,
+    )
+
+
 def _checks_credential(
     table: RoutingTable, route: Route, head: RequestHead, account_name: str
 ) -> bool:
--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -21,6 +21,8 @@
 ERA_DOUBT_SECONDS = 3.0
 # Time in which the operator writes again what the store has lost.
 OPERATOR_REWRITE_SECONDS = 2.0
+# Unreadable parts of a configuration that one log line names.
+LOGGED_PROBLEMS = 20
 
 
 class TableInForce:
@@ -73,8 +75,19 @@
             routes=len(table.routes),
             accounts=len(table.accounts),
         )
+        if table.unreadable.problems:
+            log_change(
+                "configuration partly unreadable",
+                version=table.version,
+                count=len(table.unreadable.problems),
+                problems=table.unreadable.problems[:LOGGED_PROBLEMS],
+            )
         return True
 
+    def count_problems(self) -> int:
+        """Return the number of unreadable parts of the table in force."""
+        return len(self.table.unreadable.problems) if self.table is not None else 0
+
     def confirm(self, since: float) -> None:
         """Record that the content last read was current at a time.
 
--- a/linnetladder/forwarding/state/__init__.py
+++ b/linnetladder/forwarding/state/__init__.py
@@ -23,6 +23,8 @@
     RoutingTable,
     ServiceShare,
     ServiceSpec,
+    UnreadableParts,
+    UnreadableRoute,
     credential_digest,
 )
 
@@ -46,5 +48,7 @@
     "ServiceShare",
     "ServiceSpec",
     "Trial",
+    "UnreadableParts",
+    "UnreadableRoute",
     "credential_digest",
 ]
--- a/linnetladder/forwarding/state/routes.py
+++ b/linnetladder/forwarding/state/routes.py
@@ -21,6 +21,8 @@
     "RoutingTable",
     "ServiceShare",
     "ServiceSpec",
+    "UnreadableParts",
+    "UnreadableRoute",
     "credential_digest",
 ]
 
@@ -145,6 +147,32 @@
     idle_seconds: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnreadableRoute:
+    """A route of which only the host and the path prefix could be read.
+
+    ``problem`` names the fields that could not, and why.
+    """
+
+    host: str
+    prefix: str
+    problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnreadableParts:
+    """What could not be read of a configuration; ``problems`` name where and why.
+
+    With ``hides_routes`` there may be routes, and with ``hides_accounts`` credentials
+    of client accounts, that are not in the routing table.
+    """
+
+    routes: tuple[UnreadableRoute, ...] = ()
+    hides_routes: bool = False
+    hides_accounts: bool = False
+    problems: tuple[str, ...] = ()
+
+
 def credential_digest(credential: str) -> str:
     """Return the SHA-256 digest by which `RoutingTable` looks a credential up."""
     return hashlib.sha256(credential.encode()).hexdigest()
@@ -154,7 +182,8 @@
     """One version of an operator's configuration, indexed for lookups.
 
     ``accounts`` is ``None`` in a configuration that does without client accounts, whose
-    routes need no credential. With an empty one no credential is valid.
+    routes need no credential. With an empty one no credential is valid. Requests that
+    match one of the ``unreadable`` routes match no other route instead.
     """
 
     def __init__(
@@ -166,29 +195,32 @@
         services: Iterable[ServiceSpec],
         accounts: Iterable[ClientAccount] | None,
         limits: CallerLimits,
+        unreadable: UnreadableParts = UnreadableParts(),
     ):
         self.version = version
         self.revision = revision
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.has_accounts = accounts is not None
-        self.accounts = {account.name: account for account in accounts or ()}
+        listed_accounts = tuple(accounts or ())
+        self.accounts = {account.name: account for account in listed_accounts}
         self.limits = limits
+        self.unreadable = unreadable
         self.accounts_by_credential = {
             digest: account
-            for account in self.accounts.values()
+            for account in listed_accounts
             for digest in account.credentials
         }
-        self.routes_by_host: dict[str, dict[str, Route]] = {}
+        self.routes_by_host: dict[str, dict[str, Route | UnreadableRoute]] = {}
         self.prefix_lengths: dict[str, list[int]] = {}
-        for route in self.routes:
+        for route in (*self.routes, *unreadable.routes):
             self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
         for host, routes_of_host in self.routes_by_host.items():
             self.prefix_lengths[host] = sorted(
                 {len(prefix) for prefix in routes_of_host}
             )
 
-    def find_route(self, host: str, path: str) -> Route | None:
+    def find_route(self, host: str, path: str) -> Route | UnreadableRoute | None:
         """Return the route of a host with the longest prefix that matches a path."""
         routes = self.routes_by_host.get(host)
         if routes is None:
--- a/linnetladder/platform/documents.py
+++ b/linnetladder/platform/documents.py
@@ -4,11 +4,14 @@
 time to the first byte, ``Sizes`` lists models from the smallest, ``Priority`` 0 is the
 most urgent, a ``Public`` route needs no credential, and ``Split`` distributes a route
 over several services. ``AllowedRegions`` limits a route's or a tenant's requests to
-regions; missing or empty, any region is allowed.
+regions; missing or empty, any region is allowed. A configuration without ``Tenants``
+needs no credentials; with an empty list none is valid.
+
+`linnetladder.platform.configuration` reads a configuration by these models.
 """
 
 import ipaddress
-from typing import Literal
+from typing import Annotated, ClassVar, Literal, Self
 
 import pydantic
 
@@ -22,56 +25,99 @@
     RoutingTable,
     ServiceShare,
     ServiceSpec,
+    UnreadableParts,
     credential_digest,
 )
+from linnetladder.platform.fields import (
+    MAXIMUM_AMOUNT,
+    MAXIMUM_PORT,
+    MAXIMUM_SECONDS,
+    MILLISECONDS_PER_SECOND,
+    Amount,
+    FieldsModel,
+    Milliseconds,
+    Seconds,
+)
 from linnetladder.state import EndpointReport, VersionRef
 
 __all__ = [
-    "MAXIMUM_PORT",
     "ConfigurationModel",
     "RolloutModel",
     "ServerModel",
     "StatusModel",
 ]
 
-MILLISECONDS_PER_SECOND = 1000.0
 # Bounds of what a worker may say of itself. They are far beyond any real value, and
 # keep what is computed from it finite.
 MAXIMUM_SLOTS = 1_000_000
-MAXIMUM_COLD_MS = 86_400_000.0
 MAXIMUM_UNIX_MS = 253_402_300_799_999
-MAXIMUM_PORT = 65_535
+MAXIMUM_VERSION = 2**63 - 1
+
+NonEmptyText = Annotated[str, pydantic.Field(min_length=1)]
+# Names of accounts and paths of probes are sent in the heads of requests.
+HeaderText = Annotated[str, pydantic.Field(pattern=r"^[^\x00-\x1f\x7f]+$")]
+ProbePath = Annotated[str, pydantic.Field(pattern=r"^(/[!-~]*)?$")]
+Count = Annotated[int, pydantic.Field(ge=0, le=MAXIMUM_AMOUNT)]
+PositiveCount = Annotated[int, pydantic.Field(gt=0, le=MAXIMUM_AMOUNT)]
+# Zero means that no time is named.
+OptionalSeconds = Annotated[float, pydantic.Field(ge=0, le=MAXIMUM_SECONDS)]
+OptionalMilliseconds = Annotated[
+    float, pydantic.Field(ge=0, le=MAXIMUM_SECONDS * MILLISECONDS_PER_SECOND)
+]
+# Versions are passed between daemons as 64-bit numbers.
+Version = Annotated[int, pydantic.Field(ge=0, le=MAXIMUM_VERSION)]
 
 
 class SplitModel(pydantic.BaseModel):
     """The share of one service in a route."""
 
-    Service: str
-    Weight: float = 1.0
+    Service: NonEmptyText
+    Weight: Amount = 1.0
+
 
+class RouteModel(FieldsModel):
+    """A route of the configuration.
 
-class RouteModel(pydantic.BaseModel):
-    """A route of the configuration."""
+    Unreadable fields have defaults that allow no more than any value: one attempt, no
+    public use. Which endpoints may get a request is never guessed.
+    """
+
+    decisive_fields: ClassVar[frozenset[str]] = frozenset(
+        ("Sizes", "Service", "Split", "AllowedRegions")
+    )
 
-    Name: str
-    Host: str
-    PathPrefix: str
+    Name: NonEmptyText
+    Host: NonEmptyText
+    PathPrefix: NonEmptyText
     Kind: Literal["idempotent", "non_idempotent", "streaming"]
-    TimeoutMs: float
-    GoalMs: float = 0
-    Priority: int = 0
-    Sizes: list[str] = []
+    TimeoutMs: Milliseconds = 30_000
+    GoalMs: OptionalMilliseconds = 0
+    Priority: Count = 0
+    Sizes: list[NonEmptyText] = []
     Service: str = ""
     Split: list[SplitModel] = []
-    Attempts: int = 1
+    Attempts: Count = 1
     Public: bool = False
     CanResume: bool = False
-    GapTargetMs: float = 0
-    AllowedRegions: list[str] | None = None
+    GapTargetMs: OptionalMilliseconds = 0
+    AllowedRegions: list[NonEmptyText] | None = None
+
+    @pydantic.model_validator(mode="after")
+    def check_services(self) -> Self:
+        """Raise `ValueError` if no service may get requests of the route."""
+        if not self.Service and not self.Split:
+            raise ValueError("the route names no service")
+        if self.Split and not any(part.Weight for part in self.Split):
+            raise ValueError("all services of the route have the weight 0")
+        return self
 
     def decode(self) -> Route:
         """Return the route."""
-        shares = [ServiceShare(part.Service, part.Weight) for part in self.Split]
+        shares = [
+            ServiceShare(part.Service, part.Weight)
+            for part in self.Split
+            if part.Weight
+        ]
         if not shares:
             shares = [ServiceShare(self.Service, 1.0)]
         timeout = self.TimeoutMs / MILLISECONDS_PER_SECOND
@@ -93,11 +139,11 @@
         )
 
 
-class EngineModel(pydantic.BaseModel):
+class EngineModel(FieldsModel):
     """The capacity of a service's engines."""
 
-    Slots: int = 1
-    KvCapacity: int = 0
+    Slots: Count = 1
+    KvCapacity: Count = 0
 
     def decode(self) -> EngineSpec:
         """Return the specification of the engines."""
@@ -107,14 +153,14 @@
         )
 
 
-class ServiceModel(pydantic.BaseModel):
+class ServiceModel(FieldsModel):
     """A service of the configuration."""
 
-    Name: str
-    HealthPath: str = ""
-    MaxConns: int = 0
-    ColdS: float = pydantic.Field(0, ge=0)
-    ColdPerS: float = pydantic.Field(0, ge=0)
+    Name: NonEmptyText
+    HealthPath: ProbePath = ""
+    MaxConns: Count = 0
+    ColdS: OptionalSeconds = 0
+    ColdPerS: Amount = 0
     Engine: EngineModel | None = None
 
     def decode(self) -> ServiceSpec:
@@ -129,13 +175,15 @@
         )
 
 
-class TenantModel(pydantic.BaseModel):
+class TenantModel(FieldsModel):
     """A client account of the configuration."""
 
-    Name: str
-    ApiKeys: list[str] = []
-    Priority: int | None = None
-    AllowedRegions: list[str] | None = None
+    decisive_fields: ClassVar[frozenset[str]] = frozenset(("ApiKeys", "AllowedRegions"))
+
+    Name: HeaderText
+    ApiKeys: list[NonEmptyText] = []
+    Priority: Count | None = None
+    AllowedRegions: list[NonEmptyText] | None = None
 
     def decode(self) -> ClientAccount:
         """Return the client account, with digests instead of its keys."""
@@ -147,13 +195,13 @@
         )
 
 
-class LimitsModel(pydantic.BaseModel):
+class LimitsModel(FieldsModel):
     """Limits on callers' requests and connections."""
 
-    MaxHeaderBytes: int = 16_384
-    MaxBodyBytes: int = 4_194_304
-    HeaderTimeoutMs: float = 3000
-    IdleTimeoutMs: float = 15_000
+    MaxHeaderBytes: PositiveCount = 16_384
+    MaxBodyBytes: PositiveCount = 4_194_304
+    HeaderTimeoutMs: Milliseconds = 3000
+    IdleTimeoutMs: Milliseconds = 15_000
 
     def decode(self) -> CallerLimits:
         """Return the limits."""
@@ -168,13 +216,15 @@
 class ConfigurationModel(pydantic.BaseModel):
     """The operator's whole configuration."""
 
-    Version: int
+    Version: Version
     Routes: list[RouteModel] = []
     Services: list[ServiceModel] = []
     Tenants: list[TenantModel] = []
     Limits: LimitsModel = LimitsModel()
 
-    def decode(self, *, revision: int) -> RoutingTable:
+    def decode(
+        self, *, revision: int, unreadable: UnreadableParts = UnreadableParts()
+    ) -> RoutingTable:
         """Return the routing table with the revision of the store's key."""
         return RoutingTable(
             version=self.Version,
@@ -183,6 +233,7 @@
             services=[service.decode() for service in self.Services],
             accounts=self._decode_accounts(),
             limits=self.Limits.decode(),
+            unreadable=unreadable,
         )
 
     def _decode_accounts(self) -> list[ClientAccount] | None:
@@ -195,9 +246,9 @@
 class RolloutModel(pydantic.BaseModel):
     """The operator's order to move a service to a version."""
 
-    Service: str
-    Target: str
-    DurationS: float = pydantic.Field(gt=0)
+    Service: NonEmptyText
+    Target: NonEmptyText
+    DurationS: Seconds
 
     def decode(self, *, revision: int) -> RolloutOrder:
         """Return the order."""
@@ -231,7 +282,9 @@
     Version: str
     Slots: int = pydantic.Field(ge=1, le=MAXIMUM_SLOTS)
     State: Literal["ready", "draining"]
-    ColdMs: float | None = pydantic.Field(None, ge=0, le=MAXIMUM_COLD_MS)
+    ColdMs: float | None = pydantic.Field(
+        None, ge=0, le=MAXIMUM_SECONDS * MILLISECONDS_PER_SECOND
+    )
     Seq: int
     Phase: str | None = None
     Models: list[dict] | None = None
--- a/linnetladder/platform/fields.py
+++ b/linnetladder/platform/fields.py
@@ -7,11 +7,35 @@
 """
 
 import dataclasses
-from typing import ClassVar, Generic, TypeVar
+from typing import Annotated, ClassVar, Generic, TypeVar
 
 import pydantic
 
-__all__ = ["FieldsModel", "Reading", "describe_errors", "read_fields"]
+__all__ = [
+    "MAXIMUM_AMOUNT",
+    "MAXIMUM_PORT",
+    "MAXIMUM_SECONDS",
+    "MILLISECONDS_PER_SECOND",
+    "Amount",
+    "FieldsModel",
+    "Milliseconds",
+    "Reading",
+    "Seconds",
+    "describe_errors",
+    "read_fields",
+]
+
+MILLISECONDS_PER_SECOND = 1000.0
+MAXIMUM_PORT = 65_535
+# Far beyond any real figure. They keep what is computed from the figures finite.
+MAXIMUM_SECONDS = 86_400.0
+MAXIMUM_AMOUNT = 1e9
+
+Milliseconds = Annotated[
+    float, pydantic.Field(gt=0, le=MAXIMUM_SECONDS * MILLISECONDS_PER_SECOND)
+]
+Seconds = Annotated[float, pydantic.Field(gt=0, le=MAXIMUM_SECONDS)]
+Amount = Annotated[float, pydantic.Field(ge=0, le=MAXIMUM_AMOUNT)]
 
 
 class FieldsModel(pydantic.BaseModel):
--- a/linnetladder/platform/settings.py
+++ b/linnetladder/platform/settings.py
@@ -13,22 +13,21 @@
 import pydantic
 
 from linnetladder.forwarding.settings import Bounds, FleetSettings
-from linnetladder.platform.fields import FieldsModel, describe_errors, read_fields
+from linnetladder.platform.fields import (
+    MAXIMUM_AMOUNT,
+    MAXIMUM_PORT,
+    MILLISECONDS_PER_SECOND,
+    Amount,
+    FieldsModel,
+    Milliseconds,
+    Seconds,
+    describe_errors,
+    read_fields,
+)
 
 __all__ = ["SettingsError", "read_settings", "settings_path"]
 
 PATH_VARIABLE = "LINNETLADDER_BOOT"
-MILLISECONDS_PER_SECOND = 1000.0
-MAXIMUM_PORT = 65_535
-# Far beyond any real bound. They keep what is computed from the figures finite.
-MAXIMUM_SECONDS = 86_400.0
-MAXIMUM_AMOUNT = 1e9
-
-Milliseconds = Annotated[
-    float, pydantic.Field(gt=0, le=MAXIMUM_SECONDS * MILLISECONDS_PER_SECOND)
-]
-Seconds = Annotated[float, pydantic.Field(gt=0, le=MAXIMUM_SECONDS)]
-Amount = Annotated[float, pydantic.Field(ge=0, le=MAXIMUM_AMOUNT)]
 
 
 class SettingsError(Exception):
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -37,13 +37,13 @@
     RolloutRecord,
     RoutingTable,
 )
+from linnetladder.platform.configuration import read_configuration
 from linnetladder.platform.documents import (
-    MAXIMUM_PORT,
-    ConfigurationModel,
     RolloutModel,
     ServerModel,
     StatusModel,
 )
+from linnetladder.platform.fields import MAXIMUM_PORT, describe_errors
 from linnetladder.platform.store import KeyChange, PlatformStore
 from linnetladder.state import EndpointReport
 from linnetladder.telemetry import Metrics, log_change
@@ -68,6 +68,8 @@
 # Workers are named in headers.
 SERVER_NAME = re.compile(r"[!-~]+")
 SECRET_KEY = "linnetladder/peer-secret"
+# Longest text in the log on a value that can't be decoded.
+MAXIMUM_PROBLEM_LENGTH = 300
 
 _RECORD_ADAPTER = pydantic.TypeAdapter(RolloutRecord)
 _DAEMON_ADAPTER = pydantic.TypeAdapter(DaemonAddress)
@@ -428,8 +430,7 @@
         """Decode the configuration if its position is new."""
         position = Position(self.store.era.current or 0, record.modify_revision)
         if self.table is None or self.table_position < position:
-            model = ConfigurationModel.model_validate_json(record.value)
-            self.table = model.decode(revision=position.revision)
+            self.table = read_configuration(record.value, revision=position.revision)
             self.table_position = position
 
     def _report_unreadable(self, record: Record, error: Exception) -> None:
@@ -438,7 +439,14 @@
         if self.unreadable_revisions.get(record.key) == record.modify_revision:
             return
         self.unreadable_revisions[record.key] = record.modify_revision
-        log_change("unreadable store entry", key=record.key, error=str(error)[:300])
+        log_change("unreadable store entry", key=record.key, error=_describe(error))
+
+
+def _describe(error: Exception) -> str:
+    """Return why a value can't be decoded, without quoting it."""
+    if isinstance(error, pydantic.ValidationError):
+        return "; ".join(describe_errors(error))[:MAXIMUM_PROBLEM_LENGTH]
+    return str(error)[:MAXIMUM_PROBLEM_LENGTH]
 
 
 def _decode_order(record: Record) -> RolloutOrder:
