Let an unreadable configuration confirm none before it

Callers saw: after a version that is no JSON, or whose Version can't be read, a key that it may have taken away was served for as long as the store could be read.

Cause: decoding failed, the table before stayed the source's table, and each read passed it on as the newest one, which confirmed it. The wait for a change and reads of peers did the same, and so did reads after the key had been removed.

While it does, nothing confirms the table in force: keys are refused once the bound on revocation is over, also where revocation isn't strict, since it is known that a newer version exists. Public routes go on. Refusals and the reasons for not being ready name the problem, and the bound that made a table too old.

--- a/linnetladder/forwarding/coordination/in_force.py
+++ b/linnetladder/forwarding/coordination/in_force.py
@@ -32,7 +32,9 @@
     from an older copy, so a read confirms the table only if it returned the newest
     version that this daemon or a peer knows of, ``newest_version_known``.
     ``confirmed_at`` is the time when the latest such read began, in seconds of the
-    daemon's clock.
+    daemon's clock. ``problem`` tells why the newest configuration can't be read, if it
+    can't; nothing confirms the table in force then, since it may accept what the newest
+    one has withdrawn.
     """
 
     def __init__(self, *, settings: SettingsHolder, clock: Clock):
@@ -45,6 +47,7 @@
         self.confirmed_before_era = -math.inf
         self.era_began_at = clock.monotonic()
         self.rewrite_expected_until = -math.inf
+        self.problem = ""
 
     def limits(self) -> CallerLimits:
         """Return the limits on callers in force, the defaults before there are any."""
@@ -57,6 +60,7 @@
         """
         if self.confirmed_at == -math.inf:
             self.era_began_at = self.clock.monotonic()
+        self.problem = ""
         self.version_read = table.version if table is not None else 0
         self.newest_version_known = max(self.newest_version_known, self.version_read)
         is_newer = table is not None and self._is_newer(table)
@@ -84,9 +88,14 @@
             )
         return True
 
+    def note_unreadable(self, problem: str) -> None:
+        """Record that the newest configuration can't be read, and why."""
+        self.problem = problem
+
     def count_problems(self) -> int:
-        """Return the number of unreadable parts of the table in force."""
-        return len(self.table.unreadable.problems) if self.table is not None else 0
+        """Return the unreadable parts of the table in force and of the newest one."""
+        problems = self.table.unreadable.problems if self.table is not None else ()
+        return len(problems) + (self.problem != "")
 
     def confirm(self, since: float) -> None:
         """Record that the content last read was current at a time.
@@ -94,7 +103,7 @@
         It confirms the table in force unless a newer version is known, or the store may
         have lost one that the operator will write again.
         """
-        if since < self.rewrite_expected_until:
+        if self.problem or since < self.rewrite_expected_until:
             return
         if self.version_read >= self.newest_version_known:
             self.confirmed_at = max(self.confirmed_at, since)
@@ -128,21 +137,26 @@
     def refuse_stale(self) -> Refusal | None:
         """Return a refusal if the table is missing or too old to check credentials.
 
-        With strict revocation, an older table could accept a withdrawn credential.
+        With strict revocation, an older table could accept a withdrawn credential. So
+        could one whose successor can't be read, in any case.
         """
         if self.table is None:
-            detail = "no configuration has been received yet"
+            detail = "no configuration has been received yet" + self._describe_problem()
             return Refusal(
                 ErrorKind.CONFIGURATION_UNAVAILABLE,
                 detail,
                 retry_after_seconds=STALE_RETRY_SECONDS,
             )
         bounds = self.settings.bounds
-        if not bounds.strict_revocation:
+        if not bounds.strict_revocation and not self.problem:
             return None
         if self.age() <= bounds.revoke - REVOKE_MARGIN_SECONDS:
             return None
-        detail = f"the configuration was last confirmed {self.age():.1f} s ago"
+        detail = (
+            f"the configuration was last confirmed {self.age():.1f} s ago, and is used "
+            f"for {bounds.revoke - REVOKE_MARGIN_SECONDS:.1f} s"
+            f"{self._describe_problem()}"
+        )
         return Refusal(
             ErrorKind.CONFIGURATION_STALE,
             detail,
@@ -163,5 +177,8 @@
             retry_after_seconds=STALE_RETRY_SECONDS,
         )
 
+    def _describe_problem(self) -> str:
+        return f"; the newest one can't be read: {self.problem}" if self.problem else ""
+
     def _is_newer(self, table: RoutingTable) -> bool:
         return self.table is None or table.version > self.table.version
--- a/linnetladder/forwarding/coordination/shared_snapshots.py
+++ b/linnetladder/forwarding/coordination/shared_snapshots.py
@@ -58,6 +58,9 @@
     if snapshot.evacuated_domains:
         evacuated = sorted((d.name, d.revision) for d in snapshot.evacuated_domains)
         content = (*content, evacuated)
+    # The table is not the newest one then.
+    if snapshot.table_problem:
+        content = (*content, snapshot.table_problem)
     return xxhash.xxh64_intdigest(repr(content).encode())
 
 
--- a/linnetladder/forwarding/coordination/sources.py
+++ b/linnetladder/forwarding/coordination/sources.py
@@ -44,7 +44,8 @@
 
     ``era`` is the era of the store in which it was read, 0 if it is unknown. While a
     change of the table is being received, ``table`` is the one before and
-    ``table_is_current`` is false.
+    ``table_is_current`` is false. ``table_problem`` tells why the newest table can't be
+    read; ``table`` is the one before then, too.
     """
 
     table: RoutingTable | None
@@ -56,6 +57,7 @@
     evacuated_domains: tuple[EvacuatedDomain, ...] = ()
     era: int = 0
     table_is_current: bool = True
+    table_problem: str = ""
 
     @property
     def position(self) -> Position:
--- a/linnetladder/forwarding/coordination/store_polling.py
+++ b/linnetladder/forwarding/coordination/store_polling.py
@@ -240,7 +240,10 @@
         if snapshot.table_is_current:
             self.snapshots.record_snapshot(snapshot, began=began)
             self.content_confirmed_at = began
-            self.in_force.confirm_read(snapshot.table, began=began)
+            if snapshot.table_problem:
+                self.in_force.note_unreadable(snapshot.table_problem)
+            else:
+                self.in_force.confirm_read(snapshot.table, began=began)
             self.peers.configuration_version = self.in_force.newest_version_known
         self.evacuations.update(
             snapshot.evacuated_domains, era=snapshot.era, began=began
--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -79,8 +79,9 @@
 class PlatformSource(OperatorSource):
     """The operator's documents, registrations and records, over one store client.
 
-    ``decoded`` caches the position and the decoded value of each key of the last read;
-    ``table_position`` is the position of ``table``.
+    ``decoded`` caches the position and the decoded value of each key of the last read.
+    ``table_position`` is the position of the newest configuration, and ``table`` its
+    table, or the one before if ``table_problem`` tells why it can't be read.
     ``lease_era`` is the era in which the lease ``lease_id`` was granted.
     ``unreadable_revisions`` maps a key to the revision whose error was logged.
     ``configuration`` is the newest one of ``configuration_era``, as of the store's
@@ -91,6 +92,7 @@
         self.store = store
         self.metrics = metrics
         self.table: RoutingTable | None = None
+        self.table_problem = ""
         self.lease_id = 0
         self.lease_era: int | None = None
         self.unreadable_revisions: dict[str, int] = {}
@@ -233,7 +235,7 @@
             return Success(None)
         self.recheck_configuration = self._large_configuration() is not None
         self._update_table(self._kept_configuration())
-        return Success(self.table)
+        return Success(None if self.table_problem else self.table)
 
     def last_content(self) -> StoreContent:
         """Return the era and the records of the last read."""
@@ -278,10 +280,16 @@
         era = self.store.era.current or 0
         self._forget_table_of_ended_era()
         previously_decoded, self.decoded = self.decoded, {}
+        has_table = False
         for record in records:
+            has_table = has_table or record.key == CONFIGURATION_KEY
             self._decode(record, values_by_prefix, previously_decoded)
+        problem = self.table_problem
+        if not has_table and self.table is not None:
+            problem = "the store has none any more"
         return StoreSnapshot(
             table=self.table,
+            table_problem=problem,
             orders=tuple(values_by_prefix[ORDER_PREFIX]),
             records=tuple(values_by_prefix[RECORD_PREFIX]),
             endpoints=tuple(values_by_prefix[SERVER_PREFIX]),
@@ -424,14 +432,21 @@
 
     def _forget_table_of_ended_era(self) -> None:
         if self.table_position.era != (self.store.era.current or 0):
-            self.table = None
+            self.table, self.table_problem = None, ""
 
     def _decode_table(self, record: Record) -> None:
-        """Decode the configuration if its position is new."""
+        """Decode the configuration if its position is new; raise if it can't be."""
         position = Position(self.store.era.current or 0, record.modify_revision)
-        if self.table is None or self.table_position < position:
+        is_known = self.table is not None or self.table_problem
+        if is_known and position <= self.table_position:
+            return
+        self.table_position = position
+        try:
             self.table = read_configuration(record.value, revision=position.revision)
-            self.table_position = position
+            self.table_problem = ""
+        except Exception as error:
+            self.table_problem = _describe(error)
+            raise
 
     def _report_unreadable(self, record: Record, error: Exception) -> None:
         """Count a value that can't be decoded and log it once per revision."""
--- a/tests/support/forwarding.py
+++ b/tests/support/forwarding.py
@@ -327,6 +327,7 @@
         self.era = 1
         self.down = False
         self.lose_replies = 0
+        self.table_problem = ""
         self.writes = []
         self.copies = []
         self.last_read = None
@@ -355,6 +356,7 @@
             return self.fault()
         self.last_read = StoreSnapshot(
             table=self.table,
+            table_problem=self.table_problem,
             orders=tuple(self.orders.values()),
             records=tuple(self.records.values()),
             endpoints=tuple(self.endpoints.values()),
