Refuse request heads with figures that are none

Callers saw nothing of it themselves: a time limit of NaN compares with nothing, and a prompt of -5 tokens lowers what an endpoint is taken to have in memory, for all other callers. An empty time limit or count of tokens was refused with 400.

Cause: figures of a head were converted, not checked; an empty field was taken for an unreadable one.

Change: time limits are finite and above zero, tokens from 0 to 10^9, others are refused with 400 as unreadable ones were. An empty field means the same as a missing one.

Before: eleven of the new cases in test_platform.py fail. After: they pass.

--- a/linnetladder/platform/headers.py
+++ b/linnetladder/platform/headers.py
@@ -45,6 +45,8 @@
 # Callers request bodies without any encoding; with one it is not the worker's body.
 CONTENT_ENCODING = "Content-Encoding"
 BEARER_SCHEME = "Bearer "
+# Far beyond any prompt. It keeps what is computed from the figures of a head finite.
+MAXIMUM_TOKENS = 1_000_000_000
 MILLISECONDS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
 # What bytes that are not UTF-8 are decoded to.
@@ -187,10 +189,10 @@
 
 
 def _parse_deadline(value: str | None) -> float | None:
-    if value is None:
+    if value is None or not value.strip():
         return None
     number = _parse_number(value)
-    if number is None or number <= 0:
+    if number is None or not 0 < number < math.inf:
         raise InvalidHeadError(
             f"the header {DEADLINE} is {value!r}, not a positive number"
         )
@@ -252,20 +254,28 @@
     return value is not None and not SURROGATES.search(value)
 
 
+def _parse_tokens(text: str) -> int:
+    """Return a number of tokens; raise `ValueError` if it can't be one."""
+    number = int(text)
+    if not 0 <= number <= MAXIMUM_TOKENS:
+        raise ValueError(f"{number} is not between 0 and {MAXIMUM_TOKENS}")
+    return number
+
+
 def _parse_prompt(tokens: str | None, prefix: str | None) -> Prompt | None:
-    if tokens is None:
+    if tokens is None or not tokens.strip():
         return None
     prompt_tokens, _, generated_tokens = tokens.partition(",")
     try:
         parts = tuple(
-            PromptPart(part_id, int(length))
+            PromptPart(part_id, _parse_tokens(length))
             for item in (prefix or "").split(",")
             if item
             for part_id, _, length in (item.strip().partition(":"),)
         )
         return Prompt(
-            input_tokens=int(prompt_tokens),
-            output_tokens=int(generated_tokens or 0),
+            input_tokens=_parse_tokens(prompt_tokens),
+            output_tokens=_parse_tokens(generated_tokens.strip() or "0"),
             parts=parts,
         )
     except ValueError as error:
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -464,6 +464,45 @@
         PlatformCallerCodec().decode_request_head("POST", "/a/", {**HEADERS, **change})
 
 
+# Guards against figures of callers that are no figures: a time limit that compares with
+# nothing, and tokens that lower what endpoints are taken to have in memory.
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        *(("Linnetladder-Deadline-Ms", v) for v in ("nan", "inf", "-1", "0")),
+        *(
+            ("Linnetladder-Token-Counts", v)
+            for v in ("-5,80", "5,-80", "nan,80", "1e9,80", "9" * 30)
+        ),
+        *(
+            ("Linnetladder-Prompt-Prefix", v)
+            for v in ("a:-5", "a:nan", "a:" + "9" * 30)
+        ),
+    ],
+)
+def test_figures_of_a_request_head_are_finite_and_not_negative(name, value):
+    with pytest.raises(InvalidHeadError):
+        PlatformCallerCodec().decode_request_head(
+            "POST", "/a/", HEADERS | {name: value}
+        )
+
+
+# Guards against an empty field of a head that is taken for an unreadable one.
+@pytest.mark.parametrize(
+    "name", ["Linnetladder-Deadline-Ms", "Linnetladder-Token-Counts"]
+)
+@pytest.mark.parametrize("value", ["", "  "])
+def test_an_empty_field_of_a_request_head_is_a_missing_one(name, value):
+    codec = PlatformCallerCodec()
+    empty = codec.decode_request_head("POST", "/a/", HEADERS | {name: value})
+    missing = {field: text for field, text in HEADERS.items() if field != name}
+    decoded = codec.decode_request_head("POST", "/a/", missing)
+    assert (empty.deadline_seconds, empty.prompt) == (
+        decoded.deadline_seconds,
+        decoded.prompt,
+    )
+
+
 def test_endpoint_call_carries_the_account_but_not_the_credential():
     decoded = PlatformCallerCodec().decode_request_head("POST", "/a/x", HEADERS)
     call = EndpointCall(
