Take an empty environment variable for a missing one

Callers would see: no daemon starts (status 2) once a variable of deploy/system.toml is filled from a field without a value. DEPLOY.md: placeholders may stand in env, and "nothing is returned if there is no value".

Cause: an empty variable was validated as a value, like an empty figure of the settings file.

Change: it means the same as a missing one. Values that can't be read still end the start with the variable's name: the deploy file is the project's own.

Before: the two new cases on empty variables fail. After: they pass.

--- a/linnetladder/forwarding/daemon_variables.py
+++ b/linnetladder/forwarding/daemon_variables.py
@@ -1,7 +1,8 @@
 """Settings of a daemon that operators set in environment variables.
 
 The variable of a field is its model's prefix followed by the field's name in upper
-case.
+case. An empty variable means the same as a missing one: a deploy file fills variables
+from fields that may have no value.
 """
 
 import os
@@ -137,7 +138,7 @@
     values = {
         name: environment[prefix + name.upper()]
         for name in model.model_fields
-        if prefix + name.upper() in environment
+        if environment.get(prefix + name.upper(), "").strip()
     }
     try:
         return model.model_validate(values)
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -151,6 +151,24 @@
         read_operations_settings(variables)
 
 
+# Guards against a variable that a deploy file left empty and that ends every daemon.
+@pytest.mark.parametrize("value", ["", " "])
+def test_an_empty_variable_is_a_missing_one(value):
+    variables = {
+        "LINNETLADDER_POLICY_CONFIDENCE": value,
+        "LINNETLADDER_OPERATIONS_METRICS_PORT": value,
+    }
+    assert read_policy_settings(variables) == read_policy_settings({})
+    assert read_operations_settings(variables) == read_operations_settings({})
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-1", "1e308", "101"])
+def test_a_variable_that_is_no_figure_is_named(value):
+    variables = {"LINNETLADDER_POLICY_CONFIDENCE": value}
+    with pytest.raises(VariableError, match="POLICY_CONFIDENCE"):
+        read_policy_settings(variables)
+
+
 def test_sighup_during_startup_does_not_end_the_process(tmp_path):
     """SIGHUP must not kill a daemon that has not yet installed its handler.
 
