Replace a secret of daemons that is empty or no text

Callers would see answers that are not billed: daemons with an empty secret in the store never sign a message, so no peer holds copies of their bills and none serves calls for them. One that is no UTF-8 ended the task that fetches it.

Cause: only a missing key was written; an empty value was taken for one that is there.

Change: a secret that is empty or can't be read is written again under the condition that it is still the one that was read.

Before: the three new cases in test_platform.py fail. After: they pass.

--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -383,15 +383,19 @@
         return deleted.map(lambda outcome: outcome.succeeded)
 
     async def shared_secret(self, proposed: str) -> Result[str, PlatformFault]:
-        """Return the stored secret; create it if there is none."""
+        """Return the stored secret; write it if there is none, or none to be read."""
         read = await self.store.get(SECRET_KEY)
         if isinstance(read, Failure):
             return read
-        if read.unwrap() is None:
-            put = Put(SECRET_KEY, proposed.encode())
-            await self.store.transact(conditions=(Condition(SECRET_KEY),), puts=(put,))
+        record = read.unwrap()
+        if not _read_secret(record):
+            revision = record.modify_revision if record is not None else 0
+            await self.store.transact(
+                conditions=(Condition(SECRET_KEY, revision),),
+                puts=(Put(SECRET_KEY, proposed.encode()),),
+            )
             read = await self.store.get(SECRET_KEY)
-        return read.map(lambda record: record.value.decode() if record else "")
+        return read.map(_read_secret)
 
     def _decode(
         self,
@@ -464,6 +468,18 @@
     return str(error)[:MAXIMUM_PROBLEM_LENGTH]
 
 
+def _read_secret(record: Record | None) -> str:
+    """Return a secret, an empty text if there is none that can be read."""
+    if record is None:
+        return ""
+    try:
+        secret = record.value.decode()
+    except UnicodeDecodeError as error:
+        log_change("unreadable store entry", key=record.key, error=error.reason)
+        return ""
+    return secret if secret.strip() else ""
+
+
 def _decode_order(record: Record) -> RolloutOrder:
     model = RolloutModel.model_validate_json(record.value)
     return model.decode(revision=record.modify_revision)
--- a/tests/forwarding/test_platform.py
+++ b/tests/forwarding/test_platform.py
@@ -777,6 +777,22 @@
     run_with_store(scenario)
 
 
+# Guards against daemons that never understand each other, and so never hold copies of
+# bills, since what is stored as their secret is empty or no text.
+@pytest.mark.parametrize("stored", [b"", b"  ", b"\xff\xfe"])
+def test_a_secret_that_is_empty_or_unreadable_is_replaced(stored):
+    async def work(server, store, source):
+        server.put_bytes(SECRET_KEY, stored)
+        first = SharedSecret(source=source, era=store.era, seed=1)
+        second = SharedSecret(source=source, era=store.era, seed=2)
+        found = await asyncio.gather(first.fetch(), second.fetch())
+        assert found == [True, True]
+        assert first.value == second.value == server.value(SECRET_KEY)
+        assert len(first.value) == 32
+
+    run_with_store(work)
+
+
 def test_a_check_of_the_secret_that_failed_is_repeated_when_the_store_is_back():
     """Guards against a daemon that no peer understands until its next retry.
 
