Pass over entries of daemons without a name or an address

Callers saw nothing. An entry under the daemons' prefix with an empty host, or a name for one, became a peer: reports went to it, and a share of the retry budget was kept for it.

Cause: the port was checked, the other fields only for their type.

Change: an instance has a name, and its host is an IPv4 address, as no names can be resolved.

--- a/linnetladder/platform/source.py
+++ b/linnetladder/platform/source.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import ipaddress
 import re
 from collections.abc import Iterable
 
@@ -515,6 +516,9 @@
 
 def _decode_daemon(record: Record) -> DaemonAddress:
     address = _DAEMON_ADAPTER.validate_json(record.value)
+    if not address.instance:
+        raise ValueError("the entry names no instance")
+    ipaddress.IPv4Address(address.host)
     if not 0 < address.port <= MAXIMUM_PORT:
         raise ValueError(f"the port {address.port} is out of range")
     return address
--- a/tests/forwarding/test_odd_entries.py
+++ b/tests/forwarding/test_odd_entries.py
@@ -74,7 +74,15 @@
         ("servers/", entry()),
         ("servers/ä", entry()),
         ("router/daemons/odd", json.dumps({**DAEMON, "port": 70_000}).encode()),
+        ("router/daemons/odd", json.dumps({**DAEMON, "host": ""}).encode()),
+        ("router/daemons/odd", json.dumps({**DAEMON, "host": "there"}).encode()),
+        ("router/daemons/odd", json.dumps({**DAEMON, "instance": ""}).encode()),
         ("router/daemons/odd", NESTED.encode()),
+        ("op/rollout/odd", b'{"Service": "s1", "Target": "", "DurationS": 9}'),
+        ("op/rollout/odd", b'{"Service": "", "Target": "v2", "DurationS": 9}'),
+        ("op/rollout/odd", b'{"Service": "s1", "Target": "v2", "DurationS": NaN}'),
+        ("op/rollout/odd", b'{"Service": "s1", "Target": "v2", "DurationS": 1e308}'),
+        ("op/rollout/odd", b'{"Service": "s1", "Target": "v2", "DurationS": ""}'),
         ("router/rollouts/odd", NESTED.encode()),
     ],
 )
@@ -87,7 +95,7 @@
     )
     assert [e.name for e in snapshot.endpoints] == ["good", "last"]
     assert [d.instance for d in snapshot.daemons] == ["d1"]
-    assert snapshot.records == ()
+    assert snapshot.records == snapshot.orders == ()
     assert unreadable == 1
 
 
