Add review case 13: requests reach a worker whose entry was removed

Tried: the open channels of three daemons to the store go silent while new ones work, and 0.3 s later the entry of a worker is removed (review/13/run.sh).

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Open channels to the store go silent just before a route moves to another service."""
+"""Open channels to the store go silent just before a worker's entry is removed."""
 
 import asyncio
 import sys
@@ -10,74 +10,62 @@
 from rig_3 import Rig, route, run_case, trouble  # noqa: E402
 
 CONTACT_SECONDS = 3.0
-CONFIG_SECONDS = 2.0
-# The routes that move: one that needs a key, and a public one.
-MOVING = ("fetch", "open")
-
-
-def configure(rig: Rig, service: str) -> None:
-    """Write a configuration in which the routes lead to a service."""
-    rig.configure(
-        [route("fetch", service), route("open", service, Public=True)],
-        [{"Name": "desk-a"}, {"Name": "desk-b"}],
-    )
+DRAIN_SECONDS = 2.0
+# For how long the worker serves after its entry is gone.
+SERVES_SECONDS = 10.0
 
 
 async def case(rig: Rig) -> str:
     """Play the case; return how the rule was broken."""
-    for service in ("desk-a", "desk-b"):
-        for number in (1, 2):
-            await rig.add_worker(f"{service}-{number}", service)
-    configure(rig, "desk-a")
+    workers = [await rig.add_worker(f"desk-{number}", "desk") for number in (1, 2, 3)]
+    leaving = workers[0]
+    rig.configure([route("fetch", "desk")], [{"Name": "desk"}])
     for name in rig.names:
         rig.start_daemon(name)
     await rig.wait_ready()
     answers = []
     tasks = []
-    silent_at = confirmed_at = None
+    silent_at = removed_at = None
 
-    async def send(name: str, path: str) -> None:
-        key = {"key": ""} if path == "open" else {}
-        answers.append(await rig.client.send(name, f"/{path}/1", **key))
+    async def send(name: str) -> None:
+        answers.append(await rig.client.send(name, "/fetch/1"))
 
     began = time.monotonic()
-    while (now := time.monotonic() - began) < 20.0:
+    while (now := time.monotonic() - began) < 12.0 + SERVES_SECONDS:
         if silent_at is None and now >= 12.0:
             silent_at = time.monotonic()
             if trouble():
                 for name, proxy in rig.proxies.items():
                     proxy.silence()
                     rig.record.write(f"{proxy.open} channels of {name} go silent")
-        if confirmed_at is None and now >= 12.4:
-            configure(rig, "desk-b")
-            confirmed_at = time.monotonic()
-        for name in rig.names:
-            for path in MOVING:
-                tasks.append(asyncio.ensure_future(send(name, path)))
-        await asyncio.sleep(0.1)
+        if removed_at is None and now >= 12.3:
+            leaving.listed = False
+            rig.store.remove(f"servers/{leaving.name}")
+            removed_at = time.monotonic()
+            rig.record.write(f"the store has removed the entry of {leaving.name}")
+        tasks += [asyncio.ensure_future(send(name)) for name in rig.names]
+        await asyncio.sleep(0.05)
     await asyncio.gather(*tasks)
-    since = max(silent_at + CONTACT_SECONDS, confirmed_at + CONFIG_SECONDS)
-    old = {
-        attempt: at
-        for worker in rig.workers
-        if worker.service == "desk-a"
-        for at, attempt in worker.runs
-    }
-    late = [a for a in answers if a.sent_at >= since and a.attempt in old]
-    for answer in late:
-        after = answer.sent_at - confirmed_at
+    sent_at = {answer.attempt: answer for answer in answers}
+    since = silent_at + CONTACT_SECONDS
+    late = [
+        (at, sent_at[attempt])
+        for at, attempt in leaving.runs
+        if at > removed_at + DRAIN_SECONDS and sent_at[attempt].sent_at >= since
+    ]
+    for at, answer in late:
         rig.record.write(
-            f"late: {answer.attempt} to {answer.daemon} {answer.target}, sent "
-            f"{after:.2f} s after the confirmation, ran at the old service"
+            f"late: {answer.attempt} from {answer.daemon} reached {leaving.name} "
+            f"{at - removed_at:.2f} s after its entry was removed"
         )
     if not late:
         return ""
-    last = max(a.sent_at for a in late) - confirmed_at
+    last = max(at for at, _ in late) - removed_at
     return (
-        f"CONFIG: {len(late)} requests to machines in touch ran at the old service, "
-        f"the last sent {last:.2f} s after the confirmation"
+        f"DRAIN: {len(late)} requests of machines in touch reached a worker that had "
+        f"left, the last {last:.2f} s after its entry was removed"
     )
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case, daemons=6)
+    run_case(Path(__file__).resolve().parent, case)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,5 +5,5 @@
 set -e
 cd "$(dirname "$0")/.."
 python3 -m py_compile review/rig_3.py review/11/case.py review/12/case.py \
-    review/13/case.py review/15/case.py
+    review/13/case.py review/14/case.py review/15/case.py
 PYTHONPATH=target/deps python3 -c "import linnetladder.fleet_daemon"
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -130,18 +130,32 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.lease_numbers = itertools.count(1001)
         self.changed = asyncio.Event()
-        self.port = 0
-        self.server: asyncio.Server | None = None
+        self.servers: list[asyncio.Server] = []
         self.expiry: asyncio.Task | None = None
-        # Called with the method, the target and the body; delays or drops an answer.
-        self.before_answer: Callable[..., Awaitable[bool]] | None = None
+        # The daemons whose calls are answered 503 at present.
+        self.turned_away: set[str] = set()
 
-    async def start(self) -> None:
-        """Listen on loopback."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+    def start(self) -> None:
+        """Begin to end leases."""
         self.expiry = asyncio.ensure_future(self._expire())
 
+    async def listen(self, daemon: str) -> int:
+        """Listen on loopback for one daemon and return the port."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(daemon, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def turn_away(self, daemon: str) -> None:
+        """Answer a daemon 503 from now on, also to the watches that wait."""
+        self.turned_away.add(daemon)
+        self.changed.set()
+
     def put(self, key: str, document: dict) -> int:
         """Write a document of the operator or of a worker; return its revision."""
         return self._put(key, json.dumps(document).encode(), 0)
@@ -192,16 +206,17 @@
             self.remove(key)
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        daemon: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
-                method, target, _, body = await read_request(reader)
-                if self.before_answer and not await self.before_answer(
-                    method, target, body
-                ):
-                    continue
-                status, answer = await self._answer(method, target, body)
+                _, target, _, body = await read_request(reader)
+                status, answer = 503, {}
+                if daemon not in self.turned_away:
+                    status, answer = await self._answer(daemon, target, body)
                 content = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -211,7 +226,7 @@
                 await writer.drain()
         writer.close()
 
-    async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, dict]:
+    async def _answer(self, daemon: str, target: str, body: bytes) -> tuple[int, dict]:
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query, True).items()}
         name, _, argument = parts.path.removeprefix("/-/").partition("/")
@@ -229,7 +244,7 @@
                 "At": self.revision,
             }
         if name == "kv-watch":
-            return 200, await self._watch(query)
+            return await self._watch(daemon, query)
         if name == "kv-txn":
             return self._transact(content)
         if name == "kv-lease":
@@ -248,10 +263,12 @@
             return 200, {}
         return 404, {}
 
-    async def _watch(self, query: dict) -> dict:
+    async def _watch(self, daemon: str, query: dict) -> tuple[int, dict]:
         after, prefix = int(query["After"]), query.get("PathPrefix", "")
         until = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
+            if daemon in self.turned_away:
+                return 503, {}
             events = [
                 event
                 for event in self.history
@@ -259,7 +276,7 @@
             ]
             left = until - time.monotonic()
             if events or left <= 0:
-                return {"events": events, "At": self.revision}
+                return 200, {"events": events, "At": self.revision}
             self.changed.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left)
@@ -561,7 +578,7 @@
                 reader, writer = await asyncio.open_connection(
                     "127.0.0.1", self.rig.front[daemon], limit=2**20
                 )
-                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 first, *fields = head.split("\r\n")
                 answer.status = int(first.split(" ")[1])
@@ -625,9 +642,9 @@
 
     async def start(self) -> None:
         """Start the store, the proxies and the heartbeats of workers."""
-        await self.store.start()
+        self.store.start()
         for name in self.names:
-            self.proxies[name] = Proxy(port=self.store.port)
+            self.proxies[name] = Proxy(port=await self.store.listen(name))
             await self.proxies[name].start()
         self.heartbeat = asyncio.ensure_future(self._beat())
 
