--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -674,6 +674,7 @@
         self.client = Client(self)
         self.version = 0
         self.bounds = dict(BOUNDS)
+        self.descriptors = 4100
         self.heartbeat: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -745,7 +746,7 @@
             "Limits.CpuShare=0.537",
             "Limits.Cores=2",
             "Limits.MemoryMb=300",
-            "Limits.MaxFds=4100",
+            f"Limits.MaxFds={self.descriptors}",
             "Discovery=platform",
             "Entry=vip",
             "HeartbeatMs=1200",
