Drop the review case on TWICE and renumber those after it

review/7 shows the fault of case 13, a stream that goes on elsewhere while its worker runs it, with the same disruption. The cases on DRAIN and CONFIG become 13 and 14.

--- a/review/15/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
